--- /dev/null
+++ b/src/comfreysill/agent/__init__.py
@@ -0,0 +1,1 @@
+"""The process beside a target: it guards the ledger and calls the runner."""
--- /dev/null
+++ b/src/comfreysill/agent/http.py
@@ -0,0 +1,133 @@
+"""HTTP interface of an agent: the runner's announcements, health and metrics."""
+
+import time
+from typing import Any
+
+import falcon
+import falcon.asgi
+
+from comfreysill.agent.keeper import Keeper
+from comfreysill.agent.messages import RunnerAnnounced, RunnerLeaving
+from comfreysill.metrics import Metrics, render_metrics
+from comfreysill.schemas import find_problems
+
+RUNNER_SCHEMA = {
+    "type": "object",
+    "additionalProperties": False,
+    "required": ["host", "port", "slots", "services"],
+    "properties": {
+        "host": {"type": "string", "pattern": r"^\d{1,3}(\.\d{1,3}){3}$"},
+        "port": {"type": "integer", "minimum": 1, "maximum": 65535},
+        "slots": {"type": "integer", "minimum": 1, "maximum": 4096},
+        "connections": {"type": "integer", "minimum": 1, "maximum": 65535},
+        "services": {
+            "type": "array",
+            "minItems": 1,
+            "items": {"type": "string", "minLength": 1, "maxLength": 63},
+        },
+    },
+}
+DEFAULT_CONNECTIONS = 60
+
+
+class RunnerResource:
+    """The runner beside this agent."""
+
+    __slots__ = ("keeper",)
+
+    def __init__(self, *, keeper: Keeper) -> None:
+        self.keeper = keeper
+
+    async def on_put(self, request: falcon.asgi.Request, response: falcon.asgi.Response) -> None:
+        """Takes an announcement; a runner repeats it every second."""
+        document = await request.get_media()
+        problems = find_problems(document, RUNNER_SCHEMA)
+        if problems:
+            description = "; ".join(str(problem) for problem in problems)
+            raise falcon.HTTPUnprocessableEntity(description=description)
+        self.keeper.inbox.post(_parse_runner(document))
+        response.status = falcon.HTTP_204
+
+    async def on_delete(self, request: falcon.asgi.Request, response: falcon.asgi.Response) -> None:
+        """Takes the word that the runner leaves."""
+        self.keeper.inbox.post(RunnerLeaving())
+        response.status = falcon.HTTP_204
+
+    async def on_get(self, request: falcon.asgi.Request, response: falcon.asgi.Response) -> None:
+        """Tells how much work the runner has left."""
+        ledger = self.keeper.ledger
+        response.media = {
+            "running": ledger.running,
+            "queued": ledger.queued,
+            "draining": ledger.draining,
+        }
+
+
+class HealthResource:
+    """Health and readiness."""
+
+    __slots__ = ("keeper",)
+
+    def __init__(self, *, keeper: Keeper) -> None:
+        self.keeper = keeper
+
+    async def on_get(self, request: falcon.asgi.Request, response: falcon.asgi.Response) -> None:
+        """Answers 200 while the process lives."""
+        response.media = {"status": "alive"}
+
+    async def on_get_ready(
+        self, request: falcon.asgi.Request, response: falcon.asgi.Response
+    ) -> None:
+        """Answers 200 while the agent takes work."""
+        ready = self.keeper.runner is not None and not self.keeper.ledger.draining
+        response.media = {"ready": ready}
+        response.status = falcon.HTTP_200 if ready else falcon.HTTP_503
+
+
+class MetricsResource:
+    """Metrics of the agent."""
+
+    __slots__ = ("keeper", "metrics")
+
+    def __init__(self, *, keeper: Keeper, metrics: Metrics) -> None:
+        self.keeper = keeper
+        self.metrics = metrics
+
+    async def on_get(self, request: falcon.asgi.Request, response: falcon.asgi.Response) -> None:
+        """Renders the metrics."""
+        ledger = self.keeper.ledger
+        gauges = {
+            "running": ledger.running,
+            "queued": ledger.queued,
+            "slots": ledger.slots,
+            "ledger_records": ledger.record_count,
+            "ledger_result_bytes": ledger.result_bytes,
+            "links": len(self.keeper.links),
+            "floor_version": ledger.floor_version,
+        }
+        accept = request.get_header("accept") or ""
+        body, headers = render_metrics(self.metrics, ledger.counters, gauges, accept)
+        response.data = body
+        response.content_type = headers.get("Content-Type", falcon.MEDIA_TEXT)
+
+
+def build_app(keeper: Keeper, metrics: Metrics) -> falcon.asgi.App:
+    """Builds the agent's HTTP application."""
+    app = falcon.asgi.App()
+    health = HealthResource(keeper=keeper)
+    app.add_route("/v1/runner", RunnerResource(keeper=keeper))
+    app.add_route("/health", health)
+    app.add_route("/ready", health, suffix="ready")
+    app.add_route("/metrics", MetricsResource(keeper=keeper, metrics=metrics))
+    return app
+
+
+def _parse_runner(document: dict[str, Any]) -> RunnerAnnounced:
+    return RunnerAnnounced(
+        host=document["host"],
+        port=document["port"],
+        slots=document["slots"],
+        connections=document.get("connections", DEFAULT_CONNECTIONS),
+        services=frozenset(document["services"]),
+        received_at=time.time(),
+    )
--- /dev/null
+++ b/src/comfreysill/agent/keeper.py
@@ -0,0 +1,200 @@
+"""The task that owns the ledger and decides nothing that the ledger doesn't."""
+
+import asyncio
+import logging
+import time
+from collections.abc import Callable
+
+from comfreysill.agent.messages import (
+    Drain,
+    LedgerLost,
+    LedgerMessage,
+    LinkClosed,
+    LinkFrame,
+    RunEnded,
+    RunnerAnnounced,
+    RunnerLeaving,
+    Tick,
+)
+from comfreysill.mailbox import Mailbox
+from comfreysill.target.ledger import (
+    Entry,
+    Ledger,
+    drain,
+    expire_records,
+    finish_record,
+    measure_load,
+    open_session,
+    receive_frame,
+    reject_record,
+    start_waiting,
+)
+from comfreysill.target.messages import AgentFrame
+
+logger = logging.getLogger(__name__)
+
+RUNNER_TIMEOUT_SECONDS = 5.0
+QUEUE_SHARE = 2.0
+
+Start = Callable[[RunnerAnnounced, Entry], None]
+
+
+class EntryLink:
+    """Open link to one entry, as the keeper knows it."""
+
+    __slots__ = ("entry", "session", "mailbox", "sent", "received", "acknowledged")
+
+    def __init__(self, *, entry: str, session: int, mailbox: Mailbox[AgentFrame | None]) -> None:
+        self.entry = entry
+        self.session = session
+        self.mailbox = mailbox
+        self.sent = 0
+        self.received = 0
+        self.acknowledged = 0
+
+
+class Keeper:
+    """State of the ledger task.
+
+    Attributes:
+        ledger: The ledger.
+        inbox: Messages from the other tasks of the process.
+        links: Open links by entry.
+        runner: The runner's last announcement, None before the first.
+        start: Hands a record to a task that calls the runner.
+        idle: Set while draining once nothing runs and everything was sent.
+    """
+
+    __slots__ = ("ledger", "inbox", "links", "runner", "start", "idle", "stopping")
+
+    def __init__(self, *, ledger: Ledger, start: Start) -> None:
+        self.ledger = ledger
+        self.inbox: Mailbox[LedgerMessage] = Mailbox()
+        self.links: dict[str, EntryLink] = {}
+        self.runner: RunnerAnnounced | None = None
+        self.start = start
+        self.idle = asyncio.Event()
+        self.stopping = False
+
+
+async def keep_ledger(keeper: Keeper) -> None:
+    """Runs the ledger task until it is cancelled."""
+    while True:
+        for message in await keeper.inbox.take():
+            _receive(keeper, message, time.time())
+        _flush(keeper)
+
+
+def _receive(keeper: Keeper, message: LedgerMessage, now: float) -> None:
+    ledger = keeper.ledger
+    if isinstance(message, LinkFrame):
+        _receive_frame(keeper, message, now)
+    elif isinstance(message, RunEnded):
+        if message.outcome is None:
+            reject_record(ledger, message.record, now)
+        else:
+            finish_record(
+                ledger, message.record, message.outcome, message.payload, message.run_seconds, now
+            )
+    elif isinstance(message, LinkClosed):
+        for entry in [e for e, link in keeper.links.items() if link.mailbox is message.link]:
+            del keeper.links[entry]
+            logger.info("link to entry %s closed", entry)
+    elif isinstance(message, RunnerAnnounced):
+        _receive_runner(keeper, message, now)
+    elif isinstance(message, RunnerLeaving | Drain):
+        _drain(keeper, stopping=isinstance(message, Drain))
+    elif isinstance(message, LedgerLost):
+        ledger.lost_at = message.lost_at
+    elif isinstance(message, Tick):
+        _tick(keeper, now)
+
+
+def _receive_frame(keeper: Keeper, message: LinkFrame, now: float) -> None:
+    frame = message.frame
+    link = keeper.links.get(frame.entry)
+    if link is None or link.mailbox is not message.link:
+        if not open_session(keeper.ledger, frame.entry, frame.session):
+            message.link.post(None)
+            return
+        if link is not None:
+            link.mailbox.post(None)
+        link = EntryLink(entry=frame.entry, session=frame.session, mailbox=message.link)
+        keeper.links[frame.entry] = link
+        logger.info("link to entry %s opened", frame.entry)
+    if not receive_frame(keeper.ledger, frame, now):
+        message.link.post(None)
+        return
+    link.received = frame.sequence
+
+
+def _receive_runner(keeper: Keeper, message: RunnerAnnounced, now: float) -> None:
+    ledger = keeper.ledger
+    if keeper.runner is None:
+        logger.info("runner %s:%d announced itself", message.host, message.port)
+    keeper.runner = message
+    ledger.slots = message.slots
+    ledger.queue_limit = max(1, int(message.slots * QUEUE_SHARE))
+    ledger.services = message.services
+    if ledger.draining and not keeper.stopping:
+        ledger.draining = False
+        logger.info("runner is back; taking work")
+    start_waiting(ledger, now)
+
+
+def _drain(keeper: Keeper, stopping: bool) -> None:
+    keeper.stopping = keeper.stopping or stopping
+    if not keeper.ledger.draining:
+        logger.info("draining: no new work is taken")
+        drain(keeper.ledger)
+        _announce_load(keeper)
+
+
+def _tick(keeper: Keeper, now: float) -> None:
+    expire_records(keeper.ledger, now)
+    runner = keeper.runner
+    silent = runner is not None and now - runner.received_at > RUNNER_TIMEOUT_SECONDS
+    if silent and not keeper.ledger.draining:
+        logger.warning("runner has not renewed its announcement")
+        _drain(keeper, stopping=False)
+
+
+def _announce_load(keeper: Keeper) -> None:
+    for link in keeper.links.values():
+        _send(keeper, link, ())
+
+
+def _flush(keeper: Keeper) -> None:
+    ledger = keeper.ledger
+    started, ledger.started = ledger.started, []
+    for record in started:
+        keeper.start(keeper.runner, record)
+    outbox, ledger.outbox = ledger.outbox, []
+    by_entry: dict[str, list] = {}
+    for entry, message in outbox:
+        by_entry.setdefault(entry, []).append(message)
+    for entry, messages in by_entry.items():
+        link = keeper.links.get(entry)
+        if link is not None:
+            _send(keeper, link, tuple(messages))
+    for link in keeper.links.values():
+        if link.acknowledged < link.received:
+            _send(keeper, link, ())
+    if keeper.stopping and not ledger.running:
+        keeper.idle.set()
+
+
+def _send(keeper: Keeper, link: EntryLink, messages: tuple) -> None:
+    link.sent += 1
+    link.acknowledged = link.received
+    link.mailbox.post(
+        AgentFrame(
+            agent=keeper.ledger.agent,
+            incarnation=keeper.ledger.incarnation,
+            session=link.session,
+            sequence=link.sent,
+            acknowledged=link.received,
+            load=measure_load(keeper.ledger),
+            messages=messages,
+        )
+    )
--- /dev/null
+++ b/src/comfreysill/agent/links.py
@@ -0,0 +1,51 @@
+"""The agent's gRPC service: a link is one stream, owned by the task that serves it."""
+
+import asyncio
+
+from grpclib.const import Status
+from grpclib.exceptions import GRPCError, StreamTerminatedError
+from grpclib.server import Stream
+
+from comfreysill.agent.messages import LedgerMessage, LinkClosed, LinkFrame
+from comfreysill.mailbox import Mailbox
+from comfreysill.target.messages import AgentFrame
+from comfreysill.wire.agents import decode_entry_frame, encode_agent_frame
+from comfreysill.wire.comfreysill_grpc import AgentBase
+
+
+class AgentService(AgentBase):
+    """Takes the links of entries."""
+
+    __slots__ = ("inbox",)
+
+    def __init__(self, *, inbox: Mailbox[LedgerMessage]) -> None:
+        self.inbox = inbox
+
+    async def Work(self, stream: Stream) -> None:  # noqa: N802
+        """Serves one link until either side closes it."""
+        link: Mailbox[AgentFrame | None] = Mailbox()
+        reader = asyncio.get_running_loop().create_task(self._read(stream, link))
+        try:
+            await _write(stream, link)
+        except (StreamTerminatedError, ConnectionError):
+            pass
+        finally:
+            reader.cancel()
+            self.inbox.post(LinkClosed(link=link))
+
+    async def _read(self, stream: Stream, link: Mailbox[AgentFrame | None]) -> None:
+        try:
+            async for frame in stream:
+                self.inbox.post(LinkFrame(frame=decode_entry_frame(frame), link=link))
+        except (StreamTerminatedError, ConnectionError):
+            pass
+        finally:
+            link.post(None)
+
+
+async def _write(stream: Stream, link: Mailbox[AgentFrame | None]) -> None:
+    while True:
+        for frame in await link.take():
+            if frame is None:
+                raise GRPCError(Status.ABORTED, "the link is closed")
+            await stream.send_message(encode_agent_frame(frame))
--- /dev/null
+++ b/src/comfreysill/agent/program.py
@@ -0,0 +1,103 @@
+"""The agent process: its tasks, their start and their graceful end."""
+
+import asyncio
+import logging
+import time
+import uuid
+
+from result import Ok
+
+from comfreysill.agent.http import build_app
+from comfreysill.agent.keeper import Keeper, keep_ledger
+from comfreysill.agent.links import AgentService
+from comfreysill.agent.messages import Drain, LedgerLost, Tick
+from comfreysill.agent.runner import RunnerCalls, close_calls, start_call
+from comfreysill.metrics import Metrics
+from comfreysill.platform.registry import mark_left, register_agent
+from comfreysill.platform.table import Table, open_table
+from comfreysill.servers import build_http, start_grpc, stop_http
+from comfreysill.settings import Settings
+from comfreysill.supervision import await_stop
+from comfreysill.target.ledger import Ledger
+from comfreysill.target.view import Registration
+
+logger = logging.getLogger(__name__)
+
+TICK_SECONDS = 0.25
+RETRY_SECONDS = 1.0
+FAREWELL_SECONDS = 0.5
+
+
+async def run_agent(settings: Settings, stop: asyncio.Event) -> None:
+    """Runs an agent until it is asked to stop and all started tasks have ended."""
+    incarnation = f"{settings.name}@{uuid.uuid4().hex[:8]}"
+    ledger = Ledger(agent=settings.name, incarnation=incarnation)
+    ledger.lost_at = time.time()
+    keeper = Keeper(ledger=ledger, start=lambda runner, record: start_call(calls, runner, record))
+    calls = RunnerCalls(inbox=keeper.inbox)
+
+    table = open_table(settings.table)
+    http = build_http(build_app(keeper, Metrics(role="agent")), settings.http)
+    grpc = await start_grpc([AgentService(inbox=keeper.inbox)], settings.grpc)
+    http_task = asyncio.create_task(http.serve())
+    tasks = [
+        asyncio.create_task(keep_ledger(keeper)),
+        asyncio.create_task(_tick(keeper)),
+        asyncio.create_task(_register(keeper, settings, table)),
+    ]
+    logger.info("agent %s runs as %s", settings.name, incarnation)
+    await await_stop(stop, [http_task, *tasks])
+    await _leave(keeper, settings, table)
+    await stop_http(http, http_task)
+    grpc.close()
+    for task in tasks:
+        task.cancel()
+    await close_calls(calls)
+    await table.session.close()
+
+
+async def _leave(keeper: Keeper, settings: Settings, table: Table) -> None:
+    keeper.inbox.post(Drain())
+    try:
+        await asyncio.wait_for(keeper.idle.wait(), settings.shutdown_seconds)
+    except TimeoutError:
+        logger.warning("shutdown deadline reached with %d tasks running", keeper.ledger.running)
+    await asyncio.sleep(FAREWELL_SECONDS)
+    if keeper.runner is not None:
+        registration = _build_registration(keeper, settings)
+        left = await mark_left(table, registration, time.time())
+        if not isinstance(left, Ok):
+            logger.warning("could not mark the agent as gone: %s", left.err_value.detail)
+
+
+async def _tick(keeper: Keeper) -> None:
+    while True:
+        await asyncio.sleep(TICK_SECONDS)
+        keeper.inbox.post(Tick())
+
+
+async def _register(keeper: Keeper, settings: Settings, table: Table) -> None:
+    registered: frozenset[str] | None = None
+    while True:
+        await asyncio.sleep(RETRY_SECONDS if registered is not None else TICK_SECONDS)
+        if keeper.runner is None or keeper.runner.services == registered:
+            continue
+        answer = await register_agent(table, _build_registration(keeper, settings), time.time())
+        if isinstance(answer, Ok):
+            registered = keeper.runner.services
+            keeper.inbox.post(LedgerLost(lost_at=answer.ok_value))
+            logger.info("registered with services %s", sorted(registered))
+        else:
+            logger.warning("registration failed: %s", answer.err_value.detail)
+
+
+def _build_registration(keeper: Keeper, settings: Settings) -> Registration:
+    return Registration(
+        agent=settings.name,
+        incarnation=keeper.ledger.incarnation,
+        host=settings.grpc.host,
+        port=settings.grpc.port,
+        zone=settings.zone,
+        services=keeper.runner.services,
+        revision=0,
+    )
--- /dev/null
+++ b/src/comfreysill/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command-line tool for operators and callers."""
--- /dev/null
+++ b/src/comfreysill/cli/batch.py
@@ -0,0 +1,182 @@
+"""Job files: YAML documents that describe jobs to submit together."""
+
+import asyncio
+import pathlib
+import time
+from collections.abc import Callable
+from typing import Any
+
+import aiohttp
+import uuid_utils
+
+from comfreysill.cli.client import JOB_PATH, send_request
+from comfreysill.entry.documents import NAME_PATTERN
+from comfreysill.exceptions import UsageError
+from comfreysill.schemas import check_document, load_yaml
+
+JOBS_SCHEMA = {
+    "type": "object",
+    "additionalProperties": False,
+    "required": ["jobs"],
+    "properties": {
+        "jobs": {
+            "type": "array",
+            "minItems": 1,
+            "items": {
+                "type": "object",
+                "additionalProperties": False,
+                "required": ["team", "class", "within_seconds", "service", "tasks"],
+                "properties": {
+                    "team": {"type": "string", "pattern": NAME_PATTERN},
+                    "id": {"type": "string", "pattern": NAME_PATTERN},
+                    "name": {"type": "string"},
+                    "copies": {"type": "integer", "minimum": 1, "maximum": 10000},
+                    "class": {"enum": ["urgent", "normal", "bulk"]},
+                    "within_seconds": {"type": "number", "exclusiveMinimum": 0},
+                    "service": {"type": "string", "pattern": NAME_PATTERN},
+                    "tasks": {
+                        "type": "array",
+                        "minItems": 1,
+                        "items": {
+                            "type": "object",
+                            "additionalProperties": False,
+                            "required": ["payload", "run_time"],
+                            "properties": {
+                                "payload": {"type": "string"},
+                                "run_time": {"type": "number", "exclusiveMinimum": 0},
+                                "size_mb": {"type": "integer", "minimum": 0},
+                                "idempotent": {"type": "boolean"},
+                                "count": {"type": "integer", "minimum": 1, "maximum": 2000},
+                            },
+                        },
+                    },
+                },
+            },
+        }
+    },
+}
+
+
+class JobRequest:
+    """One job to submit.
+
+    Attributes:
+        team: Team that submits.
+        job_id: Idempotency key.
+        name: What people call the job.
+        document: Body of the submission.
+    """
+
+    __slots__ = ("team", "job_id", "name", "document")
+
+    def __init__(self, *, team: str, job_id: str, name: str, document: dict[str, Any]) -> None:
+        self.team = team
+        self.job_id = job_id
+        self.name = name
+        self.document = document
+
+
+class JobReport:
+    """What became of one job.
+
+    Attributes:
+        request: The job.
+        status: HTTP status of the answer.
+        answer: The answer or the problem details.
+        seconds: Response time in seconds.
+    """
+
+    __slots__ = ("request", "status", "answer", "seconds")
+
+    def __init__(
+        self, *, request: JobRequest, status: int, answer: dict[str, Any], seconds: float
+    ) -> None:
+        self.request = request
+        self.status = status
+        self.answer = answer
+        self.seconds = seconds
+
+
+def read_jobs(path: pathlib.Path, now: float) -> list[JobRequest]:
+    """Reads a job file.
+
+    Args:
+        path: The file.
+        now: Unix time in seconds from which `within_seconds` counts.
+
+    Raises:
+        DocumentError: The file has errors; all of them are listed.
+        UsageError: The file can't be read.
+    """
+    try:
+        text = path.read_text()
+    except OSError as error:
+        raise UsageError(
+            message=f"FILE {path}: {error.strerror}", hint="name a readable YAML file"
+        ) from error
+    document = load_yaml(text, str(path))
+    check_document(document, JOBS_SCHEMA, str(path))
+    requests = []
+    for job in document["jobs"]:
+        for _ in range(job.get("copies", 1)):
+            requests.append(_build_request(job, now))
+    return requests
+
+
+async def submit_jobs(
+    entries: list[str], requests: list[JobRequest], report: Callable[[JobReport], None]
+) -> list[JobReport]:
+    """Submits jobs together, dealt out over entries as a balancer would.
+
+    Args:
+        entries: Addresses of entries.
+        requests: The jobs.
+        report: Called with each job that is answered.
+    """
+    connector = aiohttp.TCPConnector(limit=0)
+    timeout = aiohttp.ClientTimeout(total=None)
+    async with aiohttp.ClientSession(connector=connector, timeout=timeout) as session:
+
+        async def submit(request: JobRequest, entry: str) -> JobReport:
+            path = JOB_PATH.format(team=request.team, job_id=request.job_id)
+            started = time.monotonic()
+            reply = await send_request(session, entry, "PUT", path, request.document)
+            done = JobReport(
+                request=request,
+                status=reply.status,
+                answer=reply.document,
+                seconds=time.monotonic() - started,
+            )
+            report(done)
+            return done
+
+        calls = [
+            submit(request, entries[number % len(entries)])
+            for number, request in enumerate(requests)
+        ]
+        return list(await asyncio.gather(*calls))
+
+
+def estimate_ideal(document: dict[str, Any], slots: int) -> float:
+    """Returns the least response time in seconds of a job alone on an empty floor.
+
+    It is the longest task, or the whole work shared by all slots, whichever takes longer.
+    """
+    times = [task["run_time"] for task in document["tasks"]]
+    return max(max(times), sum(times) / max(1, slots))
+
+
+def _build_request(job: dict[str, Any], now: float) -> JobRequest:
+    tasks = []
+    for task in job["tasks"]:
+        fields = {name: value for name, value in task.items() if name != "count"}
+        tasks += [fields] * task.get("count", 1)
+    document = {
+        "class": job["class"],
+        "deadline": now + job["within_seconds"],
+        "service": job["service"],
+        "tasks": tasks,
+    }
+    job_id = job.get("id") or str(uuid_utils.uuid7())
+    name = job.get("name", job_id)
+    return JobRequest(team=job["team"], job_id=job_id, name=name, document=document)
--- /dev/null
+++ b/src/comfreysill/cli/main.py
@@ -0,0 +1,172 @@
+"""The command-line tool `comfreysill`."""
+
+import asyncio
+import pathlib
+import sys
+import time
+from typing import Annotated, Any
+
+import cappa
+import orjson
+from rich.progress import Progress
+
+from comfreysill.cli.batch import JobReport, read_jobs, submit_jobs
+from comfreysill.cli.client import JOB_PATH, Reply, ask
+from comfreysill.cli.tables import print_table, summarize_classes
+from comfreysill.exceptions import ComfreysillError, RefusedError
+
+EntryOption = Annotated[
+    str,
+    cappa.Arg(
+        long="--entry",
+        default=cappa.Env("COMFREYSILL_ENTRY", default="http://127.0.0.1:8080"),
+        help="Address of an entry; several are separated by commas.",
+    ),
+]
+JsonOption = Annotated[bool, cappa.Arg(long="--json", help="Print JSON instead of tables.")]
+
+
+@cappa.command(name="job", help="Submit, look up and cancel jobs.")
+class JobCommands:
+    """Commands about jobs."""
+
+    __slots__ = ()
+
+    @cappa.command(name="submit")
+    def submit(
+        self,
+        file: Annotated[pathlib.Path, cappa.Arg(help="Job file in YAML.")],
+        entry: EntryOption,
+        json: JsonOption = False,
+    ) -> None:
+        """Submit the jobs of a file and wait for all answers."""
+        submit_file(file, entry.split(","), json)
+
+    @cappa.command(name="show")
+    def show(self, team: str, job_id: str, entry: EntryOption) -> None:
+        """Show the answer of a job, or how far it is."""
+        path = JOB_PATH.format(team=team, job_id=job_id)
+        print_json(check_reply(asyncio.run(ask(entry.split(",")[0], "GET", path))))
+
+    @cappa.command(name="cancel")
+    def cancel(self, team: str, job_id: str, entry: EntryOption) -> None:
+        """Cancel a job."""
+        path = JOB_PATH.format(team=team, job_id=job_id)
+        check_reply(asyncio.run(ask(entry.split(",")[0], "DELETE", path)))
+
+
+@cappa.command(name="target", help="Look at targets.")
+class TargetCommands:
+    """Commands about targets."""
+
+    __slots__ = ()
+
+    @cappa.command(name="list")
+    def list_targets(self, entry: EntryOption, json: JsonOption = False) -> None:
+        """List the targets that an entry knows."""
+        reply = check_reply(asyncio.run(ask(entry.split(",")[0], "GET", "/v1/status")))
+        if json:
+            print_json(reply["targets"])
+            return
+        columns = ("name", "zone", "connected", "slots", "running", "queued", "slowness")
+        rows = [[target[column] for column in columns] for target in reply["targets"]]
+        print_table("Targets", columns, rows)
+
+
+@cappa.command(name="comfreysill", help="Operate a dispatcher for sub-second tasks.")
+class Commands:
+    """All commands."""
+
+    __slots__ = ()
+
+    job = JobCommands
+    target = TargetCommands
+
+    @cappa.command(name="status")
+    def status(self, entry: EntryOption) -> None:
+        """Show the state of an entry."""
+        print_json(check_reply(asyncio.run(ask(entry.split(",")[0], "GET", "/v1/status"))))
+
+
+def submit_file(file: pathlib.Path, entries: list[str], json: bool) -> None:
+    """Submits a job file, shows progress and prints the answers.
+
+    Raises:
+        RefusedError: Not all jobs were completed.
+    """
+    requests = read_jobs(file, time.time())
+    slots = asyncio.run(_count_slots(entries[0]))
+    with Progress(disable=json or not sys.stderr.isatty()) as progress:
+        bar = progress.add_task("jobs", total=len(requests))
+        reports = asyncio.run(submit_jobs(entries, requests, lambda report: progress.advance(bar)))
+    rows = summarize_classes(reports, slots)
+    if json:
+        print_json({"classes": rows, "jobs": [_describe_report(report) for report in reports]})
+    else:
+        _print_reports(reports, rows)
+    failed = [report for report in reports if report.status != 200]
+    if failed:
+        raise RefusedError(message=f"{len(failed)} of {len(reports)} jobs were not completed")
+
+
+def print_json(document: Any) -> None:
+    """Prints a document as JSON."""
+    print(orjson.dumps(document, option=orjson.OPT_INDENT_2).decode())
+
+
+def check_reply(reply: Reply) -> Any:
+    """Returns the document of a successful reply.
+
+    Raises:
+        RefusedError: The entry refused the request.
+    """
+    if reply.status < 400:
+        return reply.document
+    problem = reply.document if isinstance(reply.document, dict) else {}
+    detail = problem.get("detail") or problem.get("description") or problem.get("title", "")
+    raise RefusedError(message=f"the entry answered {reply.status}: {detail}")
+
+
+async def _count_slots(entry: str) -> int:
+    status = check_reply(await ask(entry, "GET", "/v1/status"))
+    return sum(target["slots"] for target in status["targets"])
+
+
+def _describe_report(report: JobReport) -> dict[str, Any]:
+    return {
+        "team": report.request.team,
+        "id": report.request.job_id,
+        "name": report.request.name,
+        "http_status": report.status,
+        "seconds": round(report.seconds, 4),
+        "answer": report.answer,
+    }
+
+
+def _print_reports(reports: list[JobReport], rows: list[dict[str, Any]]) -> None:
+    shown = [
+        (
+            report.request.name,
+            report.request.document["class"],
+            report.answer.get("status"),
+            report.answer.get("verdict"),
+            len(report.answer.get("results", [])) or report.answer.get("detail"),
+            f"{report.seconds:.3f}",
+        )
+        for report in reports
+    ]
+    print_table("Answers", ("job", "class", "status", "verdict", "results", "seconds"), shown)
+    print_table("Response time against the ideal", rows[0], [row.values() for row in rows])
+
+
+def main() -> None:
+    """Entry point of the program."""
+    try:
+        cappa.invoke(Commands)
+    except ComfreysillError as error:
+        print(f"Error: {error}", file=sys.stderr)
+        sys.exit(error.exit_code)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/comfreysill/dispatch/admission.py
@@ -0,0 +1,216 @@
+"""Admission of submissions at the owner of their partition."""
+
+from comfreysill.dispatch.jobs import (
+    adopt_found,
+    enqueue_job,
+    fail_and_answer,
+    settle_job,
+    track_pending,
+)
+from comfreysill.dispatch.proofs import deliver_answer
+from comfreysill.dispatch.state import (
+    CLOCK_SKEW_SECONDS,
+    HORIZON_SECONDS,
+    RETENTION_SECONDS,
+    Dispatcher,
+    count,
+    push_timer,
+)
+from comfreysill.job.identity import read_issue_time
+from comfreysill.job.job import Job
+from comfreysill.job.types import Answer, JobKey, Reason, Submission, Verdict, refuse_job
+from comfreysill.partition.hashing import find_partition
+from comfreysill.partition.holding import Holding, Waiting, is_lost_for_good, is_unread
+
+CALLER_SKEW_SECONDS = 2.0
+RETRY_AFTER_SECONDS = 1.0
+DOUBT_MARGIN_SECONDS = CALLER_SKEW_SECONDS + CLOCK_SKEW_SECONDS
+
+
+def accept_submission(
+    dispatcher: Dispatcher, submission: Submission, listener: str, now: float
+) -> bool:
+    """Takes a submission as the owner of its partition.
+
+    Args:
+        dispatcher: The entry.
+        submission: The job.
+        listener: Name of the entry that waits for the answer.
+        now: Unix time in seconds.
+
+    Returns:
+        False when this entry doesn't hold the partition.
+    """
+    holding = dispatcher.holdings.get(find_partition(submission.key))
+    if holding is None:
+        return False
+    if not holding.open:
+        waiting = holding.waiting.setdefault(submission.key, Waiting(submission=submission))
+        if waiting.submission.digest != submission.digest:
+            _refuse_conflict(dispatcher, submission.key, Verdict.MAY_HAVE_RUN, listener, now)
+        else:
+            waiting.listeners.add(listener)
+        return True
+    job = holding.jobs.get(submission.key)
+    if job is None:
+        _admit_job(dispatcher, holding, submission, listener, now)
+    else:
+        _join_job(dispatcher, job, submission, listener, now)
+    return True
+
+
+def admit_waiting(dispatcher: Dispatcher, holding: Holding, now: float) -> None:
+    """Takes the submissions that waited for the end of a takeover."""
+    waiting, holding.waiting = holding.waiting, {}
+    for item in waiting.values():
+        for listener in item.listeners:
+            accept_submission(dispatcher, item.submission, listener, now)
+
+
+def settle_doubts(dispatcher: Dispatcher, holding: Holding, now: float) -> None:
+    """Looks again at jobs that an unread ledger may know."""
+    for job in list(holding.jobs.values()):
+        if job.uncertain and job.answer is None:
+            _judge_certainty(dispatcher, holding, job, now)
+
+
+def _admit_job(
+    dispatcher: Dispatcher, holding: Holding, submission: Submission, listener: str, now: float
+) -> None:
+    found = holding.found.pop(submission.key, None)
+    if found is not None and found.digest != submission.digest:
+        holding.found[submission.key] = found
+        _refuse_conflict(dispatcher, submission.key, Verdict.MAY_HAVE_RUN, listener, now)
+        return
+    refusal = None
+    if found is None:
+        refusal = _check_admission(dispatcher, holding, submission, now)
+    if refusal is not None:
+        count(dispatcher, f"refused_{refusal.reason.name.lower()}")
+        deliver_answer(dispatcher, refusal, {listener}, now)
+        return
+    job = Job(
+        submission=submission,
+        partition=holding.partition,
+        accepted_at=now,
+        expires_at=find_expiry(submission),
+    )
+    job.listeners.add(listener)
+    holding.jobs[submission.key] = job
+    dispatcher.job_count += 1
+    count(dispatcher, "jobs_accepted")
+    track_pending(dispatcher, job)
+    push_timer(dispatcher, submission.deadline, job)
+    push_timer(dispatcher, job.expires_at, job)
+    if found is not None:
+        adopt_found(dispatcher, job, found, now)
+    _judge_certainty(dispatcher, holding, job, now)
+    enqueue_job(dispatcher, job)
+    settle_job(dispatcher, job, now)
+
+
+def _join_job(
+    dispatcher: Dispatcher, job: Job, submission: Submission, listener: str, now: float
+) -> None:
+    count(dispatcher, "jobs_resubmitted")
+    if job.submission.digest != submission.digest:
+        verdict = job.answer.verdict if job.answer else Verdict.MAY_HAVE_RUN
+        _refuse_conflict(dispatcher, submission.key, verdict, listener, now)
+    elif job.answer is not None:
+        deliver_answer(dispatcher, job.answer, {listener}, now)
+    else:
+        job.listeners.add(listener)
+
+
+def _refuse_conflict(
+    dispatcher: Dispatcher, key: JobKey, verdict: Verdict, listener: str, now: float
+) -> None:
+    answer = Answer(
+        key=key,
+        complete=False,
+        verdict=verdict,
+        reason=Reason.CONFLICT,
+        detail="the id was used for a job of other content; this submission started nothing",
+    )
+    count(dispatcher, "refused_conflict")
+    deliver_answer(dispatcher, answer, {listener}, now)
+
+
+def _check_admission(
+    dispatcher: Dispatcher, holding: Holding, submission: Submission, now: float
+) -> Answer | None:
+    reason = _find_refusal(dispatcher, submission, now)
+    if reason is None:
+        return None
+    retry_at = now + RETRY_AFTER_SECONDS if reason[0] == Reason.QUEUE_FULL else 0.0
+    refusal = refuse_job(submission.key, reason[0], reason[1], retry_at)
+    issued_at = find_earliest_issue(submission)
+    forgotten = now >= find_expiry(submission)
+    if forgotten or _is_doubtful(holding, issued_at):
+        refusal.verdict = Verdict.MAY_HAVE_RUN
+    return refusal
+
+
+def _find_refusal(
+    dispatcher: Dispatcher, submission: Submission, now: float
+) -> tuple[Reason, str] | None:
+    limits = dispatcher.limits
+    if submission.deadline <= now:
+        return Reason.EXPIRED, "the deadline has passed"
+    if submission.deadline > now + HORIZON_SECONDS:
+        return Reason.HORIZON, f"the deadline is more than {HORIZON_SECONDS:.0f} s away"
+    issued_at = read_issue_time(submission.key.job_id)
+    if issued_at is not None and issued_at > now + CALLER_SKEW_SECONDS:
+        return Reason.HORIZON, "the id was issued in the future; check the caller's clock"
+    if issued_at is not None and now > issued_at + HORIZON_SECONDS:
+        return Reason.EXPIRED, "the id was issued too long ago"
+    if limits.weights and submission.key.team not in limits.weights:
+        return Reason.UNKNOWN_TEAM, "the floor document has no such team"
+    if len(submission.tasks) > limits.tasks_per_job:
+        return Reason.TOO_LARGE, f"a job has at most {limits.tasks_per_job} tasks"
+    if not _has_target(dispatcher, submission.service):
+        return Reason.NO_TARGET, f"no target runs the service {submission.service!r}"
+    full = dispatcher.queued_tasks + len(submission.tasks) > limits.queued_tasks
+    if full or dispatcher.job_count >= limits.jobs:
+        return Reason.QUEUE_FULL, "the queue is full"
+    return None
+
+
+def _has_target(dispatcher: Dispatcher, service: str) -> bool:
+    return any(service in t.registration.services for t in dispatcher.targets.values())
+
+
+def find_expiry(submission: Submission) -> float:
+    """Returns the Unix time in seconds until which a job is remembered."""
+    issued_at = read_issue_time(submission.key.job_id)
+    last = submission.deadline
+    if issued_at is not None:
+        last = max(last, issued_at + HORIZON_SECONDS)
+    return last + RETENTION_SECONDS
+
+
+def find_earliest_issue(submission: Submission) -> float:
+    """Returns the earliest Unix time in seconds at which a job can have been accepted."""
+    issued_at = read_issue_time(submission.key.job_id)
+    if issued_at is not None:
+        return issued_at
+    return submission.deadline - HORIZON_SECONDS
+
+
+def _is_doubtful(holding: Holding, issued_at: float) -> bool:
+    unread = is_unread(holding, issued_at, DOUBT_MARGIN_SECONDS)
+    return unread or is_lost_for_good(holding, issued_at, DOUBT_MARGIN_SECONDS)
+
+
+def _judge_certainty(dispatcher: Dispatcher, holding: Holding, job: Job, now: float) -> None:
+    """Decides whether a job's pending tasks may be started under this owner."""
+    issued_at = find_earliest_issue(job.submission)
+    open_tasks = [index for index in job.pending if not job.submission.tasks[index].idempotent]
+    job.uncertain = bool(open_tasks) and _is_doubtful(holding, issued_at)
+    if not job.uncertain:
+        enqueue_job(dispatcher, job)
+        return
+    if is_lost_for_good(holding, issued_at, DOUBT_MARGIN_SECONDS):
+        fail_and_answer(
+            dispatcher, job, Reason.LOST, "an agent that may have run tasks is gone", now
+        )
--- /dev/null
+++ b/src/comfreysill/dispatch/core.py
@@ -0,0 +1,216 @@
+"""Events of an entry: each function takes one, `flush` returns the effects."""
+
+import heapq
+from collections.abc import Iterable
+
+from comfreysill.dispatch.jobs import cancel_job, drop_task, fail_and_answer, find_job
+from comfreysill.dispatch.links import release_holding, settle_holdings
+from comfreysill.dispatch.messages import (
+    Answered,
+    CancelJob,
+    Effect,
+    Forward,
+    NotOwner,
+    PeerFrame,
+    ReadRoster,
+    SendFrame,
+    SendPeer,
+)
+from comfreysill.dispatch.ownership import assign_partitions, claim_everywhere, renew_takeovers
+from comfreysill.dispatch.proofs import release_proofs
+from comfreysill.dispatch.receipts import settle_receipt
+from comfreysill.dispatch.routing import (
+    receive_forward,
+    receive_not_owner,
+    release_owner,
+    reroute_receipts,
+)
+from comfreysill.dispatch.starting import start_tasks
+from comfreysill.dispatch.state import (
+    HEARTBEAT_SECONDS,
+    SUSPECT_SECONDS,
+    Dispatcher,
+    Peer,
+    count,
+)
+from comfreysill.job.job import Job, TaskState, list_placed
+from comfreysill.job.types import Reason
+from comfreysill.target.messages import EntryFrame, StartBatch
+from comfreysill.target.view import SentFrame, Target
+
+
+def update_peers(dispatcher: Dispatcher, names: Iterable[str], now: float) -> None:
+    """Takes the list of registered entries."""
+    wanted = set(names) - {dispatcher.name}
+    for name in list(dispatcher.peers):
+        if name not in wanted:
+            del dispatcher.peers[name]
+            release_owner(dispatcher, name, now)
+    for name in wanted:
+        if name not in dispatcher.peers:
+            dispatcher.peers[name] = Peer(name=name, heard_at=now)
+
+
+def connect_peer(dispatcher: Dispatcher, name: str) -> None:
+    """Records that the link to another entry is open."""
+    peer = dispatcher.peers.get(name)
+    if peer is not None:
+        peer.connected = True
+        peer.last_sent_at = 0.0
+
+
+def disconnect_peer(dispatcher: Dispatcher, name: str, now: float) -> None:
+    """Records that the link to another entry was lost."""
+    peer = dispatcher.peers.get(name)
+    if peer is None:
+        return
+    peer.connected = False
+    peer.outbox.clear()
+    release_owner(dispatcher, name, now)
+
+
+def receive_peer_frame(dispatcher: Dispatcher, frame: PeerFrame, now: float) -> None:
+    """Takes a frame of another entry."""
+    peer = dispatcher.peers.get(frame.entry)
+    if peer is None:
+        peer = dispatcher.peers[frame.entry] = Peer(name=frame.entry, heard_at=now)
+    peer.heard_at = now
+    peer.leaving = frame.leaving
+    peer.floor_version = frame.floor_version
+    peer.roster_revision = frame.roster_revision
+    for message in frame.messages:
+        if isinstance(message, Forward):
+            receive_forward(dispatcher, frame.entry, message.submission, now)
+        elif isinstance(message, Answered):
+            settle_receipt(dispatcher, message.answer, frame.entry)
+        elif isinstance(message, NotOwner):
+            receive_not_owner(dispatcher, frame.entry, message.key, now)
+        elif isinstance(message, CancelJob):
+            cancel_job(dispatcher, message.key, now)
+
+
+def leave(dispatcher: Dispatcher, now: float) -> None:
+    """Gives all partitions up; callers that wait here still get their answers."""
+    dispatcher.leaving = True
+    for peer in dispatcher.peers.values():
+        peer.last_sent_at = 0.0
+    if any(not peer.leaving for peer in dispatcher.peers.values()):
+        for partition in list(dispatcher.holdings):
+            release_holding(dispatcher, partition, now)
+
+
+def tick(dispatcher: Dispatcher, now: float) -> None:
+    """Does what is due: takeovers, deadlines, reroutes, retries of suspected targets."""
+    assign_partitions(dispatcher, now)
+    if renew_takeovers(dispatcher, now):
+        claim_everywhere(dispatcher, now)
+    _run_timers(dispatcher, now)
+    _suspect_targets(dispatcher, now)
+    reroute_receipts(dispatcher, now)
+
+
+def flush(dispatcher: Dispatcher, now: float) -> list[Effect]:
+    """Ends a cycle: starts what can be started and returns all effects in order."""
+    settle_holdings(dispatcher, now)
+    start_tasks(dispatcher, now)
+    release_proofs(dispatcher, now)
+    effects, dispatcher.effects = dispatcher.effects, []
+    for target in dispatcher.targets.values():
+        if target.connected and _is_frame_due(dispatcher, target, now):
+            effects.append(
+                SendFrame(agent=target.name, frame=_build_frame(dispatcher, target, now))
+            )
+    for peer in dispatcher.peers.values():
+        if peer.connected and (peer.outbox or now - peer.last_sent_at >= HEARTBEAT_SECONDS / 3):
+            effects.append(
+                SendPeer(entry=peer.name, frame=_build_peer_frame(dispatcher, peer, now))
+            )
+    dispatcher.cycle += 1
+    return _merge_reads(effects)
+
+
+def _merge_reads(effects: list[Effect]) -> list[Effect]:
+    reads = [effect for effect in effects if isinstance(effect, ReadRoster)]
+    if len(reads) < 2:
+        return effects
+    return [effect for effect in effects if not isinstance(effect, ReadRoster)] + reads[:1]
+
+
+def _is_frame_due(dispatcher: Dispatcher, target: Target, now: float) -> bool:
+    if target.outbox or not target.sent_sequence:
+        return True
+    if target.last_sent_cycle < dispatcher.ping_cycle:
+        return True
+    return now - target.last_sent_at >= HEARTBEAT_SECONDS
+
+
+def _build_frame(dispatcher: Dispatcher, target: Target, now: float) -> EntryFrame:
+    messages, target.outbox = tuple(target.outbox), []
+    target.sent_sequence += 1
+    target.last_sent_at = now
+    target.last_sent_cycle = dispatcher.cycle
+    starts = sum(len(m.tasks) for m in messages if isinstance(m, StartBatch))
+    target.sent_frames.append(
+        SentFrame(sequence=target.sent_sequence, cycle=dispatcher.cycle, sent_at=now, starts=starts)
+    )
+    count(dispatcher, "frames_to_agents")
+    if not messages:
+        count(dispatcher, "heartbeats_to_agents")
+    return EntryFrame(
+        entry=dispatcher.name,
+        session=target.session,
+        sequence=target.sent_sequence,
+        floor_version=dispatcher.floor_version,
+        messages=messages,
+    )
+
+
+def _build_peer_frame(dispatcher: Dispatcher, peer: Peer, now: float) -> PeerFrame:
+    messages, peer.outbox = tuple(peer.outbox), []
+    peer.last_sent_at = now
+    count(dispatcher, "frames_to_peers")
+    if not messages:
+        count(dispatcher, "heartbeats_to_peers")
+    return PeerFrame(
+        entry=dispatcher.name,
+        leaving=dispatcher.leaving,
+        floor_version=dispatcher.floor_version,
+        roster_revision=dispatcher.roster_revision,
+        messages=messages,
+    )
+
+
+def _run_timers(dispatcher: Dispatcher, now: float) -> None:
+    timers = dispatcher.timers
+    while timers and timers[0][0] <= now:
+        _, _, job = heapq.heappop(timers)
+        if find_job(dispatcher, job.key) is not job:
+            continue
+        if job.answer is None:
+            fail_and_answer(dispatcher, job, Reason.EXPIRED, "the deadline passed", now)
+        elif now >= job.expires_at:
+            del dispatcher.holdings[job.partition].jobs[job.key]
+            dispatcher.job_count -= 1
+
+
+def _suspect_targets(dispatcher: Dispatcher, now: float) -> None:
+    """Sends idempotent tasks elsewhere whose target can't be reached."""
+    silent = {
+        target.name
+        for target in dispatcher.targets.values()
+        if not target.connected and now - target.disconnected_at >= SUSPECT_SECONDS
+    }
+    if not silent:
+        return
+    for holding in dispatcher.holdings.values():
+        for job in list(holding.jobs.values()):
+            if job.answer is None:
+                _retry_silent(dispatcher, job, silent, now)
+
+
+def _retry_silent(dispatcher: Dispatcher, job: Job, silent: set[str], now: float) -> None:
+    for index in list_placed(job):
+        if job.answer is not None or job.states[index] != TaskState.PLACED:
+            continue
+        if job.placements[index].agent in silent and job.submission.tasks[index].idempotent:
+            drop_task(dispatcher, job, index, job.attempts[index], now)
--- /dev/null
+++ b/src/comfreysill/dispatch/jobs.py
@@ -0,0 +1,272 @@
+"""Tasks of owned jobs that end, get lost or come back, and the answers that follow."""
+
+from comfreysill.dispatch.estimate import estimate_task, learn_run_time
+from comfreysill.dispatch.proofs import deliver_answer
+from comfreysill.dispatch.queue import ServiceQueue, push_job
+from comfreysill.dispatch.state import Dispatcher, count
+from comfreysill.job.job import (
+    Job,
+    TaskState,
+    adopt_placement,
+    complete_job,
+    fail_job,
+    fail_task,
+    finish_task,
+    list_placed,
+    lose_task,
+    return_task,
+)
+from comfreysill.job.types import Answer, JobKey, Reason
+from comfreysill.partition.hashing import find_partition
+from comfreysill.partition.holding import FoundJob, FoundTask, Holding, keep_found
+from comfreysill.target.messages import (
+    CancelTasks,
+    LedgerRecord,
+    Outcome,
+    RefusalCause,
+    Refused,
+    TaskDone,
+)
+from comfreysill.target.view import Target, learn_slowness, record_failure, record_success
+
+RETRIES_PER_TASK = 20
+
+
+def adopt_found(dispatcher: Dispatcher, job: Job, found: FoundJob, now: float) -> None:
+    """Takes over what ledgers know about a job of an earlier owner."""
+    for index, tasks in found.tasks.items():
+        for task in sorted(tasks, key=_get_attempt):
+            apply_found(dispatcher, job, index, task, now)
+
+
+def _get_attempt(task: FoundTask) -> int:
+    return task.attempt
+
+
+def apply_found(dispatcher: Dispatcher, job: Job, index: int, task: FoundTask, now: float) -> None:
+    """Takes over what an agent's ledger knows about one task of a job."""
+    if task.outcome == Outcome.DONE:
+        finish_task(job, index, task.payload)
+        track_pending(dispatcher, job)
+        return
+    if job.states[index] != TaskState.PENDING:
+        return
+    adopt_placement(job, index, task.attempt, task.agent, task.incarnation, now)
+    track_pending(dispatcher, job)
+    target = dispatcher.targets.get(task.agent)
+    gone = target is None or target.incarnation != task.incarnation
+    if task.outcome == Outcome.FAILED:
+        _end_failed(dispatcher, job, index, task.attempt, task.payload, now)
+    elif task.outcome == Outcome.LOST or gone:
+        drop_task(dispatcher, job, index, task.attempt, now)
+
+
+def enqueue_job(dispatcher: Dispatcher, job: Job) -> None:
+    """Puts a job with startable tasks into its queue."""
+    if job.answer is not None or not job.pending or job.uncertain or job.queued:
+        return
+    job.queued = True
+    queue = dispatcher.queues.setdefault(job.submission.service, ServiceQueue())
+    push_job(queue, job)
+
+
+def receive_done(dispatcher: Dispatcher, target: Target, done: TaskDone, now: float) -> None:
+    """Takes the result of a task."""
+    job = find_job(dispatcher, done.key)
+    if job is None:
+        _keep_late_record(dispatcher, target, done)
+        return
+    if not _is_placed_at(job, target, done.index, done.attempt):
+        _receive_late(dispatcher, job, done, now)
+        return
+    if done.outcome == Outcome.DONE:
+        _learn(dispatcher, target, job, done)
+        record_success(target)
+        dispatcher.retry_tokens = min(dispatcher.retry_tokens + 0.1, 100.0)
+        finish_task(job, done.index, done.payload)
+        count(dispatcher, "tasks_done")
+        settle_job(dispatcher, job, now)
+        return
+    if record_failure(target, now):
+        count(dispatcher, "targets_ejected")
+    if done.outcome == Outcome.FAILED:
+        _end_failed(dispatcher, job, done.index, done.attempt, done.payload, now)
+    else:
+        drop_task(dispatcher, job, done.index, done.attempt, now)
+
+
+def receive_refused(dispatcher: Dispatcher, target: Target, refused: Refused, now: float) -> None:
+    """Makes tasks pending again that an agent did not run."""
+    count(dispatcher, f"starts_refused_{refused.cause.name.lower()}", len(refused.attempts))
+    if refused.cause == RefusalCause.RUNNER and record_failure(target, now):
+        count(dispatcher, "targets_ejected")
+    job = find_job(dispatcher, refused.key)
+    if job is None:
+        return
+    for index, attempt in refused.attempts:
+        if _is_placed_at(job, target, index, attempt):
+            return_task(job, index, attempt)
+    track_pending(dispatcher, job)
+    if job.retries > RETRIES_PER_TASK * len(job.submission.tasks):
+        fail_and_answer(dispatcher, job, Reason.NO_TARGET, "targets refuse the tasks", now)
+    enqueue_job(dispatcher, job)
+
+
+def drop_task(dispatcher: Dispatcher, job: Job, index: int, attempt: int, now: float) -> None:
+    """Gives up an attempt whose target is gone or unreachable."""
+    if not lose_task(job, index, attempt):
+        return
+    count(dispatcher, "tasks_lost")
+    if job.states[index] == TaskState.UNKNOWN:
+        detail = f"task {index} may have run; its target gave no answer"
+        fail_and_answer(dispatcher, job, Reason.LOST, detail, now)
+        return
+    track_pending(dispatcher, job)
+    enqueue_job(dispatcher, job)
+
+
+def take_back_task(dispatcher: Dispatcher, job: Job, index: int) -> None:
+    """Makes a task pending again that never reached its agent."""
+    return_task(job, index, job.attempts[index])
+    track_pending(dispatcher, job)
+    enqueue_job(dispatcher, job)
+
+
+def track_pending(dispatcher: Dispatcher, job: Job) -> None:
+    """Keeps the entry's count of pending tasks in step with a job."""
+    dispatcher.queued_tasks += len(job.pending) - job.counted_pending
+    job.counted_pending = len(job.pending)
+
+
+def cancel_job(dispatcher: Dispatcher, key: JobKey, now: float) -> bool:
+    """Cancels a job; queued tasks are dropped, results of running ones are not awaited.
+
+    Returns:
+        False when the job isn't known here.
+    """
+    job = find_job(dispatcher, key)
+    if job is None:
+        return False
+    if job.answer is None:
+        fail_and_answer(dispatcher, job, Reason.CANCELLED, "the job was cancelled", now)
+    return True
+
+
+def fail_and_answer(
+    dispatcher: Dispatcher, job: Job, reason: Reason, detail: str, now: float
+) -> None:
+    """Fails a job, recalls its queued tasks from agents and answers its listeners."""
+    placed = list_placed(job) if job.answer is None else []
+    agents = {job.placements[index].agent for index in placed}
+    answer = fail_job(job, reason, detail)
+    if answer is None:
+        return
+    track_pending(dispatcher, job)
+    for name in agents:
+        target = dispatcher.targets.get(name)
+        if target is not None and target.greeted:
+            target.outbox.append(CancelTasks(keys=(job.key,)))
+    count(dispatcher, f"jobs_failed_{reason.name.lower()}")
+    _publish(dispatcher, job, answer, now)
+
+
+def find_job(dispatcher: Dispatcher, key: JobKey) -> Job | None:
+    """Returns a job that this entry owns."""
+    holding = dispatcher.holdings.get(find_partition(key))
+    return None if holding is None else holding.jobs.get(key)
+
+
+def apply_record(
+    dispatcher: Dispatcher, holding: Holding, target: Target, record: LedgerRecord, now: float
+) -> None:
+    """Takes a ledger record that came with a granted claim."""
+    job = holding.jobs.get(record.key)
+    if job is None:
+        keep_found(holding, record, target.name, target.incarnation)
+        return
+    if job.submission.digest != record.digest or job.answer is not None:
+        return
+    task = FoundTask(
+        agent=target.name,
+        incarnation=target.incarnation,
+        attempt=record.attempt,
+        outcome=record.outcome,
+        payload=record.payload,
+    )
+    index = record.index
+    if _is_placed_at(job, target, index, record.attempt):
+        if record.outcome > Outcome.STARTED:
+            receive_done(dispatcher, target, _to_done(record), now)
+        return
+    apply_found(dispatcher, job, index, task, now)
+    settle_job(dispatcher, job, now)
+
+
+def _to_done(record: LedgerRecord) -> TaskDone:
+    return TaskDone(
+        key=record.key,
+        index=record.index,
+        attempt=record.attempt,
+        outcome=record.outcome,
+        payload=record.payload,
+        run_seconds=record.run_seconds,
+    )
+
+
+def _keep_late_record(dispatcher: Dispatcher, target: Target, done: TaskDone) -> None:
+    count(dispatcher, "results_unawaited")
+    holding = dispatcher.holdings.get(find_partition(done.key))
+    found = holding.found.get(done.key) if holding is not None else None
+    if found is None:
+        return
+    for task in found.tasks.get(done.index, []):
+        if task.agent == target.name and task.attempt == done.attempt:
+            task.outcome = done.outcome
+            task.payload = done.payload
+
+
+def _receive_late(dispatcher: Dispatcher, job: Job, done: TaskDone, now: float) -> None:
+    count(dispatcher, "results_unawaited")
+    if job.answer is not None or done.outcome != Outcome.DONE:
+        return
+    finish_task(job, done.index, done.payload)
+    track_pending(dispatcher, job)
+    settle_job(dispatcher, job, now)
+
+
+def _is_placed_at(job: Job, target: Target, index: int, attempt: int) -> bool:
+    if job.answer is not None or job.states[index] != TaskState.PLACED:
+        return False
+    placement = job.placements[index]
+    same = placement.agent == target.name and placement.incarnation == target.incarnation
+    return same and job.attempts[index] == attempt
+
+
+def _learn(dispatcher: Dispatcher, target: Target, job: Job, done: TaskDone) -> None:
+    estimate = estimate_task(dispatcher.estimates, job, done.index)
+    learn_slowness(target, done.run_seconds / max(estimate, 1e-6))
+    normal = done.run_seconds / max(target.slowness, 1e-6)
+    learn_run_time(dispatcher.estimates, job, done.index, normal)
+
+
+def _end_failed(
+    dispatcher: Dispatcher, job: Job, index: int, attempt: int, payload: bytes, now: float
+) -> None:
+    if fail_task(job, index, attempt):
+        detail = f"task {index} failed: {payload[:200].decode(errors='replace')}"
+        fail_and_answer(dispatcher, job, Reason.TASK_FAILED, detail, now)
+
+
+def settle_job(dispatcher: Dispatcher, job: Job, now: float) -> None:
+    """Answers a job once all its tasks are done."""
+    answer = complete_job(job)
+    if answer is not None:
+        count(dispatcher, "jobs_completed")
+        _publish(dispatcher, job, answer, now)
+
+
+def _publish(dispatcher: Dispatcher, job: Job, answer: Answer, now: float) -> None:
+    listeners, job.listeners = job.listeners, set()
+    team, task_class = job.key.team, job.submission.task_class.name.lower()
+    dispatcher.observe("job_seconds", now - job.accepted_at, team, task_class)
+    deliver_answer(dispatcher, answer, listeners, now)
--- /dev/null
+++ b/src/comfreysill/dispatch/links.py
@@ -0,0 +1,233 @@
+"""Links to agents: sessions, frames, granted claims, and targets that come and go."""
+
+from collections.abc import Iterable
+
+from comfreysill.dispatch.admission import admit_waiting, settle_doubts
+from comfreysill.dispatch.jobs import (
+    apply_record,
+    drop_task,
+    receive_done,
+    receive_refused,
+    take_back_task,
+)
+from comfreysill.dispatch.ownership import (
+    claim_everywhere,
+    claim_partitions,
+    confirm_claim,
+    open_holdings,
+)
+from comfreysill.dispatch.routing import release_partition
+from comfreysill.dispatch.state import Dispatcher, count
+from comfreysill.job.job import TaskState
+from comfreysill.partition.holding import Holding
+from comfreysill.target.messages import (
+    AgentFrame,
+    AgentMessage,
+    Claimed,
+    Fenced,
+    PartitionClaim,
+    Refused,
+    TaskDone,
+)
+from comfreysill.target.view import (
+    Registration,
+    Target,
+    acknowledge_frames,
+    close_link,
+    open_link,
+)
+
+
+def update_roster(
+    dispatcher: Dispatcher,
+    registrations: Iterable[Registration],
+    revision: int,
+    lost_at: float,
+    read_at: float,
+    now: float,
+) -> None:
+    """Takes a newly read list of targets.
+
+    Args:
+        dispatcher: The entry.
+        registrations: All registered targets.
+        revision: Revision of the table at which the list was read.
+        lost_at: Newest Unix time in seconds at which an agent's ledger was lost.
+        read_at: Unix time in seconds at which the read began.
+        now: Unix time in seconds.
+    """
+    if revision < dispatcher.roster_revision:
+        count(dispatcher, "rosters_stale")
+        return
+    known = {registration.agent: registration for registration in registrations}
+    for name in list(dispatcher.targets):
+        if name not in known:
+            _remove_target(dispatcher, name, now)
+    for name, registration in known.items():
+        target = dispatcher.targets.get(name)
+        if target is None:
+            target = Target(registration=registration, now=now, cycle=dispatcher.cycle)
+            dispatcher.targets[name] = target
+            count(dispatcher, "targets_added")
+        target.registration = registration
+    dispatcher.roster_revision = revision
+    dispatcher.ledgers_lost_at = max(dispatcher.ledgers_lost_at, lost_at)
+    dispatcher.roster_read_at = max(dispatcher.roster_read_at, read_at)
+
+
+def connect_agent(dispatcher: Dispatcher, agent: str, session: int) -> None:
+    """Records a new link to an agent; its first frame asks for the agent's incarnation."""
+    target = dispatcher.targets.get(agent)
+    if target is None or session <= target.session:
+        return
+    _forget_confirmations(dispatcher, agent)
+    open_link(target, session)
+
+
+def disconnect_agent(dispatcher: Dispatcher, agent: str, session: int, now: float) -> None:
+    """Records that a link was lost; tasks that are out stay unknown."""
+    target = dispatcher.targets.get(agent)
+    if target is None or session != target.session or not target.connected:
+        return
+    count(dispatcher, "links_lost")
+    _forget_confirmations(dispatcher, agent)
+    close_link(target, now)
+
+
+def receive_agent_frame(dispatcher: Dispatcher, frame: AgentFrame, now: float) -> bool:
+    """Takes a frame of an agent; frames of older links, copies and gaps are dropped.
+
+    Returns:
+        False when the frame was dropped, after which the link has to be closed.
+    """
+    target = dispatcher.targets.get(frame.agent)
+    if target is None or not target.connected or target.session != frame.session:
+        count(dispatcher, "frames_stale")
+        return False
+    if frame.sequence != target.received_sequence + 1:
+        count(dispatcher, "frames_out_of_order")
+        return False
+    target.received_sequence = frame.sequence
+    if frame.incarnation != target.incarnation:
+        _replace_incarnation(dispatcher, target, frame.incarnation, now)
+    for message in frame.messages:
+        _receive_message(dispatcher, target, message, now)
+    acknowledge_frames(target, frame.acknowledged, frame.load)
+    if not target.greeted:
+        target.greeted = True
+        claim_partitions(dispatcher, target, now)
+    return True
+
+
+def settle_holdings(dispatcher: Dispatcher, now: float) -> None:
+    """Opens partitions whose takeover is over and takes what waited for them."""
+    claim_everywhere(dispatcher, now)
+    for holding in open_holdings(dispatcher, now):
+        admit_waiting(dispatcher, holding, now)
+        settle_doubts(dispatcher, holding, now)
+
+
+def release_holding(dispatcher: Dispatcher, partition: int, now: float) -> None:
+    """Gives a partition up; its jobs are forgotten and handed on by their receivers."""
+    holding = dispatcher.holdings.pop(partition, None)
+    if holding is None:
+        return
+    for job in holding.jobs.values():
+        dispatcher.queued_tasks -= job.counted_pending
+        job.pending.clear()
+        job.counted_pending = 0
+    dispatcher.job_count -= len(holding.jobs)
+    count(dispatcher, "partitions_released")
+    release_partition(dispatcher, partition, now)
+
+
+def _receive_message(
+    dispatcher: Dispatcher, target: Target, message: AgentMessage, now: float
+) -> None:
+    if isinstance(message, TaskDone):
+        receive_done(dispatcher, target, message, now)
+    elif isinstance(message, Refused):
+        receive_refused(dispatcher, target, message, now)
+    elif isinstance(message, Claimed):
+        _receive_claimed(dispatcher, target, message, now)
+    elif isinstance(message, Fenced):
+        _receive_fenced(dispatcher, message.claim, now)
+
+
+def _receive_fenced(dispatcher: Dispatcher, claim: PartitionClaim, now: float) -> None:
+    known = dispatcher.numbers.get(claim.partition, 0)
+    dispatcher.numbers[claim.partition] = max(known, claim.epoch.number)
+    holding = dispatcher.holdings.get(claim.partition)
+    if holding is not None and holding.epoch < claim.epoch:
+        count(dispatcher, "fenced")
+        release_holding(dispatcher, claim.partition, now)
+
+
+def _receive_claimed(dispatcher: Dispatcher, target: Target, message: Claimed, now: float) -> None:
+    target.synced.extend(message.records)
+    if not message.last:
+        return
+    records, target.synced = target.synced, []
+    granted: dict[int, Holding] = {}
+    for claim in message.claims:
+        holding = dispatcher.holdings.get(claim.partition)
+        if holding is not None and holding.epoch == claim.epoch:
+            granted[claim.partition] = holding
+    known = {(record.key, record.index) for record in records}
+    for holding in granted.values():
+        _take_back_unseen(dispatcher, holding, target, known)
+    for record in records:
+        if record.partition in granted:
+            apply_record(dispatcher, granted[record.partition], target, record, now)
+    for holding in granted.values():
+        confirm_claim(holding, target, message.lost_at)
+
+
+def _take_back_unseen(dispatcher: Dispatcher, holding: Holding, target: Target, known: set) -> None:
+    """Makes tasks pending again that were sent on an earlier link and never arrived."""
+    for job in holding.jobs.values():
+        if job.answer is not None:
+            continue
+        for index, placement in enumerate(job.placements):
+            if placement is None or placement.agent != target.name:
+                continue
+            if placement.incarnation == target.incarnation and (job.key, index) not in known:
+                count(dispatcher, "starts_taken_back")
+                take_back_task(dispatcher, job, index)
+
+
+def _replace_incarnation(
+    dispatcher: Dispatcher, target: Target, incarnation: str, now: float
+) -> None:
+    former, target.incarnation = target.incarnation, incarnation
+    target.discovered_cycle = dispatcher.cycle
+    target.failures = 0
+    target.probe_at = 0.0
+    if former:
+        count(dispatcher, "incarnations_replaced")
+        _lose_tasks(dispatcher, target.name, now)
+
+
+def _remove_target(dispatcher: Dispatcher, name: str, now: float) -> None:
+    del dispatcher.targets[name]
+    count(dispatcher, "targets_removed")
+    for holding in dispatcher.holdings.values():
+        holding.confirmed.discard(name)
+    _lose_tasks(dispatcher, name, now)
+
+
+def _lose_tasks(dispatcher: Dispatcher, agent: str, now: float) -> None:
+    for holding in dispatcher.holdings.values():
+        for job in list(holding.jobs.values()):
+            if job.answer is not None:
+                continue
+            for index in range(len(job.states)):
+                if job.answer is not None or job.states[index] != TaskState.PLACED:
+                    continue
+                if job.placements[index].agent == agent:
+                    drop_task(dispatcher, job, index, job.attempts[index], now)
+
+
+def _forget_confirmations(dispatcher: Dispatcher, agent: str) -> None:
+    for holding in dispatcher.holdings.values():
+        holding.confirmed.discard(agent)
--- /dev/null
+++ b/src/comfreysill/dispatch/placement.py
@@ -0,0 +1,52 @@
+"""Choice of targets for the tasks of a job."""
+
+import heapq
+from collections.abc import Callable, Iterable
+
+from comfreysill.target.view import Target, count_busy, count_free
+
+Place = Callable[[Iterable[Target], int, float, float], list[tuple[Target, int]]]
+
+
+def place_by_finish(
+    targets: Iterable[Target], count: int, estimate: float, queue_share: float
+) -> list[tuple[Target, int]]:
+    """Places tasks where they are expected to finish first.
+
+    Args:
+        targets: Targets that may run the tasks.
+        count: How many tasks there are.
+        estimate: Expected run time of one task in seconds on an average target.
+        queue_share: Tasks that may wait at a target, as a share of its slots.
+
+    Returns:
+        Pairs of a target and how many of the tasks it gets; the rest stays queued.
+    """
+    heap = []
+    for order, target in enumerate(targets):
+        free = count_free(target, queue_share)
+        if free > 0:
+            busy = count_busy(target)
+            finish = _expect_finish(target, busy, estimate)
+            heapq.heappush(heap, (finish, order, target, busy, free))
+    taken: dict[str, int] = {}
+    chosen: list[Target] = []
+    while heap and count > 0:
+        _, order, target, busy, free = heapq.heappop(heap)
+        if target.name not in taken:
+            taken[target.name] = 0
+            chosen.append(target)
+        taken[target.name] += 1
+        count -= 1
+        if free > 1:
+            finish = _expect_finish(target, busy + 1, estimate)
+            heapq.heappush(heap, (finish, order, target, busy + 1, free - 1))
+    return [(target, taken[target.name]) for target in chosen]
+
+
+def _expect_finish(target: Target, busy: int, estimate: float) -> float:
+    slots = max(1, target.load.slots)
+    run_time = estimate * target.slowness
+    if busy < slots:
+        return run_time
+    return run_time * (1 + (busy - slots + 1) / slots)
--- /dev/null
+++ b/src/comfreysill/dispatch/queue.py
@@ -0,0 +1,125 @@
+"""Order of waiting jobs: classes, fair shares of teams, and deadlines."""
+
+import heapq
+
+from comfreysill.job.job import Job
+from comfreysill.job.types import TaskClass
+
+BULK_TURN = 16
+
+
+class TeamQueue:
+    """Waiting jobs of one team in one class, by deadline.
+
+    Attributes:
+        team: Name of the team.
+        finish: Virtual time up to which the team was served.
+        jobs: Heap of (deadline, order, job).
+    """
+
+    __slots__ = ("team", "finish", "jobs")
+
+    def __init__(self, *, team: str) -> None:
+        self.team = team
+        self.finish = 0.0
+        self.jobs: list[tuple[float, int, Job]] = []
+
+
+class ClassQueue:
+    """Waiting jobs of one class; teams are served by weighted fair shares.
+
+    Attributes:
+        teams: Queues by team name.
+        virtual_time: Virtual start time of the task served last.
+    """
+
+    __slots__ = ("teams", "virtual_time")
+
+    def __init__(self) -> None:
+        self.teams: dict[str, TeamQueue] = {}
+        self.virtual_time = 0.0
+
+
+class ServiceQueue:
+    """Waiting jobs of one service in their classes."""
+
+    __slots__ = ("classes", "turns", "order")
+
+    def __init__(self) -> None:
+        self.classes = {task_class: ClassQueue() for task_class in TaskClass}
+        self.turns = 0
+        self.order = 0
+
+
+def push_job(queue: ServiceQueue, job: Job) -> None:
+    """Adds a job that has tasks to start."""
+    submission = job.submission
+    class_queue = queue.classes[submission.task_class]
+    team = class_queue.teams.get(submission.key.team)
+    if team is None:
+        team = TeamQueue(team=submission.key.team)
+        class_queue.teams[team.team] = team
+    if not team.jobs:
+        team.finish = max(team.finish, class_queue.virtual_time)
+    queue.order += 1
+    heapq.heappush(team.jobs, (submission.deadline, queue.order, job))
+
+
+def choose_job(queue: ServiceQueue) -> Job | None:
+    """Returns the job whose tasks go next, without taking it out.
+
+    The most urgent class goes first; each `BULK_TURN`-th turn begins with the least urgent
+    one, so that bulk work is never starved.
+    """
+    order = list(TaskClass)
+    if queue.turns % BULK_TURN == BULK_TURN - 1:
+        order.reverse()
+    for task_class in order:
+        job = _choose_in_class(queue.classes[task_class])
+        if job is not None:
+            return job
+    return None
+
+
+def charge_job(queue: ServiceQueue, job: Job, cost: float, weight: float) -> None:
+    """Books started work on a team's share.
+
+    Args:
+        queue: Queue that the job was chosen from.
+        job: The job whose tasks were started.
+        cost: Estimated run time of the tasks in seconds.
+        weight: Weight of the team.
+    """
+    queue.turns += 1
+    class_queue = queue.classes[job.submission.task_class]
+    team = class_queue.teams[job.submission.key.team]
+    class_queue.virtual_time = max(class_queue.virtual_time, team.finish)
+    team.finish += cost / max(weight, 1e-6)
+
+
+def count_waiting(queue: ServiceQueue) -> int:
+    """Returns how many jobs wait, those that are no longer startable included."""
+    return sum(
+        len(team.jobs)
+        for class_queue in queue.classes.values()
+        for team in class_queue.teams.values()
+    )
+
+
+def _choose_in_class(class_queue: ClassQueue) -> Job | None:
+    while class_queue.teams:
+        team = min(class_queue.teams.values(), key=_get_finish)
+        while team.jobs and not _is_startable(team.jobs[0][2]):
+            heapq.heappop(team.jobs)[2].queued = False
+        if team.jobs:
+            return team.jobs[0][2]
+        del class_queue.teams[team.team]
+    return None
+
+
+def _get_finish(team: TeamQueue) -> float:
+    return team.finish
+
+
+def _is_startable(job: Job) -> bool:
+    return job.answer is None and bool(job.pending) and not job.uncertain
--- /dev/null
+++ b/src/comfreysill/dispatch/routing.py
@@ -0,0 +1,133 @@
+"""The way of a submission from the caller's entry to the owner of its partition."""
+
+from comfreysill.dispatch.admission import accept_submission
+from comfreysill.dispatch.jobs import cancel_job
+from comfreysill.dispatch.messages import CancelJob, Forward, NotOwner
+from comfreysill.dispatch.ownership import find_owner
+from comfreysill.dispatch.receipts import settle_receipt
+from comfreysill.dispatch.state import (
+    REROUTE_SECONDS,
+    Dispatcher,
+    Receipt,
+    answer_caller,
+    count,
+)
+from comfreysill.job.types import Answer, JobKey, Reason, Submission, Verdict, refuse_job
+from comfreysill.partition.hashing import find_partition
+
+GIVE_UP_SECONDS = 1.0
+
+
+def submit_job(dispatcher: Dispatcher, caller: int, submission: Submission, now: float) -> None:
+    """Takes a submission from a caller, who waits for the answer."""
+    if not dispatcher.roster_read_at:
+        detail = "the entry doesn't know its targets yet"
+        refusal = refuse_job(submission.key, Reason.NOT_READY, detail, now + 1.0)
+        refusal.verdict = Verdict.MAY_HAVE_RUN
+        answer_caller(dispatcher, caller, refusal)
+        return
+    receipt = dispatcher.receipts.get(submission.key)
+    if receipt is None:
+        receipt = dispatcher.receipts[submission.key] = Receipt(submission=submission)
+        receipt.callers.append(caller)
+        route_receipt(dispatcher, receipt, now)
+    elif receipt.submission.digest == submission.digest:
+        receipt.callers.append(caller)
+    else:
+        refusal = Answer(
+            key=submission.key,
+            complete=False,
+            verdict=Verdict.MAY_HAVE_RUN,
+            reason=Reason.CONFLICT,
+            detail="the id is in use for a job of other content",
+        )
+        answer_caller(dispatcher, caller, refusal)
+
+
+def route_receipt(dispatcher: Dispatcher, receipt: Receipt, now: float) -> None:
+    """Hands a submission to the entry that owns its partition."""
+    submission = receipt.submission
+    owner = find_owner(dispatcher, find_partition(submission.key), now)
+    receipt.sent_at = now
+    receipt.sent_to = ""
+    if owner is None:
+        return
+    if owner == dispatcher.name:
+        receipt.sent_to = owner
+        if not accept_submission(dispatcher, submission, owner, now):
+            receipt.sent_to = ""
+        return
+    peer = dispatcher.peers[owner]
+    if peer.connected:
+        receipt.sent_to = owner
+        count(dispatcher, "forwards_sent")
+        peer.outbox.append(Forward(submission=submission))
+
+
+def reroute_receipts(dispatcher: Dispatcher, now: float) -> None:
+    """Hands on submissions whose owner has changed, and gives up those that are too late."""
+    for receipt in list(dispatcher.receipts.values()):
+        if now > receipt.submission.deadline + GIVE_UP_SECONDS:
+            _give_up(dispatcher, receipt)
+            continue
+        owner = find_owner(dispatcher, find_partition(receipt.submission.key), now)
+        waited = now - receipt.sent_at >= REROUTE_SECONDS
+        if waited and (not receipt.sent_to or owner != receipt.sent_to):
+            count(dispatcher, "reroutes")
+            route_receipt(dispatcher, receipt, now)
+
+
+def release_owner(dispatcher: Dispatcher, owner: str, now: float) -> None:
+    """Takes back submissions from an entry that has lost them."""
+    for receipt in dispatcher.receipts.values():
+        if receipt.sent_to == owner:
+            receipt.sent_to = ""
+            receipt.sent_at = now
+
+
+def release_partition(dispatcher: Dispatcher, partition: int, now: float) -> None:
+    """Takes back submissions of a partition that this entry has lost."""
+    for receipt in dispatcher.receipts.values():
+        if receipt.sent_to != dispatcher.name:
+            continue
+        if find_partition(receipt.submission.key) == partition:
+            receipt.sent_to = ""
+            receipt.sent_at = now
+
+
+def receive_forward(
+    dispatcher: Dispatcher, sender: str, submission: Submission, now: float
+) -> None:
+    """Takes a submission that another entry forwards."""
+    if not accept_submission(dispatcher, submission, sender, now):
+        dispatcher.peers[sender].outbox.append(NotOwner(key=submission.key))
+
+
+def receive_not_owner(dispatcher: Dispatcher, sender: str, key: JobKey, now: float) -> None:
+    """Takes back a submission that another entry did not take."""
+    receipt = dispatcher.receipts.get(key)
+    if receipt is not None and receipt.sent_to == sender:
+        receipt.sent_to = ""
+        receipt.sent_at = now
+
+
+def request_cancel(dispatcher: Dispatcher, key: JobKey, now: float) -> None:
+    """Cancels a job at the owner of its partition."""
+    owner = find_owner(dispatcher, find_partition(key), now)
+    if owner == dispatcher.name:
+        cancel_job(dispatcher, key, now)
+    elif owner is not None:
+        dispatcher.peers[owner].outbox.append(CancelJob(key=key))
+
+
+def _give_up(dispatcher: Dispatcher, receipt: Receipt) -> None:
+    answer = Answer(
+        key=receipt.submission.key,
+        complete=False,
+        verdict=Verdict.MAY_HAVE_RUN,
+        reason=Reason.EXPIRED,
+        detail="the deadline passed and the owner of the job gave no answer",
+    )
+    receipt.sent_to = dispatcher.name
+    count(dispatcher, "receipts_given_up")
+    settle_receipt(dispatcher, answer, dispatcher.name)
--- /dev/null
+++ b/src/comfreysill/dispatch/starting.py
@@ -0,0 +1,150 @@
+"""Starts waiting tasks at targets."""
+
+from comfreysill.dispatch.authority import find_authority_end, request_validation
+from comfreysill.dispatch.estimate import estimate_task
+from comfreysill.dispatch.jobs import track_pending
+from comfreysill.dispatch.queue import ServiceQueue, charge_job, choose_job, push_job
+from comfreysill.dispatch.state import Dispatcher, count
+from comfreysill.job.job import Job, place_task
+from comfreysill.partition.holding import Holding
+from comfreysill.target.messages import StartBatch, TaskStart
+from comfreysill.target.view import PROBE_INTERVAL_SECONDS, Target, count_free
+
+EJECTED_SHARE = 1 / 3
+
+
+def start_tasks(dispatcher: Dispatcher, now: float) -> None:
+    """Starts waiting tasks of all services while targets have room."""
+    for service, queue in dispatcher.queues.items():
+        targets = _list_targets(dispatcher, service, now)
+        _start_service(dispatcher, queue, targets, now)
+
+
+def _list_targets(dispatcher: Dispatcher, service: str, now: float) -> list[Target]:
+    serving = [
+        target
+        for target in dispatcher.targets.values()
+        if target.greeted and service in target.registration.services
+    ]
+    ejected = sorted((t for t in serving if t.probe_at), key=_get_failures, reverse=True)
+    out = {target.name for target in ejected[: int(len(serving) * EJECTED_SHARE)]}
+    return [
+        target
+        for target in serving
+        if (target.name not in out or target.probe_at <= now)
+        and count_free(target, dispatcher.limits.queue_share) > 0
+    ]
+
+
+def _get_failures(target: Target) -> int:
+    return target.failures
+
+
+def _start_service(
+    dispatcher: Dispatcher, queue: ServiceQueue, targets: list[Target], now: float
+) -> None:
+    skipped = []
+    while targets:
+        job = choose_job(queue)
+        if job is None:
+            break
+        holding = dispatcher.holdings.get(job.partition)
+        if not _start_job(dispatcher, queue, job, holding, targets, now):
+            if holding is not None and _is_served(holding, targets):
+                break
+            skipped.append(_take_out(queue, job))
+        share = dispatcher.limits.queue_share
+        targets = [target for target in targets if count_free(target, share) > 0]
+    for job in skipped:
+        if job.answer is None:
+            job.queued = True
+            push_job(queue, job)
+
+
+def _is_served(holding: Holding, targets: list[Target]) -> bool:
+    return holding.open and any(target.name in holding.confirmed for target in targets)
+
+
+def _take_out(queue: ServiceQueue, job: Job) -> Job:
+    team = queue.classes[job.submission.task_class].teams[job.key.team]
+    team.jobs = [item for item in team.jobs if item[2] is not job]
+    team.jobs.sort()
+    job.queued = False
+    return job
+
+
+def _start_job(
+    dispatcher: Dispatcher,
+    queue: ServiceQueue,
+    job: Job,
+    holding: Holding | None,
+    targets: list[Target],
+    now: float,
+) -> bool:
+    if holding is None or not holding.open:
+        return False
+    authority_end = find_authority_end(dispatcher, holding)
+    if authority_end <= now:
+        request_validation(dispatcher, now)
+        return False
+    candidates = [target for target in targets if target.name in holding.confirmed]
+    estimate = estimate_task(dispatcher.estimates, job, job.pending[0])
+    share = dispatcher.limits.queue_share
+    placements = dispatcher.place(candidates, len(job.pending), estimate, share)
+    total = 0
+    for target, amount in placements:
+        probing = target.probe_at > 0
+        amount = 1 if probing else amount
+        if probing:
+            target.probe_at = now + PROBE_INTERVAL_SECONDS
+        _send_batch(dispatcher, job, holding, target, amount, authority_end, now)
+        total += amount
+    if not total:
+        return False
+    track_pending(dispatcher, job)
+    weight = dispatcher.limits.weights.get(job.key.team, 1.0)
+    charge_job(queue, job, total * estimate, weight)
+    return True
+
+
+def _send_batch(
+    dispatcher: Dispatcher,
+    job: Job,
+    holding: Holding,
+    target: Target,
+    amount: int,
+    authority_end: float,
+    now: float,
+) -> None:
+    submission = job.submission
+    starts = [_place_next(job, target, now) for _ in range(amount)]
+    target.unreported += amount
+    count(dispatcher, "starts_sent", amount)
+    count(dispatcher, "batches_sent")
+    target.outbox.append(
+        StartBatch(
+            key=submission.key,
+            digest=submission.digest,
+            partition=job.partition,
+            epoch=holding.epoch,
+            authority_until=authority_end,
+            task_class=submission.task_class,
+            deadline=submission.deadline,
+            expires_at=job.expires_at,
+            service=submission.service,
+            tasks=tuple(starts),
+        )
+    )
+
+
+def _place_next(job: Job, target: Target, now: float) -> TaskStart:
+    index = job.pending.popleft()
+    task = job.submission.tasks[index]
+    attempt = place_task(job, index, target.name, target.incarnation, now)
+    return TaskStart(
+        index=index,
+        attempt=attempt,
+        payload=task.payload,
+        run_time=task.run_time,
+        idempotent=task.idempotent,
+    )
--- /dev/null
+++ b/src/comfreysill/dispatch/state.py
@@ -0,0 +1,241 @@
+"""The dispatcher aggregate: all that one entry knows, and the effects it asks for."""
+
+import heapq
+from collections.abc import Callable
+
+from comfreysill.dispatch.estimate import Estimates
+from comfreysill.dispatch.messages import AnswerCaller, Effect, PeerMessage
+from comfreysill.dispatch.placement import Place, place_by_finish
+from comfreysill.dispatch.queue import ServiceQueue
+from comfreysill.job.job import Job
+from comfreysill.job.types import Answer, JobKey, Submission
+from comfreysill.partition.holding import Holding
+from comfreysill.target.view import Target
+
+AUTHORITY_SECONDS = 5.0
+CLOCK_SKEW_SECONDS = 0.5
+CLAIM_WAIT_SECONDS = 1.0
+HEARTBEAT_SECONDS = 1.5
+PEER_TIMEOUT_SECONDS = 2.0
+HORIZON_SECONDS = 120.0
+RETENTION_SECONDS = 30.0
+PROOF_WAIT_SECONDS = 1.0
+SUSPECT_SECONDS = 1.0
+ROSTER_INTERVAL_SECONDS = 1.0
+REROUTE_SECONDS = 0.2
+
+
+class Limits:
+    """Bounds of one entry.
+
+    Attributes:
+        jobs: Jobs kept, answered ones included.
+        queued_tasks: Tasks that wait for a target.
+        tasks_per_job: Tasks of one job.
+        queue_share: Tasks that may wait at a target, as a share of its slots.
+        weights: Weight of each team; an empty mapping admits any team at weight 1.
+    """
+
+    __slots__ = ("jobs", "queued_tasks", "tasks_per_job", "queue_share", "weights")
+
+    def __init__(
+        self,
+        *,
+        jobs: int = 50_000,
+        queued_tasks: int = 20_000,
+        tasks_per_job: int = 2_000,
+        queue_share: float = 0.25,
+        weights: dict[str, float] | None = None,
+    ) -> None:
+        self.jobs = jobs
+        self.queued_tasks = queued_tasks
+        self.tasks_per_job = tasks_per_job
+        self.queue_share = queue_share
+        self.weights = weights or {}
+
+
+class Peer:
+    """Another entry.
+
+    Attributes:
+        name: Incarnation name.
+        connected: True while the link to it is open.
+        heard_at: Unix time in seconds of its last frame.
+        leaving: True when it gives up its partitions.
+        floor_version: Version of the floor document in force there.
+        roster_revision: Revision of the table up to which it knows the targets.
+        outbox: Messages for its next frame.
+    """
+
+    __slots__ = (
+        "name",
+        "connected",
+        "heard_at",
+        "leaving",
+        "floor_version",
+        "roster_revision",
+        "outbox",
+        "last_sent_at",
+    )
+
+    def __init__(self, *, name: str, heard_at: float) -> None:
+        self.name = name
+        self.connected = False
+        self.heard_at = heard_at
+        self.leaving = False
+        self.floor_version = 0
+        self.roster_revision = 0
+        self.outbox: list[PeerMessage] = []
+        self.last_sent_at = 0.0
+
+
+class Receipt:
+    """A submission at the entry that took it from a caller.
+
+    Attributes:
+        submission: The job as submitted.
+        callers: Numbers of the callers that wait for the answer.
+        sent_to: Entry that has the submission now; empty while none has.
+        sent_at: Unix time in seconds at which it was sent there.
+        ever_sent: True once any entry has had it.
+    """
+
+    __slots__ = ("submission", "callers", "sent_to", "sent_at", "ever_sent")
+
+    def __init__(self, *, submission: Submission) -> None:
+        self.submission = submission
+        self.callers: list[int] = []
+        self.sent_to = ""
+        self.sent_at = 0.0
+        self.ever_sent = False
+
+
+class Proof:
+    """An answer with the verdict "not run" that waits until ownership is validated."""
+
+    __slots__ = ("answer", "listeners", "asked_at", "cycle")
+
+    def __init__(
+        self, *, answer: Answer, listeners: frozenset[str], asked_at: float, cycle: int
+    ) -> None:
+        self.answer = answer
+        self.listeners = listeners
+        self.asked_at = asked_at
+        self.cycle = cycle
+
+
+class Dispatcher:
+    """State of one entry; the functions of this package change it.
+
+    Attributes:
+        name: Incarnation name of the entry.
+        targets: Targets by agent name.
+        peers: Other entries by name.
+        holdings: Partitions that this entry claims or owns.
+        numbers: Highest epoch number seen for each partition.
+        receipts: Submissions taken from callers.
+        queues: Waiting jobs by service.
+        proofs: Refusals that wait for a validation of ownership.
+        roster_read_at: Start time of the newest successful read of the list of targets.
+        roster_failed_at: Start time of the newest read of that list that failed.
+        roster_revision: Revision of the table up to which the targets are known.
+        ledgers_lost_at: Newest Unix time in seconds at which an agent's ledger was lost.
+        leaving: True once this entry gives up its partitions.
+        effects: What the process has to do; taken by `flush`.
+        cycle: Number of the current cycle; frames sent at its end carry it.
+        ping_cycle: Each agent has to be sent a frame at the end of this cycle or later.
+        timers: Heap of (Unix time in seconds, order, job) for deadlines and expiries.
+    """
+
+    __slots__ = (
+        "name",
+        "limits",
+        "place",
+        "targets",
+        "peers",
+        "holdings",
+        "numbers",
+        "receipts",
+        "queues",
+        "queued_tasks",
+        "job_count",
+        "estimates",
+        "proofs",
+        "roster_read_at",
+        "roster_failed_at",
+        "roster_revision",
+        "ledgers_lost_at",
+        "leaving",
+        "floor_version",
+        "floor_document",
+        "effects",
+        "counters",
+        "observe",
+        "ping_cycle",
+        "cycle",
+        "timers",
+        "timer_order",
+        "next_roster_at",
+        "retry_tokens",
+    )
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        limits: Limits,
+        place: Place = place_by_finish,
+        observe: "Observe | None" = None,
+    ) -> None:
+        self.name = name
+        self.limits = limits
+        self.place = place
+        self.targets: dict[str, Target] = {}
+        self.peers: dict[str, Peer] = {}
+        self.holdings: dict[int, Holding] = {}
+        self.numbers: dict[int, int] = {}
+        self.receipts: dict[JobKey, Receipt] = {}
+        self.queues: dict[str, ServiceQueue] = {}
+        self.queued_tasks = 0
+        self.job_count = 0
+        self.estimates = Estimates()
+        self.proofs: list[Proof] = []
+        self.roster_read_at = 0.0
+        self.roster_failed_at = 0.0
+        self.roster_revision = 0
+        self.ledgers_lost_at = 0.0
+        self.leaving = False
+        self.floor_version = 0
+        self.floor_document = b""
+        self.effects: list[Effect] = []
+        self.counters: dict[str, int] = {}
+        self.observe = observe or _ignore
+        self.ping_cycle = -1
+        self.cycle = 0
+        self.timers: list[tuple[float, int, Job]] = []
+        self.timer_order = 0
+        self.next_roster_at = 0.0
+        self.retry_tokens = 100.0
+
+
+Observe = Callable[[str, float, str, str], None]
+
+
+def _ignore(name: str, value: float, team: str, task_class: str) -> None:
+    """Drops an observation."""
+
+
+def count(dispatcher: Dispatcher, name: str, amount: int = 1) -> None:
+    """Adds to a counter."""
+    dispatcher.counters[name] = dispatcher.counters.get(name, 0) + amount
+
+
+def answer_caller(dispatcher: Dispatcher, caller: int, answer: Answer) -> None:
+    """Asks the process to give a caller its answer."""
+    dispatcher.effects.append(AnswerCaller(caller=caller, answer=answer))
+
+
+def push_timer(dispatcher: Dispatcher, when: float, job: Job) -> None:
+    """Has a job looked at again at a Unix time in seconds."""
+    dispatcher.timer_order += 1
+    heapq.heappush(dispatcher.timers, (when, dispatcher.timer_order, job))
--- /dev/null
+++ b/src/comfreysill/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The process that takes jobs from callers and starts their tasks at targets."""
--- /dev/null
+++ b/src/comfreysill/entry/http.py
@@ -0,0 +1,240 @@
+"""HTTP interface of an entry: callers' jobs, health and metrics."""
+
+import asyncio
+import re
+import time
+
+import falcon
+import falcon.asgi
+import orjson
+from result import Err
+
+from comfreysill.dispatch.jobs import find_job
+from comfreysill.dispatch.state import Dispatcher
+from comfreysill.entry.documents import (
+    NAME_PATTERN,
+    format_answer,
+    format_problem,
+    format_retry_after,
+    format_verdict,
+    parse_submission,
+)
+from comfreysill.entry.keeper import Keeper
+from comfreysill.entry.messages import Cancel, Submit
+from comfreysill.job.job import find_verdict
+from comfreysill.job.types import Answer, JobKey, Verdict
+from comfreysill.metrics import Metrics, render_metrics
+
+MAX_BODY_BYTES = 16 * 1024 * 1024
+PROBLEM_TYPE = "application/problem+json"
+
+_NAME = re.compile(NAME_PATTERN)
+
+
+class JobResource:
+    """One job of a team."""
+
+    __slots__ = ("keeper",)
+
+    def __init__(self, *, keeper: Keeper) -> None:
+        self.keeper = keeper
+
+    async def on_put(
+        self,
+        request: falcon.asgi.Request,
+        response: falcon.asgi.Response,
+        team: str,
+        job_id: str,
+    ) -> None:
+        """Submits a job and waits for its whole answer."""
+        _check_names(team, job_id)
+        if (request.content_length or 0) > MAX_BODY_BYTES:
+            raise falcon.HTTPContentTooLarge(description=f"at most {MAX_BODY_BYTES} bytes")
+        body = await request.stream.read()
+        parsed = parse_submission(team, job_id, body)
+        if isinstance(parsed, Err):
+            _refuse_input(response, parsed.err_value)
+            return
+        reply: asyncio.Future[Answer] = asyncio.get_running_loop().create_future()
+        self.keeper.inbox.post(Submit(submission=parsed.ok_value, reply=reply))
+        _write_answer(response, await reply)
+
+    async def on_get(
+        self,
+        request: falcon.asgi.Request,
+        response: falcon.asgi.Response,
+        team: str,
+        job_id: str,
+    ) -> None:
+        """Tells what this entry knows about a job."""
+        _check_names(team, job_id)
+        key = JobKey(team=team, job_id=job_id)
+        job = find_job(self.keeper.dispatcher, key)
+        if job is not None and job.answer is not None:
+            _write_answer(response, job.answer)
+            return
+        if job is None and key not in self.keeper.dispatcher.receipts:
+            raise falcon.HTTPNotFound(description="this entry doesn't know the job")
+        verdict = find_verdict(job) if job is not None else Verdict.MAY_HAVE_RUN
+        total = len(job.submission.tasks) if job is not None else 0
+        response.media = {
+            "team": team,
+            "id": job_id,
+            "status": "running",
+            "verdict": format_verdict(verdict),
+            "tasks": total,
+            "done": total - job.unfinished if job is not None else 0,
+        }
+
+    async def on_delete(
+        self,
+        request: falcon.asgi.Request,
+        response: falcon.asgi.Response,
+        team: str,
+        job_id: str,
+    ) -> None:
+        """Cancels a job; a caller that waits for it gets a failed answer."""
+        _check_names(team, job_id)
+        self.keeper.inbox.post(Cancel(key=JobKey(team=team, job_id=job_id)))
+        response.status = falcon.HTTP_202
+
+
+class HealthResource:
+    """Health and readiness."""
+
+    __slots__ = ("dispatcher",)
+
+    def __init__(self, *, dispatcher: Dispatcher) -> None:
+        self.dispatcher = dispatcher
+
+    async def on_get(self, request: falcon.asgi.Request, response: falcon.asgi.Response) -> None:
+        """Answers 200 while the process lives."""
+        response.media = {"status": "alive"}
+
+    async def on_get_ready(
+        self, request: falcon.asgi.Request, response: falcon.asgi.Response
+    ) -> None:
+        """Answers 200 while the entry takes jobs."""
+        dispatcher = self.dispatcher
+        reachable = any(target.greeted for target in dispatcher.targets.values())
+        opened = all(holding.open for holding in dispatcher.holdings.values())
+        ready = bool(dispatcher.roster_read_at) and reachable and opened
+        ready = ready and not dispatcher.leaving
+        response.media = {"ready": ready}
+        response.status = falcon.HTTP_200 if ready else falcon.HTTP_503
+
+
+class StatusResource:
+    """State of the entry for operators."""
+
+    __slots__ = ("dispatcher",)
+
+    def __init__(self, *, dispatcher: Dispatcher) -> None:
+        self.dispatcher = dispatcher
+
+    async def on_get(self, request: falcon.asgi.Request, response: falcon.asgi.Response) -> None:
+        """Lists targets, other entries and owned partitions."""
+        dispatcher = self.dispatcher
+        now = time.time()
+        response.media = {
+            "entry": dispatcher.name,
+            "floor_version": dispatcher.floor_version,
+            "partitions": len(dispatcher.holdings),
+            "partitions_open": sum(h.open for h in dispatcher.holdings.values()),
+            "jobs": dispatcher.job_count,
+            "queued_tasks": dispatcher.queued_tasks,
+            "entries": [
+                {"name": peer.name, "heard_seconds_ago": now - peer.heard_at}
+                for peer in dispatcher.peers.values()
+            ],
+            "targets": [
+                {
+                    "name": target.name,
+                    "zone": target.registration.zone,
+                    "services": sorted(target.registration.services),
+                    "connected": target.greeted,
+                    "slots": target.load.slots,
+                    "running": target.load.running,
+                    "queued": target.load.queued,
+                    "draining": target.load.draining,
+                    "slowness": round(target.slowness, 3),
+                }
+                for target in dispatcher.targets.values()
+            ],
+        }
+
+
+class MetricsResource:
+    """Metrics of the entry."""
+
+    __slots__ = ("dispatcher", "metrics")
+
+    def __init__(self, *, dispatcher: Dispatcher, metrics: Metrics) -> None:
+        self.dispatcher = dispatcher
+        self.metrics = metrics
+
+    async def on_get(self, request: falcon.asgi.Request, response: falcon.asgi.Response) -> None:
+        """Renders the metrics."""
+        dispatcher = self.dispatcher
+        gauges = {
+            "jobs": dispatcher.job_count,
+            "queued_tasks": dispatcher.queued_tasks,
+            "receipts": len(dispatcher.receipts),
+            "partitions": len(dispatcher.holdings),
+            "targets": len(dispatcher.targets),
+            "targets_connected": sum(t.greeted for t in dispatcher.targets.values()),
+            "floor_version": dispatcher.floor_version,
+        }
+        accept = request.get_header("accept") or ""
+        body, headers = render_metrics(self.metrics, dispatcher.counters, gauges, accept)
+        response.data = body
+        response.content_type = headers.get("Content-Type", falcon.MEDIA_TEXT)
+
+
+def build_app(keeper: Keeper, metrics: Metrics) -> falcon.asgi.App:
+    """Builds the entry's HTTP application."""
+    app = falcon.asgi.App()
+    dispatcher = keeper.dispatcher
+    health = HealthResource(dispatcher=dispatcher)
+    app.add_route("/v1/teams/{team}/jobs/{job_id}", JobResource(keeper=keeper))
+    app.add_route("/v1/status", StatusResource(dispatcher=dispatcher))
+    app.add_route("/health", health)
+    app.add_route("/ready", health, suffix="ready")
+    app.add_route("/metrics", MetricsResource(dispatcher=dispatcher, metrics=metrics))
+    return app
+
+
+def _check_names(team: str, job_id: str) -> None:
+    for name, value in (("team", team), ("id", job_id)):
+        if _NAME.match(value) is None:
+            raise falcon.HTTPUnprocessableEntity(
+                title="bad name",
+                description=f"{name} must match {NAME_PATTERN}",
+            )
+
+
+def _refuse_input(response: falcon.asgi.Response, detail: str) -> None:
+    response.status = falcon.HTTP_422
+    response.content_type = PROBLEM_TYPE
+    response.data = orjson.dumps(
+        {
+            "type": "urn:comfreysill:bad-submission",
+            "title": "bad submission",
+            "status": 422,
+            "detail": detail,
+            "verdict": format_verdict(Verdict.NOT_RUN),
+        }
+    )
+
+
+def _write_answer(response: falcon.asgi.Response, answer: Answer) -> None:
+    if answer.complete:
+        response.content_type = falcon.MEDIA_JSON
+        response.data = orjson.dumps(format_answer(answer))
+        return
+    problem = format_problem(answer)
+    response.status = problem["status"]
+    response.content_type = PROBLEM_TYPE
+    response.data = orjson.dumps(problem)
+    if answer.retry_at:
+        response.set_header("Retry-After", format_retry_after(answer.retry_at))
--- /dev/null
+++ b/src/comfreysill/entry/keeper.py
@@ -0,0 +1,200 @@
+"""The task that owns the dispatcher and carries out its effects."""
+
+import asyncio
+import logging
+import time
+from collections.abc import Callable
+
+from comfreysill.dispatch.core import (
+    connect_peer,
+    disconnect_peer,
+    flush,
+    leave,
+    receive_peer_frame,
+    tick,
+    update_peers,
+)
+from comfreysill.dispatch.links import (
+    connect_agent,
+    disconnect_agent,
+    receive_agent_frame,
+    update_roster,
+)
+from comfreysill.dispatch.messages import AnswerCaller, Effect, ReadRoster, SendFrame, SendPeer
+from comfreysill.dispatch.receipts import drop_caller
+from comfreysill.dispatch.routing import request_cancel, submit_job
+from comfreysill.dispatch.state import Dispatcher
+from comfreysill.entry.links import AgentLink, PeerLink, run_agent_link, run_peer_link
+from comfreysill.entry.messages import (
+    AgentConnected,
+    AgentDisconnected,
+    AgentReported,
+    Cancel,
+    DispatcherMessage,
+    Leave,
+    MembersRead,
+    PeerConnected,
+    PeerDisconnected,
+    PeerReported,
+    Submit,
+    Tick,
+)
+from comfreysill.job.types import Answer, JobKey
+from comfreysill.mailbox import Mailbox
+from comfreysill.platform.registry import Members
+from comfreysill.settings import Address
+
+logger = logging.getLogger(__name__)
+
+
+class Keeper:
+    """State of the dispatcher's task.
+
+    Attributes:
+        dispatcher: The dispatcher.
+        inbox: Messages from the other tasks of the process.
+        agent_links: Links to agents by name.
+        peer_links: Links to other entries by name.
+        callers: Callers that wait, by number.
+        read_roster: Has the list of registrations read at once.
+    """
+
+    __slots__ = (
+        "dispatcher",
+        "inbox",
+        "agent_links",
+        "peer_links",
+        "link_tasks",
+        "callers",
+        "next_caller",
+        "read_roster",
+    )
+
+    def __init__(self, *, dispatcher: Dispatcher, read_roster: Callable[[], None]) -> None:
+        self.dispatcher = dispatcher
+        self.inbox: Mailbox[DispatcherMessage] = Mailbox()
+        self.agent_links: dict[str, AgentLink] = {}
+        self.peer_links: dict[str, PeerLink] = {}
+        self.link_tasks: dict[str, asyncio.Task] = {}
+        self.callers: dict[int, asyncio.Future[Answer]] = {}
+        self.next_caller = 0
+        self.read_roster = read_roster
+
+
+async def keep_dispatcher(keeper: Keeper) -> None:
+    """Runs the dispatcher's task until it is cancelled."""
+    while True:
+        messages = await keeper.inbox.take()
+        now = time.time()
+        for message in messages:
+            _receive(keeper, message, now)
+        for effect in flush(keeper.dispatcher, now):
+            _carry_out(keeper, effect)
+
+
+async def close_links(keeper: Keeper) -> None:
+    """Ends all link tasks."""
+    for task in keeper.link_tasks.values():
+        task.cancel()
+    await asyncio.gather(*keeper.link_tasks.values(), return_exceptions=True)
+
+
+def _receive(keeper: Keeper, message: DispatcherMessage, now: float) -> None:
+    dispatcher = keeper.dispatcher
+    if isinstance(message, AgentReported):
+        receive_agent_frame(dispatcher, message.frame, now)
+    elif isinstance(message, Submit):
+        _submit(keeper, message, now)
+    elif isinstance(message, PeerReported):
+        receive_peer_frame(dispatcher, message.frame, now)
+    elif isinstance(message, Tick):
+        tick(dispatcher, now)
+    elif isinstance(message, MembersRead):
+        _receive_members(keeper, message, now)
+    elif isinstance(message, Cancel):
+        request_cancel(dispatcher, message.key, now)
+    elif isinstance(message, AgentConnected):
+        logger.info("link to agent %s opened", message.agent)
+        connect_agent(dispatcher, message.agent, message.session)
+    elif isinstance(message, AgentDisconnected):
+        disconnect_agent(dispatcher, message.agent, message.session, now)
+    elif isinstance(message, PeerConnected):
+        logger.info("link to entry %s opened", message.name)
+        connect_peer(dispatcher, message.name)
+    elif isinstance(message, PeerDisconnected):
+        disconnect_peer(dispatcher, message.name, now)
+    elif isinstance(message, Leave):
+        leave(dispatcher, now)
+
+
+def _submit(keeper: Keeper, message: Submit, now: float) -> None:
+    keeper.next_caller += 1
+    number = keeper.next_caller
+    keeper.callers[number] = message.reply
+    key = message.submission.key
+    message.reply.add_done_callback(lambda reply: _forget_caller(keeper, key, number, reply))
+    submit_job(keeper.dispatcher, number, message.submission, now)
+
+
+def _forget_caller(
+    keeper: Keeper, key: JobKey, number: int, reply: "asyncio.Future[Answer]"
+) -> None:
+    keeper.callers.pop(number, None)
+    if reply.cancelled():
+        drop_caller(keeper.dispatcher, key, number)
+
+
+def _carry_out(keeper: Keeper, effect: Effect) -> None:
+    if isinstance(effect, SendFrame):
+        link = keeper.agent_links.get(effect.agent)
+        if link is not None:
+            link.outbox.post(effect.frame)
+    elif isinstance(effect, SendPeer):
+        link = keeper.peer_links.get(effect.entry)
+        if link is not None:
+            link.outbox.post(effect.frame)
+    elif isinstance(effect, AnswerCaller):
+        reply = keeper.callers.get(effect.caller)
+        if reply is not None and not reply.done():
+            reply.set_result(effect.answer)
+    elif isinstance(effect, ReadRoster):
+        keeper.read_roster()
+
+
+def _receive_members(keeper: Keeper, message: MembersRead, now: float) -> None:
+    dispatcher = keeper.dispatcher
+    members = message.members
+    if members is None:
+        dispatcher.roster_failed_at = max(dispatcher.roster_failed_at, message.started_at)
+        return
+    update_roster(
+        dispatcher, members.agents, members.revision, members.lost_at, message.started_at, now
+    )
+    update_peers(dispatcher, [entry.name for entry in members.entries], now)
+    _update_links(keeper, members)
+
+
+def _update_links(keeper: Keeper, members: Members) -> None:
+    own = keeper.dispatcher.name
+    peers = {entry.name: entry for entry in members.entries if entry.name != own}
+    agents = {agent.agent: agent for agent in members.agents}
+    for name in set(keeper.peer_links) - set(peers):
+        del keeper.peer_links[name]
+        keeper.link_tasks.pop(f"entry {name}").cancel()
+    for name in set(keeper.agent_links) - set(agents):
+        del keeper.agent_links[name]
+        keeper.link_tasks.pop(f"agent {name}").cancel()
+    for name, entry in peers.items():
+        if name not in keeper.peer_links:
+            address = Address(host=entry.host, port=entry.port)
+            link = PeerLink(name=name, address=address, inbox=keeper.inbox)
+            keeper.peer_links[name] = link
+            keeper.link_tasks[f"entry {name}"] = asyncio.create_task(run_peer_link(link))
+    for name, agent in agents.items():
+        link = keeper.agent_links.get(name)
+        if link is None:
+            address = Address(host=agent.host, port=agent.port)
+            link = AgentLink(agent=name, address=address, inbox=keeper.inbox)
+            keeper.agent_links[name] = link
+            keeper.link_tasks[f"agent {name}"] = asyncio.create_task(run_agent_link(link))
+        link.address = Address(host=agent.host, port=agent.port)
--- /dev/null
+++ b/src/comfreysill/entry/program.py
@@ -0,0 +1,108 @@
+"""The entry process: its tasks, their start and their graceful end."""
+
+import asyncio
+import logging
+import time
+import uuid
+
+from result import Err, Ok
+
+from comfreysill.dispatch.state import ROSTER_INTERVAL_SECONDS, Dispatcher, Limits
+from comfreysill.entry.http import build_app
+from comfreysill.entry.keeper import Keeper, close_links, keep_dispatcher
+from comfreysill.entry.links import PeerService
+from comfreysill.entry.messages import Leave, MembersRead, Tick
+from comfreysill.metrics import Metrics, observe_seconds
+from comfreysill.platform.registry import (
+    EntryRegistration,
+    read_members,
+    register_entry,
+    remove_entry,
+)
+from comfreysill.platform.table import Table, open_table
+from comfreysill.servers import build_http, start_grpc, stop_http
+from comfreysill.settings import Settings
+from comfreysill.supervision import await_stop
+
+logger = logging.getLogger(__name__)
+
+TICK_SECONDS = 0.05
+POLL_SECONDS = 0.05
+
+
+async def run_entry(settings: Settings, stop: asyncio.Event) -> None:
+    """Runs an entry until it is asked to stop and its callers have their answers."""
+    name = f"{settings.name}@{uuid.uuid4().hex[:8]}"
+    metrics = Metrics(role="entry")
+    dispatcher = Dispatcher(
+        name=name,
+        limits=Limits(),
+        observe=lambda *observation: observe_seconds(metrics, *observation),
+    )
+    wanted = asyncio.Event()
+    keeper = Keeper(dispatcher=dispatcher, read_roster=wanted.set)
+    table = open_table(settings.table)
+    http = build_http(build_app(keeper, metrics), settings.http)
+    grpc = await start_grpc([PeerService(inbox=keeper.inbox)], settings.grpc)
+    http_task = asyncio.create_task(http.serve())
+    registration = EntryRegistration(
+        name=name, host=settings.grpc.host, port=settings.grpc.port, zone=settings.zone
+    )
+    tasks = [
+        asyncio.create_task(keep_dispatcher(keeper)),
+        asyncio.create_task(_tick(keeper)),
+        asyncio.create_task(_follow_members(keeper, table, registration, wanted)),
+    ]
+    logger.info("entry %s runs as %s", settings.name, name)
+    await await_stop(stop, [http_task, *tasks])
+    keeper.inbox.post(Leave())
+    await _remove_registration(table, name)
+    await _await_callers(keeper, settings.shutdown_seconds)
+    await stop_http(http, http_task)
+    for task in tasks:
+        task.cancel()
+    await close_links(keeper)
+    grpc.close()
+    await table.session.close()
+
+
+async def _tick(keeper: Keeper) -> None:
+    while True:
+        await asyncio.sleep(TICK_SECONDS)
+        keeper.inbox.post(Tick())
+
+
+async def _follow_members(
+    keeper: Keeper, table: Table, registration: EntryRegistration, wanted: asyncio.Event
+) -> None:
+    """Registers the entry, then reads the registrations again and again."""
+    registered = False
+    while True:
+        if not registered:
+            registered = isinstance(await register_entry(table, registration), Ok)
+        started_at = time.time()
+        members = await read_members(table)
+        if isinstance(members, Err):
+            keeper.inbox.post(MembersRead(members=None, started_at=started_at))
+        else:
+            keeper.inbox.post(MembersRead(members=members.ok_value, started_at=started_at))
+        try:
+            await asyncio.wait_for(wanted.wait(), ROSTER_INTERVAL_SECONDS)
+        except TimeoutError:
+            continue
+        wanted.clear()
+
+
+async def _remove_registration(table: Table, name: str) -> None:
+    removed = await remove_entry(table, name)
+    if isinstance(removed, Err):
+        logger.warning("could not remove the registration: %s", removed.err_value.detail)
+
+
+async def _await_callers(keeper: Keeper, seconds: float) -> None:
+    ends_at = time.monotonic() + seconds
+    while keeper.dispatcher.receipts or keeper.callers:
+        if time.monotonic() >= ends_at:
+            logger.warning("shutdown deadline reached with %d callers", len(keeper.callers))
+            return
+        await asyncio.sleep(POLL_SECONDS)
--- /dev/null
+++ b/src/comfreysill/floor/__init__.py
@@ -0,0 +1,1 @@
+"""The floor document: teams, services, limits and their versions."""
--- /dev/null
+++ b/src/comfreysill/job/__init__.py
@@ -0,0 +1,1 @@
+"""Jobs, their tasks and their answers."""
--- /dev/null
+++ b/src/comfreysill/partition/__init__.py
@@ -0,0 +1,1 @@
+"""Partitions of the job keys, their owners and their epochs."""
--- /dev/null
+++ b/src/comfreysill/partition/epoch.py
@@ -0,0 +1,38 @@
+"""Epochs that fence a former owner of a partition."""
+
+import functools
+
+
+@functools.total_ordering
+class Epoch:
+    """Fencing token of one owner of a partition.
+
+    Attributes:
+        number: Raised by one at each takeover of the partition.
+        owner: Incarnation name of the owning entry; breaks ties between equal numbers.
+    """
+
+    __slots__ = ("number", "owner")
+
+    def __init__(self, *, number: int, owner: str) -> None:
+        self.number = number
+        self.owner = owner
+
+    def __eq__(self, other: object) -> bool:
+        if not isinstance(other, Epoch):
+            return NotImplemented
+        return self.number == other.number and self.owner == other.owner
+
+    def __lt__(self, other: "Epoch") -> bool:
+        if self.number != other.number:
+            return self.number < other.number
+        return self.owner < other.owner
+
+    def __hash__(self) -> int:
+        return hash((self.number, self.owner))
+
+    def __repr__(self) -> str:
+        return f"{self.number}:{self.owner}"
+
+
+NO_EPOCH = Epoch(number=0, owner="")
--- /dev/null
+++ b/src/comfreysill/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's table service and object store, as this system uses them."""
--- /dev/null
+++ b/src/comfreysill/platform/registry.py
@@ -0,0 +1,171 @@
+"""Registrations of entries and agents in the platform's table."""
+
+from typing import Any
+
+from result import Err, Ok, Result
+
+from comfreysill.job.types import Verdict
+from comfreysill.platform.table import (
+    Row,
+    StoreError,
+    StoreFault,
+    Table,
+    Write,
+    commit,
+    read_row,
+    scan_rows,
+)
+from comfreysill.target.view import Registration
+
+AGENT_PREFIX = "member/agent/"
+ENTRY_PREFIX = "member/entry/"
+MEMBER_PREFIX = "member/"
+FLOOR_KEY = "floor/current"
+
+
+class EntryRegistration:
+    """An entry as registered.
+
+    Attributes:
+        name: Incarnation name.
+        host: IP address for other processes.
+        port: TCP port for other processes.
+        zone: Availability zone.
+    """
+
+    __slots__ = ("name", "host", "port", "zone")
+
+    def __init__(self, *, name: str, host: str, port: int, zone: str) -> None:
+        self.name = name
+        self.host = host
+        self.port = port
+        self.zone = zone
+
+
+class Members:
+    """All registered processes at one revision of the table.
+
+    Attributes:
+        revision: Revision of the table.
+        entries: The entries.
+        agents: The agents that have not left.
+        lost_at: Newest Unix time in seconds at which an agent's ledger was lost.
+    """
+
+    __slots__ = ("revision", "entries", "agents", "lost_at")
+
+    def __init__(
+        self,
+        *,
+        revision: int,
+        entries: tuple[EntryRegistration, ...],
+        agents: tuple[Registration, ...],
+        lost_at: float,
+    ) -> None:
+        self.revision = revision
+        self.entries = entries
+        self.agents = agents
+        self.lost_at = lost_at
+
+
+async def read_members(table: Table) -> Result[Members, StoreError]:
+    """Reads all registrations in one scan."""
+    scan = await scan_rows(table, MEMBER_PREFIX)
+    if isinstance(scan, Err):
+        return scan
+    rows = scan.ok_value.rows
+    entries = tuple(_parse_entry(row) for row in rows if row.key.startswith(ENTRY_PREFIX))
+    agent_rows = [row for row in rows if row.key.startswith(AGENT_PREFIX)]
+    agents = tuple(_parse_agent(row) for row in agent_rows if not row.value["left"])
+    lost_at = max((row.value["lost_at"] for row in agent_rows), default=0.0)
+    members = Members(
+        revision=scan.ok_value.revision, entries=entries, agents=agents, lost_at=lost_at
+    )
+    return Ok(members)
+
+
+async def register_entry(table: Table, entry: EntryRegistration) -> Result[int, StoreError]:
+    """Writes the registration of an entry's incarnation."""
+    value = {"name": entry.name, "host": entry.host, "port": entry.port, "zone": entry.zone}
+    return await commit(table, (Write(key=ENTRY_PREFIX + entry.name, value=value),))
+
+
+async def remove_entry(table: Table, name: str) -> Result[int, StoreError]:
+    """Deletes the registration of an entry's incarnation."""
+    return await commit(table, (Write(key=ENTRY_PREFIX + name, value=None),))
+
+
+async def register_agent(
+    table: Table, registration: Registration, now: float
+) -> Result[float, StoreError]:
+    """Writes the registration of an agent's incarnation.
+
+    Repeating the call after a lost answer is harmless.
+
+    Returns:
+        Unix time in seconds at which a former incarnation's ledger was lost, 0 for never.
+    """
+    key = AGENT_PREFIX + registration.agent
+    row = await read_row(table, key)
+    if isinstance(row, Err):
+        return row
+    known = row.ok_value
+    lost_at = now if known is not None else 0.0
+    if known is not None and known.value["incarnation"] == registration.incarnation:
+        lost_at = float(known.value["lost_at"])
+    value = _format_agent(registration, lost_at)
+    if known is not None and known.value == value:
+        return Ok(lost_at)
+    expected = known.revision if known is not None else 0
+    written = await commit(table, (Write(key=key, value=value, expected=expected),))
+    return written.map(lambda _: lost_at)
+
+
+async def mark_left(
+    table: Table, registration: Registration, now: float
+) -> Result[int, StoreError]:
+    """Marks an agent as gone; the row stays, so that the loss of its ledger is known."""
+    key = AGENT_PREFIX + registration.agent
+    row = await read_row(table, key)
+    if isinstance(row, Err):
+        return row
+    known = row.ok_value
+    if known is None or known.value["incarnation"] != registration.incarnation:
+        detail = "the registration is another incarnation's"
+        return Err(StoreError(fault=StoreFault.MISSING, verdict=Verdict.NOT_RUN, detail=detail))
+    value = {**known.value, "left": True, "lost_at": now}
+    return await commit(table, (Write(key=key, value=value, expected=known.revision),))
+
+
+def _format_agent(registration: Registration, lost_at: float) -> dict[str, Any]:
+    return {
+        "agent": registration.agent,
+        "incarnation": registration.incarnation,
+        "host": registration.host,
+        "port": registration.port,
+        "zone": registration.zone,
+        "services": sorted(registration.services),
+        "lost_at": lost_at,
+        "left": False,
+    }
+
+
+def _parse_agent(row: Row) -> Registration:
+    return Registration(
+        agent=row.value["agent"],
+        incarnation=row.value["incarnation"],
+        host=row.value["host"],
+        port=row.value["port"],
+        zone=row.value["zone"],
+        services=frozenset(row.value["services"]),
+        revision=row.revision,
+    )
+
+
+def _parse_entry(row: Row) -> EntryRegistration:
+    return EntryRegistration(
+        name=row.value["name"],
+        host=row.value["host"],
+        port=row.value["port"],
+        zone=row.value["zone"],
+    )
--- /dev/null
+++ b/src/comfreysill/schemas.py
@@ -0,0 +1,68 @@
+"""Checks of YAML documents against JSON schemas, with every error at once."""
+
+import difflib
+import json
+from typing import Any
+
+import jsonschema
+import yaml
+
+from comfreysill.exceptions import DocumentError, Problem
+
+_VALUE_LENGTH = 60
+
+
+def load_yaml(text: str, source: str) -> Any:
+    """Parses a YAML document.
+
+    Raises:
+        DocumentError: The text is no YAML; the error names line and column.
+    """
+    try:
+        return yaml.safe_load(text)
+    except yaml.YAMLError as error:
+        mark = getattr(error, "problem_mark", None)
+        path = f"line {mark.line + 1}, column {mark.column + 1}" if mark else "(document)"
+        problem = Problem(path=path, value="text", reason=f"not valid YAML: {error}")
+        raise DocumentError(source=source, problems=(problem,)) from error
+
+
+def find_problems(document: Any, schema: dict) -> list[Problem]:
+    """Returns all errors of a document, in the order of their paths."""
+    validator = jsonschema.Draft202012Validator(schema)
+    errors = sorted(validator.iter_errors(document), key=lambda error: error.json_path)
+    return [problem for error in errors for problem in _describe(error)]
+
+
+def check_document(document: Any, schema: dict, source: str) -> None:
+    """Raises a `DocumentError` with all errors of a document, if it has any."""
+    problems = find_problems(document, schema)
+    if problems:
+        raise DocumentError(source=source, problems=tuple(problems))
+
+
+def _describe(error: jsonschema.ValidationError) -> list[Problem]:
+    path = error.json_path.removeprefix("$").removeprefix(".") or "(document)"
+    if error.validator == "additionalProperties":
+        return _describe_unknown(error, path)
+    reason = error.message if len(error.message) < 200 else f"fails {error.validator}"
+    hint = error.schema.get("description", "") if isinstance(error.schema, dict) else ""
+    return [Problem(path=path, value=shorten(error.instance), reason=reason, hint=hint)]
+
+
+def _describe_unknown(error: jsonschema.ValidationError, path: str) -> list[Problem]:
+    known = list(error.schema.get("properties", {}))
+    problems = []
+    for key in sorted(set(error.instance) - set(known), key=str):
+        close = difflib.get_close_matches(str(key), known, n=1)
+        hint = f"did you mean {close[0]!r}?" if close else f"known keys: {', '.join(known)}"
+        where = str(key) if path == "(document)" else f"{path}.{key}"
+        value = shorten(error.instance[key])
+        problems.append(Problem(path=where, value=value, reason="unknown key", hint=hint))
+    return problems
+
+
+def shorten(value: Any) -> str:
+    """Returns a value as JSON, cut to a length fit for a message."""
+    text = json.dumps(value, default=str)
+    return text if len(text) <= _VALUE_LENGTH else text[: _VALUE_LENGTH - 3] + "..."
--- /dev/null
+++ b/src/comfreysill/settings.py
@@ -0,0 +1,148 @@
+"""Settings of the daemon, read from a YAML file and checked on start."""
+
+import pathlib
+
+from comfreysill.schemas import check_document, load_yaml
+
+ROLES = ("entry", "agent")
+
+_ADDRESS = {
+    "type": "string",
+    "pattern": r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$",
+    "description": "an IP number and a port, as in 10.0.0.1:8080",
+}
+_NAME = {
+    "type": "string",
+    "pattern": "^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$",
+    "description": "up to 63 letters, digits, dots, dashes and underscores",
+}
+SETTINGS_SCHEMA = {
+    "type": "object",
+    "additionalProperties": False,
+    "required": ["role", "name", "zone", "listen", "platform"],
+    "properties": {
+        "role": {"enum": list(ROLES), "description": "entry or agent"},
+        "name": _NAME,
+        "zone": _NAME,
+        "listen": {
+            "type": "object",
+            "additionalProperties": False,
+            "required": ["http", "grpc"],
+            "properties": {"http": _ADDRESS, "grpc": _ADDRESS},
+        },
+        "platform": {
+            "type": "object",
+            "additionalProperties": False,
+            "required": ["table"],
+            "properties": {
+                "table": {
+                    "type": "string",
+                    "pattern": r"^http://\d{1,3}(\.\d{1,3}){3}:\d{1,5}$",
+                    "description": "base address of the table service, as in http://10.0.0.1:80",
+                }
+            },
+        },
+        "logging": {
+            "type": "object",
+            "additionalProperties": False,
+            "properties": {
+                "format": {"enum": ["text", "json"]},
+                "level": {"enum": ["debug", "info", "warning", "error"]},
+            },
+        },
+        "shutdown_seconds": {"type": "number", "minimum": 0, "maximum": 600},
+    },
+}
+
+
+class Address:
+    """IP number and port."""
+
+    __slots__ = ("host", "port")
+
+    def __init__(self, *, host: str, port: int) -> None:
+        self.host = host
+        self.port = port
+
+    def __str__(self) -> str:
+        return f"{self.host}:{self.port}"
+
+
+class Settings:
+    """Settings of one process.
+
+    Attributes:
+        role: One of `ROLES`.
+        name: Name of the instance, unique on the floor.
+        zone: Availability zone of the instance.
+        http: Address for callers and operators, or for the runner.
+        grpc: Address for other processes of the system.
+        table: Base address of the platform's table service.
+        log_format: `text` or `json`.
+        log_level: Name of the lowest level that is logged.
+        shutdown_seconds: How long a graceful shutdown may take.
+    """
+
+    __slots__ = (
+        "role",
+        "name",
+        "zone",
+        "http",
+        "grpc",
+        "table",
+        "log_format",
+        "log_level",
+        "shutdown_seconds",
+    )
+
+    def __init__(
+        self,
+        *,
+        role: str,
+        name: str,
+        zone: str,
+        http: Address,
+        grpc: Address,
+        table: str,
+        log_format: str,
+        log_level: str,
+        shutdown_seconds: float,
+    ) -> None:
+        self.role = role
+        self.name = name
+        self.zone = zone
+        self.http = http
+        self.grpc = grpc
+        self.table = table
+        self.log_format = log_format
+        self.log_level = log_level
+        self.shutdown_seconds = shutdown_seconds
+
+
+def read_settings(path: pathlib.Path) -> Settings:
+    """Reads and checks a settings file.
+
+    Raises:
+        DocumentError: The file has errors; all of them are listed.
+        OSError: The file can't be read.
+    """
+    document = load_yaml(path.read_text(), str(path))
+    check_document(document, SETTINGS_SCHEMA, str(path))
+    logging = document.get("logging", {})
+    return Settings(
+        role=document["role"],
+        name=document["name"],
+        zone=document["zone"],
+        http=parse_address(document["listen"]["http"]),
+        grpc=parse_address(document["listen"]["grpc"]),
+        table=document["platform"]["table"],
+        log_format=logging.get("format", "text"),
+        log_level=logging.get("level", "info"),
+        shutdown_seconds=float(document.get("shutdown_seconds", 30)),
+    )
+
+
+def parse_address(text: str) -> Address:
+    """Splits `host:port`."""
+    host, _, port = text.rpartition(":")
+    return Address(host=host, port=int(port))
--- /dev/null
+++ b/src/comfreysill/target/view.py
@@ -0,0 +1,204 @@
+"""An entry's view of one target: its link, its load and how fast it runs."""
+
+from collections import deque
+
+from comfreysill.partition.epoch import Epoch
+from comfreysill.target.messages import EntryMessage, LedgerRecord, Load
+
+SMOOTHING = 0.2
+EJECT_AFTER_FAILURES = 4
+PROBE_INTERVAL_SECONDS = 2.0
+
+
+class Registration:
+    """What a target announced, as read from the platform's table.
+
+    Attributes:
+        agent: Name of the agent beside the target.
+        incarnation: Incarnation of the agent's process.
+        host: IP address at which the agent listens.
+        port: TCP port at which the agent listens.
+        zone: Availability zone.
+        services: Services whose tasks the target runs.
+        revision: Revision of the table at which the registration was written.
+    """
+
+    __slots__ = ("agent", "incarnation", "host", "port", "zone", "services", "revision")
+
+    def __init__(
+        self,
+        *,
+        agent: str,
+        incarnation: str,
+        host: str,
+        port: int,
+        zone: str,
+        services: frozenset[str],
+        revision: int,
+    ) -> None:
+        self.agent = agent
+        self.incarnation = incarnation
+        self.host = host
+        self.port = port
+        self.zone = zone
+        self.services = services
+        self.revision = revision
+
+
+class SentFrame:
+    """A frame that the agent has not acknowledged yet."""
+
+    __slots__ = ("sequence", "cycle", "sent_at", "starts")
+
+    def __init__(self, *, sequence: int, cycle: int, sent_at: float, starts: int) -> None:
+        self.sequence = sequence
+        self.cycle = cycle
+        self.sent_at = sent_at
+        self.starts = starts
+
+
+class Target:
+    """A target as one entry sees it.
+
+    Attributes:
+        registration: What the target announced.
+        incarnation: Incarnation that answered last; empty before the first answer.
+        session: Number of the link that is open or was open last.
+        connected: True while the link is open.
+        greeted: True once the agent answered on the open link.
+        discovered_cycle: Cycle of the entry in which the incarnation was first seen.
+        disconnected_at: Unix time in seconds at which the link was lost.
+        validated_at: Send time of the newest frame that the agent acknowledged.
+        validated_cycle: Cycle of the entry in which that frame was sent.
+        load: Load as last reported.
+        unreported: Starts that the last report doesn't cover.
+        slowness: Run time relative to the average target, 1 for the average.
+        failures: Tasks that failed in a row.
+        probe_at: Unix time in seconds of the next probe, 0 unless ejected.
+    """
+
+    __slots__ = (
+        "registration",
+        "incarnation",
+        "session",
+        "connected",
+        "greeted",
+        "discovered_cycle",
+        "disconnected_at",
+        "validated_at",
+        "validated_cycle",
+        "last_sent_at",
+        "last_sent_cycle",
+        "load",
+        "unreported",
+        "slowness",
+        "failures",
+        "probe_at",
+        "outbox",
+        "sent_sequence",
+        "received_sequence",
+        "sent_frames",
+        "synced",
+        "claiming",
+    )
+
+    def __init__(self, *, registration: Registration, now: float, cycle: int) -> None:
+        self.registration = registration
+        self.incarnation = ""
+        self.session = 0
+        self.connected = False
+        self.greeted = False
+        self.discovered_cycle = cycle
+        self.disconnected_at = now
+        self.validated_at = 0.0
+        self.validated_cycle = -1
+        self.last_sent_at = 0.0
+        self.last_sent_cycle = -1
+        self.load = Load(slots=0, running=0, queued=0, draining=False, floor_version=0)
+        self.unreported = 0
+        self.slowness = 1.0
+        self.failures = 0
+        self.probe_at = 0.0
+        self.outbox: list[EntryMessage] = []
+        self.sent_sequence = 0
+        self.received_sequence = 0
+        self.sent_frames: deque[SentFrame] = deque()
+        self.synced: list[LedgerRecord] = []
+        self.claiming: dict[int, Epoch] = {}
+
+    @property
+    def name(self) -> str:
+        """Name of the agent."""
+        return self.registration.agent
+
+
+def open_link(target: Target, session: int) -> None:
+    """Starts a new session; nothing of an older one is taken any more."""
+    target.session = session
+    target.connected = True
+    target.greeted = False
+    target.sent_sequence = 0
+    target.received_sequence = 0
+    target.sent_frames.clear()
+    target.outbox.clear()
+    target.synced.clear()
+    target.claiming.clear()
+    target.unreported = 0
+
+
+def close_link(target: Target, now: float) -> None:
+    """Records that the link is lost."""
+    target.connected = False
+    target.greeted = False
+    target.disconnected_at = now
+    target.outbox.clear()
+    target.synced.clear()
+    target.claiming.clear()
+
+
+def acknowledge_frames(target: Target, acknowledged: int, load: Load) -> None:
+    """Takes an agent's report: its load, and how far it has read."""
+    while target.sent_frames and target.sent_frames[0].sequence <= acknowledged:
+        frame = target.sent_frames.popleft()
+        target.validated_at = frame.sent_at
+        target.validated_cycle = frame.cycle
+        target.unreported -= frame.starts
+    target.load = load
+
+
+def count_free(target: Target, queue_share: float) -> int:
+    """Returns how many more tasks the target takes, its short queue included."""
+    if not target.greeted or target.load.draining:
+        return 0
+    limit = target.load.slots + int(target.load.slots * queue_share)
+    return limit - count_busy(target)
+
+
+def count_busy(target: Target) -> int:
+    """Returns how many tasks run or wait at the target, those on their way included."""
+    return target.load.running + target.load.queued + target.unreported
+
+
+def learn_slowness(target: Target, ratio: float) -> None:
+    """Updates the slowness with the ratio of a run time to its estimate."""
+    bounded = min(max(ratio, 0.1), 10.0)
+    target.slowness += SMOOTHING * (bounded - target.slowness)
+
+
+def record_success(target: Target) -> None:
+    """Ends an ejection."""
+    target.failures = 0
+    target.probe_at = 0.0
+
+
+def record_failure(target: Target, now: float) -> bool:
+    """Counts a failed task.
+
+    Returns:
+        True when the target has failed often enough to be ejected.
+    """
+    target.failures += 1
+    if target.failures < EJECT_AFTER_FAILURES:
+        return False
+    target.probe_at = now + PROBE_INTERVAL_SECONDS
+    return True
--- /dev/null
+++ b/src/comfreysill/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Encoding of the messages between processes; the generated modules are committed."""
--- /dev/null
+++ b/src/comfreysill/wire/peers.py
@@ -0,0 +1,132 @@
+"""Encoding of frames between entries."""
+
+from comfreysill.dispatch.messages import (
+    Answered,
+    CancelJob,
+    Forward,
+    NotOwner,
+    PeerFrame,
+    PeerMessage,
+)
+from comfreysill.job.types import (
+    Answer,
+    JobKey,
+    Reason,
+    Submission,
+    TaskClass,
+    TaskSpec,
+    Verdict,
+)
+from comfreysill.wire import comfreysill_pb2 as pb
+from comfreysill.wire.shared import decode_floor, decode_key, encode_floor, encode_key
+
+
+def encode_peer_frame(frame: PeerFrame) -> pb.PeerFrame:
+    """Encodes a frame from one entry to another."""
+    return pb.PeerFrame(
+        entry=frame.entry,
+        leaving=frame.leaving,
+        floor_version=frame.floor_version,
+        roster_revision=frame.roster_revision,
+        messages=[_encode_peer_message(message) for message in frame.messages],
+    )
+
+
+def decode_peer_frame(frame: pb.PeerFrame) -> PeerFrame:
+    """Decodes a frame from one entry to another."""
+    return PeerFrame(
+        entry=frame.entry,
+        leaving=frame.leaving,
+        floor_version=frame.floor_version,
+        roster_revision=frame.roster_revision,
+        messages=tuple(_decode_peer_message(message) for message in frame.messages),
+    )
+
+
+def _encode_peer_message(message: PeerMessage) -> pb.PeerMessage:
+    if isinstance(message, Forward):
+        return pb.PeerMessage(forward=_encode_submission(message.submission))
+    if isinstance(message, Answered):
+        return pb.PeerMessage(answered=_encode_answer(message.answer))
+    if isinstance(message, NotOwner):
+        return pb.PeerMessage(not_owner=encode_key(message.key))
+    if isinstance(message, CancelJob):
+        return pb.PeerMessage(cancel=encode_key(message.key))
+    return pb.PeerMessage(floor=encode_floor(message))
+
+
+def _decode_peer_message(message: pb.PeerMessage) -> PeerMessage:
+    kind = message.WhichOneof("kind")
+    if kind == "forward":
+        return Forward(submission=_decode_submission(message.forward))
+    if kind == "answered":
+        return Answered(answer=_decode_answer(message.answered))
+    if kind == "not_owner":
+        return NotOwner(key=decode_key(message.not_owner))
+    if kind == "cancel":
+        return CancelJob(key=decode_key(message.cancel))
+    return decode_floor(message.floor)
+
+
+def _encode_submission(submission: Submission) -> pb.Submission:
+    return pb.Submission(
+        team=submission.key.team,
+        job_id=submission.key.job_id,
+        digest=submission.digest,
+        task_class=int(submission.task_class),
+        deadline=submission.deadline,
+        service=submission.service,
+        tasks=[
+            pb.TaskSpec(
+                payload=task.payload,
+                run_time=task.run_time,
+                size_mb=task.size_mb,
+                idempotent=task.idempotent,
+            )
+            for task in submission.tasks
+        ],
+    )
+
+
+def _decode_submission(submission: pb.Submission) -> Submission:
+    return Submission(
+        key=JobKey(team=submission.team, job_id=submission.job_id),
+        digest=submission.digest,
+        task_class=TaskClass(submission.task_class),
+        deadline=submission.deadline,
+        service=submission.service,
+        tasks=tuple(
+            TaskSpec(
+                payload=task.payload,
+                run_time=task.run_time,
+                size_mb=task.size_mb,
+                idempotent=task.idempotent,
+            )
+            for task in submission.tasks
+        ),
+    )
+
+
+def _encode_answer(answer: Answer) -> pb.Answer:
+    return pb.Answer(
+        team=answer.key.team,
+        job_id=answer.key.job_id,
+        complete=answer.complete,
+        verdict=int(answer.verdict),
+        reason=int(answer.reason),
+        detail=answer.detail,
+        results=answer.results,
+        retry_at=answer.retry_at,
+    )
+
+
+def _decode_answer(answer: pb.Answer) -> Answer:
+    return Answer(
+        key=JobKey(team=answer.team, job_id=answer.job_id),
+        complete=answer.complete,
+        verdict=Verdict(answer.verdict),
+        reason=Reason(answer.reason),
+        detail=answer.detail,
+        results=tuple(answer.results),
+        retry_at=answer.retry_at,
+    )
--- /dev/null
+++ b/src/comfreysill/wire/shared.py
@@ -0,0 +1,41 @@
+"""Encoding of what several kinds of frames carry."""
+
+from comfreysill.job.types import JobKey
+from comfreysill.partition.epoch import Epoch
+from comfreysill.target.messages import FloorUpdate, PartitionClaim
+from comfreysill.wire import comfreysill_pb2 as pb
+
+
+def encode_claim(claim: PartitionClaim) -> pb.PartitionClaim:
+    """Encodes the claim of a partition."""
+    return pb.PartitionClaim(
+        partition=claim.partition, number=claim.epoch.number, owner=claim.epoch.owner
+    )
+
+
+def decode_claim(claim: pb.PartitionClaim) -> PartitionClaim:
+    """Decodes the claim of a partition."""
+    epoch = Epoch(number=claim.number, owner=claim.owner)
+    return PartitionClaim(partition=claim.partition, epoch=epoch)
+
+
+def encode_key(key: JobKey) -> pb.JobName:
+    """Encodes a job key."""
+    return pb.JobName(team=key.team, job_id=key.job_id)
+
+
+def decode_key(
+    name: pb.JobName | pb.StartBatch | pb.LedgerRecord | pb.TaskDone | pb.Refused,
+) -> JobKey:
+    """Decodes the job key of any message that carries one."""
+    return JobKey(team=name.team, job_id=name.job_id)
+
+
+def encode_floor(message: FloorUpdate) -> pb.FloorUpdate:
+    """Encodes a floor document."""
+    return pb.FloorUpdate(version=message.version, document=message.document)
+
+
+def decode_floor(message: pb.FloorUpdate) -> FloorUpdate:
+    """Decodes a floor document."""
+    return FloorUpdate(version=message.version, document=message.document)
--- /dev/null
+++ b/standins/processes.py
@@ -0,0 +1,233 @@
+"""A small floor of real processes on loopback."""
+
+import asyncio
+import json
+import os
+import pathlib
+import signal
+import sys
+import time
+
+import aiohttp
+import yaml
+
+READY_SECONDS = 10.0
+
+
+class Plan:
+    """What a floor consists of.
+
+    Attributes:
+        entries: How many entries.
+        slownesses: One number for each agent and its runner.
+        slots: Slots of each runner.
+        service: The service that all runners run.
+        zones: Availability zones, dealt out in turn.
+        folder: Folder for settings and logs.
+        base_port: First of the ports used.
+    """
+
+    __slots__ = ("entries", "slownesses", "slots", "service", "zones", "folder", "base_port")
+
+    def __init__(
+        self,
+        *,
+        entries: int,
+        slownesses: list[float],
+        slots: int,
+        service: str,
+        zones: list[str],
+        folder: pathlib.Path,
+        base_port: int = 21000,
+    ) -> None:
+        self.entries = entries
+        self.slownesses = slownesses
+        self.slots = slots
+        self.service = service
+        self.zones = zones
+        self.folder = folder
+        self.base_port = base_port
+
+
+class Floor:
+    """The running processes by name."""
+
+    __slots__ = ("plan", "processes")
+
+    def __init__(self, *, plan: Plan) -> None:
+        self.plan = plan
+        self.processes: dict[str, asyncio.subprocess.Process] = {}
+
+    @property
+    def store_url(self) -> str:
+        """Address of the store's stand-in."""
+        return f"http://127.0.0.1:{self.plan.base_port}"
+
+    def entry_url(self, index: int) -> str:
+        """Address of an entry for callers."""
+        return f"http://127.0.0.1:{self.plan.base_port + 10 + index}"
+
+    def agent_url(self, index: int) -> str:
+        """Address of an agent's HTTP interface."""
+        return f"http://127.0.0.1:{self.plan.base_port + 100 + index}"
+
+    def runner_url(self, index: int) -> str:
+        """Address of a runner."""
+        return f"http://127.0.0.1:{self.plan.base_port + 300 + index}"
+
+
+async def start_floor(plan: Plan) -> Floor:
+    """Starts all processes and waits until the entries are ready."""
+    plan.folder.mkdir(parents=True, exist_ok=True)
+    for log in plan.folder.glob("starts-*.log"):
+        log.unlink()
+    floor = Floor(plan=plan)
+    try:
+        await _start_all(floor)
+    except BaseException:
+        for name in list(floor.processes):
+            await kill_process(floor, name)
+        raise
+    return floor
+
+
+async def _start_all(floor: Floor) -> None:
+    plan = floor.plan
+    await start_process(floor, "store", ["-m", "standins.store", "--port", str(plan.base_port)])
+    await _await_url(f"{floor.store_url}/knobs")
+    for index in range(len(plan.slownesses)):
+        await start_agent(floor, index)
+        await start_runner(floor, index)
+    for index in range(plan.entries):
+        await start_entry(floor, index)
+    for index in range(plan.entries):
+        await _await_url(f"{floor.entry_url(index)}/ready")
+
+
+async def start_entry(floor: Floor, index: int) -> None:
+    """Starts one entry."""
+    base = floor.plan.base_port
+    settings = _write_settings(floor, "entry", index, base + 10 + index, base + 50 + index)
+    await start_process(
+        floor, f"entry-{index}", ["-m", "comfreysill.daemon", "--settings", settings]
+    )
+
+
+async def start_agent(floor: Floor, index: int) -> None:
+    """Starts one agent."""
+    base = floor.plan.base_port
+    settings = _write_settings(floor, "agent", index, base + 100 + index, base + 200 + index)
+    await start_process(
+        floor, f"agent-{index}", ["-m", "comfreysill.daemon", "--settings", settings]
+    )
+
+
+async def start_runner(floor: Floor, index: int) -> None:
+    """Starts one runner."""
+    plan = floor.plan
+    arguments = [
+        "-m",
+        "standins.runner",
+        f"--name=runner-{index}",
+        f"--port={plan.base_port + 300 + index}",
+        f"--agent=127.0.0.1:{plan.base_port + 100 + index}",
+        f"--slots={plan.slots}",
+        f"--slowness={plan.slownesses[index]}",
+        f"--services={plan.service}",
+        f"--log={plan.folder / f'starts-{index}.log'}",
+    ]
+    await start_process(floor, f"runner-{index}", arguments)
+
+
+async def start_process(floor: Floor, name: str, arguments: list[str]) -> None:
+    """Starts a Python process whose output goes to a log file."""
+    log = (floor.plan.folder / f"{name}.log").open("ab")
+    floor.processes[name] = await asyncio.create_subprocess_exec(
+        sys.executable, *arguments, stdout=log, stderr=log, env={**os.environ}
+    )
+
+
+async def stop_floor(floor: Floor) -> dict[str, int]:
+    """Stops all processes gracefully, entries first.
+
+    Returns:
+        Exit status by process name.
+    """
+    statuses = {}
+    for prefix in ("entry", "runner", "agent", "store"):
+        names = [name for name in floor.processes if name.startswith(prefix)]
+        for name in names:
+            send_signal(floor, name, signal.SIGTERM)
+        for name in names:
+            statuses[name] = await _await_exit(floor.processes.pop(name))
+    return statuses
+
+
+def send_signal(floor: Floor, name: str, number: int) -> None:
+    """Sends a signal to one process of the floor."""
+    process = floor.processes[name]
+    if process.returncode is None:
+        process.send_signal(number)
+
+
+async def kill_process(floor: Floor, name: str) -> None:
+    """Ends one process at once."""
+    process = floor.processes.pop(name)
+    if process.returncode is None:
+        process.kill()
+    await process.wait()
+
+
+def read_starts(folder: pathlib.Path) -> list[tuple]:
+    """Returns all starts that the runners logged: time, team, job, task, attempt, seconds."""
+    starts = []
+    for log in sorted(folder.glob("starts-*.log")):
+        lines = log.read_text().splitlines()
+        starts += [tuple(json.loads(line)) for line in lines if line.endswith("]")]
+    return starts
+
+
+async def set_knobs(floor: Floor, **knobs: object) -> None:
+    """Sets faults of the store's stand-in."""
+    async with (
+        aiohttp.ClientSession() as session,
+        session.post(f"{floor.store_url}/knobs", json=knobs) as answer,
+    ):
+        answer.raise_for_status()
+
+
+async def _await_exit(process: asyncio.subprocess.Process) -> int:
+    try:
+        return await asyncio.wait_for(process.wait(), 40)
+    except TimeoutError:
+        process.kill()
+        return await process.wait()
+
+
+async def _await_url(url: str) -> None:
+    ends_at = time.monotonic() + READY_SECONDS
+    async with aiohttp.ClientSession() as session:
+        while time.monotonic() < ends_at:
+            try:
+                async with session.get(url) as answer:
+                    if answer.status == 200:
+                        return
+            except (aiohttp.ClientError, OSError):
+                pass
+            await asyncio.sleep(0.05)
+    raise TimeoutError(f"{url} is not ready after {READY_SECONDS} s")
+
+
+def _write_settings(floor: Floor, role: str, index: int, http: int, grpc: int) -> str:
+    plan = floor.plan
+    document = {
+        "role": role,
+        "name": f"{role}-{index}",
+        "zone": plan.zones[index % len(plan.zones)],
+        "listen": {"http": f"127.0.0.1:{http}", "grpc": f"127.0.0.1:{grpc}"},
+        "platform": {"table": floor.store_url},
+        "shutdown_seconds": 20,
+    }
+    path = plan.folder / f"{role}-{index}.yaml"
+    path.write_text(yaml.safe_dump(document))
+    return str(path)
--- /dev/null
+++ b/tests/test_wire.py
@@ -0,0 +1,121 @@
+import unittest
+
+from comfreysill.dispatch.messages import Answered, CancelJob, Forward, NotOwner, PeerFrame
+from comfreysill.job.types import (
+    Answer,
+    JobKey,
+    Reason,
+    Submission,
+    TaskClass,
+    TaskSpec,
+    Verdict,
+)
+from comfreysill.partition.epoch import Epoch
+from comfreysill.target import messages as m
+from comfreysill.wire import agents, peers
+
+KEY = JobKey(team="t", job_id="j")
+CLAIM = m.PartitionClaim(partition=3, epoch=Epoch(number=4, owner="e"))
+
+
+def unfold(value):
+    """Returns a message as nested tuples, for comparison."""
+    if isinstance(value, tuple | list):
+        return tuple(unfold(item) for item in value)
+    slots = getattr(type(value), "__slots__", None)
+    if slots is None or isinstance(value, JobKey | Epoch):
+        return value
+    return (type(value).__name__, *(unfold(getattr(value, name)) for name in slots))
+
+
+class WireTest(unittest.TestCase):
+    def test_entry_frame_survives_encoding(self):
+        start = m.TaskStart(index=1, attempt=2, payload=b"p", run_time=0.5, idempotent=True)
+        batch = m.StartBatch(
+            key=KEY,
+            digest=b"d",
+            partition=3,
+            epoch=Epoch(number=4, owner="e"),
+            authority_until=9.5,
+            task_class=TaskClass.BULK,
+            deadline=10.5,
+            expires_at=11.5,
+            service="s",
+            tasks=(start,),
+        )
+        messages = (
+            batch,
+            m.Claim(claims=(CLAIM,)),
+            m.CancelTasks(keys=(KEY,)),
+            m.FloorUpdate(version=7, document=b"{}"),
+        )
+        frame = m.EntryFrame(entry="e", session=1, sequence=2, floor_version=3, messages=messages)
+        wire = agents.encode_entry_frame(frame).SerializeToString()
+        parsed = agents.pb.EntryFrame.FromString(wire)
+        self.assertEqual(unfold(agents.decode_entry_frame(parsed)), unfold(frame))
+
+    def test_agent_frame_survives_encoding(self):
+        record = m.LedgerRecord(
+            key=KEY,
+            digest=b"d",
+            partition=3,
+            index=1,
+            attempt=2,
+            outcome=m.Outcome.DONE,
+            payload=b"r",
+            run_seconds=0.25,
+        )
+        done = m.TaskDone(
+            key=KEY, index=1, attempt=2, outcome=m.Outcome.LOST, payload=b"", run_seconds=0.5
+        )
+        messages = (
+            m.Claimed(claims=(CLAIM,), records=(record,), last=True, lost_at=1.5),
+            m.Fenced(claim=CLAIM),
+            done,
+            m.Refused(key=KEY, attempts=((1, 2), (3, 1)), cause=m.RefusalCause.RUNNER),
+        )
+        frame = m.AgentFrame(
+            agent="a",
+            incarnation="a@1",
+            session=1,
+            sequence=2,
+            acknowledged=3,
+            load=m.Load(slots=8, running=1, queued=2, draining=True, floor_version=4),
+            messages=messages,
+        )
+        wire = agents.encode_agent_frame(frame).SerializeToString()
+        parsed = agents.pb.AgentFrame.FromString(wire)
+        self.assertEqual(unfold(agents.decode_agent_frame(parsed)), unfold(frame))
+
+    def test_peer_frame_survives_encoding(self):
+        task = TaskSpec(payload=b"p", run_time=0.5, size_mb=3, idempotent=True)
+        submission = Submission(
+            key=KEY,
+            digest=b"d",
+            task_class=TaskClass.URGENT,
+            deadline=10.5,
+            service="s",
+            tasks=(task,),
+        )
+        answer = Answer(
+            key=KEY,
+            complete=False,
+            verdict=Verdict.MAY_HAVE_RUN,
+            reason=Reason.LOST,
+            detail="x",
+            results=(b"1", b"\xff"),
+            retry_at=2.5,
+        )
+        messages = (
+            Forward(submission=submission),
+            Answered(answer=answer),
+            NotOwner(key=KEY),
+            CancelJob(key=KEY),
+            m.FloorUpdate(version=1, document=b"x"),
+        )
+        frame = PeerFrame(
+            entry="e", leaving=True, floor_version=1, roster_revision=5, messages=messages
+        )
+        wire = peers.encode_peer_frame(frame).SerializeToString()
+        parsed = peers.pb.PeerFrame.FromString(wire)
+        self.assertEqual(unfold(peers.decode_peer_frame(parsed)), unfold(frame))
