Listeners hear of a lost partition, and entries of a free slot

Cause: 26 of 107 jobs of the booking example were never answered: an owner that was fenced forgot forwarded jobs without telling the entries that wait for them. And an entry that saw a target full through another entry's work learned of the free slot only with the next heartbeat. Change: a released partition answers its listeners with NotOwner; links between entries carry session numbers; a frame may ask for a report once a slot is free.

--- a/src/comfreysill/agent/keeper.py
+++ b/src/comfreysill/agent/keeper.py
@@ -20,16 +20,17 @@
 from comfreysill.target.ledger import (
     Entry,
     Ledger,
+    close_session,
     drain,
     expire_records,
     finish_record,
-    measure_load,
     open_session,
     receive_frame,
     reject_record,
     start_waiting,
 )
 from comfreysill.target.messages import AgentFrame
+from comfreysill.target.reports import collect_reports, forget_sessions
 
 logger = logging.getLogger(__name__)
 
@@ -42,15 +43,11 @@
 class EntryLink:
     """Open link to one entry, as the keeper knows it."""
 
-    __slots__ = ("entry", "session", "mailbox", "sent", "received", "acknowledged")
+    __slots__ = ("session", "mailbox")
 
-    def __init__(self, *, entry: str, session: int, mailbox: Mailbox[AgentFrame | None]) -> None:
-        self.entry = entry
+    def __init__(self, *, session: int, mailbox: Mailbox[AgentFrame | None]) -> None:
         self.session = session
         self.mailbox = mailbox
-        self.sent = 0
-        self.received = 0
-        self.acknowledged = 0
 
 
 class Keeper:
@@ -62,10 +59,11 @@
         links: Open links by entry.
         runner: The runner's last announcement, None before the first.
         start: Hands a record to a task that calls the runner.
+        announce: True when each entry has to be told the load.
         idle: Set while draining once nothing runs and everything was sent.
     """
 
-    __slots__ = ("ledger", "inbox", "links", "runner", "start", "idle", "stopping")
+    __slots__ = ("ledger", "inbox", "links", "runner", "start", "idle", "stopping", "announce")
 
     def __init__(self, *, ledger: Ledger, start: Start) -> None:
         self.ledger = ledger
@@ -75,6 +73,7 @@
         self.start = start
         self.idle = asyncio.Event()
         self.stopping = False
+        self.announce = False
 
 
 async def keep_ledger(keeper: Keeper) -> None:
@@ -97,9 +96,7 @@
                 ledger, message.record, message.outcome, message.payload, message.run_seconds, now
             )
     elif isinstance(message, LinkClosed):
-        for entry in [e for e, link in keeper.links.items() if link.mailbox is message.link]:
-            del keeper.links[entry]
-            logger.info("link to entry %s closed", entry)
+        _close_link(keeper, message.link, now)
     elif isinstance(message, RunnerAnnounced):
         _receive_runner(keeper, message, now)
     elif isinstance(message, RunnerLeaving | Drain):
@@ -119,13 +116,18 @@
             return
         if link is not None:
             link.mailbox.post(None)
-        link = EntryLink(entry=frame.entry, session=frame.session, mailbox=message.link)
-        keeper.links[frame.entry] = link
+        keeper.links[frame.entry] = EntryLink(session=frame.session, mailbox=message.link)
         logger.info("link to entry %s opened", frame.entry)
     if not receive_frame(keeper.ledger, frame, now):
         message.link.post(None)
-        return
-    link.received = frame.sequence
+
+
+def _close_link(keeper: Keeper, mailbox: Mailbox[AgentFrame | None], now: float) -> None:
+    for entry, link in list(keeper.links.items()):
+        if link.mailbox is mailbox:
+            del keeper.links[entry]
+            close_session(keeper.ledger, entry, link.session, now)
+            logger.info("link to entry %s closed", entry)
 
 
 def _receive_runner(keeper: Keeper, message: RunnerAnnounced, now: float) -> None:
@@ -147,11 +149,12 @@
     if not keeper.ledger.draining:
         logger.info("draining: no new work is taken")
         drain(keeper.ledger)
-        _announce_load(keeper)
+        keeper.announce = True
 
 
 def _tick(keeper: Keeper, now: float) -> None:
     expire_records(keeper.ledger, now)
+    forget_sessions(keeper.ledger, now)
     runner = keeper.runner
     silent = runner is not None and now - runner.received_at > RUNNER_TIMEOUT_SECONDS
     if silent and not keeper.ledger.draining:
@@ -159,42 +162,15 @@
         _drain(keeper, stopping=False)
 
 
-def _announce_load(keeper: Keeper) -> None:
-    for link in keeper.links.values():
-        _send(keeper, link, ())
-
-
 def _flush(keeper: Keeper) -> None:
     ledger = keeper.ledger
     started, ledger.started = ledger.started, []
     for record in started:
         keeper.start(keeper.runner, record)
-    outbox, ledger.outbox = ledger.outbox, []
-    by_entry: dict[str, list] = {}
-    for entry, message in outbox:
-        by_entry.setdefault(entry, []).append(message)
-    for entry, messages in by_entry.items():
-        link = keeper.links.get(entry)
+    everyone, keeper.announce = keeper.announce, False
+    for report in collect_reports(ledger, everyone):
+        link = keeper.links.get(report.entry)
         if link is not None:
-            _send(keeper, link, tuple(messages))
-    for link in keeper.links.values():
-        if link.acknowledged < link.received:
-            _send(keeper, link, ())
+            link.mailbox.post(report.frame)
     if keeper.stopping and not ledger.running:
         keeper.idle.set()
-
-
-def _send(keeper: Keeper, link: EntryLink, messages: tuple) -> None:
-    link.sent += 1
-    link.acknowledged = link.received
-    link.mailbox.post(
-        AgentFrame(
-            agent=keeper.ledger.agent,
-            incarnation=keeper.ledger.incarnation,
-            session=link.session,
-            sequence=link.sent,
-            acknowledged=link.received,
-            load=measure_load(keeper.ledger),
-            messages=messages,
-        )
-    )
--- a/src/comfreysill/dispatch/admission.py
+++ b/src/comfreysill/dispatch/admission.py
@@ -159,11 +159,11 @@
         return Reason.EXPIRED, "the deadline has passed"
     if submission.deadline > now + HORIZON_SECONDS:
         return Reason.HORIZON, f"the deadline is more than {HORIZON_SECONDS:.0f} s away"
-    issued_at = read_issue_time(submission.key.job_id)
+    issued_at = _read_issue(submission)
     if issued_at is not None and issued_at > now + CALLER_SKEW_SECONDS:
-        return Reason.HORIZON, "the id was issued in the future; check the caller's clock"
+        return Reason.HORIZON, "the job was issued in the future; check the caller's clock"
     if issued_at is not None and now > issued_at + HORIZON_SECONDS:
-        return Reason.EXPIRED, "the id was issued too long ago"
+        return Reason.EXPIRED, "the job was issued too long ago"
     if limits.weights and submission.key.team not in limits.weights:
         return Reason.UNKNOWN_TEAM, "the floor document has no such team"
     if len(submission.tasks) > limits.tasks_per_job:
@@ -182,7 +182,7 @@
 
 def find_expiry(submission: Submission) -> float:
     """Returns the Unix time in seconds until which a job is remembered."""
-    issued_at = read_issue_time(submission.key.job_id)
+    issued_at = _read_issue(submission)
     last = submission.deadline
     if issued_at is not None:
         last = max(last, issued_at + HORIZON_SECONDS)
@@ -191,12 +191,19 @@
 
 def find_earliest_issue(submission: Submission) -> float:
     """Returns the earliest Unix time in seconds at which a job can have been accepted."""
-    issued_at = read_issue_time(submission.key.job_id)
+    issued_at = _read_issue(submission)
     if issued_at is not None:
         return issued_at
     return submission.deadline - HORIZON_SECONDS
 
 
+def _read_issue(submission: Submission) -> float | None:
+    carried = read_issue_time(submission.key.job_id)
+    if carried is not None:
+        return carried
+    return submission.issued_at or None
+
+
 def _is_doubtful(holding: Holding, issued_at: float) -> bool:
     unread = is_unread(holding, issued_at, DOUBT_MARGIN_SECONDS)
     return unread or is_lost_for_good(holding, issued_at, DOUBT_MARGIN_SECONDS)
--- a/src/comfreysill/dispatch/core.py
+++ b/src/comfreysill/dispatch/core.py
@@ -25,7 +25,7 @@
     release_owner,
     reroute_receipts,
 )
-from comfreysill.dispatch.starting import start_tasks
+from comfreysill.dispatch.starting import start_tasks, wants_load
 from comfreysill.dispatch.state import (
     HEARTBEAT_SECONDS,
     SUSPECT_SECONDS,
@@ -56,6 +56,7 @@
     peer = dispatcher.peers.get(name)
     if peer is not None:
         peer.connected = True
+        peer.session += 1
         peer.last_sent_at = 0.0
 
 
@@ -74,6 +75,13 @@
     peer = dispatcher.peers.get(frame.entry)
     if peer is None:
         peer = dispatcher.peers[frame.entry] = Peer(name=frame.entry, heard_at=now)
+        dispatcher.effects.append(ReadRoster())
+    if frame.session < peer.heard_session:
+        count(dispatcher, "peer_frames_stale")
+        return
+    if frame.session > peer.heard_session > 0:
+        release_owner(dispatcher, frame.entry, now)
+    peer.heard_session = frame.session
     peer.heard_at = now
     peer.leaving = frame.leaving
     peer.floor_version = frame.floor_version
@@ -141,12 +149,15 @@
         return True
     if target.last_sent_cycle < dispatcher.ping_cycle:
         return True
+    if not target.own and not target.load_asked and wants_load(dispatcher, target):
+        return True
     return now - target.last_sent_at >= HEARTBEAT_SECONDS
 
 
 def _build_frame(dispatcher: Dispatcher, target: Target, now: float) -> EntryFrame:
     messages, target.outbox = tuple(target.outbox), []
     target.sent_sequence += 1
+    target.load_asked = wants_load(dispatcher, target)
     target.last_sent_at = now
     target.last_sent_cycle = dispatcher.cycle
     starts = sum(len(m.tasks) for m in messages if isinstance(m, StartBatch))
@@ -162,6 +173,7 @@
         sequence=target.sent_sequence,
         floor_version=dispatcher.floor_version,
         messages=messages,
+        load_wanted=target.load_asked,
     )
 
 
@@ -173,6 +185,7 @@
         count(dispatcher, "heartbeats_to_peers")
     return PeerFrame(
         entry=dispatcher.name,
+        session=peer.session,
         leaving=dispatcher.leaving,
         floor_version=dispatcher.floor_version,
         roster_revision=dispatcher.roster_revision,
--- a/src/comfreysill/dispatch/jobs.py
+++ b/src/comfreysill/dispatch/jobs.py
@@ -72,6 +72,7 @@
 
 def receive_done(dispatcher: Dispatcher, target: Target, done: TaskDone, now: float) -> None:
     """Takes the result of a task."""
+    target.own = max(0, target.own - 1)
     job = find_job(dispatcher, done.key)
     if job is None:
         _keep_late_record(dispatcher, target, done)
@@ -97,6 +98,7 @@
 
 def receive_refused(dispatcher: Dispatcher, target: Target, refused: Refused, now: float) -> None:
     """Makes tasks pending again that an agent did not run."""
+    target.own = max(0, target.own - len(refused.attempts))
     count(dispatcher, f"starts_refused_{refused.cause.name.lower()}", len(refused.attempts))
     if refused.cause == RefusalCause.RUNNER and record_failure(target, now):
         count(dispatcher, "targets_ejected")
--- a/src/comfreysill/dispatch/links.py
+++ b/src/comfreysill/dispatch/links.py
@@ -10,6 +10,7 @@
     receive_refused,
     take_back_task,
 )
+from comfreysill.dispatch.messages import NotOwner
 from comfreysill.dispatch.ownership import (
     claim_everywhere,
     claim_partitions,
@@ -19,6 +20,7 @@
 from comfreysill.dispatch.routing import release_partition
 from comfreysill.dispatch.state import Dispatcher, count
 from comfreysill.job.job import TaskState
+from comfreysill.job.types import JobKey
 from comfreysill.partition.holding import Holding
 from comfreysill.target.messages import (
     AgentFrame,
@@ -132,7 +134,10 @@
     holding = dispatcher.holdings.pop(partition, None)
     if holding is None:
         return
+    for waiting in holding.waiting.values():
+        _tell_listeners(dispatcher, waiting.submission.key, waiting.listeners)
     for job in holding.jobs.values():
+        _tell_listeners(dispatcher, job.key, job.listeners)
         dispatcher.queued_tasks -= job.counted_pending
         job.pending.clear()
         job.counted_pending = 0
@@ -141,6 +146,12 @@
     release_partition(dispatcher, partition, now)
 
 
+def _tell_listeners(dispatcher: Dispatcher, key: JobKey, listeners: set[str]) -> None:
+    for name in listeners:
+        if name in dispatcher.peers:
+            dispatcher.peers[name].outbox.append(NotOwner(key=key))
+
+
 def _receive_message(
     dispatcher: Dispatcher, target: Target, message: AgentMessage, now: float
 ) -> None:
--- a/src/comfreysill/dispatch/messages.py
+++ b/src/comfreysill/dispatch/messages.py
@@ -48,24 +48,27 @@
 
     Attributes:
         entry: Incarnation name of the sender.
+        session: Number of the sender's link, raised with each connection.
         leaving: True when the sender gives up its partitions.
         floor_version: Version of the floor document in force at the sender.
         roster_revision: Revision of the table up to which the sender knows the targets.
         messages: The messages.
     """
 
-    __slots__ = ("entry", "leaving", "floor_version", "roster_revision", "messages")
+    __slots__ = ("entry", "session", "leaving", "floor_version", "roster_revision", "messages")
 
     def __init__(
         self,
         *,
         entry: str,
+        session: int,
         leaving: bool,
         floor_version: int,
         roster_revision: int,
         messages: tuple[PeerMessage, ...],
     ) -> None:
         self.entry = entry
+        self.session = session
         self.leaving = leaving
         self.roster_revision = roster_revision
         self.floor_version = floor_version
--- a/src/comfreysill/dispatch/queue.py
+++ b/src/comfreysill/dispatch/queue.py
@@ -97,13 +97,9 @@
     team.finish += cost / max(weight, 1e-6)
 
 
-def count_waiting(queue: ServiceQueue) -> int:
-    """Returns how many jobs wait, those that are no longer startable included."""
-    return sum(
-        len(team.jobs)
-        for class_queue in queue.classes.values()
-        for team in class_queue.teams.values()
-    )
+def has_jobs(queue: ServiceQueue) -> bool:
+    """Tells whether any job waits; the last look at the queue removed what can't start."""
+    return any(class_queue.teams for class_queue in queue.classes.values())
 
 
 def _choose_in_class(class_queue: ClassQueue) -> Job | None:
--- a/src/comfreysill/dispatch/starting.py
+++ b/src/comfreysill/dispatch/starting.py
@@ -3,7 +3,7 @@
 from comfreysill.dispatch.authority import find_authority_end, request_validation
 from comfreysill.dispatch.estimate import estimate_task
 from comfreysill.dispatch.jobs import track_pending
-from comfreysill.dispatch.queue import ServiceQueue, charge_job, choose_job, push_job
+from comfreysill.dispatch.queue import ServiceQueue, charge_job, choose_job, has_jobs, push_job
 from comfreysill.dispatch.state import Dispatcher, count
 from comfreysill.job.job import Job, place_task
 from comfreysill.partition.holding import Holding
@@ -20,6 +20,16 @@
         _start_service(dispatcher, queue, targets, now)
 
 
+def wants_load(dispatcher: Dispatcher, target: Target) -> bool:
+    """Tells whether work waits for a target that has no room."""
+    if not target.greeted or count_free(target, dispatcher.limits.queue_share) > 0:
+        return False
+    services = target.registration.services
+    return any(
+        service in services and has_jobs(queue) for service, queue in dispatcher.queues.items()
+    )
+
+
 def _list_targets(dispatcher: Dispatcher, service: str, now: float) -> list[Target]:
     serving = [
         target
@@ -119,6 +129,7 @@
     submission = job.submission
     starts = [_place_next(job, target, now) for _ in range(amount)]
     target.unreported += amount
+    target.own += amount
     count(dispatcher, "starts_sent", amount)
     count(dispatcher, "batches_sent")
     target.outbox.append(
--- a/src/comfreysill/dispatch/state.py
+++ b/src/comfreysill/dispatch/state.py
@@ -60,6 +60,8 @@
     Attributes:
         name: Incarnation name.
         connected: True while the link to it is open.
+        session: Number of the link to it, raised with each connection.
+        heard_session: Number of the newest link on which it was heard.
         heard_at: Unix time in seconds of its last frame.
         leaving: True when it gives up its partitions.
         floor_version: Version of the floor document in force there.
@@ -70,6 +72,8 @@
     __slots__ = (
         "name",
         "connected",
+        "session",
+        "heard_session",
         "heard_at",
         "leaving",
         "floor_version",
@@ -81,6 +85,8 @@
     def __init__(self, *, name: str, heard_at: float) -> None:
         self.name = name
         self.connected = False
+        self.session = 0
+        self.heard_session = 0
         self.heard_at = heard_at
         self.leaving = False
         self.floor_version = 0
--- a/src/comfreysill/entry/documents.py
+++ b/src/comfreysill/entry/documents.py
@@ -31,6 +31,7 @@
     "properties": {
         "class": {"enum": ["urgent", "normal", "bulk"]},
         "deadline": {"type": "number", "exclusiveMinimum": 0},
+        "issued_at": {"type": "number", "exclusiveMinimum": 0},
         "service": {"type": "string", "pattern": NAME_PATTERN},
         "tasks": {
             "type": "array",
@@ -98,6 +99,7 @@
         deadline=float(document["deadline"]),
         service=document["service"],
         tasks=tuple(_parse_task(task) for task in document["tasks"]),
+        issued_at=float(document.get("issued_at", 0.0)),
     )
     return Ok(submission)
 
--- a/src/comfreysill/job/types.py
+++ b/src/comfreysill/job/types.py
@@ -94,9 +94,11 @@
         deadline: Unix time in seconds after which no task is started.
         service: Name of the service whose targets run the tasks.
         tasks: The tasks in the order in which their results are returned.
+        issued_at: Unix time in seconds of the first submission as the caller states it, 0 for
+            not stated; a resubmission repeats it.
     """
 
-    __slots__ = ("key", "digest", "task_class", "deadline", "service", "tasks")
+    __slots__ = ("key", "digest", "task_class", "deadline", "service", "tasks", "issued_at")
 
     def __init__(
         self,
@@ -107,9 +109,11 @@
         deadline: float,
         service: str,
         tasks: tuple[TaskSpec, ...],
+        issued_at: float = 0.0,
     ) -> None:
         self.key = key
         self.digest = digest
+        self.issued_at = issued_at
         self.task_class = task_class
         self.deadline = deadline
         self.service = service
--- a/src/comfreysill/target/ledger.py
+++ b/src/comfreysill/target/ledger.py
@@ -12,7 +12,6 @@
     EntryFrame,
     Fenced,
     LedgerRecord,
-    Load,
     Outcome,
     PartitionClaim,
     RefusalCause,
@@ -48,13 +47,28 @@
 
 
 class Session:
-    """Newest link of one entry: its number and the last frame received on it."""
+    """Newest link of one entry.
 
-    __slots__ = ("number", "received")
+    Attributes:
+        number: Number of the link, raised by the entry with each connection.
+        open: True while the link is open.
+        received: Sequence number of the last frame received on it.
+        acknowledged: Sequence number that the entry was told last.
+        sent: Sequence number of the last frame sent on it.
+        load_wanted: True while the entry waits to hear of a free slot.
+        closed_at: Unix time in seconds at which it was closed.
+    """
+
+    __slots__ = ("number", "open", "received", "acknowledged", "sent", "load_wanted", "closed_at")
 
     def __init__(self, *, number: int) -> None:
         self.number = number
+        self.open = True
         self.received = 0
+        self.acknowledged = 0
+        self.sent = 0
+        self.load_wanted = False
+        self.closed_at = 0.0
 
 
 class Ledger:
@@ -127,17 +141,6 @@
         return self._order
 
 
-def measure_load(ledger: Ledger) -> Load:
-    """Returns the load that rides on the agent's frames."""
-    return Load(
-        slots=ledger.slots,
-        running=ledger.running,
-        queued=ledger.queued,
-        draining=ledger.draining,
-        floor_version=ledger.floor_version,
-    )
-
-
 def open_session(ledger: Ledger, entry: str, number: int) -> bool:
     """Makes a link the only one on which frames of an entry are taken.
 
@@ -151,6 +154,14 @@
     return True
 
 
+def close_session(ledger: Ledger, entry: str, number: int, now: float) -> None:
+    """Records that a link is gone; its number stays known, so that it is never taken again."""
+    session = ledger.sessions.get(entry)
+    if session is not None and session.number == number:
+        session.open = False
+        session.closed_at = now
+
+
 def receive_frame(ledger: Ledger, frame: EntryFrame, now: float) -> bool:
     """Takes one frame of an entry; frames of older links, copies and gaps are dropped.
 
@@ -158,13 +169,14 @@
         False when the frame was dropped, after which the link has to be closed.
     """
     session = ledger.sessions.get(frame.entry)
-    if session is None or session.number != frame.session:
+    if session is None or session.number != frame.session or not session.open:
         _count(ledger, "frames_stale")
         return False
     if frame.sequence != session.received + 1:
         _count(ledger, "frames_out_of_order")
         return False
     session.received = frame.sequence
+    session.load_wanted = frame.load_wanted
     for message in frame.messages:
         if isinstance(message, StartBatch):
             _receive_batch(ledger, frame.entry, message, now)
--- a/src/comfreysill/target/messages.py
+++ b/src/comfreysill/target/messages.py
@@ -289,10 +289,10 @@
 class EntryFrame:
     """Messages from an entry to an agent, numbered within a session.
 
-    A frame without messages is a heartbeat.
+    A frame without messages is a heartbeat. `load_wanted` asks for a report once a slot is free.
     """
 
-    __slots__ = ("entry", "session", "sequence", "floor_version", "messages")
+    __slots__ = ("entry", "session", "sequence", "floor_version", "messages", "load_wanted")
 
     def __init__(
         self,
@@ -302,7 +302,9 @@
         sequence: int,
         floor_version: int,
         messages: tuple[EntryMessage, ...],
+        load_wanted: bool = False,
     ) -> None:
+        self.load_wanted = load_wanted
         self.entry = entry
         self.session = session
         self.sequence = sequence
--- /dev/null
+++ b/src/comfreysill/target/reports.py
@@ -0,0 +1,82 @@
+"""Frames from an agent to entries: results, acknowledgements and the target's load."""
+
+from comfreysill.target.ledger import Ledger, Session
+from comfreysill.target.messages import AgentFrame, AgentMessage, Load
+
+SESSION_MEMORY_SECONDS = 300.0
+
+
+class Report:
+    """A frame and the entry that it goes to."""
+
+    __slots__ = ("entry", "frame")
+
+    def __init__(self, *, entry: str, frame: AgentFrame) -> None:
+        self.entry = entry
+        self.frame = frame
+
+
+def measure_load(ledger: Ledger) -> Load:
+    """Returns the load of the target."""
+    return Load(
+        slots=ledger.slots,
+        running=ledger.running,
+        queued=ledger.queued,
+        draining=ledger.draining,
+        floor_version=ledger.floor_version,
+    )
+
+
+def has_room(ledger: Ledger) -> bool:
+    """Tells whether a slot is free that no queued task will take."""
+    return ledger.running + ledger.queued < ledger.slots
+
+
+def collect_reports(ledger: Ledger, everyone: bool = False) -> list[Report]:
+    """Takes the ledger's outbox and builds one frame for each entry that is due one.
+
+    Messages to entries without an open link are dropped; the ledger keeps what they said, and
+    the entry reads it with its next claim.
+
+    Args:
+        ledger: The ledger.
+        everyone: Whether each entry gets a frame, for a change that all have to know.
+    """
+    outbox, ledger.outbox = ledger.outbox, []
+    messages: dict[str, list[AgentMessage]] = {}
+    for entry, message in outbox:
+        messages.setdefault(entry, []).append(message)
+    reports = []
+    for entry, session in ledger.sessions.items():
+        if not session.open:
+            continue
+        due = everyone or entry in messages or session.acknowledged < session.received
+        due = due or (session.load_wanted and has_room(ledger))
+        if due:
+            frame = _build_frame(ledger, session, tuple(messages.get(entry, ())))
+            reports.append(Report(entry=entry, frame=frame))
+    return reports
+
+
+def forget_sessions(ledger: Ledger, now: float) -> None:
+    """Forgets entries whose links are closed for long."""
+    for entry, session in list(ledger.sessions.items()):
+        if not session.open and now - session.closed_at >= SESSION_MEMORY_SECONDS:
+            del ledger.sessions[entry]
+
+
+def _build_frame(
+    ledger: Ledger, session: Session, messages: tuple[AgentMessage, ...]
+) -> AgentFrame:
+    session.sent += 1
+    session.acknowledged = session.received
+    session.load_wanted = session.load_wanted and not has_room(ledger)
+    return AgentFrame(
+        agent=ledger.agent,
+        incarnation=ledger.incarnation,
+        session=session.number,
+        sequence=session.sent,
+        acknowledged=session.received,
+        load=measure_load(ledger),
+        messages=messages,
+    )
--- a/src/comfreysill/target/view.py
+++ b/src/comfreysill/target/view.py
@@ -72,6 +72,8 @@
         validated_cycle: Cycle of the entry in which that frame was sent.
         load: Load as last reported.
         unreported: Starts that the last report doesn't cover.
+        own: Tasks of this entry that are out on the open link.
+        load_asked: True once a report was asked for that hasn't come yet.
         slowness: Run time relative to the average target, 1 for the average.
         failures: Tasks that failed in a row.
         probe_at: Unix time in seconds of the next probe, 0 unless ejected.
@@ -91,6 +93,8 @@
         "last_sent_cycle",
         "load",
         "unreported",
+        "own",
+        "load_asked",
         "slowness",
         "failures",
         "probe_at",
@@ -116,6 +120,8 @@
         self.last_sent_cycle = -1
         self.load = Load(slots=0, running=0, queued=0, draining=False, floor_version=0)
         self.unreported = 0
+        self.own = 0
+        self.load_asked = False
         self.slowness = 1.0
         self.failures = 0
         self.probe_at = 0.0
@@ -144,6 +150,8 @@
     target.synced.clear()
     target.claiming.clear()
     target.unreported = 0
+    target.own = 0
+    target.load_asked = False
 
 
 def close_link(target: Target, now: float) -> None:
@@ -164,6 +172,8 @@
         target.validated_cycle = frame.cycle
         target.unreported -= frame.starts
     target.load = load
+    if load.running + load.queued < load.slots:
+        target.load_asked = False
 
 
 def count_free(target: Target, queue_share: float) -> int:
--- a/src/comfreysill/wire/agents.py
+++ b/src/comfreysill/wire/agents.py
@@ -38,6 +38,7 @@
         session=frame.session,
         sequence=frame.sequence,
         floor_version=frame.floor_version,
+        load_wanted=frame.load_wanted,
         messages=[_encode_entry_message(message) for message in frame.messages],
     )
 
@@ -49,6 +50,7 @@
         session=frame.session,
         sequence=frame.sequence,
         floor_version=frame.floor_version,
+        load_wanted=frame.load_wanted,
         messages=tuple(_decode_entry_message(message) for message in frame.messages),
     )
 
--- a/src/comfreysill/wire/peers.py
+++ b/src/comfreysill/wire/peers.py
@@ -25,6 +25,7 @@
     """Encodes a frame from one entry to another."""
     return pb.PeerFrame(
         entry=frame.entry,
+        session=frame.session,
         leaving=frame.leaving,
         floor_version=frame.floor_version,
         roster_revision=frame.roster_revision,
@@ -36,6 +37,7 @@
     """Decodes a frame from one entry to another."""
     return PeerFrame(
         entry=frame.entry,
+        session=frame.session,
         leaving=frame.leaving,
         floor_version=frame.floor_version,
         roster_revision=frame.roster_revision,
@@ -76,6 +78,7 @@
         task_class=int(submission.task_class),
         deadline=submission.deadline,
         service=submission.service,
+        issued_at=submission.issued_at,
         tasks=[
             pb.TaskSpec(
                 payload=task.payload,
@@ -95,6 +98,7 @@
         task_class=TaskClass(submission.task_class),
         deadline=submission.deadline,
         service=submission.service,
+        issued_at=submission.issued_at,
         tasks=tuple(
             TaskSpec(
                 payload=task.payload,
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -114,7 +114,12 @@
             m.FloorUpdate(version=1, document=b"x"),
         )
         frame = PeerFrame(
-            entry="e", leaving=True, floor_version=1, roster_revision=5, messages=messages
+            entry="e",
+            session=9,
+            leaving=True,
+            floor_version=1,
+            roster_revision=5,
+            messages=messages,
         )
         wire = peers.encode_peer_frame(frame).SerializeToString()
         parsed = peers.pb.PeerFrame.FromString(wire)
