Stateful fuzzer over the decisions of entries and agents

Change: a world of real decision code on a fake network, store and clock, driven by Hypothesis; an oracle that knows starts, answers and verdicts. Two faults it found are mended: a found task was adopted by a job that had failed already; an answer said 'not run' though an earlier owner had run idempotent tasks on an agent that was lost.

--- a/Makefile
+++ b/Makefile
@@ -19,8 +19,15 @@
 	$(BIN)/ruff format --check src tests standins
 	$(BIN)/ruff check src tests standins
 	$(BIN)/lint-imports
-	$(BIN)/python -m tests.run
+	PYTHONHASHSEED=0 $(BIN)/python -m tests.run
 
 proto: $(VENV)/ready
 	cd src && ../$(BIN)/python -m grpc_tools.protoc -I. --python_out=. --grpclib_python_out=. \
 		comfreysill/wire/comfreysill.proto
+
+fuzz: $(VENV)/ready
+	PYTHONHASHSEED=0 FUZZ_SEED=$${FUZZ_SEED:-$$(date +%s)} FUZZ_EXAMPLES=$${FUZZ_EXAMPLES:-2000} \
+		FUZZ_STEPS=$${FUZZ_STEPS:-80} $(BIN)/python -m tests.run tests.test_fuzz
+
+mutations: $(VENV)/ready
+	$(BIN)/python -m tests.mutations
--- a/src/comfreysill/dispatch/admission.py
+++ b/src/comfreysill/dispatch/admission.py
@@ -70,7 +70,7 @@
 def settle_doubts(dispatcher: Dispatcher, holding: Holding, now: float) -> None:
     """Looks again at jobs that an unread ledger may know."""
     for job in list(holding.jobs.values()):
-        if job.uncertain and job.answer is None:
+        if job.doubtful and job.answer is None:
             _judge_certainty(dispatcher, holding, job, now)
 
 
@@ -213,7 +213,8 @@
     """Decides whether a job's pending tasks may be started under this owner."""
     issued_at = find_earliest_issue(job.submission)
     open_tasks = [index for index in job.pending if not job.submission.tasks[index].idempotent]
-    job.uncertain = bool(open_tasks) and _is_doubtful(holding, issued_at)
+    job.doubtful = _is_doubtful(holding, issued_at)
+    job.uncertain = job.doubtful and bool(open_tasks)
     if not job.uncertain:
         enqueue_job(dispatcher, job)
         return
--- a/src/comfreysill/dispatch/jobs.py
+++ b/src/comfreysill/dispatch/jobs.py
@@ -45,6 +45,8 @@
 
 def apply_found(dispatcher: Dispatcher, job: Job, index: int, task: FoundTask, now: float) -> None:
     """Takes over what an agent's ledger knows about one task of a job."""
+    if job.answer is not None:
+        return
     if task.outcome == Outcome.DONE:
         finish_task(job, index, task.payload)
         track_pending(dispatcher, job)
--- a/src/comfreysill/job/job.py
+++ b/src/comfreysill/job/job.py
@@ -42,7 +42,8 @@
         placements: Placement of each task that is out.
         results: Result of each task that is done.
         pending: Indexes of tasks that may be started, in order.
-        uncertain: True while an earlier owner may have started tasks that are not known.
+        doubtful: True while an earlier owner may have started tasks that are not known.
+        uncertain: True while such a doubt holds back tasks that aren't idempotent.
         unfinished: How many tasks are not done yet.
         answer: The answer, once it stands; it never changes.
         listeners: Names of entries that wait for the answer.
@@ -63,6 +64,7 @@
         "placements",
         "results",
         "pending",
+        "doubtful",
         "uncertain",
         "unfinished",
         "answer",
@@ -87,6 +89,7 @@
         self.placements: list[Placement | None] = [None] * count
         self.results: list[bytes] = [b""] * count
         self.pending = deque(range(count))
+        self.doubtful = False
         self.uncertain = False
         self.unfinished = count
         self.answer: Answer | None = None
@@ -233,7 +236,7 @@
 
 def find_verdict(job: Job) -> Verdict:
     """Returns what is known about whether any task of the job ran."""
-    if job.uncertain or job.any_lost or TaskState.PLACED in job.states:
+    if job.doubtful or job.any_lost or TaskState.PLACED in job.states:
         return Verdict.MAY_HAVE_RUN
     return Verdict.RAN if job.any_ran else Verdict.NOT_RUN
 
--- /dev/null
+++ b/tests/mutations.py
@@ -0,0 +1,124 @@
+"""Breaks one rule at a time and shows that the fuzzer's oracle notices.
+
+Run all with `make mutations`, or some with `python -m tests.mutations NAME...`. Exit status 0
+when each mutation was caught.
+"""
+
+import os
+import subprocess
+import sys
+import unittest
+from unittest import mock
+
+LEDGER = "comfreysill.target.ledger"
+DISPATCH = "comfreysill.dispatch"
+
+
+def ignore_fence(ledger, entry, batch, now):
+    return None
+
+
+def accept_any_frame(real):
+    def accept(ledger, frame, now):
+        ledger.sessions[frame.entry].received = frame.sequence - 1
+        return real(ledger, frame, now)
+
+    return accept
+
+
+def forget_known_job(real):
+    def accept(dispatcher, job, submission, listener, now):
+        from comfreysill.dispatch.jobs import enqueue_job, track_pending
+
+        job.listeners.add(listener)
+        if job.answer is None:
+            job.pending.extend(i for i in range(len(job.states)) if i not in job.pending)
+            track_pending(dispatcher, job)
+            enqueue_job(dispatcher, job)
+
+    return accept
+
+
+def return_lost_task(job, index, attempt):
+    from comfreysill.job.job import return_task
+
+    return return_task(job, index, attempt)
+
+
+def answer_at_once(dispatcher, answer, listeners, now):
+    from comfreysill.dispatch.proofs import _send_answer
+
+    _send_answer(dispatcher, answer, listeners)
+
+
+def complete_early(job):
+
+    job.unfinished = min(job.unfinished, 0 if job.any_ran else 1)
+    return REAL_COMPLETE(job)
+
+
+def _real(path):
+    module, name = path.rsplit(".", 1)
+    return getattr(__import__(module, fromlist=[name]), name)
+
+
+REAL_COMPLETE = None
+
+MUTATIONS = {
+    "fence": (f"{LEDGER}._check_batch", lambda real: ignore_fence),
+    "agent-dedupe": (f"{LEDGER}._allows_rerun", lambda real: lambda known, task: True),
+    "owner-dedupe": (f"{DISPATCH}.admission._join_job", forget_known_job),
+    "frame-order": (f"{DISPATCH}.links.receive_agent_frame", None),
+    "ledger-not-read": (f"{DISPATCH}.links.apply_record", lambda real: lambda *a: None),
+    "lost-is-not-run": (f"{DISPATCH}.jobs.lose_task", lambda real: return_lost_task),
+    "not-run-unproven": (f"{DISPATCH}.jobs.deliver_answer", lambda real: answer_at_once),
+    "lost-ledger": (f"{DISPATCH}.admission.is_lost_for_good", lambda real: lambda *a: False),
+    "unread-ledger": (f"{DISPATCH}.admission.is_unread", lambda real: lambda *a: False),
+    "unvalidated-claim": (f"{DISPATCH}.ownership._may_claim", lambda real: lambda *a: True),
+    "listeners-not-told": (f"{DISPATCH}.links._tell_listeners", lambda real: lambda *a: None),
+    "partial-answer": (f"{DISPATCH}.jobs.complete_job", lambda real: complete_early),
+}
+del MUTATIONS["frame-order"]
+MUTATIONS["frame-order"] = (f"{LEDGER}.receive_frame", accept_any_frame)
+
+
+def run_mutated(name):
+    """Runs the fuzzer under one mutation; exit status 1 when it was caught."""
+    global REAL_COMPLETE
+    from tests import test_fuzz
+
+    path, build = MUTATIONS[name]
+    REAL_COMPLETE = _real(f"{DISPATCH}.jobs.complete_job")
+    with mock.patch(path, build(_real(path))):
+        suite = unittest.defaultTestLoader.loadTestsFromTestCase(test_fuzz.FloorTest)
+        result = unittest.TextTestRunner(stream=open(os.devnull, "w")).run(suite)
+    for _, text in result.failures + result.errors:
+        lines = [line for line in text.splitlines() if "Error" in line]
+        print(lines[-1].strip(" |") if lines else text[-200:])
+    return 0 if result.wasSuccessful() else 1
+
+
+def main(names):
+    missed = []
+    for name in names or MUTATIONS:
+        environment = {"FUZZ_EXAMPLES": "1500", "FUZZ_SEED": "1", **os.environ}
+        environment["PYTHONHASHSEED"] = "0"
+        run = subprocess.run(
+            [sys.executable, "-m", "tests.mutations", "--one", name],
+            env=environment,
+            capture_output=True,
+            text=True,
+        )
+        caught = run.returncode == 1
+        said = [line for line in run.stdout.splitlines() if not line.startswith("FUZZ")]
+        print(f"{name}: {'caught' if caught else 'MISSED'} {said[-1] if said else ''}", flush=True)
+        if not caught:
+            missed.append(name)
+    print(f"{len(names or MUTATIONS) - len(missed)} caught, {len(missed)} missed")
+    return 1 if missed else 0
+
+
+if __name__ == "__main__":
+    if sys.argv[1:2] == ["--one"]:
+        sys.exit(run_mutated(sys.argv[2]))
+    sys.exit(main(sys.argv[1:]))
--- /dev/null
+++ b/tests/test_fuzz.py
@@ -0,0 +1,246 @@
+import os
+import unittest
+
+from hypothesis import HealthCheck, Phase, seed, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
+
+from comfreysill.target.messages import Outcome
+from tests.world import World, build_submission, make_key
+
+EXAMPLES = int(os.environ.get("FUZZ_EXAMPLES", "60"))
+STEPS = int(os.environ.get("FUZZ_STEPS", "60"))
+SEED = os.environ.get("FUZZ_SEED")
+SHRINK = "FUZZ_SHRINK" in os.environ
+
+picks = st.integers(min_value=0, max_value=1_000)
+
+
+class FloorMachine(RuleBasedStateMachine):
+    """Drives entries and agents through every fault of the brief."""
+
+    @initialize(entries=st.integers(1, 3), agents=st.integers(1, 4), warm=st.booleans())
+    def build(self, entries, agents, warm):
+        self.world = World(entries=entries, agents=agents)
+        self.jobs = []
+        if warm:
+            for _ in range(8):
+                self.world.advance(0.3)
+                self.world.deliver_all()
+
+    def pick(self, items, number):
+        items = sorted(items)
+        return items[number % len(items)] if items else None
+
+    @rule(
+        entry=picks,
+        size=st.integers(1, 5),
+        task_class=st.integers(0, 2),
+        within=st.floats(0.5, 20),
+        idempotent=st.booleans(),
+        stated=st.booleans(),
+    )
+    def submit(self, entry, size, task_class, within, idempotent, stated):
+        name = self.pick(self.world.entries, entry)
+        if name is None:
+            return
+        key = make_key(len(self.jobs))
+        submission = build_submission(
+            key,
+            size=size,
+            task_class=task_class,
+            deadline=self.world.now + within,
+            idempotent=idempotent,
+            issued_at=self.world.now if stated else 0.0,
+        )
+        self.jobs.append(submission)
+        self.world.submit(name, key, submission)
+
+    @rule(entry=picks, job=picks)
+    def resubmit(self, entry, job):
+        name = self.pick(self.world.entries, entry)
+        if name is not None and self.jobs:
+            submission = self.jobs[job % len(self.jobs)]
+            self.world.submit(name, submission.key, submission)
+
+    @rule(entry=picks, job=picks, later=st.floats(0, 5))
+    def resubmit_with_other_deadline(self, entry, job, later):
+        name = self.pick(self.world.entries, entry)
+        if name is None or not self.jobs:
+            return
+        known = self.jobs[job % len(self.jobs)]
+        if self.world.now > known.deadline + 20 or not known.issued_at:
+            return
+        changed = build_submission(
+            known.key,
+            size=len(known.tasks),
+            task_class=known.task_class,
+            deadline=known.deadline + later,
+            idempotent=known.tasks[0].idempotent,
+            issued_at=known.issued_at,
+            salt=b"changed",
+        )
+        self.world.submit(name, known.key, changed)
+
+    @rule(channel=picks)
+    def deliver(self, channel):
+        busy = [c for c, queue in self.world.channels.items() if queue]
+        chosen = self.pick(busy, channel)
+        if chosen is not None:
+            self.world.deliver(chosen)
+
+    @rule()
+    def deliver_all(self):
+        self.world.deliver_all()
+
+    @rule(channel=picks, duplicate=st.booleans())
+    def deliver_wrongly(self, channel, duplicate):
+        """Agent links carry numbered frames; a copy or a gap must end the link."""
+        agents = self.world.agents
+        busy = [c for c, queue in self.world.channels.items() if queue and set(c) & set(agents)]
+        chosen = self.pick(busy, channel)
+        if chosen is not None:
+            self.world.deliver(chosen, duplicate=duplicate, reorder=not duplicate)
+
+    @rule(agent=picks, position=picks, outcome=st.sampled_from([2, 2, 2, 2, 3, 4]))
+    def finish(self, agent, position, outcome):
+        busy = [name for name, a in self.world.agents.items() if a.running]
+        name = self.pick(busy, agent)
+        if name is not None:
+            self.world.finish(name, position, Outcome(outcome))
+
+    @rule(seconds=st.sampled_from([0.05, 0.3, 1.0, 2.5, 6.0]))
+    def advance(self, seconds):
+        self.world.advance(seconds)
+
+    @rule(seconds=st.sampled_from([1.0, 3.0, 8.0]))
+    def run_a_while(self, seconds):
+        for _ in range(int(seconds * 4)):
+            self.world.advance(0.25)
+            self.world.deliver_all()
+
+    @rule(entry=picks, agent=picks)
+    def cut_agent_link(self, entry, agent):
+        name = self.pick(self.world.entries, entry)
+        target = self.pick(self.world.agents, agent)
+        if name is not None and target is not None:
+            self.world.cut_agent_link(name, target)
+
+    @rule(sender=picks, receiver=picks)
+    def cut_peer_link(self, sender, receiver):
+        name = self.pick(self.world.entries, sender)
+        other = self.pick(self.world.entries, receiver)
+        if name is not None and name != other:
+            self.world.cut_peer_link(name, other)
+
+    @rule(entry=picks)
+    def kill_entry(self, entry):
+        name = self.pick(self.world.entries, entry)
+        if name is not None:
+            self.world.kill_entry(name)
+
+    @rule(skew=st.sampled_from([0.0, 0.2, -0.2]))
+    def start_entry(self, skew):
+        if len(self.world.entries) < 3:
+            self.world.start_entry(skew)
+
+    @rule(entry=picks)
+    def leave_entry(self, entry):
+        name = self.pick(self.world.entries, entry)
+        if name is not None and not self.world.entries[name].frozen:
+            self.world.leave_entry(name)
+
+    @rule(entry=picks)
+    def freeze_or_thaw(self, entry):
+        name = self.pick(self.world.entries, entry)
+        if name is None:
+            return
+        if self.world.entries[name].frozen:
+            self.world.thaw(name)
+        else:
+            self.world.freeze(name)
+
+    @rule(agent=picks, restart=st.booleans())
+    def kill_agent(self, agent, restart):
+        name = self.pick(self.world.agents, agent)
+        if name is None:
+            return
+        self.world.kill_agent(name)
+        if restart:
+            self.world.start_agent(name)
+
+    @rule(agent=picks)
+    def start_agent(self, agent):
+        missing = set(self.world.lost_at) - set(self.world.agents)
+        name = self.pick(missing, agent)
+        if name is not None:
+            self.world.start_agent(name)
+
+    @rule(agent=picks)
+    def drain_agent(self, agent):
+        name = self.pick(self.world.agents, agent)
+        if name is not None:
+            self.world.drain(name)
+
+    @rule(up=st.booleans())
+    def switch_store(self, up):
+        self.world.store_up = up
+
+    @rule(entry=picks, job=picks)
+    def cancel(self, entry, job):
+        name = self.pick(self.world.entries, entry)
+        if name is not None and self.jobs:
+            self.world.cancel(name, self.jobs[job % len(self.jobs)].key)
+
+    @invariant()
+    def counts_agree(self):
+        for entry in getattr(self, "world", World(entries=0, agents=0)).entries.values():
+            state = entry.state
+            jobs = [job for h in state.holdings.values() for job in h.jobs.values()]
+            assert state.queued_tasks == sum(len(job.pending) for job in jobs)
+            assert state.job_count == len(jobs)
+
+    def teardown(self):
+        """Once all is well again every caller that still waits has its answer in time."""
+        world = getattr(self, "world", None)
+        if world is None:
+            return
+        if not world.entries:
+            world.start_entry(0.0)
+        world.settle(30.0)
+        for caller, name in world.submissions.items():
+            if name in world.entries:
+                assert caller in world.oracle.answers, f"caller {caller} has no answer"
+        fresh = build_submission(
+            make_key("fresh"),
+            size=3,
+            task_class=0,
+            deadline=world.now + 10,
+            idempotent=False,
+            issued_at=world.now + 0.01,
+        )
+        alive = [n for n, e in world.entries.items() if not e.state.leaving]
+        if alive:
+            world.submit(alive[0], fresh.key, fresh)
+            caller = world.next_caller
+            world.settle(9.0)
+            assert world.oracle.answers[caller].complete, world.oracle.answers[caller].detail
+
+
+FloorTest = FloorMachine.TestCase
+FloorTest.settings = settings(
+    max_examples=EXAMPLES,
+    stateful_step_count=STEPS,
+    derandomize=SEED is None,
+    deadline=None,
+    database=None,
+    print_blob=True,
+    suppress_health_check=list(HealthCheck),
+    phases=(Phase.generate, Phase.shrink) if SHRINK else (Phase.generate,),
+)
+if SEED is not None:
+    print(f"FUZZ_SEED={SEED} FUZZ_EXAMPLES={EXAMPLES} FUZZ_STEPS={STEPS}")
+    FloorTest = seed(int(SEED))(FloorTest)
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/world.py
@@ -0,0 +1,394 @@
+"""A floor of real decision code on a fake network, a fake store and a virtual clock.
+
+Every frame waits in the channel of its link until a step delivers it, so that delay, loss,
+duplication and reordering are steps like any other. The oracle watches from outside.
+"""
+
+from collections import deque
+
+from comfreysill.dispatch import core, links
+from comfreysill.dispatch.messages import AnswerCaller, ReadRoster, SendFrame, SendPeer
+from comfreysill.dispatch.routing import request_cancel, submit_job
+from comfreysill.dispatch.state import Dispatcher, Limits
+from comfreysill.job.types import JobKey, Submission, TaskClass, TaskSpec, Verdict
+from comfreysill.target import ledger as ledgers
+from comfreysill.target.messages import Outcome
+from comfreysill.target.reports import collect_reports
+from comfreysill.target.view import Registration
+
+START_TIME = 1_000_000.0
+SERVICE = "s"
+SLOTS = 2
+
+
+class Oracle:
+    """Knows only starts for each task, answers for each caller and the verdicts claimed."""
+
+    def __init__(self):
+        self.starts = {}
+        self.plain = set()
+        self.answers = {}
+        self.callers = {}
+        self.contents = {}
+
+    def start(self, key, index, idempotent):
+        self.starts[key, index] = self.starts.get((key, index), 0) + 1
+        if not idempotent:
+            self.plain.add((key, index))
+        count = self.starts[key, index]
+        assert count == 1 or (key, index) not in self.plain, f"{key} task {index} started twice"
+
+    def answer(self, caller, answer):
+        key, size = self.callers[caller]
+        assert caller not in self.answers, f"caller {caller} was answered twice"
+        assert answer.key == key, f"caller {caller} got the answer of {answer.key}"
+        self.answers[caller] = answer
+        started = any(started_key == key for started_key, _ in self.starts)
+        if answer.complete:
+            wanted = tuple(f"{key} {index}".encode() for index in range(size))
+            assert answer.results == wanted, f"{key} has a partial or crossed answer"
+        else:
+            assert not answer.results, f"{key} failed with results"
+        if answer.verdict == Verdict.NOT_RUN:
+            assert not started, f"{key} ran, but the answer says it did not: {answer.detail}"
+
+
+class Entry:
+    def __init__(self, name, state, skew):
+        self.name = name
+        self.state = state
+        self.skew = skew
+        self.frozen = False
+        self.inbox = deque()
+        self.sessions = {}
+        self.peer_links = set()
+        self.polled_at = 0.0
+
+
+class Agent:
+    def __init__(self, name, ledger, skew):
+        self.name = name
+        self.ledger = ledger
+        self.skew = skew
+        self.running = []
+
+
+class World:
+    """Entries, agents, their channels and the store."""
+
+    def __init__(self, entries=2, agents=3):
+        self.now = START_TIME
+        self.oracle = Oracle()
+        self.entries = {}
+        self.agents = {}
+        self.channels = {}
+        self.rows = {}
+        self.revision = 0
+        self.store_up = True
+        self.next_name = 0
+        self.next_caller = 0
+        self.lost_at = {}
+        self.submissions = {}
+        for number in range(agents):
+            self.start_agent(f"a{number}")
+        for _ in range(entries):
+            self.start_entry(0.0)
+
+    # -- processes
+
+    def start_entry(self, skew):
+        self.next_name += 1
+        name = f"e{self.next_name}"
+        limits = Limits(queued_tasks=12, queue_share=0.5)
+        self.entries[name] = Entry(name, Dispatcher(name=name, limits=limits), skew)
+        self._register(f"entry/{name}", name)
+
+    def kill_entry(self, name):
+        del self.entries[name]
+        for channel in [c for c in self.channels if name in c[:2]]:
+            del self.channels[channel]
+        for agent in self.agents.values():
+            self._close_session(agent, name)
+        for entry in self.entries.values():
+            if name in entry.peer_links:
+                self._drop_peer_link(entry, name)
+        self.rows.pop(f"entry/{name}", None)
+
+    def start_agent(self, name):
+        self.next_name += 1
+        ledger = ledgers.Ledger(agent=name, incarnation=f"{name}@{self.next_name}")
+        ledger.slots = SLOTS
+        ledger.queue_limit = SLOTS
+        ledger.services = frozenset({SERVICE})
+        known = f"agent/{name}" in self.rows
+        ledger.lost_at = self.now if known else 0.0
+        self.lost_at[name] = ledger.lost_at
+        self.agents[name] = Agent(name, ledger, 0.0)
+        if self.store_up:
+            self._register(f"agent/{name}", self._registration(name, ledger))
+
+    def kill_agent(self, name):
+        del self.agents[name]
+        for entry in list(self.entries.values()):
+            self.cut_agent_link(entry.name, name)
+
+    def leave_entry(self, name):
+        entry = self.entries[name]
+        core.leave(entry.state, self._clock(entry))
+        self.rows.pop(f"entry/{name}", None)
+        self._flush(entry)
+
+    # -- steps
+
+    def submit(self, entry_name, key, submission):
+        entry = self.entries[entry_name]
+        self.next_caller += 1
+        self.oracle.callers[self.next_caller] = (key, len(submission.tasks))
+        self.submissions[self.next_caller] = entry_name
+        caller = self.next_caller
+        self._run(entry, lambda now: submit_job(entry.state, caller, submission, now))
+
+    def cancel(self, entry_name, key):
+        entry = self.entries[entry_name]
+        self._run(entry, lambda now: request_cancel(entry.state, key, now))
+
+    def deliver(self, channel, duplicate=False, reorder=False):
+        queue = self.channels.get(channel)
+        if not queue:
+            return
+        if reorder:
+            queue.rotate(-1)
+        frame = queue[0] if duplicate else queue.popleft()
+        self._deliver(channel, frame)
+
+    def cut_agent_link(self, entry_name, agent_name):
+        entry = self.entries.get(entry_name)
+        for channel in ((entry_name, agent_name), (agent_name, entry_name)):
+            self.channels.pop(channel, None)
+        agent = self.agents.get(agent_name)
+        if agent is not None:
+            self._close_session(agent, entry_name)
+        if entry is None:
+            return
+        session = entry.sessions.pop(agent_name, None)
+        if session is not None:
+            state = entry.state
+            self._run(entry, lambda now: links.disconnect_agent(state, agent_name, session, now))
+
+    def cut_peer_link(self, sender, receiver):
+        entry = self.entries.get(sender)
+        self.channels.pop((sender, receiver), None)
+        if entry is not None and receiver in entry.peer_links:
+            self._drop_peer_link(entry, receiver)
+
+    def finish(self, agent_name, position, outcome):
+        agent = self.agents[agent_name]
+        if not agent.running:
+            return
+        record = agent.running.pop(position % len(agent.running))
+        now = self.now + agent.skew
+        key, index = record.batch.key, record.task.index
+        payload = f"{key} {index}".encode()
+        ledgers.finish_record(agent.ledger, record, outcome, payload, 0.1, now)
+        self._collect(agent)
+
+    def drain(self, agent_name):
+        ledgers.drain(self.agents[agent_name].ledger)
+        self._collect(self.agents[agent_name], everyone=True)
+
+    def freeze(self, name):
+        self.entries[name].frozen = True
+
+    def thaw(self, name):
+        entry = self.entries[name]
+        entry.frozen = False
+        while entry.inbox:
+            self._run(entry, entry.inbox.popleft())
+
+    def advance(self, seconds):
+        self.now += seconds
+        for agent in self.agents.values():
+            ledgers.expire_records(agent.ledger, self.now + agent.skew)
+            self._collect(agent)
+        for entry in list(self.entries.values()):
+            if not entry.frozen:
+                self._tick(entry)
+
+    def deliver_all(self):
+        for _ in range(400):
+            busy = [c for c, queue in self.channels.items() if queue]
+            if not busy:
+                return
+            for channel in busy:
+                self.deliver(channel)
+
+    def settle(self, seconds):
+        """Heals everything and lets time pass, every task running to its end."""
+        self.store_up = True
+        for name in list(self.entries):
+            if self.entries[name].frozen:
+                self.thaw(name)
+        for name in list(self.lost_at):
+            if name not in self.agents:
+                self.start_agent(name)
+            agent = self.agents[name]
+            if agent.ledger.draining:
+                agent.ledger.draining = False
+            self._register(f"agent/{name}", self._registration(name, agent.ledger))
+        ends_at = self.now + seconds
+        while self.now < ends_at:
+            self.advance(0.25)
+            self.deliver_all()
+            for agent in list(self.agents.values()):
+                while agent.running:
+                    self.finish(agent.name, 0, Outcome.DONE)
+            self.deliver_all()
+
+    # -- plumbing
+
+    def _clock(self, entry):
+        return self.now + entry.skew
+
+    def _run(self, entry, action):
+        if entry.frozen:
+            entry.inbox.append(action)
+            return
+        action(self._clock(entry))
+        self._flush(entry)
+
+    def _tick(self, entry):
+        now = self._clock(entry)
+        if f"entry/{entry.name}" not in self.rows and not entry.state.leaving:
+            self._register(f"entry/{entry.name}", entry.name)
+        if now - entry.polled_at >= 1.0:
+            self._read_roster(entry)
+        self._connect(entry)
+        core.tick(entry.state, now)
+        self._flush(entry)
+
+    def _flush(self, entry):
+        for _ in range(5):
+            effects = core.flush(entry.state, self._clock(entry))
+            again = False
+            for effect in effects:
+                if isinstance(effect, ReadRoster):
+                    self._read_roster(entry)
+                    again = True
+                elif isinstance(effect, SendFrame):
+                    if effect.agent in entry.sessions:
+                        self._post((entry.name, effect.agent), effect.frame)
+                elif isinstance(effect, SendPeer):
+                    if effect.entry in entry.peer_links:
+                        self._post((entry.name, effect.entry), effect.frame)
+                elif isinstance(effect, AnswerCaller):
+                    self.oracle.answer(effect.caller, effect.answer)
+            if not again:
+                return
+
+    def _post(self, channel, frame):
+        self.channels.setdefault(channel, deque()).append(frame)
+
+    def _read_roster(self, entry):
+        now = self._clock(entry)
+        entry.polled_at = now
+        if not self.store_up:
+            entry.state.roster_failed_at = now
+            return
+        agents = [value for key, value in self.rows.items() if key.startswith("agent/")]
+        names = [value for key, value in self.rows.items() if key.startswith("entry/")]
+        lost_at = max(self.lost_at.values(), default=0.0)
+        links.update_roster(entry.state, agents, self.revision, lost_at, now, now)
+        core.update_peers(entry.state, names, now)
+
+    def _connect(self, entry):
+        for name in list(entry.state.targets):
+            if name in self.agents and name not in entry.sessions:
+                session = entry.state.targets[name].session + 1
+                entry.sessions[name] = session
+                links.connect_agent(entry.state, name, session)
+        for name in list(entry.state.peers):
+            if name in self.entries and name not in entry.peer_links:
+                entry.peer_links.add(name)
+                core.connect_peer(entry.state, name)
+
+    def _deliver(self, channel, frame):
+        sender, receiver = channel
+        if receiver in self.agents:
+            self._deliver_to_agent(sender, self.agents[receiver], frame)
+        elif receiver in self.entries and sender in self.agents:
+            entry = self.entries[receiver]
+
+            def take(now):
+                if not links.receive_agent_frame(entry.state, frame, now):
+                    self.cut_agent_link(receiver, sender)
+
+            self._run(entry, take)
+        elif receiver in self.entries:
+            entry = self.entries[receiver]
+            self._run(entry, lambda now: core.receive_peer_frame(entry.state, frame, now))
+
+    def _deliver_to_agent(self, sender, agent, frame):
+        ledger = agent.ledger
+        session = ledger.sessions.get(sender)
+        if session is None or session.number < frame.session:
+            ledgers.open_session(ledger, sender, frame.session)
+        if not ledgers.receive_frame(ledger, frame, self.now + agent.skew):
+            self.cut_agent_link(sender, agent.name)
+        self._collect(agent)
+
+    def _collect(self, agent, everyone=False):
+        for record in agent.ledger.started:
+            self.oracle.start(record.batch.key, record.task.index, record.task.idempotent)
+            agent.running.append(record)
+        agent.ledger.started = []
+        for report in collect_reports(agent.ledger, everyone):
+            if report.entry in self.entries:
+                self._post((agent.name, report.entry), report.frame)
+
+    def _close_session(self, agent, entry_name):
+        session = agent.ledger.sessions.get(entry_name)
+        if session is not None:
+            ledgers.close_session(agent.ledger, entry_name, session.number, self.now)
+
+    def _drop_peer_link(self, entry, name):
+        entry.peer_links.discard(name)
+        self._run(entry, lambda now: core.disconnect_peer(entry.state, name, now))
+
+    def _register(self, key, value):
+        if self.store_up and self.rows.get(key) is not value:
+            self.revision += 1
+            if isinstance(value, Registration):
+                known = self.rows.get(key)
+                if known is not None and known.incarnation == value.incarnation:
+                    return
+                value.revision = self.revision
+            self.rows[key] = value
+
+    def _registration(self, name, ledger):
+        return Registration(
+            agent=name,
+            incarnation=ledger.incarnation,
+            host="127.0.0.1",
+            port=1,
+            zone="z",
+            services=frozenset({SERVICE}),
+            revision=self.revision,
+        )
+
+
+def build_submission(key, *, size, task_class, deadline, idempotent, issued_at, salt=b""):
+    """Builds a submission whose digest covers its deadline and content."""
+    tasks = tuple(TaskSpec(payload=b"p", run_time=0.1, idempotent=idempotent) for _ in range(size))
+    return Submission(
+        key=key,
+        digest=f"{size} {deadline} {idempotent}".encode() + salt,
+        task_class=TaskClass(task_class),
+        deadline=deadline,
+        service=SERVICE,
+        tasks=tasks,
+        issued_at=issued_at,
+    )
+
+
+def make_key(number):
+    return JobKey(team="t", job_id=f"j{number}")
