A live owner hands its partitions over; a refused connection proves a death

Ruled out: lost frames. Found: (1) a leaving entry removed its registration first, so that the others closed the link over which its callers' answers had to come; (2) a new owner doubted every job issued in the 8.5 s around a takeover with an unreachable agent, although the former owner was alive and knew them; (3) a link to a dead entry reached the new process at its address. Change: registration goes last; a Handover message carries a partition's jobs to the next owner, who trusts it when it comes from the owner just before; a refused connection proves that a process has ended and its ledger is lost; frames between entries name their recipient; callers' clocks may be ahead by 0.5 s, before 2 s.

--- a/src/comfreysill/dispatch/admission.py
+++ b/src/comfreysill/dispatch/admission.py
@@ -22,7 +22,7 @@
 from comfreysill.partition.hashing import find_partition
 from comfreysill.partition.holding import Holding, Waiting, is_lost_for_good, is_unread
 
-CALLER_SKEW_SECONDS = 2.0
+CALLER_SKEW_SECONDS = 0.5
 RETRY_AFTER_SECONDS = 1.0
 DOUBT_MARGIN_SECONDS = CALLER_SKEW_SECONDS + CLOCK_SKEW_SECONDS
 
--- a/src/comfreysill/dispatch/core.py
+++ b/src/comfreysill/dispatch/core.py
@@ -3,6 +3,7 @@
 import heapq
 from collections.abc import Iterable
 
+from comfreysill.dispatch.handovers import apply_kept_handovers, receive_handover
 from comfreysill.dispatch.jobs import cancel_job, drop_task, fail_and_answer, find_job
 from comfreysill.dispatch.links import release_holding, settle_holdings
 from comfreysill.dispatch.messages import (
@@ -10,13 +11,19 @@
     CancelJob,
     Effect,
     Forward,
+    Handover,
     NotOwner,
     PeerFrame,
     ReadRoster,
     SendFrame,
     SendPeer,
 )
-from comfreysill.dispatch.ownership import assign_partitions, claim_everywhere, renew_takeovers
+from comfreysill.dispatch.ownership import (
+    assign_partitions,
+    claim_everywhere,
+    find_owner,
+    renew_takeovers,
+)
 from comfreysill.dispatch.proofs import release_proofs
 from comfreysill.dispatch.receipts import settle_receipt
 from comfreysill.dispatch.routing import (
@@ -70,8 +77,20 @@
     release_owner(dispatcher, name, now)
 
 
+def refuse_peer(dispatcher: Dispatcher, name: str, now: float) -> None:
+    """Takes a refused connection as proof that another entry's process has ended."""
+    peer = dispatcher.peers.get(name)
+    if peer is not None and not peer.dead:
+        peer.dead = True
+        count(dispatcher, "peers_refused")
+        assign_partitions(dispatcher, now)
+
+
 def receive_peer_frame(dispatcher: Dispatcher, frame: PeerFrame, now: float) -> None:
-    """Takes a frame of another entry."""
+    """Takes a frame of another entry; one for an earlier process at this address is dropped."""
+    if frame.recipient != dispatcher.name:
+        count(dispatcher, "peer_frames_misdirected")
+        return
     peer = dispatcher.peers.get(frame.entry)
     if peer is None:
         peer = dispatcher.peers[frame.entry] = Peer(name=frame.entry, heard_at=now)
@@ -93,6 +112,8 @@
             settle_receipt(dispatcher, message.answer, frame.entry)
         elif isinstance(message, NotOwner):
             receive_not_owner(dispatcher, frame.entry, message.key, now)
+        elif isinstance(message, Handover):
+            receive_handover(dispatcher, message, now)
         elif isinstance(message, CancelJob):
             cancel_job(dispatcher, message.key, now)
 
@@ -104,12 +125,14 @@
         peer.last_sent_at = 0.0
     if any(not peer.leaving for peer in dispatcher.peers.values()):
         for partition in list(dispatcher.holdings):
-            release_holding(dispatcher, partition, now)
+            successor = find_owner(dispatcher, partition, now) or ""
+            release_holding(dispatcher, partition, successor, now)
 
 
 def tick(dispatcher: Dispatcher, now: float) -> None:
     """Does what is due: takeovers, deadlines, reroutes, retries of suspected targets."""
     assign_partitions(dispatcher, now)
+    apply_kept_handovers(dispatcher, now)
     if renew_takeovers(dispatcher, now):
         claim_everywhere(dispatcher, now)
     _run_timers(dispatcher, now)
@@ -185,6 +208,7 @@
         count(dispatcher, "heartbeats_to_peers")
     return PeerFrame(
         entry=dispatcher.name,
+        recipient=peer.name,
         session=peer.session,
         leaving=dispatcher.leaving,
         floor_version=dispatcher.floor_version,
--- /dev/null
+++ b/src/comfreysill/dispatch/handovers.py
@@ -0,0 +1,147 @@
+"""Handover of a partition from one live owner to the next."""
+
+from comfreysill.dispatch.admission import settle_doubts
+from comfreysill.dispatch.jobs import apply_found, settle_job
+from comfreysill.dispatch.messages import HandedJob, HandedTask, Handover
+from comfreysill.dispatch.state import Dispatcher, count
+from comfreysill.job.job import Job, TaskState
+from comfreysill.job.types import JobKey
+from comfreysill.partition.holding import FoundJob, FoundTask, Holding, add_found
+from comfreysill.target.messages import Outcome
+
+JOBS_PER_MESSAGE = 100
+
+_OUTCOMES = {
+    TaskState.PLACED: Outcome.QUEUED,
+    TaskState.DONE: Outcome.DONE,
+    TaskState.FAILED: Outcome.FAILED,
+    TaskState.UNKNOWN: Outcome.LOST,
+}
+
+
+def hand_over(dispatcher: Dispatcher, holding: Holding, successor: str) -> None:
+    """Tells the next owner all that this one knows about a partition's jobs.
+
+    Nothing is sent where the partition wasn't open here or the next owner can't be reached: it
+    then learns what it can from the agents' ledgers.
+    """
+    peer = dispatcher.peers.get(successor)
+    if peer is None or not peer.connected or not holding.open:
+        return
+    known_since = holding.lost_at
+    if holding.unknown:
+        known_since = max(known_since, holding.lapse_at)
+    jobs = [_pack_job(job) for job in holding.jobs.values()]
+    jobs += [_pack_found(key, found) for key, found in holding.found.items()]
+    count(dispatcher, "handovers_sent")
+    for start in range(0, max(1, len(jobs)), JOBS_PER_MESSAGE):
+        peer.outbox.append(
+            Handover(
+                partition=holding.partition,
+                epoch=holding.epoch,
+                known_since=known_since,
+                jobs=tuple(jobs[start : start + JOBS_PER_MESSAGE]),
+                last=start + JOBS_PER_MESSAGE >= len(jobs),
+            )
+        )
+
+
+def receive_handover(dispatcher: Dispatcher, handover: Handover, now: float) -> None:
+    """Takes a handover, or keeps it until this entry claims the partition."""
+    holding = dispatcher.holdings.get(handover.partition)
+    if holding is None:
+        kept = dispatcher.handovers.setdefault(handover.partition, [])
+        kept[:] = [other for other in kept if other.epoch == handover.epoch]
+        kept.append(handover)
+    elif handover.epoch < holding.epoch:
+        _apply_handover(dispatcher, holding, handover, now)
+
+
+def apply_kept_handovers(dispatcher: Dispatcher, now: float) -> None:
+    """Applies handovers that came before this entry claimed their partitions."""
+    for partition in list(dispatcher.handovers):
+        holding = dispatcher.holdings.get(partition)
+        if holding is None:
+            continue
+        for handover in dispatcher.handovers.pop(partition):
+            if handover.epoch < holding.epoch:
+                _apply_handover(dispatcher, holding, handover, now)
+
+
+def _apply_handover(
+    dispatcher: Dispatcher, holding: Holding, handover: Handover, now: float
+) -> None:
+    known = dispatcher.numbers.get(holding.partition, 0)
+    dispatcher.numbers[holding.partition] = max(known, handover.epoch.number)
+    for handed in handover.jobs:
+        job = holding.jobs.get(handed.key)
+        if job is not None and job.submission.digest == handed.digest:
+            _merge_job(dispatcher, job, handed, now)
+            continue
+        found = holding.found.setdefault(handed.key, FoundJob(digest=handed.digest))
+        for task in handed.tasks:
+            add_found(found, task.index, _find(task))
+    if not handover.last:
+        return
+    count(dispatcher, "handovers_received")
+    holding.handed = handover.epoch
+    holding.handed_since = handover.known_since
+    settle_doubts(dispatcher, holding, now)
+
+
+def _merge_job(dispatcher: Dispatcher, job: Job, handed: HandedJob, now: float) -> None:
+    for task in handed.tasks:
+        apply_found(dispatcher, job, task.index, _find(task), now)
+    settle_job(dispatcher, job, now)
+
+
+def _find(task: HandedTask) -> FoundTask:
+    return FoundTask(
+        agent=task.agent,
+        incarnation=task.incarnation,
+        attempt=task.attempt,
+        outcome=task.outcome,
+        payload=task.payload,
+    )
+
+
+def _pack_job(job: Job) -> HandedJob:
+    tasks = [
+        _pack_task(job, index, state)
+        for index, state in enumerate(job.states)
+        if state != TaskState.PENDING
+    ]
+    return HandedJob(key=job.key, digest=job.submission.digest, tasks=tuple(tasks))
+
+
+def _pack_task(job: Job, index: int, state: int) -> HandedTask:
+    placement = job.placements[index] if job.placements else None
+    results = job.results or (job.answer.results if job.answer else ())
+    done = state == TaskState.DONE and bool(results)
+    outcome = _OUTCOMES[TaskState(state)]
+    if not done and placement is None and outcome != Outcome.FAILED:
+        outcome = Outcome.LOST
+    return HandedTask(
+        index=index,
+        attempt=job.attempts[index],
+        agent=placement.agent if placement else "",
+        incarnation=placement.incarnation if placement else "",
+        outcome=outcome,
+        payload=results[index] if done else b"",
+    )
+
+
+def _pack_found(key: JobKey, found: FoundJob) -> HandedJob:
+    tasks = [
+        HandedTask(
+            index=index,
+            attempt=task.attempt,
+            agent=task.agent,
+            incarnation=task.incarnation,
+            outcome=task.outcome,
+            payload=task.payload,
+        )
+        for index, known in found.tasks.items()
+        for task in known
+    ]
+    return HandedJob(key=key, digest=found.digest, tasks=tuple(tasks))
--- a/src/comfreysill/dispatch/links.py
+++ b/src/comfreysill/dispatch/links.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable
 
 from comfreysill.dispatch.admission import admit_waiting, settle_doubts
+from comfreysill.dispatch.handovers import hand_over
 from comfreysill.dispatch.jobs import (
     apply_record,
     drop_task,
@@ -129,11 +130,12 @@
         settle_doubts(dispatcher, holding, now)
 
 
-def release_holding(dispatcher: Dispatcher, partition: int, now: float) -> None:
-    """Gives a partition up; its jobs are forgotten and handed on by their receivers."""
+def release_holding(dispatcher: Dispatcher, partition: int, successor: str, now: float) -> None:
+    """Gives a partition up; its jobs are handed to the next owner and forgotten here."""
     holding = dispatcher.holdings.pop(partition, None)
     if holding is None:
         return
+    hand_over(dispatcher, holding, successor)
     for waiting in holding.waiting.values():
         _tell_listeners(dispatcher, waiting.submission.key, waiting.listeners)
     for job in holding.jobs.values():
@@ -171,7 +173,7 @@
     holding = dispatcher.holdings.get(claim.partition)
     if holding is not None and holding.epoch < claim.epoch:
         count(dispatcher, "fenced")
-        release_holding(dispatcher, claim.partition, now)
+        release_holding(dispatcher, claim.partition, claim.epoch.owner, now)
 
 
 def _receive_claimed(dispatcher: Dispatcher, target: Target, message: Claimed, now: float) -> None:
@@ -190,6 +192,10 @@
     for record in records:
         if record.partition in granted:
             apply_record(dispatcher, granted[record.partition], target, record, now)
+    for claim in message.previous:
+        holding = granted.get(claim.partition)
+        if holding is not None and claim.epoch != holding.epoch:
+            holding.former = max(holding.former, claim.epoch)
     for holding in granted.values():
         confirm_claim(holding, target, message.lost_at)
 
@@ -207,6 +213,30 @@
                 take_back_task(dispatcher, job, index)
 
 
+def refuse_agent(dispatcher: Dispatcher, agent: str, tried_at: float, now: float) -> None:
+    """Takes a refused connection as proof that an agent's process has ended.
+
+    Its ledger is gone, so its tasks are lost now and takeovers don't wait for it.
+
+    Args:
+        dispatcher: The entry.
+        agent: Name of the agent.
+        tried_at: Unix time in seconds at which the connection was refused.
+        now: Unix time in seconds.
+    """
+    target = dispatcher.targets.get(agent)
+    if target is None or target.connected:
+        return
+    if target.incarnation:
+        count(dispatcher, "agents_refused")
+        target.incarnation = ""
+        _lose_tasks(dispatcher, agent, now)
+    for holding in dispatcher.holdings.values():
+        if agent in holding.unknown:
+            holding.unknown.discard(agent)
+            holding.lost_at = max(holding.lost_at, tried_at)
+
+
 def _replace_incarnation(
     dispatcher: Dispatcher, target: Target, incarnation: str, now: float
 ) -> None:
--- a/src/comfreysill/dispatch/messages.py
+++ b/src/comfreysill/dispatch/messages.py
@@ -1,7 +1,8 @@
 """Messages between entries, and the effects that the dispatcher asks its process for."""
 
 from comfreysill.job.types import Answer, JobKey, Submission
-from comfreysill.target.messages import EntryFrame, FloorUpdate
+from comfreysill.partition.epoch import Epoch
+from comfreysill.target.messages import EntryFrame, FloorUpdate, Outcome
 
 
 class Forward:
@@ -40,7 +41,79 @@
         self.key = key
 
 
-PeerMessage = Forward | Answered | NotOwner | CancelJob | FloorUpdate
+class HandedTask:
+    """State of one task in a handover.
+
+    Attributes:
+        index: Position of the task in the job.
+        attempt: Number of the current attempt.
+        agent: Agent that has or had the attempt; empty where none is known.
+        incarnation: Incarnation of that agent.
+        outcome: What became of the attempt.
+        payload: Result of a task that is done.
+    """
+
+    __slots__ = ("index", "attempt", "agent", "incarnation", "outcome", "payload")
+
+    def __init__(
+        self,
+        *,
+        index: int,
+        attempt: int,
+        agent: str,
+        incarnation: str,
+        outcome: Outcome,
+        payload: bytes,
+    ) -> None:
+        self.index = index
+        self.attempt = attempt
+        self.agent = agent
+        self.incarnation = incarnation
+        self.outcome = outcome
+        self.payload = payload
+
+
+class HandedJob:
+    """One job in a handover."""
+
+    __slots__ = ("key", "digest", "tasks")
+
+    def __init__(self, *, key: JobKey, digest: bytes, tasks: tuple[HandedTask, ...]) -> None:
+        self.key = key
+        self.digest = digest
+        self.tasks = tasks
+
+
+class Handover:
+    """Tells the next owner of a partition all that the former one knew about its jobs.
+
+    Attributes:
+        partition: Number of the partition.
+        epoch: Epoch of the former owner.
+        known_since: Unix time in seconds; the former owner knows every job issued later.
+        jobs: The jobs.
+        last: True on the last message of the handover.
+    """
+
+    __slots__ = ("partition", "epoch", "known_since", "jobs", "last")
+
+    def __init__(
+        self,
+        *,
+        partition: int,
+        epoch: Epoch,
+        known_since: float,
+        jobs: tuple[HandedJob, ...],
+        last: bool,
+    ) -> None:
+        self.last = last
+        self.partition = partition
+        self.epoch = epoch
+        self.known_since = known_since
+        self.jobs = jobs
+
+
+PeerMessage = Forward | Answered | NotOwner | CancelJob | FloorUpdate | Handover
 
 
 class PeerFrame:
@@ -48,6 +121,7 @@
 
     Attributes:
         entry: Incarnation name of the sender.
+        recipient: Incarnation name of the entry that the frame is for.
         session: Number of the sender's link, raised with each connection.
         leaving: True when the sender gives up its partitions.
         floor_version: Version of the floor document in force at the sender.
@@ -55,12 +129,21 @@
         messages: The messages.
     """
 
-    __slots__ = ("entry", "session", "leaving", "floor_version", "roster_revision", "messages")
+    __slots__ = (
+        "entry",
+        "recipient",
+        "session",
+        "leaving",
+        "floor_version",
+        "roster_revision",
+        "messages",
+    )
 
     def __init__(
         self,
         *,
         entry: str,
+        recipient: str,
         session: int,
         leaving: bool,
         floor_version: int,
@@ -68,6 +151,7 @@
         messages: tuple[PeerMessage, ...],
     ) -> None:
         self.entry = entry
+        self.recipient = recipient
         self.session = session
         self.leaving = leaving
         self.roster_revision = roster_revision
--- a/src/comfreysill/dispatch/ownership.py
+++ b/src/comfreysill/dispatch/ownership.py
@@ -10,11 +10,12 @@
     PEER_TIMEOUT_SECONDS,
     RETENTION_SECONDS,
     Dispatcher,
+    Peer,
     count,
 )
 from comfreysill.partition.epoch import Epoch
 from comfreysill.partition.hashing import PARTITION_COUNT, choose_owner
-from comfreysill.partition.holding import ROSTER, Holding
+from comfreysill.partition.holding import ROSTER, Holding, is_handed_over
 from comfreysill.target.messages import Claim, PartitionClaim
 from comfreysill.target.view import Target
 
@@ -22,15 +23,18 @@
 def list_live_entries(dispatcher: Dispatcher, now: float) -> list[str]:
     """Returns the names of entries that may own partitions, this one included."""
     live = [
-        peer.name
-        for peer in dispatcher.peers.values()
-        if not peer.leaving and now - peer.heard_at < PEER_TIMEOUT_SECONDS
+        peer.name for peer in dispatcher.peers.values() if not peer.leaving and is_alive(peer, now)
     ]
     if not dispatcher.leaving:
         live.append(dispatcher.name)
     return live
 
 
+def is_alive(peer: Peer, now: float) -> bool:
+    """Tells whether another entry is believed to run."""
+    return not peer.dead and now - peer.heard_at < PEER_TIMEOUT_SECONDS
+
+
 def find_owner(dispatcher: Dispatcher, partition: int, now: float) -> str | None:
     """Returns the entry that should own a partition, None when no entry is left."""
     return choose_owner(partition, list_live_entries(dispatcher, now))
@@ -172,20 +176,30 @@
     return all(
         peer.roster_revision >= target.registration.revision
         for peer in dispatcher.peers.values()
-        if now - peer.heard_at < PEER_TIMEOUT_SECONDS
+        if is_alive(peer, now)
     )
 
 
 def _may_open(dispatcher: Dispatcher, holding: Holding, now: float) -> bool:
+    waited = now >= holding.claimed_at + CLAIM_WAIT_SECONDS
+    if not waited and _expects_handover(dispatcher, holding, now):
+        return False
     if not holding.unknown:
         return True
-    if now < holding.claimed_at + CLAIM_WAIT_SECONDS:
+    if not waited:
         return False
     if not dispatcher.targets:
         return False
     return len(holding.confirmed) >= len(dispatcher.targets) // 2 + 1
 
 
+def _expects_handover(dispatcher: Dispatcher, holding: Holding, now: float) -> bool:
+    former = dispatcher.peers.get(holding.former.owner)
+    if former is None or not is_alive(former, now):
+        return False
+    return not is_handed_over(holding)
+
+
 def _clear_roster_mark(dispatcher: Dispatcher, holding: Holding) -> None:
     tried_at = max(dispatcher.roster_read_at, dispatcher.roster_failed_at)
     if ROSTER not in holding.unknown or tried_at < holding.claimed_at:
--- a/src/comfreysill/dispatch/state.py
+++ b/src/comfreysill/dispatch/state.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 
 from comfreysill.dispatch.estimate import Estimates
-from comfreysill.dispatch.messages import AnswerCaller, Effect, PeerMessage
+from comfreysill.dispatch.messages import AnswerCaller, Effect, Handover, PeerMessage
 from comfreysill.dispatch.placement import Place, place_by_finish
 from comfreysill.dispatch.queue import ServiceQueue
 from comfreysill.job.job import Job
@@ -60,6 +60,7 @@
     Attributes:
         name: Incarnation name.
         connected: True while the link to it is open.
+        dead: True once a refused connection proved that its process has ended.
         session: Number of the link to it, raised with each connection.
         heard_session: Number of the newest link on which it was heard.
         heard_at: Unix time in seconds of its last frame.
@@ -72,6 +73,7 @@
     __slots__ = (
         "name",
         "connected",
+        "dead",
         "session",
         "heard_session",
         "heard_at",
@@ -85,6 +87,7 @@
     def __init__(self, *, name: str, heard_at: float) -> None:
         self.name = name
         self.connected = False
+        self.dead = False
         self.session = 0
         self.heard_session = 0
         self.heard_at = heard_at
@@ -142,6 +145,7 @@
         receipts: Submissions taken from callers.
         queues: Waiting jobs by service.
         proofs: Refusals that wait for a validation of ownership.
+        handovers: Handovers of partitions that this entry hasn't claimed yet.
         roster_read_at: Start time of the newest successful read of the list of targets.
         roster_failed_at: Start time of the newest read of that list that failed.
         roster_revision: Revision of the table up to which the targets are known.
@@ -167,6 +171,7 @@
         "job_count",
         "estimates",
         "proofs",
+        "handovers",
         "roster_read_at",
         "roster_failed_at",
         "roster_revision",
@@ -206,6 +211,7 @@
         self.job_count = 0
         self.estimates = Estimates()
         self.proofs: list[Proof] = []
+        self.handovers: dict[int, list[Handover]] = {}
         self.roster_read_at = 0.0
         self.roster_failed_at = 0.0
         self.roster_revision = 0
--- a/src/comfreysill/entry/keeper.py
+++ b/src/comfreysill/entry/keeper.py
@@ -11,6 +11,7 @@
     flush,
     leave,
     receive_peer_frame,
+    refuse_peer,
     tick,
     update_peers,
 )
@@ -18,6 +19,7 @@
     connect_agent,
     disconnect_agent,
     receive_agent_frame,
+    refuse_agent,
     update_roster,
 )
 from comfreysill.dispatch.messages import AnswerCaller, Effect, ReadRoster, SendFrame, SendPeer
@@ -28,6 +30,7 @@
 from comfreysill.entry.messages import (
     AgentConnected,
     AgentDisconnected,
+    AgentRefused,
     AgentReported,
     Cancel,
     DispatcherMessage,
@@ -35,6 +38,7 @@
     MembersRead,
     PeerConnected,
     PeerDisconnected,
+    PeerRefused,
     PeerReported,
     Submit,
     Tick,
@@ -118,6 +122,10 @@
         connect_agent(dispatcher, message.agent, message.session)
     elif isinstance(message, AgentDisconnected):
         disconnect_agent(dispatcher, message.agent, message.session, now)
+    elif isinstance(message, AgentRefused):
+        refuse_agent(dispatcher, message.agent, message.tried_at, now)
+    elif isinstance(message, PeerRefused):
+        refuse_peer(dispatcher, message.name, now)
     elif isinstance(message, PeerConnected):
         logger.info("link to entry %s opened", message.name)
         connect_peer(dispatcher, message.name)
--- a/src/comfreysill/entry/links.py
+++ b/src/comfreysill/entry/links.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+import time
 
 from grpclib.client import Channel
 from grpclib.exceptions import GRPCError, StreamTerminatedError
@@ -11,10 +12,12 @@
 from comfreysill.entry.messages import (
     AgentConnected,
     AgentDisconnected,
+    AgentRefused,
     AgentReported,
     DispatcherMessage,
     PeerConnected,
     PeerDisconnected,
+    PeerRefused,
     PeerReported,
 )
 from comfreysill.mailbox import Mailbox
@@ -71,13 +74,19 @@
     while True:
         link.session += 1
         channel = Channel(link.address.host, link.address.port)
+        tried_at = time.time()
+        refused = False
         try:
             await _serve_agent(link, channel)
+        except ConnectionRefusedError:
+            refused = True
         except _LINK_ERRORS as error:
             logger.debug("link to agent %s: %s", link.agent, error)
         finally:
             channel.close()
             link.inbox.post(AgentDisconnected(agent=link.agent, session=link.session))
+        if refused:
+            link.inbox.post(AgentRefused(agent=link.agent, tried_at=tried_at))
         await asyncio.sleep(RECONNECT_SECONDS)
 
 
@@ -112,6 +121,8 @@
         channel = Channel(link.address.host, link.address.port)
         try:
             await _serve_peer(link, channel)
+        except ConnectionRefusedError:
+            link.inbox.post(PeerRefused(name=link.name))
         except _LINK_ERRORS as error:
             logger.debug("link to entry %s: %s", link.name, error)
         finally:
--- a/src/comfreysill/entry/messages.py
+++ b/src/comfreysill/entry/messages.py
@@ -56,6 +56,25 @@
         self.frame = frame
 
 
+class AgentRefused:
+    """An agent's address refused a connection at `tried_at`, in Unix seconds."""
+
+    __slots__ = ("agent", "tried_at")
+
+    def __init__(self, *, agent: str, tried_at: float) -> None:
+        self.agent = agent
+        self.tried_at = tried_at
+
+
+class PeerRefused:
+    """Another entry's address refused a connection."""
+
+    __slots__ = ("name",)
+
+    def __init__(self, *, name: str) -> None:
+        self.name = name
+
+
 class PeerConnected:
     """The link to another entry is open."""
 
@@ -113,9 +132,11 @@
     | Cancel
     | AgentConnected
     | AgentDisconnected
+    | AgentRefused
     | AgentReported
     | PeerConnected
     | PeerDisconnected
+    | PeerRefused
     | PeerReported
     | MembersRead
     | Tick
--- a/src/comfreysill/entry/program.py
+++ b/src/comfreysill/entry/program.py
@@ -56,8 +56,8 @@
     logger.info("entry %s runs as %s", settings.name, name)
     await await_stop(stop, [http_task, *tasks])
     keeper.inbox.post(Leave())
-    await _remove_registration(table, name)
     await _await_callers(keeper, settings.shutdown_seconds)
+    await _remove_registration(table, name)
     await stop_http(http, http_task)
     for task in tasks:
         task.cancel()
--- a/src/comfreysill/partition/holding.py
+++ b/src/comfreysill/partition/holding.py
@@ -51,6 +51,9 @@
         epoch: Epoch under which this entry claims it.
         claimed_at: Unix time in seconds at which the takeover began.
         open: True once tasks may be started.
+        former: Newest epoch that agents knew before the takeover.
+        handed: Epoch of the owner that has handed the partition over, `NO_EPOCH` for none.
+        handed_since: Unix time in seconds; that owner knows every job issued later.
         confirmed: Agents that granted the epoch on their open link.
         granted: Agents that granted the epoch on any link.
         unknown: Agents whose ledgers were not read, and `ROSTER` while the list may be old.
@@ -68,6 +71,9 @@
         "epoch",
         "claimed_at",
         "open",
+        "former",
+        "handed",
+        "handed_since",
         "confirmed",
         "granted",
         "unknown",
@@ -85,6 +91,9 @@
         self.epoch: Epoch = NO_EPOCH
         self.claimed_at = claimed_at
         self.open = False
+        self.former: Epoch = NO_EPOCH
+        self.handed: Epoch = NO_EPOCH
+        self.handed_since = 0.0
         self.confirmed: set[str] = set()
         self.granted: set[str] = set()
         self.unknown: set[str] = {ROSTER}
@@ -109,11 +118,24 @@
         outcome=record.outcome,
         payload=record.payload,
     )
-    known = found.tasks.setdefault(record.index, [])
-    known[:] = [other for other in known if other.agent != agent]
+    add_found(found, record.index, task)
+
+
+def add_found(found: FoundJob, index: int, task: FoundTask) -> None:
+    """Adds what one source says of a task, unless a newer word of the same agent is known."""
+    known = found.tasks.setdefault(index, [])
+    same = [other for other in known if other.agent == task.agent]
+    if any(other.outcome > task.outcome for other in same):
+        return
+    known[:] = [other for other in known if other.agent != task.agent]
     known.append(task)
 
 
+def is_handed_over(holding: Holding) -> bool:
+    """Tells whether the owner just before this one has told all that it knew."""
+    return bool(holding.handed.number) and holding.handed == holding.former
+
+
 def is_lost_for_good(holding: Holding, issued_at: float, margin: float) -> bool:
     """Tells whether a ledger that is gone may have held tasks of a job.
 
@@ -122,7 +144,8 @@
         issued_at: Earliest Unix time in seconds at which the job can have been submitted.
         margin: Bound in seconds on how far the clock behind `issued_at` may be ahead.
     """
-    return issued_at <= holding.lost_at + margin
+    known_since = holding.handed_since if is_handed_over(holding) else holding.lost_at
+    return issued_at <= known_since + margin
 
 
 def is_unread(holding: Holding, issued_at: float, margin: float) -> bool:
@@ -130,4 +153,6 @@
 
     Arguments are those of `is_lost_for_good`.
     """
+    if is_handed_over(holding):
+        return False
     return bool(holding.unknown) and issued_at <= holding.lapse_at + margin
--- a/src/comfreysill/target/ledger.py
+++ b/src/comfreysill/target/ledger.py
@@ -253,7 +253,7 @@
 
 
 def _receive_claim(ledger: Ledger, entry: str, message: Claim) -> None:
-    granted = []
+    granted, previous = [], []
     for claim in message.claims:
         fence = ledger.fences.get(claim.partition, NO_EPOCH)
         if claim.epoch < fence:
@@ -264,11 +264,17 @@
             ledger.outbox.append((fence.owner, Fenced(claim=claim)))
         ledger.fences[claim.partition] = claim.epoch
         granted.append(claim)
+        previous.append(PartitionClaim(partition=claim.partition, epoch=fence))
     if granted:
-        _send_records(ledger, entry, tuple(granted))
+        _send_records(ledger, entry, tuple(granted), tuple(previous))
 
 
-def _send_records(ledger: Ledger, entry: str, granted: tuple[PartitionClaim, ...]) -> None:
+def _send_records(
+    ledger: Ledger,
+    entry: str,
+    granted: tuple[PartitionClaim, ...],
+    previous: tuple[PartitionClaim, ...],
+) -> None:
     partitions = {claim.partition for claim in granted}
     records = [
         _copy_record(record)
@@ -279,7 +285,13 @@
     for start in range(0, max(1, len(records)), RECORDS_PER_MESSAGE):
         chunk = tuple(records[start : start + RECORDS_PER_MESSAGE])
         last = start + RECORDS_PER_MESSAGE >= len(records)
-        message = Claimed(claims=granted, records=chunk, last=last, lost_at=ledger.lost_at)
+        message = Claimed(
+            claims=granted,
+            previous=previous,
+            records=chunk,
+            last=last,
+            lost_at=ledger.lost_at,
+        )
         ledger.outbox.append((entry, message))
 
 
--- a/src/comfreysill/target/messages.py
+++ b/src/comfreysill/target/messages.py
@@ -170,19 +170,22 @@
 
     A large answer comes in several messages; only the last one has `last` set. `lost_at` is the
     Unix time in seconds at which the ledger of an earlier incarnation was lost, 0 for never.
+    `previous` holds the epochs that were in force before the claims.
     """
 
-    __slots__ = ("claims", "records", "last", "lost_at")
+    __slots__ = ("claims", "previous", "records", "last", "lost_at")
 
     def __init__(
         self,
         *,
         claims: tuple[PartitionClaim, ...],
+        previous: tuple[PartitionClaim, ...],
         records: tuple[LedgerRecord, ...],
         last: bool,
         lost_at: float,
     ) -> None:
         self.claims = claims
+        self.previous = previous
         self.records = records
         self.last = last
         self.lost_at = lost_at
--- a/src/comfreysill/wire/agents.py
+++ b/src/comfreysill/wire/agents.py
@@ -191,6 +191,7 @@
 def _encode_claimed(message: Claimed) -> pb.Claimed:
     return pb.Claimed(
         claims=[encode_claim(claim) for claim in message.claims],
+        previous=[encode_claim(claim) for claim in message.previous],
         records=[_encode_record(record) for record in message.records],
         last=message.last,
         lost_at=message.lost_at,
@@ -200,6 +201,7 @@
 def _decode_claimed(message: pb.Claimed) -> Claimed:
     return Claimed(
         claims=tuple(decode_claim(claim) for claim in message.claims),
+        previous=tuple(decode_claim(claim) for claim in message.previous),
         records=tuple(_decode_record(record) for record in message.records),
         last=message.last,
         lost_at=message.lost_at,
--- a/src/comfreysill/wire/peers.py
+++ b/src/comfreysill/wire/peers.py
@@ -4,6 +4,9 @@
     Answered,
     CancelJob,
     Forward,
+    HandedJob,
+    HandedTask,
+    Handover,
     NotOwner,
     PeerFrame,
     PeerMessage,
@@ -17,14 +20,23 @@
     TaskSpec,
     Verdict,
 )
+from comfreysill.target.messages import Outcome, PartitionClaim
 from comfreysill.wire import comfreysill_pb2 as pb
-from comfreysill.wire.shared import decode_floor, decode_key, encode_floor, encode_key
+from comfreysill.wire.shared import (
+    decode_claim,
+    decode_floor,
+    decode_key,
+    encode_claim,
+    encode_floor,
+    encode_key,
+)
 
 
 def encode_peer_frame(frame: PeerFrame) -> pb.PeerFrame:
     """Encodes a frame from one entry to another."""
     return pb.PeerFrame(
         entry=frame.entry,
+        recipient=frame.recipient,
         session=frame.session,
         leaving=frame.leaving,
         floor_version=frame.floor_version,
@@ -37,6 +49,7 @@
     """Decodes a frame from one entry to another."""
     return PeerFrame(
         entry=frame.entry,
+        recipient=frame.recipient,
         session=frame.session,
         leaving=frame.leaving,
         floor_version=frame.floor_version,
@@ -54,6 +67,8 @@
         return pb.PeerMessage(not_owner=encode_key(message.key))
     if isinstance(message, CancelJob):
         return pb.PeerMessage(cancel=encode_key(message.key))
+    if isinstance(message, Handover):
+        return pb.PeerMessage(handover=_encode_handover(message))
     return pb.PeerMessage(floor=encode_floor(message))
 
 
@@ -67,6 +82,8 @@
         return NotOwner(key=decode_key(message.not_owner))
     if kind == "cancel":
         return CancelJob(key=decode_key(message.cancel))
+    if kind == "handover":
+        return _decode_handover(message.handover)
     return decode_floor(message.floor)
 
 
@@ -134,3 +151,61 @@
         results=tuple(answer.results),
         retry_at=answer.retry_at,
     )
+
+
+def _encode_handover(message: Handover) -> pb.Handover:
+    claim = PartitionClaim(partition=message.partition, epoch=message.epoch)
+    return pb.Handover(
+        claim=encode_claim(claim),
+        known_since=message.known_since,
+        jobs=[_encode_handed(job) for job in message.jobs],
+        last=message.last,
+    )
+
+
+def _decode_handover(message: pb.Handover) -> Handover:
+    claim = decode_claim(message.claim)
+    return Handover(
+        partition=claim.partition,
+        epoch=claim.epoch,
+        known_since=message.known_since,
+        jobs=tuple(_decode_handed(job) for job in message.jobs),
+        last=message.last,
+    )
+
+
+def _encode_handed(job: HandedJob) -> pb.HandedJob:
+    return pb.HandedJob(
+        team=job.key.team,
+        job_id=job.key.job_id,
+        digest=job.digest,
+        tasks=[
+            pb.HandedTask(
+                index=task.index,
+                attempt=task.attempt,
+                agent=task.agent,
+                incarnation=task.incarnation,
+                outcome=int(task.outcome),
+                payload=task.payload,
+            )
+            for task in job.tasks
+        ],
+    )
+
+
+def _decode_handed(job: pb.HandedJob) -> HandedJob:
+    return HandedJob(
+        key=decode_key(job),
+        digest=job.digest,
+        tasks=tuple(
+            HandedTask(
+                index=task.index,
+                attempt=task.attempt,
+                agent=task.agent,
+                incarnation=task.incarnation,
+                outcome=Outcome(task.outcome),
+                payload=task.payload,
+            )
+            for task in job.tasks
+        ),
+    )
--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -68,7 +68,7 @@
     "fence": (f"{LEDGER}._check_batch", lambda real: ignore_fence),
     "agent-dedupe": (f"{LEDGER}._allows_rerun", lambda real: lambda known, task: True),
     "owner-dedupe": (f"{DISPATCH}.admission._join_job", forget_known_job),
-    "frame-order": (f"{DISPATCH}.links.receive_agent_frame", None),
+    "frame-order": (f"{LEDGER}.receive_frame", accept_any_frame),
     "ledger-not-read": (f"{DISPATCH}.links.apply_record", lambda real: lambda *a: None),
     "lost-is-not-run": (f"{DISPATCH}.jobs.lose_task", lambda real: return_lost_task),
     "not-run-unproven": (f"{DISPATCH}.jobs.deliver_answer", lambda real: answer_at_once),
@@ -78,8 +78,6 @@
     "listeners-not-told": (f"{DISPATCH}.links._tell_listeners", lambda real: lambda *a: None),
     "partial-answer": (f"{DISPATCH}.jobs.complete_job", lambda real: complete_early),
 }
-del MUTATIONS["frame-order"]
-MUTATIONS["frame-order"] = (f"{LEDGER}.receive_frame", accept_any_frame)
 
 
 def run_mutated(name):
@@ -89,9 +87,9 @@
 
     path, build = MUTATIONS[name]
     REAL_COMPLETE = _real(f"{DISPATCH}.jobs.complete_job")
-    with mock.patch(path, build(_real(path))):
+    with mock.patch(path, build(_real(path))), open(os.devnull, "w") as nowhere:
         suite = unittest.defaultTestLoader.loadTestsFromTestCase(test_fuzz.FloorTest)
-        result = unittest.TextTestRunner(stream=open(os.devnull, "w")).run(suite)
+        result = unittest.TextTestRunner(stream=nowhere).run(suite)
     for _, text in result.failures + result.errors:
         lines = [line for line in text.splitlines() if "Error" in line]
         print(lines[-1].strip(" |") if lines else text[-200:])
--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -133,6 +133,31 @@
         if name is not None and name != other:
             self.world.cut_peer_link(name, other)
 
+    @rule(entry=picks, other=picks, whole=st.booleans())
+    def block(self, entry, other, whole):
+        """Cuts one way, or all ways of an entry but those to itself."""
+        name = self.pick(self.world.entries, entry)
+        names = sorted(set(self.world.entries) | set(self.world.lost_at))
+        if name is None:
+            return
+        chosen = names if whole else [names[other % len(names)]]
+        for victim in chosen:
+            if victim != name:
+                self.world.block(name, victim)
+
+    @rule()
+    def unblock(self):
+        self.world.blocked.clear()
+
+    @rule(agent=picks)
+    def lose_machine(self, agent):
+        """An agent's machine is gone: connections get no answer."""
+        name = self.pick(self.world.agents, agent)
+        if name is not None:
+            self.world.kill_agent(name)
+            for entry in self.world.entries:
+                self.world.block(entry, name)
+
     @rule(entry=picks)
     def kill_entry(self, entry):
         name = self.pick(self.world.entries, entry)
--- /dev/null
+++ b/tests/test_processes.py
@@ -0,0 +1,130 @@
+"""Real processes on loopback: owners and agents are killed and frozen, and the store is away.
+
+Only what must always hold is asserted; times are printed, not judged.
+"""
+
+import asyncio
+import pathlib
+import signal
+import tempfile
+import time
+import unittest
+
+import aiohttp
+
+from standins.callers import build_job, call_until_answered
+from standins.processes import (
+    Plan,
+    kill_process,
+    read_starts,
+    send_signal,
+    set_knobs,
+    start_agent,
+    start_entry,
+    start_floor,
+    stop_floor,
+)
+
+
+class Trial:
+    """A floor under a steady load."""
+
+    def __init__(self, folder, port):
+        self.plan = Plan(
+            entries=3,
+            slownesses=[1.0, 1.0, 1.5, 2.0],
+            slots=8,
+            service="s",
+            zones=["a", "b", "c"],
+            folder=folder,
+            base_port=port,
+        )
+        self.jobs = []
+        self.calls = []
+
+    async def load(self, session, entries, seconds):
+        ends_at = time.monotonic() + seconds
+        while time.monotonic() < ends_at:
+            number = len(self.jobs)
+            job = build_job("s", [0.05] * (1 + number % 4), 20, idempotent=number % 5 == 0)
+            self.jobs.append(job)
+            call = call_until_answered(session, entries, job, number)
+            self.calls.append(asyncio.create_task(call))
+            await asyncio.sleep(0.02)
+
+    def check(self, test):
+        starts = {}
+        for start in read_starts(self.plan.folder):
+            starts.setdefault(start[2], []).append(start[3])
+        verdicts = {}
+        for number, job in enumerate(self.jobs):
+            ran = starts.get(job.job_id, [])
+            if number % 5:
+                test.assertEqual(len(ran), len(set(ran)), f"double start in {job.job_id}")
+            test.assertTrue(job.status, f"{job.job_id} has no answer")
+            if job.status == 200:
+                test.assertEqual(len(job.answer["results"]), 1 + number % 4)
+            elif job.answer["verdict"] == "not run":
+                test.assertEqual(ran, [], f"{job.job_id} ran: {job.answer}")
+            failed = f"{job.answer.get('verdict')}: {job.answer.get('detail')}"
+            verdict = "complete" if job.status == 200 else failed
+            verdicts[verdict] = verdicts.get(verdict, 0) + 1
+        print(f"\n{len(self.jobs)} jobs: {verdicts}, {sum(map(len, starts.values()))} starts")
+
+
+async def run_trial(test, port, faults):
+    with tempfile.TemporaryDirectory() as folder:
+        trial = Trial(pathlib.Path(folder), port)
+        floor = await start_floor(trial.plan)
+        connector = aiohttp.TCPConnector(limit=0)
+        try:
+            async with aiohttp.ClientSession(connector=connector) as session:
+                entries = [floor.entry_url(index) for index in range(3)]
+                load = asyncio.create_task(trial.load(session, entries, 12))
+                await asyncio.sleep(2)
+                await faults(floor)
+                await load
+                await asyncio.gather(*trial.calls)
+        finally:
+            statuses = await stop_floor(floor)
+        trial.check(test)
+        return statuses
+
+
+class ProcessTest(unittest.TestCase):
+    def test_kill_of_owner_and_agent(self):
+        async def faults(floor):
+            await kill_process(floor, "entry-0")
+            await asyncio.sleep(1.5)
+            await kill_process(floor, "agent-1")
+            await start_entry(floor, 0)
+            await asyncio.sleep(1)
+            await start_agent(floor, 1)
+            await asyncio.sleep(1)
+            await asyncio.gather(kill_process(floor, "entry-1"), kill_process(floor, "agent-2"))
+            await start_entry(floor, 1)
+            await start_agent(floor, 2)
+
+        asyncio.run(run_trial(self, 22000, faults))
+
+    def test_frozen_owner_and_store_away(self):
+        async def faults(floor):
+            await set_knobs(floor, outage=True)
+            send_signal(floor, "entry-0", signal.SIGSTOP)
+            await asyncio.sleep(7)
+            send_signal(floor, "entry-0", signal.SIGCONT)
+            await asyncio.sleep(1)
+            await set_knobs(floor, outage=False)
+
+        asyncio.run(run_trial(self, 22500, faults))
+
+    def test_graceful_replacement_cuts_off_nothing(self):
+        async def faults(floor):
+            for index in range(3):
+                send_signal(floor, f"entry-{index}", signal.SIGTERM)
+                status = await floor.processes.pop(f"entry-{index}").wait()
+                self.assertEqual(status, 0)
+                await start_entry(floor, index)
+                await asyncio.sleep(1.5)
+
+        asyncio.run(run_trial(self, 23000, faults))
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -69,7 +69,9 @@
             key=KEY, index=1, attempt=2, outcome=m.Outcome.LOST, payload=b"", run_seconds=0.5
         )
         messages = (
-            m.Claimed(claims=(CLAIM,), records=(record,), last=True, lost_at=1.5),
+            m.Claimed(
+                claims=(CLAIM,), previous=(CLAIM,), records=(record,), last=True, lost_at=1.5
+            ),
             m.Fenced(claim=CLAIM),
             done,
             m.Refused(key=KEY, attempts=((1, 2), (3, 1)), cause=m.RefusalCause.RUNNER),
@@ -115,6 +117,7 @@
         )
         frame = PeerFrame(
             entry="e",
+            recipient="f",
             session=9,
             leaving=True,
             floor_version=1,
--- a/tests/world.py
+++ b/tests/world.py
@@ -89,6 +89,7 @@
         self.next_caller = 0
         self.lost_at = {}
         self.submissions = {}
+        self.blocked = set()
         for number in range(agents):
             self.start_agent(f"a{number}")
         for _ in range(entries):
@@ -175,6 +176,15 @@
             state = entry.state
             self._run(entry, lambda now: links.disconnect_agent(state, agent_name, session, now))
 
+    def block(self, entry_name, name):
+        """Cuts the way between an entry and another process; connections get no answer."""
+        self.blocked |= {(entry_name, name), (name, entry_name)}
+        if name in self.entries:
+            self.cut_peer_link(entry_name, name)
+            self.cut_peer_link(name, entry_name)
+        else:
+            self.cut_agent_link(entry_name, name)
+
     def cut_peer_link(self, sender, receiver):
         entry = self.entries.get(sender)
         self.channels.pop((sender, receiver), None)
@@ -225,6 +235,7 @@
     def settle(self, seconds):
         """Heals everything and lets time pass, every task running to its end."""
         self.store_up = True
+        self.blocked.clear()
         for name in list(self.entries):
             if self.entries[name].frozen:
                 self.thaw(name)
@@ -302,12 +313,20 @@
 
     def _connect(self, entry):
         for name in list(entry.state.targets):
-            if name in self.agents and name not in entry.sessions:
+            if (entry.name, name) in self.blocked:
+                continue
+            if name not in self.agents:
+                links.refuse_agent(entry.state, name, self._clock(entry), self._clock(entry))
+            elif name not in entry.sessions:
                 session = entry.state.targets[name].session + 1
                 entry.sessions[name] = session
                 links.connect_agent(entry.state, name, session)
         for name in list(entry.state.peers):
-            if name in self.entries and name not in entry.peer_links:
+            if (entry.name, name) in self.blocked:
+                continue
+            if name not in self.entries:
+                core.refuse_peer(entry.state, name, self._clock(entry))
+            elif name not in entry.peer_links:
                 entry.peer_links.add(name)
                 core.connect_peer(entry.state, name)
 
