Load and experiment tool, slopes, and simple placements to compare with

Change: comfreysill load and report (seeded open-loop arrivals, HdrHistogram, matplotlib); standins.experiment starts a floor for an experiment file and adds starts, doubles, messages by kind and cost by role; make slopes; baselines random, round-robin and least-loaded.

--- a/Makefile
+++ b/Makefile
@@ -31,3 +31,6 @@
 
 mutations: $(VENV)/ready
 	$(BIN)/python -m tests.mutations
+
+slopes: $(VENV)/ready
+	$(BIN)/python -m standins.slopes
--- a/src/comfreysill/cli/main.py
+++ b/src/comfreysill/cli/main.py
@@ -82,6 +82,25 @@
     job = JobCommands
     target = TargetCommands
 
+    @cappa.command(name="load")
+    def load(
+        self,
+        experiment: Annotated[pathlib.Path, cappa.Arg(help="Experiment file in YAML.")],
+        entry: EntryOption,
+        json: JsonOption = False,
+    ) -> None:
+        """Run an experiment's load against a running floor."""
+        run_load(experiment, entry.split(","), json)
+
+    @cappa.command(name="report")
+    def report(
+        self,
+        runs: Annotated[list[pathlib.Path], cappa.Arg(help="JSON documents of runs.")],
+        out: Annotated[pathlib.Path, cappa.Arg(long="--out", help="Picture to write (PNG).")],
+    ) -> None:
+        """Draw runs beside each other."""
+        draw_report(runs, out)
+
     @cappa.command(name="status")
     def status(self, entry: EntryOption) -> None:
         """Show the state of an entry."""
@@ -109,6 +128,35 @@
         raise RefusedError(message=f"{len(failed)} of {len(reports)} jobs were not completed")
 
 
+def run_load(path: pathlib.Path, entries: list[str], json: bool) -> None:
+    """Runs an experiment's load and prints its summary."""
+    from comfreysill.load.arrivals import draw_arrivals
+    from comfreysill.load.driver import drive_arrivals, measure_round_trip
+    from comfreysill.load.experiment import read_experiment
+    from comfreysill.load.summary import summarize
+
+    experiment = read_experiment(path)
+    arrivals = draw_arrivals(experiment)
+    service = experiment.document["floor"]["service"]
+    round_trip = asyncio.run(measure_round_trip(entries[0]))
+    samples = asyncio.run(drive_arrivals(entries, service, arrivals))
+    summary = summarize(experiment, samples, round_trip)
+    if json:
+        print_json(summary)
+        return
+    print(f"seed {summary['seed']}, jobs {summary['jobs']}, complete {summary['complete']}")
+    columns = ("class", "jobs", "complete", "p50", "p90", "p99", "p99.9")
+    rows = [(name, *row.values()) for name, row in summary["classes"].items()]
+    print_table("Slowdown", columns, rows)
+
+
+def draw_report(runs: list[pathlib.Path], out: pathlib.Path) -> None:
+    """Draws runs beside each other into one picture."""
+    from comfreysill.load.report import draw_runs, read_runs
+
+    draw_runs(read_runs(runs), out)
+
+
 def print_json(document: Any) -> None:
     """Prints a document as JSON."""
     print(orjson.dumps(document, option=orjson.OPT_INDENT_2).decode())
--- a/src/comfreysill/entry/program.py
+++ b/src/comfreysill/entry/program.py
@@ -2,11 +2,13 @@
 
 import asyncio
 import logging
+import random
 import time
 import uuid
 
 from result import Err, Ok
 
+from comfreysill.dispatch.baselines import choose_placement
 from comfreysill.dispatch.state import ROSTER_INTERVAL_SECONDS, Dispatcher, Limits
 from comfreysill.entry.http import build_app
 from comfreysill.entry.keeper import Keeper, close_links, keep_dispatcher
@@ -37,6 +39,7 @@
     dispatcher = Dispatcher(
         name=name,
         limits=Limits(),
+        place=choose_placement(settings.placement, random.Random(name).random),
         observe=lambda *observation: observe_seconds(metrics, *observation),
     )
     wanted = asyncio.Event()
--- /dev/null
+++ b/src/comfreysill/load/__init__.py
@@ -0,0 +1,1 @@
+"""Load and experiment tool: the users' workloads against a running floor."""
--- /dev/null
+++ b/src/comfreysill/load/summary.py
@@ -0,0 +1,78 @@
+"""Summary of an experiment's samples: slowdown by class and team, refusals and partial answers."""
+
+from typing import Any
+
+from hdrh.histogram import HdrHistogram
+
+from comfreysill.load.driver import Sample
+from comfreysill.load.experiment import Experiment, find_ideal
+
+SCALE = 1000
+MAX_SLOWDOWN = 10_000
+DIGITS = 3
+PERCENTILES = (50.0, 90.0, 99.0, 99.9)
+
+
+def summarize(experiment: Experiment, samples: list[Sample], round_trip: float) -> dict[str, Any]:
+    """Summarizes the samples of an experiment.
+
+    Args:
+        experiment: The experiment.
+        samples: One sample for each arrival.
+        round_trip: Network round trip in seconds that counts towards the ideal.
+    """
+    return {
+        "experiment": experiment.name,
+        "title": experiment.document.get("title", experiment.name),
+        "seed": experiment.document["seed"],
+        "load": experiment.document["load"],
+        "round_trip_seconds": round(round_trip, 5),
+        "jobs": len(samples),
+        "tasks": sum(len(sample.arrival.seconds) for sample in samples),
+        "complete": sum(sample.status == 200 for sample in samples),
+        "broken": sum(sample.status == 0 for sample in samples),
+        "partial": sum(_is_partial(sample) for sample in samples),
+        "failures": _count_failures(samples),
+        "classes": _summarize_groups(experiment, samples, round_trip, "task_class"),
+        "teams": _summarize_groups(experiment, samples, round_trip, "team"),
+    }
+
+
+def _summarize_groups(
+    experiment: Experiment, samples: list[Sample], round_trip: float, field: str
+) -> dict[str, Any]:
+    groups: dict[str, list[Sample]] = {}
+    for sample in samples:
+        groups.setdefault(getattr(sample.arrival, field), []).append(sample)
+    return {name: _summarize_group(experiment, groups[name], round_trip) for name in sorted(groups)}
+
+
+def _summarize_group(
+    experiment: Experiment, samples: list[Sample], round_trip: float
+) -> dict[str, Any]:
+    histogram = HdrHistogram(1, MAX_SLOWDOWN * SCALE, DIGITS)
+    complete = [sample for sample in samples if sample.status == 200]
+    for sample in complete:
+        ideal = find_ideal(experiment, sample.arrival.seconds, round_trip)
+        histogram.record_value(int(sample.seconds / ideal * SCALE))
+    summary: dict[str, Any] = {"jobs": len(samples), "complete": len(complete)}
+    for percentile in PERCENTILES:
+        value = histogram.get_value_at_percentile(percentile) / SCALE if complete else None
+        summary[f"p{percentile:g}"] = value
+    return summary
+
+
+def _is_partial(sample: Sample) -> bool:
+    if sample.status != 200:
+        return bool(sample.answer.get("results"))
+    return len(sample.answer["results"]) != len(sample.arrival.seconds)
+
+
+def _count_failures(samples: list[Sample]) -> dict[str, int]:
+    failures: dict[str, int] = {}
+    for sample in samples:
+        if sample.status in (0, 200):
+            continue
+        name = f"{sample.answer.get('title')} ({sample.answer.get('verdict')})"
+        failures[name] = failures.get(name, 0) + 1
+    return failures
--- a/src/comfreysill/settings.py
+++ b/src/comfreysill/settings.py
@@ -5,6 +5,7 @@
 from comfreysill.schemas import check_document, load_yaml
 
 ROLES = ("entry", "agent")
+PLACEMENTS = ("finish", "random", "round-robin", "least-loaded")
 
 _ADDRESS = {
     "type": "string",
@@ -50,6 +51,7 @@
                 "level": {"enum": ["debug", "info", "warning", "error"]},
             },
         },
+        "placement": {"enum": list(PLACEMENTS), "description": "policy of an entry"},
         "shutdown_seconds": {"type": "number", "minimum": 0, "maximum": 600},
     },
 }
@@ -81,6 +83,7 @@
         log_format: `text` or `json`.
         log_level: Name of the lowest level that is logged.
         shutdown_seconds: How long a graceful shutdown may take.
+        placement: Name of an entry's placement policy, one of `PLACEMENTS`.
     """
 
     __slots__ = (
@@ -93,6 +96,7 @@
         "log_format",
         "log_level",
         "shutdown_seconds",
+        "placement",
     )
 
     def __init__(
@@ -107,7 +111,9 @@
         log_format: str,
         log_level: str,
         shutdown_seconds: float,
+        placement: str,
     ) -> None:
+        self.placement = placement
         self.role = role
         self.name = name
         self.zone = zone
@@ -139,6 +145,7 @@
         log_format=logging.get("format", "text"),
         log_level=logging.get("level", "info"),
         shutdown_seconds=float(document.get("shutdown_seconds", 30)),
+        placement=document.get("placement", "finish"),
     )
 
 
--- a/src/comfreysill/target/reports.py
+++ b/src/comfreysill/target/reports.py
@@ -54,6 +54,7 @@
         due = due or (session.load_wanted and has_room(ledger))
         if due:
             frame = _build_frame(ledger, session, tuple(messages.get(entry, ())))
+            _count_frame(ledger, not messages.get(entry))
             reports.append(Report(entry=entry, frame=frame))
     return reports
 
@@ -65,6 +66,13 @@
             del ledger.sessions[entry]
 
 
+def _count_frame(ledger: Ledger, empty: bool) -> None:
+    counters = ledger.counters
+    counters["frames_to_entries"] = counters.get("frames_to_entries", 0) + 1
+    if empty:
+        counters["frames_empty"] = counters.get("frames_empty", 0) + 1
+
+
 def _build_frame(
     ledger: Ledger, session: Session, messages: tuple[AgentMessage, ...]
 ) -> AgentFrame:
--- a/standins/processes.py
+++ b/standins/processes.py
@@ -25,9 +25,19 @@
         zones: Availability zones, dealt out in turn.
         folder: Folder for settings and logs.
         base_port: First of the ports used.
+        placement: Name of the entries' placement policy.
     """
 
-    __slots__ = ("entries", "slownesses", "slots", "service", "zones", "folder", "base_port")
+    __slots__ = (
+        "entries",
+        "slownesses",
+        "slots",
+        "service",
+        "zones",
+        "folder",
+        "base_port",
+        "placement",
+    )
 
     def __init__(
         self,
@@ -39,7 +49,9 @@
         zones: list[str],
         folder: pathlib.Path,
         base_port: int = 21000,
+        placement: str = "finish",
     ) -> None:
+        self.placement = placement
         self.entries = entries
         self.slownesses = slownesses
         self.slots = slots
@@ -228,6 +240,8 @@
         "platform": {"table": floor.store_url},
         "shutdown_seconds": 20,
     }
+    if role == "entry":
+        document["placement"] = plan.placement
     path = plan.folder / f"{role}-{index}.yaml"
     path.write_text(yaml.safe_dump(document))
     return str(path)
