--- a/src/comfreysill/agent/keeper.py
+++ b/src/comfreysill/agent/keeper.py
@@ -27,6 +27,7 @@
     open_session,
     receive_frame,
     reject_record,
+    release_results,
     start_waiting,
 )
 from comfreysill.target.messages import AgentFrame
@@ -81,7 +82,7 @@
     while True:
         for message in await keeper.inbox.take():
             _receive(keeper, message, time.time())
-        _flush(keeper)
+        _flush(keeper, time.time())
 
 
 def _receive(keeper: Keeper, message: LedgerMessage, now: float) -> None:
@@ -153,6 +154,7 @@
 
 
 def _tick(keeper: Keeper, now: float) -> None:
+    release_results(keeper.ledger, now)
     expire_records(keeper.ledger, now)
     forget_sessions(keeper.ledger, now)
     runner = keeper.runner
@@ -162,13 +164,13 @@
         _drain(keeper, stopping=False)
 
 
-def _flush(keeper: Keeper) -> None:
+def _flush(keeper: Keeper, now: float) -> None:
     ledger = keeper.ledger
     started, ledger.started = ledger.started, []
     for record in started:
         keeper.start(keeper.runner, record)
     everyone, keeper.announce = keeper.announce, False
-    for report in collect_reports(ledger, everyone):
+    for report in collect_reports(ledger, now, everyone):
         link = keeper.links.get(report.entry)
         if link is not None:
             link.mailbox.post(report.frame)
--- a/src/comfreysill/dispatch/core.py
+++ b/src/comfreysill/dispatch/core.py
@@ -172,7 +172,7 @@
         return True
     if target.last_sent_cycle < dispatcher.ping_cycle:
         return True
-    if not target.own and not target.load_asked and wants_load(dispatcher, target):
+    if not target.load_asked and wants_load(dispatcher, target):
         return True
     return now - target.last_sent_at >= HEARTBEAT_SECONDS
 
--- a/src/comfreysill/target/ledger.py
+++ b/src/comfreysill/target/ledger.py
@@ -1,6 +1,7 @@
 """The ledger aggregate: what an agent was told to start, what started, and what came of it."""
 
 import heapq
+from collections import deque
 from collections.abc import Iterable
 
 from comfreysill.job.types import JobKey
@@ -25,6 +26,7 @@
 RECORD_LIMIT = 200_000
 RESULT_BYTES_LIMIT = 32 * 1024 * 1024
 CLOCK_SKEW_SECONDS = 0.5
+HOLD_SECONDS = 1.0
 
 
 class Entry:
@@ -54,18 +56,32 @@
         open: True while the link is open.
         received: Sequence number of the last frame received on it.
         acknowledged: Sequence number that the entry was told last.
+        received_at: Unix time in seconds of the oldest frame not acknowledged yet.
+        prompt: True when the entry waits for an acknowledgement.
         sent: Sequence number of the last frame sent on it.
         load_wanted: True while the entry waits to hear of a free slot.
         closed_at: Unix time in seconds at which it was closed.
     """
 
-    __slots__ = ("number", "open", "received", "acknowledged", "sent", "load_wanted", "closed_at")
+    __slots__ = (
+        "number",
+        "open",
+        "received",
+        "acknowledged",
+        "received_at",
+        "prompt",
+        "sent",
+        "load_wanted",
+        "closed_at",
+    )
 
     def __init__(self, *, number: int) -> None:
         self.number = number
         self.open = True
         self.received = 0
         self.acknowledged = 0
+        self.received_at = 0.0
+        self.prompt = False
         self.sent = 0
         self.load_wanted = False
         self.closed_at = 0.0
@@ -85,6 +101,8 @@
         running: How many tasks run.
         draining: True when no new work is taken.
         outbox: Messages to entries, as pairs of entry name and message.
+        held: Results that wait for others of their job.
+        held_until: Unix times in seconds at which held results are reported all the same.
         started: Records whose tasks the runner has to start now.
     """
 
@@ -107,6 +125,8 @@
         "started",
         "sessions",
         "counters",
+        "held",
+        "held_until",
         "_waiting",
         "_expiries",
         "_order",
@@ -131,6 +151,8 @@
         self.started: list[Entry] = []
         self.sessions: dict[str, Session] = {}
         self.counters: dict[str, int] = {}
+        self.held: dict[JobKey, list[Entry]] = {}
+        self.held_until: deque[tuple[float, JobKey]] = deque()
         self._waiting: list[tuple[int, float, int, Entry]] = []
         self._expiries: list[tuple[float, int, JobKey]] = []
         self._order = 0
@@ -175,7 +197,10 @@
     if frame.sequence != session.received + 1:
         _count(ledger, "frames_out_of_order")
         return False
+    if session.acknowledged == session.received:
+        session.received_at = now
     session.received = frame.sequence
+    session.prompt = session.prompt or not frame.messages
     session.load_wanted = frame.load_wanted
     for message in frame.messages:
         if isinstance(message, StartBatch):
@@ -213,8 +238,8 @@
     record.run_seconds = run_seconds
     record.task.payload = b""
     ledger.result_bytes += len(payload)
-    _send_owner(ledger, record, _report_record(record))
     start_waiting(ledger, now)
+    _report_or_hold(ledger, record, now)
 
 
 def reject_record(ledger: Ledger, record: Entry, now: float) -> None:
@@ -402,6 +427,40 @@
         del ledger.records[record.batch.key]
 
 
+def _report_or_hold(ledger: Ledger, record: Entry, now: float) -> None:
+    """Reports a result, together with those of the same job that were held back.
+
+    A result is held back while other tasks of its job are here and the owner has no use for
+    the slot: the answer needs the last result anyway.
+    """
+    key = record.batch.key
+    held = ledger.held.setdefault(key, [])
+    held.append(record)
+    if record.outcome == Outcome.DONE and _is_job_active(ledger, key):
+        session = ledger.sessions.get(ledger.fences[record.batch.partition].owner)
+        hungry = session is not None and session.load_wanted and not ledger.queued
+        if not hungry:
+            if len(held) == 1:
+                ledger.held_until.append((now + HOLD_SECONDS, key))
+            return
+    _release_held(ledger, key)
+
+
+def release_results(ledger: Ledger, now: float) -> None:
+    """Reports results that were held back long enough."""
+    while ledger.held_until and ledger.held_until[0][0] <= now:
+        _release_held(ledger, ledger.held_until.popleft()[1])
+
+
+def _release_held(ledger: Ledger, key: JobKey) -> None:
+    for record in ledger.held.pop(key, ()):
+        _send_owner(ledger, record, _report_record(record))
+
+
+def _is_job_active(ledger: Ledger, key: JobKey) -> bool:
+    return any(record.outcome <= Outcome.STARTED for record in ledger.records[key].values())
+
+
 def _report_record(record: Entry) -> TaskDone:
     return TaskDone(
         key=record.batch.key,
--- a/src/comfreysill/target/reports.py
+++ b/src/comfreysill/target/reports.py
@@ -4,6 +4,7 @@
 from comfreysill.target.messages import AgentFrame, AgentMessage, Load
 
 SESSION_MEMORY_SECONDS = 300.0
+ACKNOWLEDGE_SECONDS = 1.0
 
 
 class Report:
@@ -32,7 +33,7 @@
     return ledger.running + ledger.queued < ledger.slots
 
 
-def collect_reports(ledger: Ledger, everyone: bool = False) -> list[Report]:
+def collect_reports(ledger: Ledger, now: float, everyone: bool = False) -> list[Report]:
     """Takes the ledger's outbox and builds one frame for each entry that is due one.
 
     Messages to entries without an open link are dropped; the ledger keeps what they said, and
@@ -40,6 +41,7 @@
 
     Args:
         ledger: The ledger.
+        now: Unix time in seconds.
         everyone: Whether each entry gets a frame, for a change that all have to know.
     """
     outbox, ledger.outbox = ledger.outbox, []
@@ -50,9 +52,7 @@
     for entry, session in ledger.sessions.items():
         if not session.open:
             continue
-        due = everyone or entry in messages or session.acknowledged < session.received
-        due = due or (session.load_wanted and has_room(ledger))
-        if due:
+        if everyone or entry in messages or _is_due(ledger, session, now):
             frame = _build_frame(ledger, session, tuple(messages.get(entry, ())))
             _count_frame(ledger, not messages.get(entry))
             reports.append(Report(entry=entry, frame=frame))
@@ -66,6 +66,14 @@
             del ledger.sessions[entry]
 
 
+def _is_due(ledger: Ledger, session: Session, now: float) -> bool:
+    if session.load_wanted and has_room(ledger):
+        return True
+    if session.acknowledged == session.received:
+        return False
+    return session.prompt or now - session.received_at >= ACKNOWLEDGE_SECONDS
+
+
 def _count_frame(ledger: Ledger, empty: bool) -> None:
     counters = ledger.counters
     counters["frames_to_entries"] = counters.get("frames_to_entries", 0) + 1
@@ -78,6 +86,7 @@
 ) -> AgentFrame:
     session.sent += 1
     session.acknowledged = session.received
+    session.prompt = False
     session.load_wanted = session.load_wanted and not has_room(ledger)
     return AgentFrame(
         agent=ledger.agent,
--- a/standins/slopes.py
+++ b/standins/slopes.py
@@ -119,7 +119,7 @@
     while run and ledger.started:
         record = ledger.started.pop()
         ledgers.finish_record(ledger, record, Outcome.DONE, b"result", 0.1, bench.now)
-    for report in collect_reports(ledger):
+    for report in collect_reports(ledger, bench.now):
         wire = agent_codec.encode_agent_frame(report.frame).SerializeToString()
         frame = agent_codec.decode_agent_frame(pb.AgentFrame.FromString(wire))
         links.receive_agent_frame(bench.entry, frame, bench.now)
--- a/tests/world.py
+++ b/tests/world.py
@@ -218,6 +218,7 @@
     def advance(self, seconds):
         self.now += seconds
         for agent in self.agents.values():
+            ledgers.release_results(agent.ledger, self.now + agent.skew)
             ledgers.expire_records(agent.ledger, self.now + agent.skew)
             self._collect(agent)
         for entry in list(self.entries.values()):
@@ -360,7 +361,7 @@
             self.oracle.start(record.batch.key, record.task.index, record.task.idempotent)
             agent.running.append(record)
         agent.ledger.started = []
-        for report in collect_reports(agent.ledger, everyone):
+        for report in collect_reports(agent.ledger, self.now + agent.skew, everyone):
             if report.entry in self.entries:
                 self._post((agent.name, report.entry), report.frame)
 
