Fast targets keep slots for urgent work; run times are learned without trust in declared ones

Slowness of targets was learned from declared run times, which the experiment puts off by up to 10. Change: slowness is learned against the mean of the group; estimates use the declared time or the group's mean, whichever foretold better; lower classes leave room at the fastest targets for the measured demand of higher ones, less so the longer they have waited.

--- a/src/comfreysill/dispatch/baselines.py
+++ b/src/comfreysill/dispatch/baselines.py
@@ -2,8 +2,8 @@
 
 from collections.abc import Callable, Iterable
 
-from comfreysill.dispatch.placement import Place, place_by_finish
-from comfreysill.target.view import Target, count_busy, count_free
+from comfreysill.dispatch.placement import Place, Room, place_by_finish
+from comfreysill.target.view import Target, count_busy
 
 Draw = Callable[[], float]
 Choose = Callable[[list[Target]], Target]
@@ -27,9 +27,9 @@
 
 def _place_one_by_one(choose: Choose) -> Place:
     def place(
-        targets: Iterable[Target], count: int, estimate: float, queue_share: float
+        targets: Iterable[Target], count: int, estimate: float, find_room: Room
     ) -> list[tuple[Target, int]]:
-        room = {target.name: count_free(target, queue_share) for target in targets}
+        room = {target.name: find_room(target) for target in targets}
         by_name = {target.name: target for target in targets}
         taken: dict[str, int] = {}
         while count > 0:
--- a/src/comfreysill/dispatch/estimate.py
+++ b/src/comfreysill/dispatch/estimate.py
@@ -1,38 +1,80 @@
 """Run times learned from finished tasks, by service, team and class."""
 
+import math
+
 from comfreysill.job.job import Job
 
-SMOOTHING = 0.1
+SMOOTHING = 0.05
 MIN_RUN_TIME_SECONDS = 0.001
 
 
+class Group:
+    """Learned run times of the tasks of one service, team and class.
+
+    Attributes:
+        count: How many tasks were learned from.
+        mean: Mean run time in seconds on an average target.
+        ratio: Mean ratio of measured to declared run time.
+        declared_error: Mean error of estimates from declared times, as a logarithm.
+        mean_error: Mean error of estimates from the mean, as a logarithm.
+    """
+
+    __slots__ = ("count", "mean", "ratio", "declared_error", "mean_error")
+
+    def __init__(self) -> None:
+        self.count = 0
+        self.mean = 0.0
+        self.ratio = 1.0
+        self.declared_error = 0.0
+        self.mean_error = 0.0
+
+
 class Estimates:
-    """Ratios of measured to declared run time, on an average target."""
+    """Groups by service, team and class."""
 
-    __slots__ = ("ratios",)
+    __slots__ = ("groups",)
 
     def __init__(self) -> None:
-        self.ratios: dict[tuple[str, str, int], float] = {}
+        self.groups: dict[tuple[str, str, int], Group] = {}
 
 
 def estimate_task(estimates: Estimates, job: Job, index: int) -> float:
-    """Returns the expected run time of a task in seconds on an average target."""
+    """Returns the expected run time of a task in seconds on an average target.
+
+    The declared time counts, scaled by what was learned, unless the mean of the group has
+    foretold run times better.
+    """
     declared = max(job.submission.tasks[index].run_time, MIN_RUN_TIME_SECONDS)
-    return declared * estimates.ratios.get(_group_of(job), 1.0)
+    group = estimates.groups.get(_name_group(job))
+    if group is None:
+        return declared
+    if group.mean_error < group.declared_error:
+        return group.mean
+    return declared * group.ratio
+
+
+def find_mean(estimates: Estimates, job: Job) -> float | None:
+    """Returns the mean run time of a job's group on an average target, None before any task."""
+    group = estimates.groups.get(_name_group(job))
+    return group.mean if group is not None else None
 
 
 def learn_run_time(estimates: Estimates, job: Job, index: int, normal_seconds: float) -> None:
     """Takes the run time of a finished task, normalised to an average target."""
     declared = max(job.submission.tasks[index].run_time, MIN_RUN_TIME_SECONDS)
-    ratio = min(max(normal_seconds / declared, 0.001), 1000.0)
-    group = _group_of(job)
-    known = estimates.ratios.get(group)
-    if known is None:
-        estimates.ratios[group] = ratio
-        return
-    estimates.ratios[group] = known + SMOOTHING * (ratio - known)
+    seconds = max(normal_seconds, MIN_RUN_TIME_SECONDS)
+    group = estimates.groups.setdefault(_name_group(job), Group())
+    group.count += 1
+    share = max(SMOOTHING, 1 / group.count)
+    if group.count > 1:
+        by_declared = abs(math.log(seconds / (declared * group.ratio)))
+        by_mean = abs(math.log(seconds / group.mean))
+        group.declared_error += share * (by_declared - group.declared_error)
+        group.mean_error += share * (by_mean - group.mean_error)
+    group.mean += share * (seconds - group.mean)
+    group.ratio += share * (seconds / declared - group.ratio)
 
 
-def _group_of(job: Job) -> tuple[str, str, int]:
+def _name_group(job: Job) -> tuple[str, str, int]:
     submission = job.submission
     return submission.service, submission.key.team, submission.task_class
--- a/src/comfreysill/dispatch/jobs.py
+++ b/src/comfreysill/dispatch/jobs.py
@@ -1,6 +1,6 @@
 """Tasks of owned jobs that end, get lost or come back, and the answers that follow."""
 
-from comfreysill.dispatch.estimate import estimate_task, learn_run_time
+from comfreysill.dispatch.estimate import find_mean, learn_run_time
 from comfreysill.dispatch.proofs import deliver_answer
 from comfreysill.dispatch.queue import ServiceQueue, push_job
 from comfreysill.dispatch.state import Dispatcher, count
@@ -247,8 +247,9 @@
 
 
 def _learn(dispatcher: Dispatcher, target: Target, job: Job, done: TaskDone) -> None:
-    estimate = estimate_task(dispatcher.estimates, job, done.index)
-    learn_slowness(target, done.run_seconds / max(estimate, 1e-6))
+    mean = find_mean(dispatcher.estimates, job)
+    if mean is not None:
+        learn_slowness(target, done.run_seconds / max(mean, 1e-6))
     normal = done.run_seconds / max(target.slowness, 1e-6)
     learn_run_time(dispatcher.estimates, job, done.index, normal)
 
--- a/src/comfreysill/dispatch/placement.py
+++ b/src/comfreysill/dispatch/placement.py
@@ -3,13 +3,14 @@
 import heapq
 from collections.abc import Callable, Iterable
 
-from comfreysill.target.view import Target, count_busy, count_free
+from comfreysill.target.view import Target, count_busy
 
-Place = Callable[[Iterable[Target], int, float, float], list[tuple[Target, int]]]
+Room = Callable[[Target], int]
+Place = Callable[[Iterable[Target], int, float, Room], list[tuple[Target, int]]]
 
 
 def place_by_finish(
-    targets: Iterable[Target], count: int, estimate: float, queue_share: float
+    targets: Iterable[Target], count: int, estimate: float, find_room: Room
 ) -> list[tuple[Target, int]]:
     """Places tasks where they are expected to finish first.
 
@@ -17,14 +18,14 @@
         targets: Targets that may run the tasks.
         count: How many tasks there are.
         estimate: Expected run time of one task in seconds on an average target.
-        queue_share: Tasks that may wait at a target, as a share of its slots.
+        find_room: Returns how many of the tasks a target may take.
 
     Returns:
         Pairs of a target and how many of the tasks it gets; the rest stays queued.
     """
     heap = []
     for order, target in enumerate(targets):
-        free = count_free(target, queue_share)
+        free = find_room(target)
         if free > 0:
             busy = count_busy(target)
             finish = _expect_finish(target, busy, estimate)
--- a/src/comfreysill/dispatch/queue.py
+++ b/src/comfreysill/dispatch/queue.py
@@ -1,6 +1,7 @@
 """Order of waiting jobs: classes, fair shares of teams, and deadlines."""
 
 import heapq
+from collections.abc import Container
 
 from comfreysill.job.job import Job
 from comfreysill.job.types import TaskClass
@@ -65,9 +66,11 @@
     heapq.heappush(team.jobs, (submission.deadline, queue.order, job))
 
 
-def choose_job(queue: ServiceQueue) -> Job | None:
+def choose_job(queue: ServiceQueue, closed: Container[TaskClass] = ()) -> Job | None:
     """Returns the job whose tasks go next, without taking it out.
 
+    Jobs of the classes in `closed` are passed over.
+
     The most urgent class goes first; each `BULK_TURN`-th turn begins with the least urgent
     one, so that bulk work is never starved.
     """
@@ -75,6 +78,8 @@
     if queue.turns % BULK_TURN == BULK_TURN - 1:
         order.reverse()
     for task_class in order:
+        if task_class in closed:
+            continue
         job = _choose_in_class(queue.classes[task_class])
         if job is not None:
             return job
--- /dev/null
+++ b/src/comfreysill/dispatch/reserve.py
@@ -0,0 +1,76 @@
+"""Slots of fast targets that are kept for more urgent classes."""
+
+import math
+from collections.abc import Iterable
+
+from comfreysill.job.types import TaskClass
+from comfreysill.target.view import Target
+
+WINDOW_SECONDS = 5.0
+TYPICAL_TASK_SECONDS = 0.5
+SAFETY = 2.0
+PATIENCE_SECONDS = {TaskClass.URGENT: 0.0, TaskClass.NORMAL: 0.5, TaskClass.BULK: 3.0}
+
+
+class Demand:
+    """Work that was started lately, by class.
+
+    Attributes:
+        rates: Seconds of work on an average target that were started in a second.
+        updated_at: Unix time in seconds of the last update.
+    """
+
+    __slots__ = ("rates", "updated_at")
+
+    def __init__(self) -> None:
+        self.rates = dict.fromkeys(TaskClass, 0.0)
+        self.updated_at = 0.0
+
+
+def add_work(demand: Demand, task_class: TaskClass, seconds: float, now: float) -> None:
+    """Adds started work; older work counts less and less."""
+    decay_work(demand, now)
+    demand.rates[task_class] += seconds / WINDOW_SECONDS
+
+
+def decay_work(demand: Demand, now: float) -> None:
+    """Lets older work count less."""
+    factor = math.exp(-max(0.0, now - demand.updated_at) / WINDOW_SECONDS)
+    for task_class in demand.rates:
+        demand.rates[task_class] *= factor
+    demand.updated_at = now
+
+
+def reserve_slots(
+    demand: Demand, targets: Iterable[Target], task_class: TaskClass, waited: float, entries: int
+) -> dict[str, int]:
+    """Returns how many slots of each target are kept for classes more urgent than the given one.
+
+    The fastest targets are kept first. The longer work of the class has waited, the less is kept
+    from it; past its patience nothing is, so that no slot stays idle for long.
+
+    Args:
+        demand: Demand at this entry.
+        targets: Targets of the service.
+        task_class: Class that wants to start work.
+        waited: Seconds that its next job has waited.
+        entries: How many entries share the targets.
+    """
+    patience = PATIENCE_SECONDS[task_class]
+    if waited >= patience:
+        return {}
+    work = entries * sum(rate for other, rate in demand.rates.items() if other < task_class)
+    work += SAFETY * math.sqrt(work * TYPICAL_TASK_SECONDS)
+    work *= 1 - waited / patience
+    reserved = {}
+    for target in sorted(targets, key=_get_slowness):
+        if work <= 0:
+            break
+        slots = min(target.load.slots, math.ceil(work * target.slowness))
+        reserved[target.name] = slots
+        work -= slots / max(target.slowness, 1e-6)
+    return reserved
+
+
+def _get_slowness(target: Target) -> float:
+    return target.slowness
--- a/src/comfreysill/dispatch/starting.py
+++ b/src/comfreysill/dispatch/starting.py
@@ -3,12 +3,16 @@
 from comfreysill.dispatch.authority import find_authority_end, request_validation
 from comfreysill.dispatch.estimate import estimate_task
 from comfreysill.dispatch.jobs import track_pending
+from comfreysill.dispatch.ownership import list_live_entries
+from comfreysill.dispatch.placement import Room
 from comfreysill.dispatch.queue import ServiceQueue, charge_job, choose_job, has_jobs, push_job
+from comfreysill.dispatch.reserve import add_work, reserve_slots
 from comfreysill.dispatch.state import Dispatcher, count
 from comfreysill.job.job import Job, place_task
+from comfreysill.job.types import TaskClass
 from comfreysill.partition.holding import Holding
 from comfreysill.target.messages import StartBatch, TaskStart
-from comfreysill.target.view import PROBE_INTERVAL_SECONDS, Target, count_free
+from comfreysill.target.view import PROBE_INTERVAL_SECONDS, Target, count_busy, count_free
 
 EJECTED_SHARE = 1 / 3
 
@@ -54,15 +58,17 @@
     dispatcher: Dispatcher, queue: ServiceQueue, targets: list[Target], now: float
 ) -> None:
     skipped = []
+    closed: set[TaskClass] = set()
     while targets:
-        job = choose_job(queue)
+        job = choose_job(queue, closed)
         if job is None:
             break
         holding = dispatcher.holdings.get(job.partition)
         if not _start_job(dispatcher, queue, job, holding, targets, now):
             if holding is not None and _is_served(holding, targets):
-                break
-            skipped.append(_take_out(queue, job))
+                closed.add(job.submission.task_class)
+            else:
+                skipped.append(_take_out(queue, job))
         share = dispatcher.limits.queue_share
         targets = [target for target in targets if count_free(target, share) > 0]
     for job in skipped:
@@ -99,24 +105,50 @@
         return False
     candidates = [target for target in targets if target.name in holding.confirmed]
     estimate = estimate_task(dispatcher.estimates, job, job.pending[0])
-    share = dispatcher.limits.queue_share
-    placements = dispatcher.place(candidates, len(job.pending), estimate, share)
+    find_room = _build_room(dispatcher, job, now)
     total = 0
-    for target, amount in placements:
-        probing = target.probe_at > 0
-        amount = 1 if probing else amount
-        if probing:
+    for target, amount in dispatcher.place(candidates, len(job.pending), estimate, find_room):
+        if target.probe_at:
             target.probe_at = now + PROBE_INTERVAL_SECONDS
         _send_batch(dispatcher, job, holding, target, amount, authority_end, now)
         total += amount
     if not total:
         return False
     track_pending(dispatcher, job)
+    add_work(dispatcher.demand, job.submission.task_class, total * estimate, now)
     weight = dispatcher.limits.weights.get(job.key.team, 1.0)
     charge_job(queue, job, total * estimate, weight)
     return True
 
 
+def _build_room(dispatcher: Dispatcher, job: Job, now: float) -> Room:
+    task_class = job.submission.task_class
+    serving = [
+        target
+        for target in dispatcher.targets.values()
+        if job.submission.service in target.registration.services
+    ]
+    reserved = reserve_slots(
+        dispatcher.demand,
+        serving,
+        task_class,
+        now - job.accepted_at,
+        len(list_live_entries(dispatcher, now)),
+    )
+    share = dispatcher.limits.queue_share
+
+    def find_room(target: Target) -> int:
+        free = count_free(target, share)
+        if target.probe_at:
+            return min(1, free)
+        kept = reserved.get(target.name, 0)
+        if not kept:
+            return free
+        return min(free, target.load.slots - kept - count_busy(target))
+
+    return find_room
+
+
 def _send_batch(
     dispatcher: Dispatcher,
     job: Job,
--- a/src/comfreysill/dispatch/state.py
+++ b/src/comfreysill/dispatch/state.py
@@ -7,6 +7,7 @@
 from comfreysill.dispatch.messages import AnswerCaller, Effect, Handover, PeerMessage
 from comfreysill.dispatch.placement import Place, place_by_finish
 from comfreysill.dispatch.queue import ServiceQueue
+from comfreysill.dispatch.reserve import Demand
 from comfreysill.job.job import Job
 from comfreysill.job.types import Answer, JobKey, Submission
 from comfreysill.partition.holding import Holding
@@ -170,6 +171,7 @@
         "queued_tasks",
         "job_count",
         "estimates",
+        "demand",
         "proofs",
         "handovers",
         "roster_read_at",
@@ -210,6 +212,7 @@
         self.queued_tasks = 0
         self.job_count = 0
         self.estimates = Estimates()
+        self.demand = Demand()
         self.proofs: list[Proof] = []
         self.handovers: dict[int, list[Handover]] = {}
         self.roster_read_at = 0.0
--- a/src/comfreysill/target/view.py
+++ b/src/comfreysill/target/view.py
@@ -5,7 +5,7 @@
 from comfreysill.partition.epoch import Epoch
 from comfreysill.target.messages import EntryMessage, LedgerRecord, Load
 
-SMOOTHING = 0.2
+SMOOTHING = 0.03
 EJECT_AFTER_FAILURES = 4
 PROBE_INTERVAL_SECONDS = 2.0
 
@@ -75,6 +75,7 @@
         own: Tasks of this entry that are out on the open link.
         load_asked: True once a report was asked for that hasn't come yet.
         slowness: Run time relative to the average target, 1 for the average.
+        samples: Tasks that the slowness was learned from.
         failures: Tasks that failed in a row.
         probe_at: Unix time in seconds of the next probe, 0 unless ejected.
     """
@@ -96,6 +97,7 @@
         "own",
         "load_asked",
         "slowness",
+        "samples",
         "failures",
         "probe_at",
         "outbox",
@@ -123,6 +125,7 @@
         self.own = 0
         self.load_asked = False
         self.slowness = 1.0
+        self.samples = 0
         self.failures = 0
         self.probe_at = 0.0
         self.outbox: list[EntryMessage] = []
@@ -192,7 +195,9 @@
 def learn_slowness(target: Target, ratio: float) -> None:
     """Updates the slowness with the ratio of a run time to its estimate."""
     bounded = min(max(ratio, 0.1), 10.0)
-    target.slowness += SMOOTHING * (bounded - target.slowness)
+    target.samples += 1
+    share = max(SMOOTHING, 1 / (target.samples + 3))
+    target.slowness += share * (bounded - target.slowness)
 
 
 def record_success(target: Target) -> None:
