Room for urgent work is counted by class, and less is asked and acknowledged

Change: agents report running and waiting tasks by class; urgent work may queue at an agent four times as deep, as the agent starts it first; only a margin over the demand shrinks with waiting.

--- a/src/comfreysill/dispatch/core.py
+++ b/src/comfreysill/dispatch/core.py
@@ -34,6 +34,7 @@
 )
 from comfreysill.dispatch.starting import start_tasks, wants_load
 from comfreysill.dispatch.state import (
+    ASK_LOAD_SECONDS,
     HEARTBEAT_SECONDS,
     SUSPECT_SECONDS,
     Dispatcher,
@@ -41,7 +42,7 @@
     count,
 )
 from comfreysill.job.job import Job, TaskState, list_placed
-from comfreysill.job.types import Reason
+from comfreysill.job.types import Reason, TaskClass
 from comfreysill.target.messages import EntryFrame, StartBatch
 from comfreysill.target.view import SentFrame, Target
 
@@ -168,24 +169,35 @@
 
 
 def _is_frame_due(dispatcher: Dispatcher, target: Target, now: float) -> bool:
-    if target.outbox or not target.sent_sequence:
+    if target.outbox or _is_answer_due(dispatcher, target, now):
         return True
-    if target.last_sent_cycle < dispatcher.ping_cycle:
-        return True
-    if not target.load_asked and wants_load(dispatcher, target):
+    if target.load_asked or now - target.last_sent_at < ASK_LOAD_SECONDS:
+        return False
+    return wants_load(dispatcher, target)
+
+
+def _is_answer_due(dispatcher: Dispatcher, target: Target, now: float) -> bool:
+    """Tells whether a frame is due that the agent has to acknowledge at once."""
+    if not target.sent_sequence or target.last_sent_cycle < dispatcher.ping_cycle:
         return True
     return now - target.last_sent_at >= HEARTBEAT_SECONDS
 
 
 def _build_frame(dispatcher: Dispatcher, target: Target, now: float) -> EntryFrame:
     messages, target.outbox = tuple(target.outbox), []
+    ack_wanted = _is_answer_due(dispatcher, target, now)
     target.sent_sequence += 1
     target.load_asked = wants_load(dispatcher, target)
     target.last_sent_at = now
     target.last_sent_cycle = dispatcher.cycle
-    starts = sum(len(m.tasks) for m in messages if isinstance(m, StartBatch))
+    starts = [0] * len(TaskClass)
+    for message in messages:
+        if isinstance(message, StartBatch):
+            starts[message.task_class] += len(message.tasks)
     target.sent_frames.append(
-        SentFrame(sequence=target.sent_sequence, cycle=dispatcher.cycle, sent_at=now, starts=starts)
+        SentFrame(
+            sequence=target.sent_sequence, cycle=dispatcher.cycle, sent_at=now, starts=tuple(starts)
+        )
     )
     count(dispatcher, "frames_to_agents")
     if not messages:
@@ -197,6 +209,7 @@
         floor_version=dispatcher.floor_version,
         messages=messages,
         load_wanted=target.load_asked,
+        ack_wanted=ack_wanted,
     )
 
 
--- a/src/comfreysill/dispatch/reserve.py
+++ b/src/comfreysill/dispatch/reserve.py
@@ -9,7 +9,7 @@
 WINDOW_SECONDS = 5.0
 TYPICAL_TASK_SECONDS = 0.5
 SAFETY = 2.0
-PATIENCE_SECONDS = {TaskClass.URGENT: 0.0, TaskClass.NORMAL: 0.5, TaskClass.BULK: 3.0}
+PATIENCE_SECONDS = {TaskClass.URGENT: 1.0, TaskClass.NORMAL: 2.0, TaskClass.BULK: 20.0}
 
 
 class Demand:
@@ -46,8 +46,9 @@
 ) -> dict[str, int]:
     """Returns how many slots of each target are kept for classes more urgent than the given one.
 
-    The fastest targets are kept first. The longer work of the class has waited, the less is kept
-    from it; past its patience nothing is, so that no slot stays idle for long.
+    The fastest targets are kept first: enough for the measured demand, and a margin for its
+    swings. The margin shrinks the longer work of the class has waited, so that no slot stays idle
+    for long; slots that the urgent classes use already are not kept twice.
 
     Args:
         demand: Demand at this entry.
@@ -56,12 +57,12 @@
         waited: Seconds that its next job has waited.
         entries: How many entries share the targets.
     """
-    patience = PATIENCE_SECONDS[task_class]
-    if waited >= patience:
-        return {}
     work = entries * sum(rate for other, rate in demand.rates.items() if other < task_class)
-    work += SAFETY * math.sqrt(work * TYPICAL_TASK_SECONDS)
-    work *= 1 - waited / patience
+    if not work:
+        return {}
+    patience = PATIENCE_SECONDS[task_class]
+    margin = SAFETY * math.sqrt(work * TYPICAL_TASK_SECONDS)
+    work += margin * max(0.0, 1 - waited / patience)
     reserved = {}
     for target in sorted(targets, key=_get_slowness):
         if work <= 0:
--- a/src/comfreysill/dispatch/starting.py
+++ b/src/comfreysill/dispatch/starting.py
@@ -12,9 +12,16 @@
 from comfreysill.job.types import TaskClass
 from comfreysill.partition.holding import Holding
 from comfreysill.target.messages import StartBatch, TaskStart
-from comfreysill.target.view import PROBE_INTERVAL_SECONDS, Target, count_busy, count_free
+from comfreysill.target.view import (
+    PROBE_INTERVAL_SECONDS,
+    Target,
+    count_busy,
+    count_free,
+    count_urgent,
+)
 
 EJECTED_SHARE = 1 / 3
+QUEUE_SHARES = {TaskClass.URGENT: 4.0, TaskClass.NORMAL: 1.0, TaskClass.BULK: 1.0}
 
 
 def start_tasks(dispatcher: Dispatcher, now: float) -> None:
@@ -46,10 +53,14 @@
         target
         for target in serving
         if (target.name not in out or target.probe_at <= now)
-        and count_free(target, dispatcher.limits.queue_share) > 0
+        and count_free(target, _find_widest_share(dispatcher)) > 0
     ]
 
 
+def _find_widest_share(dispatcher: Dispatcher) -> float:
+    return dispatcher.limits.queue_share * max(QUEUE_SHARES.values())
+
+
 def _get_failures(target: Target) -> int:
     return target.failures
 
@@ -69,7 +80,7 @@
                 closed.add(job.submission.task_class)
             else:
                 skipped.append(_take_out(queue, job))
-        share = dispatcher.limits.queue_share
+        share = _find_widest_share(dispatcher)
         targets = [target for target in targets if count_free(target, share) > 0]
     for job in skipped:
         if job.answer is None:
@@ -135,14 +146,14 @@
         now - job.accepted_at,
         len(list_live_entries(dispatcher, now)),
     )
-    share = dispatcher.limits.queue_share
+    share = QUEUE_SHARES[task_class] * dispatcher.limits.queue_share
 
     def find_room(target: Target) -> int:
         free = count_free(target, share)
         if target.probe_at:
             return min(1, free)
-        kept = reserved.get(target.name, 0)
-        if not kept:
+        kept = reserved.get(target.name, 0) - count_urgent(target, task_class)
+        if kept <= 0:
             return free
         return min(free, target.load.slots - kept - count_busy(target))
 
@@ -160,7 +171,7 @@
 ) -> None:
     submission = job.submission
     starts = [_place_next(job, target, now) for _ in range(amount)]
-    target.unreported += amount
+    target.unreported[submission.task_class] += amount
     target.own += amount
     count(dispatcher, "starts_sent", amount)
     count(dispatcher, "batches_sent")
--- a/src/comfreysill/load/summary.py
+++ b/src/comfreysill/load/summary.py
@@ -10,6 +10,7 @@
 SCALE = 1000
 MAX_SLOWDOWN = 10_000
 DIGITS = 3
+SLOWEST = 20
 PERCENTILES = (50.0, 90.0, 99.0, 99.9)
 
 
@@ -35,9 +36,30 @@
         "failures": _count_failures(samples),
         "classes": _summarize_groups(experiment, samples, round_trip, "task_class"),
         "teams": _summarize_groups(experiment, samples, round_trip, "team"),
+        "slowest": _list_slowest(experiment, samples, round_trip),
     }
 
 
+def _list_slowest(
+    experiment: Experiment, samples: list[Sample], round_trip: float
+) -> list[dict[str, Any]]:
+    rows = [
+        {
+            "at": round(sample.arrival.at, 2),
+            "class": sample.arrival.task_class,
+            "tasks": len(sample.arrival.seconds),
+            "longest": max(sample.arrival.seconds),
+            "seconds": round(sample.seconds, 3),
+            "slowdown": round(
+                sample.seconds / find_ideal(experiment, sample.arrival.seconds, round_trip), 2
+            ),
+        }
+        for sample in samples
+    ]
+    rows.sort(key=lambda row: row["slowdown"], reverse=True)
+    return [row for row in rows if row["class"] != "bulk"][:SLOWEST]
+
+
 def _summarize_groups(
     experiment: Experiment, samples: list[Sample], round_trip: float, field: str
 ) -> dict[str, Any]:
--- a/src/comfreysill/target/ledger.py
+++ b/src/comfreysill/target/ledger.py
@@ -4,7 +4,7 @@
 from collections import deque
 from collections.abc import Iterable
 
-from comfreysill.job.types import JobKey
+from comfreysill.job.types import JobKey, TaskClass
 from comfreysill.partition.epoch import NO_EPOCH, Epoch
 from comfreysill.target.messages import (
     CancelTasks,
@@ -99,6 +99,7 @@
         fences: Highest epoch seen for each partition.
         records: Records by job key and task index.
         running: How many tasks run.
+        active: How many tasks of each class run or wait.
         draining: True when no new work is taken.
         outbox: Messages to entries, as pairs of entry name and message.
         held: Results that wait for others of their job.
@@ -119,6 +120,7 @@
         "result_bytes",
         "running",
         "queued",
+        "active",
         "draining",
         "floor_version",
         "outbox",
@@ -145,6 +147,7 @@
         self.result_bytes = 0
         self.running = 0
         self.queued = 0
+        self.active = [0] * len(TaskClass)
         self.draining = False
         self.floor_version = 0
         self.outbox: list[tuple[str, object]] = []
@@ -200,7 +203,7 @@
     if session.acknowledged == session.received:
         session.received_at = now
     session.received = frame.sequence
-    session.prompt = session.prompt or not frame.messages
+    session.prompt = session.prompt or frame.ack_wanted
     session.load_wanted = frame.load_wanted
     for message in frame.messages:
         if isinstance(message, StartBatch):
@@ -233,6 +236,7 @@
 ) -> None:
     """Stores what came of a started task and reports it to the partition's owner."""
     ledger.running -= 1
+    ledger.active[record.batch.task_class] -= 1
     record.outcome = outcome
     record.payload = payload
     record.run_seconds = run_seconds
@@ -386,6 +390,7 @@
     ledger.records[batch.key][task.index] = record
     ledger.record_count += 1
     ledger.queued += 1
+    ledger.active[batch.task_class] += 1
     rank = (int(batch.task_class), batch.deadline, ledger.next_order(), record)
     heapq.heappush(ledger._waiting, rank)
 
@@ -400,6 +405,7 @@
 
 def _refuse_record(ledger: Ledger, record: Entry, cause: RefusalCause) -> None:
     record.outcome = Outcome.LOST
+    ledger.active[record.batch.task_class] -= 1
     _forget_record(ledger, record)
     owner = ledger.fences[record.batch.partition].owner
     _refuse(ledger, owner, record.batch, (record.task,), cause)
--- a/src/comfreysill/target/messages.py
+++ b/src/comfreysill/target/messages.py
@@ -259,15 +259,24 @@
         slots: How many tasks the target runs at once.
         running: Tasks that run now.
         queued: Tasks that wait at the agent.
+        active: Tasks of each class that run or wait.
         draining: True when the target takes no new work.
         floor_version: Version of the floor document in force at the agent.
     """
 
-    __slots__ = ("slots", "running", "queued", "draining", "floor_version")
+    __slots__ = ("slots", "running", "queued", "active", "draining", "floor_version")
 
     def __init__(
-        self, *, slots: int, running: int, queued: int, draining: bool, floor_version: int
+        self,
+        *,
+        slots: int,
+        running: int,
+        queued: int,
+        active: tuple[int, ...],
+        draining: bool,
+        floor_version: int,
     ) -> None:
+        self.active = active
         self.slots = slots
         self.running = running
         self.queued = queued
@@ -292,10 +301,19 @@
 class EntryFrame:
     """Messages from an entry to an agent, numbered within a session.
 
-    A frame without messages is a heartbeat. `load_wanted` asks for a report once a slot is free.
+    A frame without messages is a heartbeat. `load_wanted` asks for a report once a slot is free,
+    `ack_wanted` for one at once.
     """
 
-    __slots__ = ("entry", "session", "sequence", "floor_version", "messages", "load_wanted")
+    __slots__ = (
+        "entry",
+        "session",
+        "sequence",
+        "floor_version",
+        "messages",
+        "load_wanted",
+        "ack_wanted",
+    )
 
     def __init__(
         self,
@@ -306,7 +324,9 @@
         floor_version: int,
         messages: tuple[EntryMessage, ...],
         load_wanted: bool = False,
+        ack_wanted: bool = False,
     ) -> None:
+        self.ack_wanted = ack_wanted
         self.load_wanted = load_wanted
         self.entry = entry
         self.session = session
--- a/src/comfreysill/target/reports.py
+++ b/src/comfreysill/target/reports.py
@@ -23,6 +23,7 @@
         slots=ledger.slots,
         running=ledger.running,
         queued=ledger.queued,
+        active=tuple(ledger.active),
         draining=ledger.draining,
         floor_version=ledger.floor_version,
     )
--- a/src/comfreysill/target/view.py
+++ b/src/comfreysill/target/view.py
@@ -2,10 +2,12 @@
 
 from collections import deque
 
+from comfreysill.job.types import TaskClass
 from comfreysill.partition.epoch import Epoch
 from comfreysill.target.messages import EntryMessage, LedgerRecord, Load
 
 SMOOTHING = 0.03
+IDLE = (0,) * len(TaskClass)
 EJECT_AFTER_FAILURES = 4
 PROBE_INTERVAL_SECONDS = 2.0
 
@@ -50,7 +52,9 @@
 
     __slots__ = ("sequence", "cycle", "sent_at", "starts")
 
-    def __init__(self, *, sequence: int, cycle: int, sent_at: float, starts: int) -> None:
+    def __init__(
+        self, *, sequence: int, cycle: int, sent_at: float, starts: tuple[int, ...]
+    ) -> None:
         self.sequence = sequence
         self.cycle = cycle
         self.sent_at = sent_at
@@ -71,7 +75,7 @@
         validated_at: Send time of the newest frame that the agent acknowledged.
         validated_cycle: Cycle of the entry in which that frame was sent.
         load: Load as last reported.
-        unreported: Starts that the last report doesn't cover.
+        unreported: Starts of each class that the last report doesn't cover.
         own: Tasks of this entry that are out on the open link.
         load_asked: True once a report was asked for that hasn't come yet.
         slowness: Run time relative to the average target, 1 for the average.
@@ -120,8 +124,8 @@
         self.validated_cycle = -1
         self.last_sent_at = 0.0
         self.last_sent_cycle = -1
-        self.load = Load(slots=0, running=0, queued=0, draining=False, floor_version=0)
-        self.unreported = 0
+        self.load = Load(slots=0, running=0, queued=0, active=IDLE, draining=False, floor_version=0)
+        self.unreported = [0] * len(IDLE)
         self.own = 0
         self.load_asked = False
         self.slowness = 1.0
@@ -152,7 +156,7 @@
     target.outbox.clear()
     target.synced.clear()
     target.claiming.clear()
-    target.unreported = 0
+    target.unreported = [0] * len(IDLE)
     target.own = 0
     target.load_asked = False
 
@@ -173,7 +177,8 @@
         frame = target.sent_frames.popleft()
         target.validated_at = frame.sent_at
         target.validated_cycle = frame.cycle
-        target.unreported -= frame.starts
+        for task_class, starts in enumerate(frame.starts):
+            target.unreported[task_class] -= starts
     target.load = load
     if load.running + load.queued < load.slots:
         target.load_asked = False
@@ -189,7 +194,12 @@
 
 def count_busy(target: Target) -> int:
     """Returns how many tasks run or wait at the target, those on their way included."""
-    return target.load.running + target.load.queued + target.unreported
+    return target.load.running + target.load.queued + sum(target.unreported)
+
+
+def count_urgent(target: Target, task_class: TaskClass) -> int:
+    """Returns how many tasks of more urgent classes run or wait at the target."""
+    return sum(target.load.active[:task_class]) + sum(target.unreported[:task_class])
 
 
 def learn_slowness(target: Target, ratio: float) -> None:
--- a/src/comfreysill/wire/agents.py
+++ b/src/comfreysill/wire/agents.py
@@ -39,6 +39,7 @@
         sequence=frame.sequence,
         floor_version=frame.floor_version,
         load_wanted=frame.load_wanted,
+        ack_wanted=frame.ack_wanted,
         messages=[_encode_entry_message(message) for message in frame.messages],
     )
 
@@ -51,6 +52,7 @@
         sequence=frame.sequence,
         floor_version=frame.floor_version,
         load_wanted=frame.load_wanted,
+        ack_wanted=frame.ack_wanted,
         messages=tuple(_decode_entry_message(message) for message in frame.messages),
     )
 
@@ -66,6 +68,7 @@
         slots=frame.load.slots,
         running=frame.load.running,
         queued=frame.load.queued,
+        active=frame.load.active,
         draining=frame.load.draining,
         floor_version=frame.load.floor_version,
         messages=[_encode_agent_message(message) for message in frame.messages],
@@ -78,6 +81,7 @@
         slots=frame.slots,
         running=frame.running,
         queued=frame.queued,
+        active=tuple(frame.active),
         draining=frame.draining,
         floor_version=frame.floor_version,
     )
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -82,7 +82,9 @@
             session=1,
             sequence=2,
             acknowledged=3,
-            load=m.Load(slots=8, running=1, queued=2, draining=True, floor_version=4),
+            load=m.Load(
+                slots=8, running=1, queued=2, active=(1, 2, 0), draining=True, floor_version=4
+            ),
             messages=messages,
         )
         wire = agents.encode_agent_frame(frame).SerializeToString()
