One floor document, taken completely or not at all

Cause: limits were constants, and nothing could be changed on a running floor. Change: schema and references checked with every error at once; conditional write on the previous version with a change id; versions ride on frames and never give way to older ones; an entry without a document takes no job; comfreysill floor check, apply, show, diff, history, rollback, status; teams' weights, queue quotas and services are in force. The fuzzer watches that versions never go down and that the newest arrives.

--- a/src/comfreysill/cli/main.py
+++ b/src/comfreysill/cli/main.py
@@ -10,6 +10,7 @@
 import orjson
 from rich.progress import Progress
 
+from comfreysill.cli import floors
 from comfreysill.cli.batch import JobReport, read_jobs, submit_jobs
 from comfreysill.cli.client import JOB_PATH, Reply, ask
 from comfreysill.cli.tables import print_table, summarize_classes
@@ -23,6 +24,8 @@
         help="Address of an entry; several are separated by commas.",
     ),
 ]
+FloorFile = Annotated[pathlib.Path, cappa.Arg(help="Floor document in YAML.")]
+AuthorOption = Annotated[str, cappa.Arg(long="--author", help="Who makes the change.")]
 JsonOption = Annotated[bool, cappa.Arg(long="--json", help="Print JSON instead of tables.")]
 
 
@@ -73,6 +76,72 @@
         print_table("Targets", columns, rows)
 
 
+@cappa.command(name="floor", help="Check, apply and look at the floor document.")
+class FloorCommands:
+    """Commands about the floor document."""
+
+    __slots__ = ()
+
+    @cappa.command(name="check")
+    def check(self, file: FloorFile) -> None:
+        """Check a floor document without changing anything."""
+        floors.read_floor_file(file)
+        print(f"{file}: no errors")
+
+    @cappa.command(name="apply")
+    def apply(
+        self,
+        file: FloorFile,
+        entry: EntryOption,
+        previous: Annotated[
+            int | None, cappa.Arg(long="--previous", help="Version the change was made on.")
+        ] = None,
+        author: AuthorOption = "operator",
+    ) -> None:
+        """Apply a floor document completely or not at all."""
+        document = floors.read_floor_file(file)
+        accepted = floors.apply_document(entry.split(",")[0], document, author, previous)
+        print(f"version {accepted['version']} is accepted")
+
+    @cappa.command(name="diff")
+    def diff(self, file: FloorFile, entry: EntryOption) -> None:
+        """Show what a document would change."""
+        document = floors.read_floor_file(file)
+        for line in floors.diff_with_current(entry.split(",")[0], document):
+            print(line)
+
+    @cappa.command(name="show")
+    def show(self, entry: EntryOption) -> None:
+        """Show the version in force."""
+        reply = asyncio.run(ask(entry.split(",")[0], "GET", floors.FLOOR_PATH))
+        print_json(floors.check_admin(reply))
+
+    @cappa.command(name="history")
+    def history(self, entry: EntryOption, json: JsonOption = False) -> None:
+        """List all versions."""
+        versions = floors.find_history(entry.split(",")[0])
+        if json:
+            print_json(versions)
+            return
+        columns = ("version", "author", "changed_at", "change_id")
+        rows = [[version[column] for column in columns] for version in versions]
+        print_table("Versions", columns, rows)
+
+    @cappa.command(name="rollback")
+    def rollback(self, version: int, entry: EntryOption, author: AuthorOption = "operator") -> None:
+        """Apply a past version's document as a new version."""
+        first = entry.split(",")[0]
+        document = floors.find_past(first, version)
+        accepted = floors.apply_document(first, document, author, None)
+        print(f"version {accepted['version']} is accepted, with the document of {version}")
+
+    @cappa.command(name="status")
+    def status(self, entry: EntryOption) -> None:
+        """Show the version in force in each process."""
+        path = f"{floors.FLOOR_PATH}/versions"
+        print_json(floors.check_admin(asyncio.run(ask(entry.split(",")[0], "GET", path))))
+
+
 @cappa.command(name="comfreysill", help="Operate a dispatcher for sub-second tasks.")
 class Commands:
     """All commands."""
@@ -81,6 +150,7 @@
 
     job = JobCommands
     target = TargetCommands
+    floor = FloorCommands
 
     @cappa.command(name="load")
     def load(
--- a/src/comfreysill/dispatch/admission.py
+++ b/src/comfreysill/dispatch/admission.py
@@ -24,6 +24,7 @@
 
 CALLER_SKEW_SECONDS = 0.5
 RETRY_AFTER_SECONDS = 1.0
+TEMPORARY = (Reason.QUEUE_FULL, Reason.QUOTA, Reason.NOT_READY)
 DOUBT_MARGIN_SECONDS = CALLER_SKEW_SECONDS + CLOCK_SKEW_SECONDS
 
 
@@ -142,7 +143,7 @@
     reason = _find_refusal(dispatcher, submission, now)
     if reason is None:
         return None
-    retry_at = now + RETRY_AFTER_SECONDS if reason[0] == Reason.QUEUE_FULL else 0.0
+    retry_at = now + RETRY_AFTER_SECONDS if reason[0] in TEMPORARY else 0.0
     refusal = refuse_job(submission.key, reason[0], reason[1], retry_at)
     issued_at = find_earliest_issue(submission)
     forgotten = now >= find_expiry(submission)
@@ -154,7 +155,7 @@
 def _find_refusal(
     dispatcher: Dispatcher, submission: Submission, now: float
 ) -> tuple[Reason, str] | None:
-    limits = dispatcher.limits
+    floor = dispatcher.floor
     if submission.deadline <= now:
         return Reason.EXPIRED, "the deadline has passed"
     if submission.deadline > now + HORIZON_SECONDS:
@@ -164,18 +165,38 @@
         return Reason.HORIZON, "the job was issued in the future; check the caller's clock"
     if issued_at is not None and now > issued_at + HORIZON_SECONDS:
         return Reason.EXPIRED, "the job was issued too long ago"
-    if limits.weights and submission.key.team not in limits.weights:
-        return Reason.UNKNOWN_TEAM, "the floor document has no such team"
-    if len(submission.tasks) > limits.tasks_per_job:
-        return Reason.TOO_LARGE, f"a job has at most {limits.tasks_per_job} tasks"
+    refusal = _check_team(dispatcher, submission)
+    if refusal is not None:
+        return refusal
+    if len(submission.tasks) > floor.tasks_per_job:
+        return Reason.TOO_LARGE, f"a job has at most {floor.tasks_per_job} tasks"
     if not _has_target(dispatcher, submission.service):
         return Reason.NO_TARGET, f"no target runs the service {submission.service!r}"
-    full = dispatcher.queued_tasks + len(submission.tasks) > limits.queued_tasks
-    if full or dispatcher.job_count >= limits.jobs:
+    full = dispatcher.queued_tasks + len(submission.tasks) > floor.queued_tasks
+    if full or dispatcher.job_count >= floor.jobs:
         return Reason.QUEUE_FULL, "the queue is full"
     return None
 
 
+def _check_team(dispatcher: Dispatcher, submission: Submission) -> tuple[Reason, str] | None:
+    floor = dispatcher.floor
+    if not floor.version:
+        return Reason.NOT_READY, "no floor document is in force yet"
+    team = floor.teams.get(submission.key.team)
+    if team is None:
+        return Reason.UNKNOWN_TEAM, "the floor document has no such team"
+    service = floor.services.get(submission.service)
+    if service is None or (team.services and service.name not in team.services):
+        return Reason.NO_TARGET, f"the team has no service {submission.service!r}"
+    longest = max(task.run_time for task in submission.tasks)
+    if service.max_run_time and longest > service.max_run_time:
+        return Reason.TOO_LARGE, f"a task may run for {service.max_run_time:g} s at most"
+    queued = dispatcher.queued_by_team.get(team.name, 0)
+    if team.queued_tasks and queued + len(submission.tasks) > team.queued_tasks:
+        return Reason.QUOTA, f"the team may have {team.queued_tasks} tasks waiting"
+    return None
+
+
 def _has_target(dispatcher: Dispatcher, service: str) -> bool:
     return any(service in t.registration.services for t in dispatcher.targets.values())
 
--- a/src/comfreysill/dispatch/core.py
+++ b/src/comfreysill/dispatch/core.py
@@ -3,12 +3,14 @@
 import heapq
 from collections.abc import Iterable
 
+from comfreysill.dispatch.floors import update_agent, update_peer
 from comfreysill.dispatch.handovers import apply_kept_handovers, receive_handover
 from comfreysill.dispatch.jobs import cancel_job, drop_task, fail_and_answer, find_job
 from comfreysill.dispatch.links import release_holding, settle_holdings
 from comfreysill.dispatch.messages import (
     Answered,
     CancelJob,
+    CheckFloor,
     Effect,
     Forward,
     Handover,
@@ -43,7 +45,7 @@
 )
 from comfreysill.job.job import Job, TaskState, list_placed
 from comfreysill.job.types import Reason, TaskClass
-from comfreysill.target.messages import EntryFrame, StartBatch
+from comfreysill.target.messages import EntryFrame, FloorUpdate, StartBatch
 from comfreysill.target.view import SentFrame, Target
 
 
@@ -65,6 +67,7 @@
     if peer is not None:
         peer.connected = True
         peer.session += 1
+        peer.floor_sent = 0
         peer.last_sent_at = 0.0
 
 
@@ -113,6 +116,8 @@
             settle_receipt(dispatcher, message.answer, frame.entry)
         elif isinstance(message, NotOwner):
             receive_not_owner(dispatcher, frame.entry, message.key, now)
+        elif isinstance(message, FloorUpdate):
+            dispatcher.effects.append(CheckFloor(update=message))
         elif isinstance(message, Handover):
             receive_handover(dispatcher, message, now)
         elif isinstance(message, CancelJob):
@@ -146,6 +151,10 @@
     settle_holdings(dispatcher, now)
     start_tasks(dispatcher, now)
     release_proofs(dispatcher, now)
+    for target in dispatcher.targets.values():
+        update_agent(dispatcher, target)
+    for peer in dispatcher.peers.values():
+        update_peer(dispatcher, peer)
     effects, dispatcher.effects = dispatcher.effects, []
     for target in dispatcher.targets.values():
         if target.connected and _is_frame_due(dispatcher, target, now):
@@ -206,7 +215,7 @@
         entry=dispatcher.name,
         session=target.session,
         sequence=target.sent_sequence,
-        floor_version=dispatcher.floor_version,
+        floor_version=dispatcher.floor.version,
         messages=messages,
         load_wanted=target.load_asked,
         ack_wanted=ack_wanted,
@@ -224,7 +233,7 @@
         recipient=peer.name,
         session=peer.session,
         leaving=dispatcher.leaving,
-        floor_version=dispatcher.floor_version,
+        floor_version=dispatcher.floor.version,
         roster_revision=dispatcher.roster_revision,
         messages=messages,
     )
--- /dev/null
+++ b/src/comfreysill/dispatch/floors.py
@@ -0,0 +1,41 @@
+"""Floor versions at an entry: the newest one heard of is in force and never gives way to older."""
+
+from comfreysill.dispatch.state import Dispatcher, Peer, count
+from comfreysill.floor.document import Floor
+from comfreysill.target.messages import FloorUpdate
+from comfreysill.target.view import Target
+
+
+def adopt_floor(dispatcher: Dispatcher, floor: Floor, text: bytes) -> bool:
+    """Puts a version in force.
+
+    Args:
+        dispatcher: The entry.
+        floor: The checked document.
+        text: Its JSON text, for processes that have an older version.
+
+    Returns:
+        False for a version that is not newer than the one in force.
+    """
+    if floor.version <= dispatcher.floor.version:
+        return False
+    dispatcher.floor = floor
+    dispatcher.floor_text = text
+    count(dispatcher, "floors_adopted")
+    return True
+
+
+def update_agent(dispatcher: Dispatcher, target: Target) -> None:
+    """Hands the floor document to an agent that reports an older version."""
+    version = dispatcher.floor.version
+    if target.greeted and target.load.floor_version < version and target.floor_sent < version:
+        target.floor_sent = version
+        target.outbox.append(FloorUpdate(version=version, document=dispatcher.floor_text))
+
+
+def update_peer(dispatcher: Dispatcher, peer: Peer) -> None:
+    """Hands the floor document to an entry that has an older version."""
+    version = dispatcher.floor.version
+    if peer.connected and peer.floor_version < version and peer.floor_sent < version:
+        peer.floor_sent = version
+        peer.outbox.append(FloorUpdate(version=version, document=dispatcher.floor_text))
--- a/src/comfreysill/dispatch/jobs.py
+++ b/src/comfreysill/dispatch/jobs.py
@@ -138,7 +138,12 @@
 
 def track_pending(dispatcher: Dispatcher, job: Job) -> None:
     """Keeps the entry's count of pending tasks in step with a job."""
-    dispatcher.queued_tasks += len(job.pending) - job.counted_pending
+    change = len(job.pending) - job.counted_pending
+    if not change:
+        return
+    dispatcher.queued_tasks += change
+    by_team = dispatcher.queued_by_team
+    by_team[job.key.team] = by_team.get(job.key.team, 0) + change
     job.counted_pending = len(job.pending)
 
 
--- a/src/comfreysill/dispatch/links.py
+++ b/src/comfreysill/dispatch/links.py
@@ -10,6 +10,7 @@
     receive_done,
     receive_refused,
     take_back_task,
+    track_pending,
 )
 from comfreysill.dispatch.messages import NotOwner
 from comfreysill.dispatch.ownership import (
@@ -140,9 +141,8 @@
         _tell_listeners(dispatcher, waiting.submission.key, waiting.listeners)
     for job in holding.jobs.values():
         _tell_listeners(dispatcher, job.key, job.listeners)
-        dispatcher.queued_tasks -= job.counted_pending
         job.pending.clear()
-        job.counted_pending = 0
+        track_pending(dispatcher, job)
     dispatcher.job_count -= len(holding.jobs)
     count(dispatcher, "partitions_released")
     release_partition(dispatcher, partition, now)
--- a/src/comfreysill/dispatch/messages.py
+++ b/src/comfreysill/dispatch/messages.py
@@ -189,10 +189,19 @@
         self.answer = answer
 
 
+class CheckFloor:
+    """Effect: parse and check a floor document that another entry has in force."""
+
+    __slots__ = ("update",)
+
+    def __init__(self, *, update: FloorUpdate) -> None:
+        self.update = update
+
+
 class ReadRoster:
     """Effect: read the list of registrations from the platform at once."""
 
     __slots__ = ()
 
 
-Effect = SendFrame | SendPeer | AnswerCaller | ReadRoster
+Effect = SendFrame | SendPeer | AnswerCaller | ReadRoster | CheckFloor
--- a/src/comfreysill/dispatch/starting.py
+++ b/src/comfreysill/dispatch/starting.py
@@ -8,6 +8,7 @@
 from comfreysill.dispatch.queue import ServiceQueue, charge_job, choose_job, has_jobs, push_job
 from comfreysill.dispatch.reserve import add_work, reserve_slots
 from comfreysill.dispatch.state import Dispatcher, count
+from comfreysill.floor.document import DEFAULT_WEIGHT
 from comfreysill.job.job import Job, place_task
 from comfreysill.job.types import TaskClass
 from comfreysill.partition.holding import Holding
@@ -33,7 +34,7 @@
 
 def wants_load(dispatcher: Dispatcher, target: Target) -> bool:
     """Tells whether work waits for a target that has no room."""
-    if not target.greeted or count_free(target, dispatcher.limits.queue_share) > 0:
+    if not target.greeted or count_free(target, dispatcher.floor.queue_share) > 0:
         return False
     services = target.registration.services
     return any(
@@ -58,7 +59,7 @@
 
 
 def _find_widest_share(dispatcher: Dispatcher) -> float:
-    return dispatcher.limits.queue_share * max(QUEUE_SHARES.values())
+    return dispatcher.floor.queue_share * max(QUEUE_SHARES.values())
 
 
 def _get_failures(target: Target) -> int:
@@ -127,7 +128,8 @@
         return False
     track_pending(dispatcher, job)
     add_work(dispatcher.demand, job.submission.task_class, total * estimate, now)
-    weight = dispatcher.limits.weights.get(job.key.team, 1.0)
+    team = dispatcher.floor.teams.get(job.key.team)
+    weight = team.weight if team is not None else DEFAULT_WEIGHT
     charge_job(queue, job, total * estimate, weight)
     return True
 
@@ -146,7 +148,7 @@
         now - job.accepted_at,
         len(list_live_entries(dispatcher, now)),
     )
-    share = QUEUE_SHARES[task_class] * dispatcher.limits.queue_share
+    share = QUEUE_SHARES[task_class] * dispatcher.floor.queue_share
 
     def find_room(target: Target) -> int:
         free = count_free(target, share)
--- a/src/comfreysill/dispatch/state.py
+++ b/src/comfreysill/dispatch/state.py
@@ -8,6 +8,7 @@
 from comfreysill.dispatch.placement import Place, place_by_finish
 from comfreysill.dispatch.queue import ServiceQueue
 from comfreysill.dispatch.reserve import Demand
+from comfreysill.floor.document import NO_FLOOR
 from comfreysill.job.job import Job
 from comfreysill.job.types import Answer, JobKey, Submission
 from comfreysill.partition.holding import Holding
@@ -27,35 +28,6 @@
 REROUTE_SECONDS = 0.2
 
 
-class Limits:
-    """Bounds of one entry.
-
-    Attributes:
-        jobs: Jobs kept, answered ones included.
-        queued_tasks: Tasks that wait for a target.
-        tasks_per_job: Tasks of one job.
-        queue_share: Tasks that may wait at a target, as a share of its slots.
-        weights: Weight of each team; an empty mapping admits any team at weight 1.
-    """
-
-    __slots__ = ("jobs", "queued_tasks", "tasks_per_job", "queue_share", "weights")
-
-    def __init__(
-        self,
-        *,
-        jobs: int = 50_000,
-        queued_tasks: int = 20_000,
-        tasks_per_job: int = 2_000,
-        queue_share: float = 0.25,
-        weights: dict[str, float] | None = None,
-    ) -> None:
-        self.jobs = jobs
-        self.queued_tasks = queued_tasks
-        self.tasks_per_job = tasks_per_job
-        self.queue_share = queue_share
-        self.weights = weights or {}
-
-
 class Peer:
     """Another entry.
 
@@ -69,6 +41,7 @@
         leaving: True when it gives up its partitions.
         floor_version: Version of the floor document in force there.
         roster_revision: Revision of the table up to which it knows the targets.
+        floor_sent: Newest version that was sent to it on the open link.
         outbox: Messages for its next frame.
     """
 
@@ -82,6 +55,7 @@
         "leaving",
         "floor_version",
         "roster_revision",
+        "floor_sent",
         "outbox",
         "last_sent_at",
     )
@@ -96,6 +70,7 @@
         self.leaving = False
         self.floor_version = 0
         self.roster_revision = 0
+        self.floor_sent = 0
         self.outbox: list[PeerMessage] = []
         self.last_sent_at = 0.0
 
@@ -152,6 +127,8 @@
         roster_failed_at: Start time of the newest read of that list that failed.
         roster_revision: Revision of the table up to which the targets are known.
         ledgers_lost_at: Newest Unix time in seconds at which an agent's ledger was lost.
+        floor: Floor document in force.
+        floor_text: Its JSON text.
         leaving: True once this entry gives up its partitions.
         effects: What the process has to do; taken by `flush`.
         cycle: Number of the current cycle; frames sent at its end carry it.
@@ -161,7 +138,6 @@
 
     __slots__ = (
         "name",
-        "limits",
         "place",
         "targets",
         "peers",
@@ -170,6 +146,7 @@
         "receipts",
         "queues",
         "queued_tasks",
+        "queued_by_team",
         "job_count",
         "estimates",
         "demand",
@@ -180,8 +157,8 @@
         "roster_revision",
         "ledgers_lost_at",
         "leaving",
-        "floor_version",
-        "floor_document",
+        "floor",
+        "floor_text",
         "effects",
         "counters",
         "observe",
@@ -197,12 +174,10 @@
         self,
         *,
         name: str,
-        limits: Limits,
         place: Place = place_by_finish,
         observe: "Observe | None" = None,
     ) -> None:
         self.name = name
-        self.limits = limits
         self.place = place
         self.targets: dict[str, Target] = {}
         self.peers: dict[str, Peer] = {}
@@ -211,6 +186,7 @@
         self.receipts: dict[JobKey, Receipt] = {}
         self.queues: dict[str, ServiceQueue] = {}
         self.queued_tasks = 0
+        self.queued_by_team: dict[str, int] = {}
         self.job_count = 0
         self.estimates = Estimates()
         self.demand = Demand()
@@ -221,8 +197,8 @@
         self.roster_revision = 0
         self.ledgers_lost_at = 0.0
         self.leaving = False
-        self.floor_version = 0
-        self.floor_document = b""
+        self.floor = NO_FLOOR
+        self.floor_text = b""
         self.effects: list[Effect] = []
         self.counters: dict[str, int] = {}
         self.observe = observe or _ignore
--- /dev/null
+++ b/src/comfreysill/entry/administration.py
@@ -0,0 +1,183 @@
+"""Administration API: the floor document, its versions and where they are in force."""
+
+import asyncio
+import time
+from typing import Any
+
+import falcon
+import falcon.asgi
+import yaml
+from result import Err
+
+from comfreysill.entry.keeper import Keeper
+from comfreysill.exceptions import Problem
+from comfreysill.floor.document import diff_documents, find_broken_references
+from comfreysill.floor.schema import FLOOR_SCHEMA
+from comfreysill.platform.floors import (
+    FloorVersion,
+    read_current,
+    read_history,
+    write_version,
+)
+from comfreysill.platform.table import StoreError, StoreFault, Table
+from comfreysill.schemas import find_problems
+
+CHANGE_SCHEMA = {
+    "type": "object",
+    "additionalProperties": False,
+    "required": ["previous", "change_id", "author", "document"],
+    "properties": {
+        "previous": {"type": "integer", "minimum": 0},
+        "change_id": {"type": "string", "minLength": 8, "maxLength": 64},
+        "author": {"type": "string", "minLength": 1, "maxLength": 64},
+        "document": {},
+    },
+}
+
+
+def check_floor(document: Any) -> list[Problem]:
+    """Returns all errors of a floor document, in its parts and between them."""
+    problems = find_problems(document, FLOOR_SCHEMA)
+    return problems or find_broken_references(document)
+
+
+class FloorResource:
+    """The floor document in force."""
+
+    __slots__ = ("table", "changed")
+
+    def __init__(self, *, table: Table, changed: asyncio.Event) -> None:
+        self.table = table
+        self.changed = changed
+
+    async def on_get(self, request: falcon.asgi.Request, response: falcon.asgi.Response) -> None:
+        """Returns the version in force."""
+        current = await read_current(self.table)
+        if isinstance(current, Err):
+            _refuse_store(response, current.err_value)
+        elif current.ok_value is None:
+            raise falcon.HTTPNotFound(description="no floor document was applied yet")
+        else:
+            response.media = format_version(current.ok_value)
+
+    async def on_put(self, request: falcon.asgi.Request, response: falcon.asgi.Response) -> None:
+        """Takes a document completely or not at all."""
+        change = await request.get_media()
+        problems = find_problems(change, CHANGE_SCHEMA) or check_floor(change["document"])
+        if problems:
+            response.status = falcon.HTTP_422
+            response.media = {
+                "title": "bad floor document",
+                "status": 422,
+                "problems": [_format_problem(problem) for problem in problems],
+            }
+            return
+        proposed = FloorVersion(
+            version=0,
+            change_id=change["change_id"],
+            author=change["author"],
+            changed_at=time.time(),
+            document=change["document"],
+        )
+        written = await write_version(self.table, change["previous"], proposed)
+        self.changed.set()
+        if isinstance(written, Err):
+            await self._refuse(response, written.err_value, change["document"])
+        else:
+            response.media = format_version(written.ok_value)
+
+    async def _refuse(
+        self, response: falcon.asgi.Response, error: StoreError, document: Any
+    ) -> None:
+        if error.fault != StoreFault.CONFLICT:
+            _refuse_store(response, error)
+            return
+        current = await read_current(self.table)
+        difference = []
+        if not isinstance(current, Err) and current.ok_value is not None:
+            difference = diff_documents(current.ok_value.document, document)
+        response.status = falcon.HTTP_409
+        response.media = {
+            "title": "conflict",
+            "status": 409,
+            "detail": error.detail,
+            "difference": difference,
+        }
+
+
+class HistoryResource:
+    """All versions of the floor document."""
+
+    __slots__ = ("table",)
+
+    def __init__(self, *, table: Table) -> None:
+        self.table = table
+
+    async def on_get(self, request: falcon.asgi.Request, response: falcon.asgi.Response) -> None:
+        """Lists the versions, the oldest first."""
+        history = await read_history(self.table)
+        if isinstance(history, Err):
+            _refuse_store(response, history.err_value)
+        else:
+            response.media = {"versions": [format_version(item) for item in history.ok_value]}
+
+
+class VersionsResource:
+    """Versions in force, process by process, as this entry heard of them last."""
+
+    __slots__ = ("keeper",)
+
+    def __init__(self, *, keeper: Keeper) -> None:
+        self.keeper = keeper
+
+    async def on_get(self, request: falcon.asgi.Request, response: falcon.asgi.Response) -> None:
+        """Lists this entry, the other entries and the agents."""
+        dispatcher = self.keeper.dispatcher
+        versions = {dispatcher.name: dispatcher.floor.version}
+        versions |= {peer.name: peer.floor_version for peer in dispatcher.peers.values()}
+        versions |= {
+            target.name: target.load.floor_version for target in dispatcher.targets.values()
+        }
+        response.media = {"versions": versions}
+
+
+def add_routes(app: falcon.asgi.App, keeper: Keeper, table: Table, changed: asyncio.Event) -> None:
+    """Adds the administration API to an application."""
+    app.add_route("/admin/v1/floor", FloorResource(table=table, changed=changed))
+    app.add_route("/admin/v1/floor/history", HistoryResource(table=table))
+    app.add_route("/admin/v1/floor/versions", VersionsResource(keeper=keeper))
+
+
+def format_version(version: FloorVersion) -> dict[str, Any]:
+    """Formats a version for operators."""
+    return {
+        "version": version.version,
+        "change_id": version.change_id,
+        "author": version.author,
+        "changed_at": version.changed_at,
+        "document": version.document,
+    }
+
+
+def parse_document(text: str) -> Any:
+    """Parses a floor document in YAML."""
+    return yaml.safe_load(text)
+
+
+def _format_problem(problem: Problem) -> dict[str, str]:
+    return {
+        "path": problem.path,
+        "value": problem.value,
+        "reason": problem.reason,
+        "hint": problem.hint,
+    }
+
+
+def _refuse_store(response: falcon.asgi.Response, error: StoreError) -> None:
+    response.status = falcon.HTTP_503
+    response.media = {
+        "title": "store unreachable",
+        "status": 503,
+        "detail": error.detail,
+        "verdict": error.verdict.name.lower().replace("_", " "),
+    }
--- a/src/comfreysill/entry/http.py
+++ b/src/comfreysill/entry/http.py
@@ -119,6 +119,7 @@
         reachable = any(target.greeted for target in dispatcher.targets.values())
         opened = all(holding.open for holding in dispatcher.holdings.values())
         ready = bool(dispatcher.roster_read_at) and reachable and opened
+        ready = ready and bool(dispatcher.floor.version)
         ready = ready and not dispatcher.leaving
         response.media = {"ready": ready}
         response.status = falcon.HTTP_200 if ready else falcon.HTTP_503
@@ -138,7 +139,7 @@
         now = time.time()
         response.media = {
             "entry": dispatcher.name,
-            "floor_version": dispatcher.floor_version,
+            "floor_version": dispatcher.floor.version,
             "partitions": len(dispatcher.holdings),
             "partitions_open": sum(h.open for h in dispatcher.holdings.values()),
             "jobs": dispatcher.job_count,
@@ -183,7 +184,7 @@
             "partitions": len(dispatcher.holdings),
             "targets": len(dispatcher.targets),
             "targets_connected": sum(t.greeted for t in dispatcher.targets.values()),
-            "floor_version": dispatcher.floor_version,
+            "floor_version": dispatcher.floor.version,
         }
         accept = request.get_header("accept") or ""
         body, headers = render_metrics(self.metrics, dispatcher.counters, gauges, accept)
--- a/src/comfreysill/entry/keeper.py
+++ b/src/comfreysill/entry/keeper.py
@@ -5,6 +5,8 @@
 import time
 from collections.abc import Callable
 
+import orjson
+
 from comfreysill.dispatch.core import (
     connect_peer,
     disconnect_peer,
@@ -15,6 +17,7 @@
     tick,
     update_peers,
 )
+from comfreysill.dispatch.floors import adopt_floor
 from comfreysill.dispatch.links import (
     connect_agent,
     disconnect_agent,
@@ -22,7 +25,14 @@
     refuse_agent,
     update_roster,
 )
-from comfreysill.dispatch.messages import AnswerCaller, Effect, ReadRoster, SendFrame, SendPeer
+from comfreysill.dispatch.messages import (
+    AnswerCaller,
+    CheckFloor,
+    Effect,
+    ReadRoster,
+    SendFrame,
+    SendPeer,
+)
 from comfreysill.dispatch.receipts import drop_caller
 from comfreysill.dispatch.routing import request_cancel, submit_job
 from comfreysill.dispatch.state import Dispatcher
@@ -34,6 +44,7 @@
     AgentReported,
     Cancel,
     DispatcherMessage,
+    FloorRead,
     Leave,
     MembersRead,
     PeerConnected,
@@ -43,10 +54,12 @@
     Submit,
     Tick,
 )
+from comfreysill.floor.document import Floor, build_floor
 from comfreysill.job.types import Answer, JobKey
 from comfreysill.mailbox import Mailbox
 from comfreysill.platform.registry import Members
 from comfreysill.settings import Address
+from comfreysill.target.messages import FloorUpdate
 
 logger = logging.getLogger(__name__)
 
@@ -115,6 +128,8 @@
         tick(dispatcher, now)
     elif isinstance(message, MembersRead):
         _receive_members(keeper, message, now)
+    elif isinstance(message, FloorRead):
+        _adopt_floor(keeper, message.floor, message.text)
     elif isinstance(message, Cancel):
         request_cancel(dispatcher, message.key, now)
     elif isinstance(message, AgentConnected):
@@ -165,10 +180,22 @@
         reply = keeper.callers.get(effect.caller)
         if reply is not None and not reply.done():
             reply.set_result(effect.answer)
+    elif isinstance(effect, CheckFloor):
+        _check_floor(keeper, effect.update)
     elif isinstance(effect, ReadRoster):
         keeper.read_roster()
 
 
+def _adopt_floor(keeper: Keeper, floor: Floor, text: bytes) -> None:
+    if adopt_floor(keeper.dispatcher, floor, text):
+        logger.info("floor document version %d is in force", floor.version)
+
+
+def _check_floor(keeper: Keeper, update: FloorUpdate) -> None:
+    document = orjson.loads(update.document)
+    _adopt_floor(keeper, build_floor(update.version, document), update.document)
+
+
 def _receive_members(keeper: Keeper, message: MembersRead, now: float) -> None:
     dispatcher = keeper.dispatcher
     members = message.members
--- a/src/comfreysill/entry/messages.py
+++ b/src/comfreysill/entry/messages.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from comfreysill.dispatch.messages import PeerFrame
+from comfreysill.floor.document import Floor
 from comfreysill.job.types import Answer, JobKey, Submission
 from comfreysill.platform.registry import Members
 from comfreysill.target.messages import AgentFrame
@@ -115,6 +116,16 @@
         self.started_at = started_at
 
 
+class FloorRead:
+    """A floor document was read from the platform; `text` is its JSON form."""
+
+    __slots__ = ("floor", "text")
+
+    def __init__(self, *, floor: Floor, text: bytes) -> None:
+        self.floor = floor
+        self.text = text
+
+
 class Tick:
     """Time to look at what is due."""
 
@@ -139,6 +150,7 @@
     | PeerRefused
     | PeerReported
     | MembersRead
+    | FloorRead
     | Tick
     | Leave
 )
--- a/src/comfreysill/entry/program.py
+++ b/src/comfreysill/entry/program.py
@@ -6,15 +6,19 @@
 import time
 import uuid
 
+import orjson
 from result import Err, Ok
 
 from comfreysill.dispatch.baselines import choose_placement
-from comfreysill.dispatch.state import ROSTER_INTERVAL_SECONDS, Dispatcher, Limits
+from comfreysill.dispatch.state import ROSTER_INTERVAL_SECONDS, Dispatcher
+from comfreysill.entry.administration import add_routes
 from comfreysill.entry.http import build_app
 from comfreysill.entry.keeper import Keeper, close_links, keep_dispatcher
 from comfreysill.entry.links import PeerService
-from comfreysill.entry.messages import Leave, MembersRead, Tick
+from comfreysill.entry.messages import FloorRead, Leave, MembersRead, Tick
+from comfreysill.floor.document import build_floor
 from comfreysill.metrics import Metrics, observe_seconds
+from comfreysill.platform.floors import read_current
 from comfreysill.platform.registry import (
     EntryRegistration,
     read_members,
@@ -30,6 +34,7 @@
 
 TICK_SECONDS = 0.05
 POLL_SECONDS = 0.05
+FLOOR_INTERVAL_SECONDS = 1.0
 
 
 async def run_entry(settings: Settings, stop: asyncio.Event) -> None:
@@ -38,14 +43,16 @@
     metrics = Metrics(role="entry")
     dispatcher = Dispatcher(
         name=name,
-        limits=Limits(),
         place=choose_placement(settings.placement, random.Random(name).random),
         observe=lambda *observation: observe_seconds(metrics, *observation),
     )
     wanted = asyncio.Event()
     keeper = Keeper(dispatcher=dispatcher, read_roster=wanted.set)
     table = open_table(settings.table)
-    http = build_http(build_app(keeper, metrics), settings.http)
+    changed = asyncio.Event()
+    app = build_app(keeper, metrics)
+    add_routes(app, keeper, table, changed)
+    http = build_http(app, settings.http)
     grpc = await start_grpc([PeerService(inbox=keeper.inbox)], settings.grpc)
     http_task = asyncio.create_task(http.serve())
     registration = EntryRegistration(
@@ -55,6 +62,7 @@
         asyncio.create_task(keep_dispatcher(keeper)),
         asyncio.create_task(_tick(keeper)),
         asyncio.create_task(_follow_members(keeper, table, registration, wanted)),
+        asyncio.create_task(_follow_floor(keeper, table, changed)),
     ]
     logger.info("entry %s runs as %s", settings.name, name)
     await await_stop(stop, [http_task, *tasks])
@@ -89,13 +97,31 @@
             keeper.inbox.post(MembersRead(members=None, started_at=started_at))
         else:
             keeper.inbox.post(MembersRead(members=members.ok_value, started_at=started_at))
-        try:
-            await asyncio.wait_for(wanted.wait(), ROSTER_INTERVAL_SECONDS)
-        except TimeoutError:
-            continue
+        await _wait(wanted, ROSTER_INTERVAL_SECONDS)
         wanted.clear()
 
 
+async def _follow_floor(keeper: Keeper, table: Table, changed: asyncio.Event) -> None:
+    """Reads the floor document again and again, and at once after a change made here."""
+    while True:
+        changed.clear()
+        current = await read_current(table)
+        if isinstance(current, Ok) and current.ok_value is not None:
+            found = current.ok_value
+            if found.version > keeper.dispatcher.floor.version:
+                floor = build_floor(found.version, found.document)
+                text = orjson.dumps(found.document)
+                keeper.inbox.post(FloorRead(floor=floor, text=text))
+        await _wait(changed, FLOOR_INTERVAL_SECONDS)
+
+
+async def _wait(event: asyncio.Event, seconds: float) -> None:
+    try:
+        await asyncio.wait_for(event.wait(), seconds)
+    except TimeoutError:
+        return
+
+
 async def _remove_registration(table: Table, name: str) -> None:
     removed = await remove_entry(table, name)
     if isinstance(removed, Err):
--- /dev/null
+++ b/src/comfreysill/floor/document.py
@@ -0,0 +1,187 @@
+"""The floor aggregate: one document that describes the whole floor, and its versions."""
+
+from collections.abc import Iterable
+from typing import Any
+
+from comfreysill.exceptions import Problem
+
+DEFAULT_WEIGHT = 1.0
+DEFAULT_JOBS = 50_000
+DEFAULT_QUEUED_TASKS = 20_000
+DEFAULT_TASKS_PER_JOB = 2_000
+DEFAULT_QUEUE_SHARE = 0.25
+
+
+class Team:
+    """A team and its shares.
+
+    Attributes:
+        name: Name of the team.
+        weight: Share of the floor against other teams.
+        queued_tasks: Tasks of the team that may wait at one entry, 0 for no bound of its own.
+        services: Services that the team may use; empty for all.
+    """
+
+    __slots__ = ("name", "weight", "queued_tasks", "services")
+
+    def __init__(
+        self, *, name: str, weight: float, queued_tasks: int, services: frozenset[str]
+    ) -> None:
+        self.name = name
+        self.weight = weight
+        self.queued_tasks = queued_tasks
+        self.services = services
+
+
+class Service:
+    """A service; `max_run_time` in seconds bounds the declared run times, 0 for no bound."""
+
+    __slots__ = ("name", "max_run_time")
+
+    def __init__(self, *, name: str, max_run_time: float) -> None:
+        self.name = name
+        self.max_run_time = max_run_time
+
+
+class Floor:
+    """A checked floor document in one version.
+
+    Attributes:
+        version: Number of the version; 0 stands for no document.
+        teams: Teams by name.
+        services: Services by name.
+        jobs: Jobs kept at one entry.
+        queued_tasks: Tasks that wait at one entry.
+        tasks_per_job: Tasks of one job.
+        queue_share: Tasks that may wait at a target, as a share of its slots.
+    """
+
+    __slots__ = (
+        "version",
+        "teams",
+        "services",
+        "jobs",
+        "queued_tasks",
+        "tasks_per_job",
+        "queue_share",
+    )
+
+    def __init__(
+        self,
+        *,
+        version: int,
+        teams: dict[str, Team],
+        services: dict[str, Service],
+        jobs: int = DEFAULT_JOBS,
+        queued_tasks: int = DEFAULT_QUEUED_TASKS,
+        tasks_per_job: int = DEFAULT_TASKS_PER_JOB,
+        queue_share: float = DEFAULT_QUEUE_SHARE,
+    ) -> None:
+        self.version = version
+        self.teams = teams
+        self.services = services
+        self.jobs = jobs
+        self.queued_tasks = queued_tasks
+        self.tasks_per_job = tasks_per_job
+        self.queue_share = queue_share
+
+
+NO_FLOOR = Floor(version=0, teams={}, services={})
+
+
+def build_floor(version: int, document: dict[str, Any]) -> Floor:
+    """Builds the floor from a document that has been checked."""
+    limits = document.get("limits", {})
+    return Floor(
+        version=version,
+        teams={team["name"]: _build_team(team) for team in document["teams"]},
+        services={
+            service["name"]: Service(
+                name=service["name"], max_run_time=float(service.get("max_run_time", 0))
+            )
+            for service in document["services"]
+        },
+        jobs=limits.get("jobs", DEFAULT_JOBS),
+        queued_tasks=limits.get("queued_tasks", DEFAULT_QUEUED_TASKS),
+        tasks_per_job=limits.get("tasks_per_job", DEFAULT_TASKS_PER_JOB),
+        queue_share=limits.get("queue_share", DEFAULT_QUEUE_SHARE),
+    )
+
+
+def find_broken_references(document: dict[str, Any]) -> list[Problem]:
+    """Returns the errors that lie between the parts of a document whose schema holds."""
+    zones = set(document["zones"])
+    services = {service["name"] for service in document["services"]}
+    problems = _find_doubles("services", [s["name"] for s in document["services"]])
+    problems += _find_doubles("teams", [t["name"] for t in document["teams"]])
+    for number, service in enumerate(document["services"]):
+        path = f"services[{number}].zones"
+        problems += _find_unknown(path, service["zones"], zones, "zone")
+    for number, team in enumerate(document["teams"]):
+        path = f"teams[{number}].services"
+        problems += _find_unknown(path, team.get("services", []), services, "service")
+    limits = document.get("limits", {})
+    bound = limits.get("queued_tasks", DEFAULT_QUEUED_TASKS)
+    for number, team in enumerate(document["teams"]):
+        if team.get("queued_tasks", 0) > bound:
+            problems.append(
+                Problem(
+                    path=f"teams[{number}].queued_tasks",
+                    value=str(team["queued_tasks"]),
+                    reason="is above the bound of the whole entry",
+                    hint=f"limits.queued_tasks is {bound}",
+                )
+            )
+    return problems
+
+
+def diff_documents(old: Any, new: Any, path: str = "") -> list[str]:
+    """Returns a line for each place in which two documents differ."""
+    if isinstance(old, dict) and isinstance(new, dict):
+        lines = []
+        for key in sorted(set(old) | set(new)):
+            where = f"{path}.{key}" if path else key
+            lines += diff_documents(old.get(key), new.get(key), where)
+        return lines
+    if isinstance(old, list) and isinstance(new, list):
+        return _diff_lists(old, new, path)
+    return [] if old == new else [f"{path}: {old!r} -> {new!r}"]
+
+
+def _diff_lists(old: list, new: list, path: str) -> list[str]:
+    named = all(isinstance(item, dict) and "name" in item for item in old + new)
+    if named:
+        by_old = {item["name"]: item for item in old}
+        by_new = {item["name"]: item for item in new}
+        return diff_documents(by_old, by_new, path)
+    return [] if old == new else [f"{path}: {old!r} -> {new!r}"]
+
+
+def _build_team(team: dict[str, Any]) -> Team:
+    return Team(
+        name=team["name"],
+        weight=float(team.get("weight", DEFAULT_WEIGHT)),
+        queued_tasks=team.get("queued_tasks", 0),
+        services=frozenset(team.get("services", ())),
+    )
+
+
+def _find_doubles(path: str, names: list[str]) -> list[Problem]:
+    return [
+        Problem(path=f"{path}[{number}].name", value=name, reason="the name is used twice")
+        for number, name in enumerate(names)
+        if name in names[:number]
+    ]
+
+
+def _find_unknown(path: str, names: Iterable[str], known: set[str], kind: str) -> list[Problem]:
+    return [
+        Problem(
+            path=f"{path}[{number}]",
+            value=name,
+            reason=f"no such {kind}",
+            hint=f"known: {', '.join(sorted(known))}",
+        )
+        for number, name in enumerate(names)
+        if name not in known
+    ]
--- a/src/comfreysill/target/ledger.py
+++ b/src/comfreysill/target/ledger.py
@@ -12,6 +12,7 @@
     Claimed,
     EntryFrame,
     Fenced,
+    FloorUpdate,
     LedgerRecord,
     Outcome,
     PartitionClaim,
@@ -210,6 +211,9 @@
             _receive_batch(ledger, frame.entry, message, now)
         elif isinstance(message, Claim):
             _receive_claim(ledger, frame.entry, message)
+        elif isinstance(message, FloorUpdate):
+            ledger.floor_version = max(ledger.floor_version, message.version)
+            session.prompt = True
         elif isinstance(message, CancelTasks):
             _cancel_tasks(ledger, message.keys)
     start_waiting(ledger, now)
--- a/src/comfreysill/target/view.py
+++ b/src/comfreysill/target/view.py
@@ -77,6 +77,7 @@
         load: Load as last reported.
         unreported: Starts of each class that the last report doesn't cover.
         own: Tasks of this entry that are out on the open link.
+        floor_sent: Newest floor version that was sent on the open link.
         load_asked: True once a report was asked for that hasn't come yet.
         slowness: Run time relative to the average target, 1 for the average.
         samples: Tasks that the slowness was learned from.
@@ -109,6 +110,7 @@
         "received_sequence",
         "sent_frames",
         "synced",
+        "floor_sent",
         "claiming",
     )
 
@@ -136,6 +138,7 @@
         self.sent_sequence = 0
         self.received_sequence = 0
         self.sent_frames: deque[SentFrame] = deque()
+        self.floor_sent = 0
         self.synced: list[LedgerRecord] = []
         self.claiming: dict[int, Epoch] = {}
 
@@ -159,6 +162,7 @@
     target.unreported = [0] * len(IDLE)
     target.own = 0
     target.load_asked = False
+    target.floor_sent = 0
 
 
 def close_link(target: Target, now: float) -> None:
--- a/standins/floor.py
+++ b/standins/floor.py
@@ -20,6 +20,7 @@
         service=trial["service"],
         zones=trial["zones"],
         folder=pathlib.Path(".run") / folder.name,
+        document=folder / "floor.yaml",
     )
 
 
--- a/standins/processes.py
+++ b/standins/processes.py
@@ -26,6 +26,7 @@
         folder: Folder for settings and logs.
         base_port: First of the ports used.
         placement: Name of the entries' placement policy.
+        document: Floor document to apply, None for one with the load tool's teams.
     """
 
     __slots__ = (
@@ -37,6 +38,7 @@
         "folder",
         "base_port",
         "placement",
+        "document",
     )
 
     def __init__(
@@ -50,7 +52,9 @@
         folder: pathlib.Path,
         base_port: int = 21000,
         placement: str = "finish",
+        document: pathlib.Path | None = None,
     ) -> None:
+        self.document = document
         self.placement = placement
         self.entries = entries
         self.slownesses = slownesses
@@ -112,10 +116,31 @@
         await start_runner(floor, index)
     for index in range(plan.entries):
         await start_entry(floor, index)
+    await _await_url(f"{floor.entry_url(0)}/health")
+    await apply_floor(floor)
     for index in range(plan.entries):
         await _await_url(f"{floor.entry_url(index)}/ready")
 
 
+async def apply_floor(floor: Floor) -> None:
+    """Applies the plan's floor document, or one made for the load tool's teams."""
+    plan = floor.plan
+    if plan.document is not None:
+        document = yaml.safe_load(plan.document.read_text())
+    else:
+        document = {
+            "schema": 1,
+            "zones": plan.zones,
+            "services": [{"name": plan.service, "zones": plan.zones}],
+            "teams": [{"name": name} for name in ["t", *(f"team-{n}" for n in range(120))]],
+        }
+    change = {"previous": 0, "change_id": "first-floor", "author": "trial", "document": document}
+    url = f"{floor.entry_url(0)}/admin/v1/floor"
+    async with aiohttp.ClientSession() as session, session.put(url, json=change) as answer:
+        if answer.status != 200:
+            raise RuntimeError(f"floor document refused: {await answer.text()}")
+
+
 async def start_entry(floor: Floor, index: int) -> None:
     """Starts one entry."""
     base = floor.plan.base_port
--- a/standins/slopes.py
+++ b/standins/slopes.py
@@ -14,9 +14,11 @@
 import numpy as np
 
 from comfreysill.dispatch import core, links
+from comfreysill.dispatch.floors import adopt_floor
 from comfreysill.dispatch.messages import PeerFrame, SendFrame
 from comfreysill.dispatch.routing import submit_job
-from comfreysill.dispatch.state import Dispatcher, Limits
+from comfreysill.dispatch.state import Dispatcher
+from comfreysill.floor.document import Floor, Service, Team
 from comfreysill.job.types import JobKey, Submission, TaskClass, TaskSpec
 from comfreysill.target import ledger as ledgers
 from comfreysill.target.messages import Outcome
@@ -52,10 +54,10 @@
 
     __slots__ = ("entry", "ledgers", "now", "frames", "octets")
 
-    def __init__(self, *, targets: int, limits: Limits | None = None) -> None:
+    def __init__(self, *, targets: int) -> None:
         self.now = 1_000_000.0
-        bounds = limits or Limits(jobs=10**7, queued_tasks=10**7)
-        self.entry = Dispatcher(name="e@1", limits=bounds)
+        self.entry = Dispatcher(name="e@1")
+        adopt_floor(self.entry, _build_floor(), b"{}")
         self.ledgers: dict[str, ledgers.Ledger] = {}
         self.frames = 0
         self.octets = 0
@@ -71,6 +73,15 @@
             links.connect_agent(self.entry, ledger.agent, 1)
 
 
+def _build_floor() -> Floor:
+    teams = {
+        f"t{number}": Team(name=f"t{number}", weight=1.0, queued_tasks=0, services=frozenset())
+        for number in range(120)
+    }
+    services = {SERVICE: Service(name=SERVICE, max_run_time=0.0)}
+    return Floor(version=1, teams=teams, services=services, jobs=10**7, queued_tasks=10**7)
+
+
 def _register(ledger: ledgers.Ledger) -> Registration:
     return Registration(
         agent=ledger.agent,
--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -207,6 +207,23 @@
         if name is not None:
             self.world.drain(name)
 
+    @rule()
+    def change_floor(self):
+        if self.world.store_up:
+            self.world.floor_version += 1
+
+    @invariant()
+    def floor_versions_never_go_down(self):
+        world = getattr(self, "world", None)
+        if world is None:
+            return
+        found = {name: entry.state.floor.version for name, entry in world.entries.items()}
+        agents = world.agents.values()
+        found |= {a.ledger.incarnation: a.ledger.floor_version for a in agents}
+        for name, version in found.items():
+            assert version >= world.heard_versions.get(name, 0), f"{name} went back"
+        world.heard_versions |= found
+
     @rule(up=st.booleans())
     def switch_store(self, up):
         self.world.store_up = up
@@ -233,6 +250,10 @@
         if not world.entries:
             world.start_entry(0.0)
         world.settle(30.0)
+        for entry in world.entries.values():
+            assert entry.state.floor.version == world.floor_version, "a version didn't arrive"
+        for agent in world.agents.values():
+            assert agent.ledger.floor_version == world.floor_version, "a version didn't arrive"
         for caller, name in world.submissions.items():
             if name in world.entries:
                 assert caller in world.oracle.answers, f"caller {caller} has no answer"
--- a/tests/world.py
+++ b/tests/world.py
@@ -6,10 +6,17 @@
 
 from collections import deque
 
-from comfreysill.dispatch import core, links
-from comfreysill.dispatch.messages import AnswerCaller, ReadRoster, SendFrame, SendPeer
+from comfreysill.dispatch import core, floors, links
+from comfreysill.dispatch.messages import (
+    AnswerCaller,
+    CheckFloor,
+    ReadRoster,
+    SendFrame,
+    SendPeer,
+)
 from comfreysill.dispatch.routing import request_cancel, submit_job
-from comfreysill.dispatch.state import Dispatcher, Limits
+from comfreysill.dispatch.state import Dispatcher
+from comfreysill.floor.document import Floor, Service, Team
 from comfreysill.job.types import JobKey, Submission, TaskClass, TaskSpec, Verdict
 from comfreysill.target import ledger as ledgers
 from comfreysill.target.messages import Outcome
@@ -90,6 +97,8 @@
         self.lost_at = {}
         self.submissions = {}
         self.blocked = set()
+        self.floor_version = 1
+        self.heard_versions = {}
         for number in range(agents):
             self.start_agent(f"a{number}")
         for _ in range(entries):
@@ -100,8 +109,9 @@
     def start_entry(self, skew):
         self.next_name += 1
         name = f"e{self.next_name}"
-        limits = Limits(queued_tasks=12, queue_share=0.5)
-        self.entries[name] = Entry(name, Dispatcher(name=name, limits=limits), skew)
+        self.entries[name] = Entry(name, Dispatcher(name=name), skew)
+        if self.store_up:
+            self._read_floor(self.entries[name])
         self._register(f"entry/{name}", name)
 
     def kill_entry(self, name):
@@ -292,6 +302,10 @@
                 elif isinstance(effect, SendPeer):
                     if effect.entry in entry.peer_links:
                         self._post((entry.name, effect.entry), effect.frame)
+                elif isinstance(effect, CheckFloor):
+                    floor = build_test_floor(effect.update.version)
+                    floors.adopt_floor(entry.state, floor, effect.update.document)
+                    again = True
                 elif isinstance(effect, AnswerCaller):
                     self.oracle.answer(effect.caller, effect.answer)
             if not again:
@@ -306,12 +320,16 @@
         if not self.store_up:
             entry.state.roster_failed_at = now
             return
+        self._read_floor(entry)
         agents = [value for key, value in self.rows.items() if key.startswith("agent/")]
         names = [value for key, value in self.rows.items() if key.startswith("entry/")]
         lost_at = max(self.lost_at.values(), default=0.0)
         links.update_roster(entry.state, agents, self.revision, lost_at, now, now)
         core.update_peers(entry.state, names, now)
 
+    def _read_floor(self, entry):
+        floors.adopt_floor(entry.state, build_test_floor(self.floor_version), b"{}")
+
     def _connect(self, entry):
         for name in list(entry.state.targets):
             if (entry.name, name) in self.blocked:
@@ -396,6 +414,14 @@
         )
 
 
+def build_test_floor(version):
+    team = Team(name="t", weight=1.0, queued_tasks=0, services=frozenset())
+    services = {SERVICE: Service(name=SERVICE, max_run_time=0.0)}
+    return Floor(
+        version=version, teams={"t": team}, services=services, queued_tasks=12, queue_share=0.5
+    )
+
+
 def build_submission(key, *, size, task_class, deadline, idempotent, issued_at, salt=b""):
     """Builds a submission whose digest covers its deadline and content."""
     tasks = tuple(TaskSpec(payload=b"p", run_time=0.1, idempotent=idempotent) for _ in range(size))
