Focused tests of takeovers and the ledger; two faults mended

Cause: (1) an owner that was paused while another took over, and whose only agent was then replaced, took the partition over again and started a waiting task a second time: jobs that it knew from before were not judged again. (2) Where the entries' queue share was above the agent's limit, a full target refused the same tasks hundreds of times within one instant, and jobs failed with 'targets refuse the tasks' (409 refusals of 415 starts in the test). Change: a renewed takeover puts every unanswered job in doubt until ledgers were read; agents report their queue limit; refusals for a full queue don't count as retries.

--- a/src/comfreysill/dispatch/jobs.py
+++ b/src/comfreysill/dispatch/jobs.py
@@ -30,6 +30,7 @@
 from comfreysill.target.view import Target, learn_slowness, record_failure, record_success
 
 RETRIES_PER_TASK = 20
+UNCOUNTED = (RefusalCause.FULL, RefusalCause.DRAINING)
 
 
 def adopt_found(dispatcher: Dispatcher, job: Job, found: FoundJob, now: float) -> None:
@@ -109,7 +110,7 @@
         return
     for index, attempt in refused.attempts:
         if _is_placed_at(job, target, index, attempt):
-            return_task(job, index, attempt)
+            return_task(job, index, attempt, counted=refused.cause not in UNCOUNTED)
     track_pending(dispatcher, job)
     if job.retries > RETRIES_PER_TASK * len(job.submission.tasks):
         fail_and_answer(dispatcher, job, Reason.NO_TARGET, "targets refuse the tasks", now)
--- a/src/comfreysill/dispatch/ownership.py
+++ b/src/comfreysill/dispatch/ownership.py
@@ -59,7 +59,13 @@
 
 
 def begin_takeover(dispatcher: Dispatcher, holding: Holding, now: float) -> None:
-    """Raises the epoch of a partition; jobs that this entry knows already are kept."""
+    """Raises the epoch of a partition.
+
+    Jobs that this entry knows already are kept, but another entry may have owned the partition
+    in the meantime: none of their tasks starts until the takeover has shown what it started.
+    """
+    for job in holding.jobs.values():
+        job.doubtful = job.uncertain = job.answer is None
     number = dispatcher.numbers.get(holding.partition, 0) + 1
     dispatcher.numbers[holding.partition] = number
     holding.epoch = Epoch(number=number, owner=dispatcher.name)
--- a/src/comfreysill/job/job.py
+++ b/src/comfreysill/job/job.py
@@ -151,9 +151,15 @@
     return True
 
 
-def return_task(job: Job, index: int, attempt: int) -> bool:
+def return_task(job: Job, index: int, attempt: int, counted: bool = True) -> bool:
     """Makes a task pending again whose current attempt certainly did not run.
 
+    Args:
+        job: The job.
+        index: Position of the task.
+        attempt: Number of the attempt that did not run.
+        counted: Whether it counts against the bound on retries; a full target doesn't.
+
     Returns:
         True when the attempt was the current one.
     """
@@ -162,7 +168,7 @@
     job.states[index] = TaskState.PENDING
     job.placements[index] = None
     job.pending.appendleft(index)
-    job.retries += 1
+    job.retries += counted
     return True
 
 
--- a/src/comfreysill/target/messages.py
+++ b/src/comfreysill/target/messages.py
@@ -257,6 +257,7 @@
 
     Attributes:
         slots: How many tasks the target runs at once.
+        queue_limit: How many tasks may wait at the agent.
         running: Tasks that run now.
         queued: Tasks that wait at the agent.
         active: Tasks of each class that run or wait.
@@ -264,18 +265,28 @@
         floor_version: Version of the floor document in force at the agent.
     """
 
-    __slots__ = ("slots", "running", "queued", "active", "draining", "floor_version")
+    __slots__ = (
+        "slots",
+        "queue_limit",
+        "running",
+        "queued",
+        "active",
+        "draining",
+        "floor_version",
+    )
 
     def __init__(
         self,
         *,
         slots: int,
+        queue_limit: int,
         running: int,
         queued: int,
         active: tuple[int, ...],
         draining: bool,
         floor_version: int,
     ) -> None:
+        self.queue_limit = queue_limit
         self.active = active
         self.slots = slots
         self.running = running
--- a/src/comfreysill/target/reports.py
+++ b/src/comfreysill/target/reports.py
@@ -21,6 +21,7 @@
     """Returns the load of the target."""
     return Load(
         slots=ledger.slots,
+        queue_limit=ledger.queue_limit,
         running=ledger.running,
         queued=ledger.queued,
         active=tuple(ledger.active),
--- a/src/comfreysill/target/view.py
+++ b/src/comfreysill/target/view.py
@@ -126,7 +126,15 @@
         self.validated_cycle = -1
         self.last_sent_at = 0.0
         self.last_sent_cycle = -1
-        self.load = Load(slots=0, running=0, queued=0, active=IDLE, draining=False, floor_version=0)
+        self.load = Load(
+            slots=0,
+            queue_limit=0,
+            running=0,
+            queued=0,
+            active=IDLE,
+            draining=False,
+            floor_version=0,
+        )
         self.unreported = [0] * len(IDLE)
         self.own = 0
         self.load_asked = False
@@ -192,7 +200,8 @@
     """Returns how many more tasks the target takes, its short queue included."""
     if not target.greeted or target.load.draining:
         return 0
-    limit = target.load.slots + int(target.load.slots * queue_share)
+    queue = min(int(target.load.slots * queue_share), target.load.queue_limit)
+    limit = target.load.slots + queue
     return limit - count_busy(target)
 
 
--- a/src/comfreysill/wire/agents.py
+++ b/src/comfreysill/wire/agents.py
@@ -66,6 +66,7 @@
         sequence=frame.sequence,
         acknowledged=frame.acknowledged,
         slots=frame.load.slots,
+        queue_limit=frame.load.queue_limit,
         running=frame.load.running,
         queued=frame.load.queued,
         active=frame.load.active,
@@ -79,6 +80,7 @@
     """Decodes a frame from an agent to an entry."""
     load = Load(
         slots=frame.slots,
+        queue_limit=frame.queue_limit,
         running=frame.running,
         queued=frame.queued,
         active=tuple(frame.active),
--- /dev/null
+++ b/tests/test_ledger.py
@@ -0,0 +1,145 @@
+import unittest
+
+from comfreysill.job.types import JobKey, TaskClass
+from comfreysill.partition.epoch import Epoch
+from comfreysill.target import ledger as ledgers
+from comfreysill.target import messages as m
+
+KEY = JobKey(team="t", job_id="j")
+NOW = 1000.0
+
+
+class LedgerTest(unittest.TestCase):
+    def setUp(self):
+        self.ledger = ledgers.Ledger(agent="a", incarnation="a@1")
+        self.ledger.slots = 2
+        self.ledger.queue_limit = 2
+        self.ledger.services = frozenset({"s"})
+        self.sequences = {}
+
+    def send(self, entry, *messages, session=1, sequence=None):
+        key = (entry, session)
+        if key not in self.sequences:
+            ledgers.open_session(self.ledger, entry, session)
+            self.sequences[key] = 0
+        if sequence is None:
+            self.sequences[key] += 1
+            sequence = self.sequences[key]
+        frame = m.EntryFrame(
+            entry=entry, session=session, sequence=sequence, floor_version=0, messages=messages
+        )
+        taken = ledgers.receive_frame(self.ledger, frame, NOW)
+        outbox, self.ledger.outbox = self.ledger.outbox, []
+        return taken, [message for _, message in outbox]
+
+    def claim(self, entry, number):
+        epoch = Epoch(number=number, owner=entry)
+        return m.Claim(claims=(m.PartitionClaim(partition=1, epoch=epoch),))
+
+    def batch(self, entry, number, indexes=(0,), **changes):
+        fields = {
+            "key": KEY,
+            "digest": b"d",
+            "partition": 1,
+            "epoch": Epoch(number=number, owner=entry),
+            "authority_until": NOW + 5,
+            "task_class": TaskClass.NORMAL,
+            "deadline": NOW + 10,
+            "expires_at": NOW + 40,
+            "service": "s",
+            "tasks": tuple(
+                m.TaskStart(index=i, attempt=1, payload=b"", run_time=1.0, idempotent=False)
+                for i in indexes
+            ),
+        }
+        return m.StartBatch(**(fields | changes))
+
+    def cause_of(self, messages):
+        return [message.cause.name for message in messages if isinstance(message, m.Refused)]
+
+    def test_lower_epoch_is_fenced(self):
+        self.send("b", self.claim("b", 2))
+        _, messages = self.send("a", self.claim("a", 1), self.batch("a", 1))
+        self.assertIsInstance(messages[0], m.Fenced)
+        self.assertEqual(self.cause_of(messages), ["FENCED"])
+        self.assertEqual(self.ledger.started, [])
+
+    def test_former_owner_hears_of_the_new_one(self):
+        self.send("a", self.claim("a", 1))
+        _, messages = self.send("b", self.claim("b", 2))
+        self.assertEqual([type(x) for x in messages], [m.Fenced, m.Claimed])
+
+    def test_same_start_again_starts_nothing(self):
+        self.send("a", self.claim("a", 1), self.batch("a", 1))
+        self.send("a", self.batch("a", 1))
+        self.assertEqual(len(self.ledger.started), 1)
+
+    def test_copy_and_gap_of_frames_are_dropped(self):
+        self.send("a", self.claim("a", 1))
+        taken, _ = self.send("a", self.batch("a", 1), sequence=1)
+        self.assertFalse(taken)
+        taken, _ = self.send("a", self.batch("a", 1), sequence=3)
+        self.assertFalse(taken)
+        self.assertEqual(self.ledger.started, [])
+
+    def test_frame_of_an_older_link_is_dropped(self):
+        self.send("a", self.claim("a", 1), session=1)
+        self.send("a", self.claim("a", 1), session=2)
+        taken, _ = self.send("a", self.batch("a", 1), session=1)
+        self.assertFalse(taken)
+
+    def test_claim_returns_the_records_of_a_former_owner(self):
+        self.send("a", self.claim("a", 1), self.batch("a", 1))
+        _, messages = self.send("b", self.claim("b", 2))
+        records = [record for x in messages if isinstance(x, m.Claimed) for record in x.records]
+        self.assertEqual([record.outcome for record in records], [m.Outcome.STARTED])
+
+    def test_start_past_its_authority_is_refused(self):
+        _, messages = self.send(
+            "a", self.claim("a", 1), self.batch("a", 1, authority_until=NOW - 1)
+        )
+        self.assertEqual(self.cause_of(messages), ["STALE_AUTHORITY"])
+
+    def test_start_past_its_deadline_is_refused(self):
+        _, messages = self.send("a", self.claim("a", 1), self.batch("a", 1, deadline=NOW))
+        self.assertEqual(self.cause_of(messages), ["EXPIRED"])
+
+    def test_full_queue_refuses_the_rest(self):
+        _, messages = self.send("a", self.claim("a", 1), self.batch("a", 1, range(6)))
+        self.assertEqual(len(self.ledger.started), 2)
+        self.assertEqual(self.cause_of(messages), ["FULL"] * 2)
+
+    def test_full_ledger_refuses(self):
+        self.ledger.record_count = ledgers.RECORD_LIMIT
+        _, messages = self.send("a", self.claim("a", 1), self.batch("a", 1))
+        self.assertEqual(self.cause_of(messages), ["FULL"])
+
+    def test_draining_gives_queued_tasks_back_and_takes_no_new_ones(self):
+        self.send("a", self.claim("a", 1), self.batch("a", 1, range(4)))
+        ledgers.drain(self.ledger)
+        causes = self.cause_of([message for _, message in self.ledger.outbox])
+        self.assertEqual(causes, ["DRAINING"] * 2)
+        self.ledger.outbox.clear()
+        other = JobKey(team="t", job_id="k")
+        _, messages = self.send("a", self.batch("a", 1, key=other))
+        self.assertEqual(self.cause_of(messages), ["DRAINING"])
+        self.assertEqual(len(self.ledger.started), 2)
+
+    def test_urgent_task_is_started_before_waiting_ones(self):
+        self.ledger.queue_limit = 3
+        self.send("a", self.claim("a", 1), self.batch("a", 1, range(4)))
+        urgent = JobKey(team="t", job_id="urgent")
+        self.send("a", self.batch("a", 1, key=urgent, task_class=TaskClass.URGENT))
+        first = self.ledger.started.pop(0)
+        ledgers.finish_record(self.ledger, first, m.Outcome.DONE, b"", 0.1, NOW)
+        self.assertEqual(self.ledger.started[-1].batch.key, urgent)
+
+    def test_expired_records_are_forgotten_but_not_running_ones(self):
+        self.send("a", self.claim("a", 1), self.batch("a", 1, range(2)))
+        done = self.ledger.started[0]
+        ledgers.finish_record(self.ledger, done, m.Outcome.DONE, b"x", 0.1, NOW)
+        ledgers.expire_records(self.ledger, NOW + 41)
+        self.assertEqual(self.ledger.record_count, 2)
+        ledgers.finish_record(self.ledger, self.ledger.started[1], m.Outcome.DONE, b"", 0.1, NOW)
+        ledgers.expire_records(self.ledger, NOW + 50)
+        self.assertEqual((self.ledger.record_count, self.ledger.result_bytes), (0, 0))
--- /dev/null
+++ b/tests/test_takeover.py
@@ -0,0 +1,214 @@
+import unittest
+
+from comfreysill.dispatch.ownership import find_owner
+from comfreysill.job.types import Verdict
+from comfreysill.partition.hashing import find_partition
+from comfreysill.target.messages import Outcome
+from tests.world import World, build_submission, make_key
+
+
+def warm_up(world, seconds=3.0):
+    for _ in range(int(seconds * 4)):
+        world.advance(0.25)
+        world.deliver_all()
+
+
+def find_key(world, owner, first=0):
+    """Returns a key whose partition the named entry owns."""
+    state = world.entries[owner].state
+    for number in range(first, first + 1000):
+        key = make_key(number)
+        if find_owner(state, find_partition(key), world.now) == owner:
+            return key
+    raise AssertionError("no such key")
+
+
+def make_job(world, key, size=1, within=20.0, idempotent=False, issued_at=None):
+    return build_submission(
+        key,
+        size=size,
+        task_class=0,
+        deadline=world.now + within,
+        idempotent=idempotent,
+        issued_at=world.now if issued_at is None else issued_at,
+    )
+
+
+def submit(world, entry, job):
+    world.submit(entry, job.key, job)
+    return world.next_caller
+
+
+def finish_all(world, outcome=Outcome.DONE):
+    for name, agent in world.agents.items():
+        while agent.running:
+            world.finish(name, 0, outcome)
+
+
+def count_starts(world, key):
+    return sum(n for (started, _), n in world.oracle.starts.items() if started == key)
+
+
+class TakeoverTest(unittest.TestCase):
+    def setUp(self):
+        self.world = World(entries=2, agents=3)
+        warm_up(self.world)
+
+    def fill(self, seconds=60.0):
+        """Occupies all slots, so that further jobs wait at their owner."""
+        for number in range(900, 906):
+            job = make_job(self.world, make_key(number), size=3, within=seconds, idempotent=True)
+            submit(self.world, "e1", job)
+        self.world.deliver_all()
+
+    def test_resubmission_after_the_owner_died_joins_the_running_task(self):
+        world = self.world
+        job = make_job(world, find_key(world, "e1"))
+        submit(world, "e2", job)
+        world.deliver_all()
+        self.assertEqual(count_starts(world, job.key), 1)
+        world.kill_entry("e1")
+        warm_up(world)
+        caller = submit(world, "e2", job)
+        finish_all(world)
+        warm_up(world, 1.0)
+        self.assertTrue(world.oracle.answers[caller].complete)
+        self.assertEqual(count_starts(world, job.key), 1)
+
+    def test_owner_and_agent_die_at_once_and_the_task_stays_unknown(self):
+        world = self.world
+        job = make_job(world, find_key(world, "e1"))
+        submit(world, "e2", job)
+        world.deliver_all()
+        busy = next(name for name, agent in world.agents.items() if agent.running)
+        world.kill_agent(busy)
+        world.kill_entry("e1")
+        world.start_agent(busy)
+        warm_up(world)
+        caller = submit(world, "e2", job)
+        warm_up(world, 25.0)
+        answer = world.oracle.answers[caller]
+        self.assertEqual(answer.verdict, Verdict.MAY_HAVE_RUN)
+        self.assertEqual(count_starts(world, job.key), 1)
+
+    def test_unreadable_agent_holds_back_what_it_may_know(self):
+        world = self.world
+        job = make_job(world, find_key(world, "e1"))
+        submit(world, "e2", job)
+        world.deliver_all()
+        busy = next(name for name, agent in world.agents.items() if agent.running)
+        world.block("e2", busy)
+        world.kill_entry("e1")
+        warm_up(world)
+        submit(world, "e2", job)
+        fresh = make_job(world, make_key(5000), issued_at=world.now + 9)
+        world.now += 10
+        caller = submit(world, "e2", fresh)
+        for _ in range(4):
+            warm_up(world, 0.5)
+            for name in set(world.agents) - {busy}:
+                while world.agents[name].running:
+                    world.finish(name, 0, Outcome.DONE)
+        self.assertEqual(count_starts(world, job.key), 1)
+        self.assertTrue(world.oracle.answers[caller].complete)
+
+    def test_paused_owner_does_not_claim_not_run_for_a_job_that_ran_elsewhere(self):
+        world = self.world
+        self.fill()
+        job = make_job(world, find_key(world, "e1", 100), within=6.0)
+        submit(world, "e1", job)
+        world.freeze("e1")
+        warm_up(world, 3.0)
+        submit(world, "e2", job)
+        finish_all(world)
+        world.deliver_all()
+        finish_all(world)
+        world.deliver_all()
+        self.assertEqual(count_starts(world, job.key), 1)
+        world.advance(4.0)
+        world.thaw("e1", tick_first=True)
+        warm_up(world, 3.0)
+
+    def test_fresh_agent_is_not_claimed_by_an_owner_that_was_replaced(self):
+        world = World(entries=2, agents=1)
+        warm_up(world)
+        for number in range(900, 904):
+            other = make_job(world, make_key(number), size=1, within=60, idempotent=True)
+            submit(world, "e2", other)
+        world.deliver_all()
+        job = make_job(world, find_key(world, "e1", 100), within=15.0)
+        submit(world, "e1", job)
+        world.deliver_all()
+        self.assertEqual(count_starts(world, job.key), 0)
+        world.freeze("e1")
+        warm_up(world, 2.25)
+        submit(world, "e2", job)
+        for _ in range(4):
+            finish_all(world)
+            world.deliver_all()
+        self.assertEqual(count_starts(world, job.key), 1)
+        world.kill_agent("a0")
+        world.start_agent("a0")
+        world.block("e2", "a0")
+        world.thaw("e1", tick_first=True)
+        warm_up(world, 8.0)
+        self.assertEqual(count_starts(world, job.key), 1)
+
+    def test_listeners_hear_at_once_that_an_owner_was_fenced(self):
+        world = self.world
+        self.fill()
+        job = make_job(world, find_key(world, "e1", 100), within=30.0)
+        caller = submit(world, "e2", job)
+        world.deliver_all()
+        world.start_entry(0.0)
+        for _ in range(24):
+            warm_up(world, 0.25)
+            finish_all(world)
+        self.assertTrue(world.oracle.answers[caller].complete)
+
+    def test_graceful_leave_hands_jobs_over_without_a_second_start(self):
+        world = self.world
+        self.fill()
+        job = make_job(world, find_key(world, "e1", 100), size=2)
+        caller = submit(world, "e2", job)
+        world.deliver_all()
+        world.leave_entry("e1")
+        for _ in range(12):
+            warm_up(world, 0.25)
+            finish_all(world)
+        self.assertTrue(world.oracle.answers[caller].complete)
+        self.assertEqual(count_starts(world, job.key), 2)
+
+    def test_same_id_with_other_content_is_refused_and_starts_nothing(self):
+        world = self.world
+        key = find_key(world, "e1")
+        submit(world, "e1", make_job(world, key))
+        world.deliver_all()
+        caller = submit(world, "e2", make_job(world, key, size=2, within=10.0))
+        warm_up(world, 1.0)
+        self.assertEqual(world.oracle.answers[caller].reason.name, "CONFLICT")
+        self.assertEqual(count_starts(world, key), 1)
+
+    def test_kept_answer_is_given_again_after_the_run(self):
+        world = self.world
+        job = make_job(world, find_key(world, "e1"))
+        submit(world, "e2", job)
+        warm_up(world, 0.5)
+        finish_all(world)
+        warm_up(world, 0.5)
+        caller = submit(world, "e1", job)
+        warm_up(world, 0.5)
+        self.assertTrue(world.oracle.answers[caller].complete)
+        self.assertEqual(count_starts(world, job.key), 1)
+
+    def test_full_queue_refuses_as_not_run_at_once(self):
+        world = self.world
+        self.fill()
+        callers = [
+            submit(world, "e1", make_job(world, make_key(2000 + n), size=5)) for n in range(8)
+        ]
+        world.deliver_all()
+        answers = [world.oracle.answers[c] for c in callers if c in world.oracle.answers]
+        self.assertTrue(answers)
+        self.assertEqual({answer.verdict for answer in answers}, {Verdict.NOT_RUN})
+        self.assertTrue(all(answer.retry_at > world.now for answer in answers))
