--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -3,6 +3,7 @@
 from comfreysill.dispatch.ownership import find_owner
 from comfreysill.job.types import Verdict
 from comfreysill.partition.hashing import find_partition
+from comfreysill.target import ledger as ledgers
 from comfreysill.target.messages import Outcome
 from tests.world import World, build_submission, make_key
 
@@ -212,3 +213,68 @@
         self.assertTrue(answers)
         self.assertEqual({answer.verdict for answer in answers}, {Verdict.NOT_RUN})
         self.assertTrue(all(answer.retry_at > world.now for answer in answers))
+
+
+class VerdictTest(unittest.TestCase):
+    def setUp(self):
+        self.world = World(entries=1, agents=2)
+        warm_up(self.world)
+
+    def run_one(self, outcome, idempotent):
+        job = make_job(self.world, make_key(1), idempotent=idempotent)
+        caller = submit(self.world, "e1", job)
+        self.world.deliver_all()
+        finish_all(self.world, outcome)
+        for _ in range(4):
+            warm_up(self.world, 0.25)
+            finish_all(self.world)
+        warm_up(self.world, 0.5)
+        return self.world.oracle.answers[caller], count_starts(self.world, job.key)
+
+    def test_task_without_an_answer_is_not_started_again(self):
+        answer, starts = self.run_one(Outcome.LOST, idempotent=False)
+        self.assertEqual((answer.verdict, starts), (Verdict.MAY_HAVE_RUN, 1))
+
+    def test_idempotent_task_without_an_answer_is_started_again(self):
+        answer, starts = self.run_one(Outcome.LOST, idempotent=True)
+        self.assertEqual((answer.complete, starts), (True, 2))
+
+    def test_failed_task_fails_the_job_as_ran(self):
+        answer, starts = self.run_one(Outcome.FAILED, idempotent=False)
+        self.assertEqual((answer.verdict, starts), (Verdict.RAN, 1))
+
+    def test_task_at_a_dead_agent_is_not_started_elsewhere(self):
+        job = make_job(self.world, make_key(1))
+        caller = submit(self.world, "e1", job)
+        self.world.deliver_all()
+        busy = next(name for name, agent in self.world.agents.items() if agent.running)
+        self.world.kill_agent(busy)
+        warm_up(self.world, 2.0)
+        self.assertEqual(self.world.oracle.answers[caller].verdict, Verdict.MAY_HAVE_RUN)
+        self.assertEqual(count_starts(self.world, job.key), 1)
+
+    def test_refused_task_is_started_elsewhere_at_once(self):
+        job = make_job(self.world, make_key(1))
+        caller = submit(self.world, "e1", job)
+        self.world.deliver_all()
+        busy = next(name for name, agent in self.world.agents.items() if agent.running)
+        agent = self.world.agents[busy]
+        self.world.oracle.starts.clear()
+        ledgers.reject_record(agent.ledger, agent.running.pop(), self.world.now)
+        self.world._collect(agent)
+        self.world.deliver_all()
+        finish_all(self.world)
+        warm_up(self.world, 1.0)
+        self.assertTrue(self.world.oracle.answers[caller].complete)
+
+    def test_cancelled_job_drops_its_queued_tasks(self):
+        job = make_job(self.world, make_key(1), size=10)
+        caller = submit(self.world, "e1", job)
+        self.world.deliver_all()
+        started = count_starts(self.world, job.key)
+        self.world.cancel("e1", job.key)
+        for _ in range(4):
+            warm_up(self.world, 0.25)
+            finish_all(self.world)
+        self.assertEqual(self.world.oracle.answers[caller].reason.name, "CANCELLED")
+        self.assertEqual(count_starts(self.world, job.key), started)
