--- a/src/comfreysill/agent/keeper.py
+++ b/src/comfreysill/agent/keeper.py
@@ -60,11 +60,22 @@
         links: Open links by entry.
         runner: The runner's last announcement, None before the first.
         start: Hands a record to a task that calls the runner.
+        registered: True once the platform's table has the agent.
         announce: True when each entry has to be told the load.
         idle: Set while draining once nothing runs and everything was sent.
     """
 
-    __slots__ = ("ledger", "inbox", "links", "runner", "start", "idle", "stopping", "announce")
+    __slots__ = (
+        "ledger",
+        "inbox",
+        "links",
+        "runner",
+        "start",
+        "idle",
+        "stopping",
+        "announce",
+        "registered",
+    )
 
     def __init__(self, *, ledger: Ledger, start: Start) -> None:
         self.ledger = ledger
@@ -75,6 +86,7 @@
         self.idle = asyncio.Event()
         self.stopping = False
         self.announce = False
+        self.registered = False
 
 
 async def keep_ledger(keeper: Keeper) -> None:
--- a/src/comfreysill/agent/program.py
+++ b/src/comfreysill/agent/program.py
@@ -12,8 +12,9 @@
 from comfreysill.agent.links import AgentService
 from comfreysill.agent.messages import Drain, LedgerLost, Tick
 from comfreysill.agent.runner import RunnerCalls, close_calls, start_call
+from comfreysill.exceptions import RegistrationLostError
 from comfreysill.metrics import Metrics
-from comfreysill.platform.registry import mark_left, register_agent
+from comfreysill.platform.registry import is_registered, mark_lost, register_agent
 from comfreysill.platform.table import Table, open_table
 from comfreysill.servers import build_http, start_grpc, stop_http
 from comfreysill.settings import Settings
@@ -26,6 +27,7 @@
 TICK_SECONDS = 0.25
 RETRY_SECONDS = 1.0
 FAREWELL_SECONDS = 0.5
+WATCH_SECONDS = 10.0
 
 
 async def run_agent(settings: Settings, stop: asyncio.Event) -> None:
@@ -44,6 +46,7 @@
         asyncio.create_task(keep_ledger(keeper)),
         asyncio.create_task(_tick(keeper)),
         asyncio.create_task(_register(keeper, settings, table)),
+        asyncio.create_task(_watch_registration(keeper, settings, table)),
     ]
     logger.info("agent %s runs as %s", settings.name, incarnation)
     await await_stop(stop, [http_task, *tasks])
@@ -64,8 +67,8 @@
         logger.warning("shutdown deadline reached with %d tasks running", keeper.ledger.running)
     await asyncio.sleep(FAREWELL_SECONDS)
     if keeper.runner is not None:
-        registration = _build_registration(keeper, settings)
-        left = await mark_left(table, registration, time.time())
+        incarnation = keeper.ledger.incarnation
+        left = await mark_lost(table, settings.name, incarnation, time.time())
         if not isinstance(left, Ok):
             logger.warning("could not mark the agent as gone: %s", left.err_value.detail)
 
@@ -85,12 +88,24 @@
         answer = await register_agent(table, _build_registration(keeper, settings), time.time())
         if isinstance(answer, Ok):
             registered = keeper.runner.services
+            keeper.registered = True
             keeper.inbox.post(LedgerLost(lost_at=answer.ok_value))
             logger.info("registered with services %s", sorted(registered))
         else:
             logger.warning("registration failed: %s", answer.err_value.detail)
 
 
+async def _watch_registration(keeper: Keeper, settings: Settings, table: Table) -> None:
+    """Ends the process once its registration is gone: entries count its ledger as lost."""
+    while True:
+        await asyncio.sleep(WATCH_SECONDS)
+        if not keeper.registered:
+            continue
+        answer = await is_registered(table, settings.name, keeper.ledger.incarnation)
+        if isinstance(answer, Ok) and not answer.ok_value:
+            raise RegistrationLostError(message="another process has marked this agent as gone")
+
+
 def _build_registration(keeper: Keeper, settings: Settings) -> Registration:
     return Registration(
         agent=settings.name,
--- a/src/comfreysill/dispatch/core.py
+++ b/src/comfreysill/dispatch/core.py
@@ -7,6 +7,7 @@
 from comfreysill.dispatch.handovers import apply_kept_handovers, receive_handover
 from comfreysill.dispatch.jobs import cancel_job, drop_task, fail_and_answer, find_job
 from comfreysill.dispatch.links import release_holding, settle_holdings
+from comfreysill.dispatch.membership import report_lost
 from comfreysill.dispatch.messages import (
     Answered,
     CancelJob,
@@ -144,6 +145,7 @@
     _run_timers(dispatcher, now)
     _suspect_targets(dispatcher, now)
     reroute_receipts(dispatcher, now)
+    report_lost(dispatcher, now)
 
 
 def flush(dispatcher: Dispatcher, now: float) -> list[Effect]:
--- /dev/null
+++ b/src/comfreysill/dispatch/membership.py
@@ -0,0 +1,48 @@
+"""Processes that are gone for long: one entry at a time removes their registrations."""
+
+import xxhash
+
+from comfreysill.dispatch.messages import MarkLost, RemoveEntry
+from comfreysill.dispatch.ownership import is_alive, list_live_entries
+from comfreysill.dispatch.state import (
+    AUTHORITY_SECONDS,
+    CLOCK_SKEW_SECONDS,
+    Dispatcher,
+    count,
+)
+from comfreysill.partition.hashing import PARTITION_COUNT, choose_owner
+
+LOST_AFTER_SECONDS = 30.0
+REPEAT_SECONDS = 5.0
+
+
+def report_lost(dispatcher: Dispatcher, now: float) -> None:
+    """Asks for the removal of processes that this entry has not reached for long.
+
+    Each process has one live entry that looks after its registration, so that a lost zone
+    doesn't become a storm of writes. An agent that is removed although it runs finds its
+    registration gone and ends; until then a former owner may start tasks there, so its ledger
+    counts as lost only after the longest authority has ended.
+    """
+    if now < dispatcher.next_report_at or dispatcher.leaving:
+        return
+    dispatcher.next_report_at = now + REPEAT_SECONDS
+    for target in dispatcher.targets.values():
+        silent = not target.connected and now - target.disconnected_at >= LOST_AFTER_SECONDS
+        if silent and _looks_after(dispatcher, target.name, now):
+            count(dispatcher, "agents_reported_lost")
+            lost_at = now + AUTHORITY_SECONDS + 2 * CLOCK_SKEW_SECONDS
+            incarnation = target.registration.incarnation
+            dispatcher.effects.append(
+                MarkLost(agent=target.name, incarnation=incarnation, lost_at=lost_at)
+            )
+    for peer in dispatcher.peers.values():
+        silent = not is_alive(peer, now) and now - peer.heard_at >= LOST_AFTER_SECONDS
+        if silent and _looks_after(dispatcher, peer.name, now):
+            count(dispatcher, "entries_reported_lost")
+            dispatcher.effects.append(RemoveEntry(name=peer.name))
+
+
+def _looks_after(dispatcher: Dispatcher, name: str, now: float) -> bool:
+    place = xxhash.xxh3_64_intdigest(name.encode()) % PARTITION_COUNT
+    return choose_owner(place, list_live_entries(dispatcher, now)) == dispatcher.name
--- a/src/comfreysill/dispatch/messages.py
+++ b/src/comfreysill/dispatch/messages.py
@@ -198,10 +198,31 @@
         self.update = update
 
 
+class MarkLost:
+    """Effect: mark an agent's incarnation as gone; `lost_at` in Unix seconds ends its ledger."""
+
+    __slots__ = ("agent", "incarnation", "lost_at")
+
+    def __init__(self, *, agent: str, incarnation: str, lost_at: float) -> None:
+        self.agent = agent
+        self.incarnation = incarnation
+        self.lost_at = lost_at
+
+
+class RemoveEntry:
+    """Effect: remove the registration of an entry that is gone."""
+
+    __slots__ = ("name",)
+
+    def __init__(self, *, name: str) -> None:
+        self.name = name
+
+
 class ReadRoster:
     """Effect: read the list of registrations from the platform at once."""
 
     __slots__ = ()
 
 
-Effect = SendFrame | SendPeer | AnswerCaller | ReadRoster | CheckFloor
+Removal = MarkLost | RemoveEntry
+Effect = SendFrame | SendPeer | AnswerCaller | ReadRoster | CheckFloor | Removal
--- a/src/comfreysill/dispatch/state.py
+++ b/src/comfreysill/dispatch/state.py
@@ -168,6 +168,7 @@
         "timer_order",
         "next_roster_at",
         "retry_tokens",
+        "next_report_at",
     )
 
     def __init__(
@@ -208,6 +209,7 @@
         self.timer_order = 0
         self.next_roster_at = 0.0
         self.retry_tokens = 100.0
+        self.next_report_at = 0.0
 
 
 Observe = Callable[[str, float, str, str], None]
--- a/src/comfreysill/entry/keeper.py
+++ b/src/comfreysill/entry/keeper.py
@@ -29,7 +29,10 @@
     AnswerCaller,
     CheckFloor,
     Effect,
+    MarkLost,
     ReadRoster,
+    Removal,
+    RemoveEntry,
     SendFrame,
     SendPeer,
 )
@@ -73,6 +76,7 @@
         agent_links: Links to agents by name.
         peer_links: Links to other entries by name.
         callers: Callers that wait, by number.
+        removals: Registrations to remove, for the task that writes them.
         read_roster: Has the list of registrations read at once.
     """
 
@@ -85,6 +89,7 @@
         "callers",
         "next_caller",
         "read_roster",
+        "removals",
     )
 
     def __init__(self, *, dispatcher: Dispatcher, read_roster: Callable[[], None]) -> None:
@@ -96,6 +101,7 @@
         self.callers: dict[int, asyncio.Future[Answer]] = {}
         self.next_caller = 0
         self.read_roster = read_roster
+        self.removals: Mailbox[Removal] = Mailbox()
 
 
 async def keep_dispatcher(keeper: Keeper) -> None:
@@ -182,6 +188,8 @@
             reply.set_result(effect.answer)
     elif isinstance(effect, CheckFloor):
         _check_floor(keeper, effect.update)
+    elif isinstance(effect, MarkLost | RemoveEntry):
+        keeper.removals.post(effect)
     elif isinstance(effect, ReadRoster):
         keeper.read_roster()
 
--- a/src/comfreysill/entry/program.py
+++ b/src/comfreysill/entry/program.py
@@ -10,6 +10,7 @@
 from result import Err, Ok
 
 from comfreysill.dispatch.baselines import choose_placement
+from comfreysill.dispatch.messages import MarkLost
 from comfreysill.dispatch.state import ROSTER_INTERVAL_SECONDS, Dispatcher
 from comfreysill.entry.administration import add_routes
 from comfreysill.entry.http import build_app
@@ -21,6 +22,7 @@
 from comfreysill.platform.floors import read_current
 from comfreysill.platform.registry import (
     EntryRegistration,
+    mark_lost,
     read_members,
     register_entry,
     remove_entry,
@@ -63,6 +65,7 @@
         asyncio.create_task(_tick(keeper)),
         asyncio.create_task(_follow_members(keeper, table, registration, wanted)),
         asyncio.create_task(_follow_floor(keeper, table, changed)),
+        asyncio.create_task(_remove_lost(keeper, table)),
     ]
     logger.info("entry %s runs as %s", settings.name, name)
     await await_stop(stop, [http_task, *tasks])
@@ -97,10 +100,28 @@
             keeper.inbox.post(MembersRead(members=None, started_at=started_at))
         else:
             keeper.inbox.post(MembersRead(members=members.ok_value, started_at=started_at))
+            names = {entry.name for entry in members.ok_value.entries}
+            registered = registration.name in names or keeper.dispatcher.leaving
         await _wait(wanted, ROSTER_INTERVAL_SECONDS)
         wanted.clear()
 
 
+async def _remove_lost(keeper: Keeper, table: Table) -> None:
+    """Removes registrations of processes that are gone for long."""
+    while True:
+        for removal in await keeper.removals.take():
+            if isinstance(removal, MarkLost):
+                removed = await mark_lost(
+                    table, removal.agent, removal.incarnation, removal.lost_at
+                )
+                name = removal.agent
+            else:
+                removed = await remove_entry(table, removal.name)
+                name = removal.name
+            if isinstance(removed, Ok):
+                logger.warning("%s is gone; its registration was removed", name)
+
+
 async def _follow_floor(keeper: Keeper, table: Table, changed: asyncio.Event) -> None:
     """Reads the floor document again and again, and at once after a change made here."""
     while True:
--- a/src/comfreysill/exceptions.py
+++ b/src/comfreysill/exceptions.py
@@ -50,6 +50,12 @@
     exit_code = 5
 
 
+class RegistrationLostError(ComfreysillError):
+    """A process was marked as gone and has to end; its successor registers anew."""
+
+    exit_code = 6
+
+
 class Problem:
     """One error of a document.
 
--- a/src/comfreysill/platform/registry.py
+++ b/src/comfreysill/platform/registry.py
@@ -121,22 +121,34 @@
     return written.map(lambda _: lost_at)
 
 
-async def mark_left(
-    table: Table, registration: Registration, now: float
+async def mark_lost(
+    table: Table, agent: str, incarnation: str, lost_at: float
 ) -> Result[int, StoreError]:
-    """Marks an agent as gone; the row stays, so that the loss of its ledger is known."""
-    key = AGENT_PREFIX + registration.agent
+    """Marks an agent's incarnation as gone, unless another one has registered since."""
+    key = AGENT_PREFIX + agent
     row = await read_row(table, key)
     if isinstance(row, Err):
         return row
     known = row.ok_value
-    if known is None or known.value["incarnation"] != registration.incarnation:
-        detail = "the registration is another incarnation's"
+    if known is None or known.value["incarnation"] != incarnation or known.value["left"]:
+        detail = "the registration is another incarnation's, or marked already"
         return Err(StoreError(fault=StoreFault.MISSING, verdict=Verdict.NOT_RUN, detail=detail))
-    value = {**known.value, "left": True, "lost_at": now}
+    value = {**known.value, "left": True, "lost_at": lost_at}
     return await commit(table, (Write(key=key, value=value, expected=known.revision),))
 
 
+async def is_registered(table: Table, agent: str, incarnation: str) -> Result[bool, StoreError]:
+    """Tells whether an agent's incarnation still counts as running."""
+    row = await read_row(table, AGENT_PREFIX + agent)
+    return row.map(
+        lambda known: (
+            known is not None
+            and known.value["incarnation"] == incarnation
+            and not known.value["left"]
+        )
+    )
+
+
 def _format_agent(registration: Registration, lost_at: float) -> dict[str, Any]:
     return {
         "agent": registration.agent,
--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -5,6 +5,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
+from comfreysill.dispatch.messages import MarkLost
 from comfreysill.target.messages import Outcome
 from tests.world import World, build_submission, make_key
 
@@ -158,6 +159,22 @@
             for entry in self.world.entries:
                 self.world.block(entry, name)
 
+    @rule(agent=picks)
+    def mark_lost(self, agent):
+        """An entry that can't reach an agent has it removed, whether it runs or not."""
+        name = self.pick(self.world.lost_at, agent)
+        row = self.world.rows.get(f"agent/{name}")
+        if row is not None:
+            lost_at = self.world.now + 6.0
+            self.world._mark_lost(
+                MarkLost(agent=name, incarnation=row.incarnation, lost_at=lost_at)
+            )
+
+    @rule()
+    def end_unregistered(self):
+        if self.world.store_up:
+            self.world.end_unregistered()
+
     @rule(entry=picks)
     def kill_entry(self, entry):
         name = self.pick(self.world.entries, entry)
--- a/tests/world.py
+++ b/tests/world.py
@@ -10,7 +10,9 @@
 from comfreysill.dispatch.messages import (
     AnswerCaller,
     CheckFloor,
+    MarkLost,
     ReadRoster,
+    RemoveEntry,
     SendFrame,
     SendPeer,
 )
@@ -134,7 +136,8 @@
         ledger.queue_limit = SLOTS
         ledger.services = frozenset({SERVICE})
         known = f"agent/{name}" in self.rows
-        ledger.lost_at = self.now if known else 0.0
+        known = known or name in self.lost_at
+        ledger.lost_at = max(self.now, self.lost_at.get(name, 0.0)) if known else 0.0
         self.lost_at[name] = ledger.lost_at
         self.agents[name] = Agent(name, ledger, 0.0)
         if self.store_up:
@@ -251,6 +254,7 @@
         """Heals everything and lets time pass, every task running to its end."""
         self.store_up = True
         self.blocked.clear()
+        self.end_unregistered()
         for name in list(self.entries):
             if self.entries[name].frozen:
                 self.thaw(name)
@@ -306,6 +310,11 @@
                 elif isinstance(effect, SendPeer):
                     if effect.entry in entry.peer_links:
                         self._post((entry.name, effect.entry), effect.frame)
+                elif isinstance(effect, MarkLost):
+                    self._mark_lost(effect)
+                elif isinstance(effect, RemoveEntry):
+                    if self.store_up:
+                        self.rows.pop(f"entry/{effect.name}", None)
                 elif isinstance(effect, CheckFloor):
                     floor = build_test_floor(effect.update.version)
                     floors.adopt_floor(entry.state, floor, effect.update.document)
@@ -331,6 +340,21 @@
         links.update_roster(entry.state, agents, self.revision, lost_at, now, now)
         core.update_peers(entry.state, names, now)
 
+    def _mark_lost(self, effect):
+        row = self.rows.get(f"agent/{effect.agent}")
+        if self.store_up and row is not None and row.incarnation == effect.incarnation:
+            del self.rows[f"agent/{effect.agent}"]
+            self.revision += 1
+            self.lost_at[effect.agent] = max(self.lost_at[effect.agent], effect.lost_at)
+
+    def end_unregistered(self):
+        """Agents whose registration is gone end, and start again as new incarnations."""
+        for name, agent in list(self.agents.items()):
+            row = self.rows.get(f"agent/{name}")
+            if row is None or row.incarnation != agent.ledger.incarnation:
+                self.kill_agent(name)
+                self.start_agent(name)
+
     def _read_floor(self, entry):
         floors.adopt_floor(entry.state, build_test_floor(self.floor_version), b"{}")
 
