Proofs hold for one epoch only; a fenced entry waits before it takes a partition again

Cause, found by the fuzzer with lost machines and removed registrations: (1): an answer 'not run' that waited for its proof was proven by a later epoch of the same entry, after another owner had run the job; (2): entries that don't hear each other, but reach the same agents, took partitions from each other 158 times in 100 s, and a fresh job was not answered. Ruled out for the rest of (2): in the fake network a link outlived the removal of its peer, which the entry's own tasks end; the fake does now too. Change: a proof names the epoch under which it was asked; 1 s passes before a partition is taken back from a live entry.

--- a/src/comfreysill/dispatch/links.py
+++ b/src/comfreysill/dispatch/links.py
@@ -20,7 +20,7 @@
     open_holdings,
 )
 from comfreysill.dispatch.routing import release_partition
-from comfreysill.dispatch.state import Dispatcher, count
+from comfreysill.dispatch.state import Dispatcher, Fencing, count
 from comfreysill.job.job import TaskState
 from comfreysill.job.types import JobKey
 from comfreysill.partition.holding import Holding
@@ -173,6 +173,7 @@
     holding = dispatcher.holdings.get(claim.partition)
     if holding is not None and holding.epoch < claim.epoch:
         count(dispatcher, "fenced")
+        dispatcher.fenced[claim.partition] = Fencing(owner=claim.epoch.owner, fenced_at=now)
         release_holding(dispatcher, claim.partition, claim.epoch.owner, now)
 
 
--- a/src/comfreysill/dispatch/ownership.py
+++ b/src/comfreysill/dispatch/ownership.py
@@ -6,6 +6,7 @@
     AUTHORITY_SECONDS,
     CLAIM_WAIT_SECONDS,
     CLOCK_SKEW_SECONDS,
+    FENCED_WAIT_SECONDS,
     HORIZON_SECONDS,
     PEER_TIMEOUT_SECONDS,
     RETENTION_SECONDS,
@@ -48,7 +49,9 @@
     claimed = [
         partition
         for partition in range(PARTITION_COUNT)
-        if partition not in dispatcher.holdings and choose_owner(partition, live) == dispatcher.name
+        if partition not in dispatcher.holdings
+        and choose_owner(partition, live) == dispatcher.name
+        and not _waits_after_fencing(dispatcher, partition, now)
     ]
     for partition in claimed:
         holding = Holding(partition=partition, claimed_at=now)
@@ -58,6 +61,15 @@
         claim_everywhere(dispatcher, now)
 
 
+def _waits_after_fencing(dispatcher: Dispatcher, partition: int, now: float) -> bool:
+    """Keeps two entries that can't hear each other from taking a partition in quick turns."""
+    fencing = dispatcher.fenced.get(partition)
+    if fencing is None or now - fencing.fenced_at >= FENCED_WAIT_SECONDS:
+        return False
+    owner = dispatcher.peers.get(fencing.owner)
+    return owner is not None and not owner.dead and not owner.leaving
+
+
 def begin_takeover(dispatcher: Dispatcher, holding: Holding, now: float) -> None:
     """Raises the epoch of a partition.
 
--- a/src/comfreysill/dispatch/proofs.py
+++ b/src/comfreysill/dispatch/proofs.py
@@ -7,6 +7,7 @@
 from comfreysill.dispatch.receipts import settle_receipt
 from comfreysill.dispatch.state import PROOF_WAIT_SECONDS, Dispatcher, Proof, count
 from comfreysill.job.types import Answer, Verdict
+from comfreysill.partition.epoch import NO_EPOCH
 from comfreysill.partition.hashing import find_partition
 from comfreysill.partition.holding import Holding
 
@@ -22,10 +23,16 @@
     if answer.verdict != Verdict.NOT_RUN:
         _send_answer(dispatcher, answer, listeners)
         return
-    proof = Proof(
-        answer=answer, listeners=frozenset(listeners), asked_at=now, cycle=dispatcher.cycle
+    holding = dispatcher.holdings.get(find_partition(answer.key))
+    dispatcher.proofs.append(
+        Proof(
+            answer=answer,
+            listeners=frozenset(listeners),
+            epoch=holding.epoch if holding is not None else NO_EPOCH,
+            asked_at=now,
+            cycle=dispatcher.cycle,
+        )
     )
-    dispatcher.proofs.append(proof)
     dispatcher.ping_cycle = dispatcher.cycle
 
 
@@ -50,6 +57,8 @@
 
 
 def _is_proven(dispatcher: Dispatcher, holding: Holding, proof: Proof) -> bool:
+    if holding.epoch != proof.epoch:
+        return False
     if not dispatcher.targets and not holding.granted:
         return holding.open and not holding.unknown
     return find_validated_cycle(dispatcher, holding) >= proof.cycle
--- a/src/comfreysill/dispatch/state.py
+++ b/src/comfreysill/dispatch/state.py
@@ -11,6 +11,7 @@
 from comfreysill.floor.document import NO_FLOOR
 from comfreysill.job.job import Job
 from comfreysill.job.types import Answer, JobKey, Submission
+from comfreysill.partition.epoch import Epoch
 from comfreysill.partition.holding import Holding
 from comfreysill.target.view import Target
 
@@ -24,6 +25,7 @@
 RETENTION_SECONDS = 30.0
 PROOF_WAIT_SECONDS = 1.0
 SUSPECT_SECONDS = 1.0
+FENCED_WAIT_SECONDS = 1.0
 ROSTER_INTERVAL_SECONDS = 1.0
 REROUTE_SECONDS = 0.2
 
@@ -99,17 +101,34 @@
 class Proof:
     """An answer with the verdict "not run" that waits until ownership is validated."""
 
-    __slots__ = ("answer", "listeners", "asked_at", "cycle")
+    __slots__ = ("answer", "listeners", "epoch", "asked_at", "cycle")
 
     def __init__(
-        self, *, answer: Answer, listeners: frozenset[str], asked_at: float, cycle: int
+        self,
+        *,
+        answer: Answer,
+        listeners: frozenset[str],
+        epoch: Epoch,
+        asked_at: float,
+        cycle: int,
     ) -> None:
+        self.epoch = epoch
         self.answer = answer
         self.listeners = listeners
         self.asked_at = asked_at
         self.cycle = cycle
 
 
+class Fencing:
+    """How a partition was lost: to which owner, and when in Unix seconds."""
+
+    __slots__ = ("owner", "fenced_at")
+
+    def __init__(self, *, owner: str, fenced_at: float) -> None:
+        self.owner = owner
+        self.fenced_at = fenced_at
+
+
 class Dispatcher:
     """State of one entry; the functions of this package change it.
 
@@ -119,6 +138,7 @@
         peers: Other entries by name.
         holdings: Partitions that this entry claims or owns.
         numbers: Highest epoch number seen for each partition.
+        fenced: How each partition was lost last.
         receipts: Submissions taken from callers.
         queues: Waiting jobs by service.
         proofs: Refusals that wait for a validation of ownership.
@@ -143,6 +163,7 @@
         "peers",
         "holdings",
         "numbers",
+        "fenced",
         "receipts",
         "queues",
         "queued_tasks",
@@ -184,6 +205,7 @@
         self.peers: dict[str, Peer] = {}
         self.holdings: dict[int, Holding] = {}
         self.numbers: dict[int, int] = {}
+        self.fenced: dict[int, Fencing] = {}
         self.receipts: dict[JobKey, Receipt] = {}
         self.queues: dict[str, ServiceQueue] = {}
         self.queued_tasks = 0
--- a/tests/world.py
+++ b/tests/world.py
@@ -339,6 +339,7 @@
         lost_at = max(self.lost_at.values(), default=0.0)
         links.update_roster(entry.state, agents, self.revision, lost_at, now, now)
         core.update_peers(entry.state, names, now)
+        entry.peer_links &= set(names)
 
     def _mark_lost(self, effect):
         row = self.rows.get(f"agent/{effect.agent}")
