Retry budget; failed idempotent tasks are tried elsewhere; kept answers drop payloads

Cause: a failing floor could be loaded with retries without bound; an idempotent task that failed on a bad target failed its job; docs/CAPACITY.md found kept answers too large. Change: a budget of 100 retries, earned back by successes and time, delays retries only; up to 3 attempts of idempotent tasks that fail, away from targets that failed lately; an answered job keeps digest and answer.

--- a/src/comfreysill/dispatch/jobs.py
+++ b/src/comfreysill/dispatch/jobs.py
@@ -3,6 +3,7 @@
 from comfreysill.dispatch.estimate import find_mean, learn_run_time
 from comfreysill.dispatch.proofs import deliver_answer
 from comfreysill.dispatch.queue import ServiceQueue, push_job
+from comfreysill.dispatch.retries import earn_retry, spend_retry
 from comfreysill.dispatch.state import Dispatcher, count
 from comfreysill.job.job import (
     Job,
@@ -30,6 +31,7 @@
 from comfreysill.target.view import Target, learn_slowness, record_failure, record_success
 
 RETRIES_PER_TASK = 20
+FAILED_ATTEMPTS = 3
 UNCOUNTED = (RefusalCause.FULL, RefusalCause.DRAINING)
 
 
@@ -86,7 +88,7 @@
     if done.outcome == Outcome.DONE:
         _learn(dispatcher, target, job, done)
         record_success(target)
-        dispatcher.retry_tokens = min(dispatcher.retry_tokens + 0.1, 100.0)
+        earn_retry(dispatcher)
         finish_task(job, done.index, done.payload)
         count(dispatcher, "tasks_done")
         settle_job(dispatcher, job, now)
@@ -110,7 +112,10 @@
         return
     for index, attempt in refused.attempts:
         if _is_placed_at(job, target, index, attempt):
-            return_task(job, index, attempt, counted=refused.cause not in UNCOUNTED)
+            counted = refused.cause not in UNCOUNTED
+            return_task(job, index, attempt, counted=counted)
+            if counted:
+                spend_retry(dispatcher)
     track_pending(dispatcher, job)
     if job.retries > RETRIES_PER_TASK * len(job.submission.tasks):
         fail_and_answer(dispatcher, job, Reason.NO_TARGET, "targets refuse the tasks", now)
@@ -126,6 +131,7 @@
         detail = f"task {index} may have run; its target gave no answer"
         fail_and_answer(dispatcher, job, Reason.LOST, detail, now)
         return
+    spend_retry(dispatcher)
     track_pending(dispatcher, job)
     enqueue_job(dispatcher, job)
 
@@ -263,7 +269,10 @@
 def _end_failed(
     dispatcher: Dispatcher, job: Job, index: int, attempt: int, payload: bytes, now: float
 ) -> None:
-    if fail_task(job, index, attempt):
+    if job.submission.tasks[index].idempotent and attempt < FAILED_ATTEMPTS:
+        count(dispatcher, "tasks_failed_retried")
+        drop_task(dispatcher, job, index, attempt, now)
+    elif fail_task(job, index, attempt):
         detail = f"task {index} failed: {payload[:200].decode(errors='replace')}"
         fail_and_answer(dispatcher, job, Reason.TASK_FAILED, detail, now)
 
--- a/src/comfreysill/dispatch/placement.py
+++ b/src/comfreysill/dispatch/placement.py
@@ -47,7 +47,7 @@
 
 def _expect_finish(target: Target, busy: int, estimate: float) -> float:
     slots = max(1, target.load.slots)
-    run_time = estimate * target.slowness
+    run_time = estimate * target.slowness * (1 + target.failures)
     if busy < slots:
         return run_time
     return run_time * (1 + (busy - slots + 1) / slots)
--- a/src/comfreysill/dispatch/starting.py
+++ b/src/comfreysill/dispatch/starting.py
@@ -7,6 +7,7 @@
 from comfreysill.dispatch.placement import Room
 from comfreysill.dispatch.queue import ServiceQueue, charge_job, choose_job, has_jobs, push_job
 from comfreysill.dispatch.reserve import add_work, reserve_slots
+from comfreysill.dispatch.retries import allows_retry
 from comfreysill.dispatch.state import Dispatcher, count
 from comfreysill.floor.document import DEFAULT_WEIGHT
 from comfreysill.job.job import Job, place_task
@@ -77,7 +78,9 @@
             break
         holding = dispatcher.holdings.get(job.partition)
         if not _start_job(dispatcher, queue, job, holding, targets, now):
-            if holding is not None and _is_served(holding, targets):
+            if job.retries and dispatcher.retries.tokens < 0:
+                skipped.append(_take_out(queue, job))
+            elif holding is not None and _is_served(holding, targets):
                 closed.add(job.submission.task_class)
             else:
                 skipped.append(_take_out(queue, job))
@@ -111,6 +114,9 @@
 ) -> bool:
     if holding is None or not holding.open:
         return False
+    if job.retries and not allows_retry(dispatcher, now):
+        count(dispatcher, "retries_delayed")
+        return False
     authority_end = find_authority_end(dispatcher, holding)
     if authority_end <= now:
         request_validation(dispatcher, now)
--- a/src/comfreysill/dispatch/state.py
+++ b/src/comfreysill/dispatch/state.py
@@ -8,6 +8,7 @@
 from comfreysill.dispatch.placement import Place, place_by_finish
 from comfreysill.dispatch.queue import ServiceQueue
 from comfreysill.dispatch.reserve import Demand
+from comfreysill.dispatch.retries import RetryBudget
 from comfreysill.floor.document import NO_FLOOR
 from comfreysill.job.job import Job
 from comfreysill.job.types import Answer, JobKey, Submission
@@ -143,6 +144,7 @@
         queues: Waiting jobs by service.
         proofs: Refusals that wait for a validation of ownership.
         handovers: Handovers of partitions that this entry hasn't claimed yet.
+        retries: Budget of the tasks that are sent out again.
         roster_read_at: Start time of the newest successful read of the list of targets.
         roster_failed_at: Start time of the newest read of that list that failed.
         roster_revision: Revision of the table up to which the targets are known.
@@ -188,7 +190,7 @@
         "timers",
         "timer_order",
         "next_roster_at",
-        "retry_tokens",
+        "retries",
         "next_report_at",
     )
 
@@ -230,7 +232,7 @@
         self.timers: list[tuple[float, int, Job]] = []
         self.timer_order = 0
         self.next_roster_at = 0.0
-        self.retry_tokens = 100.0
+        self.retries = RetryBudget()
         self.next_report_at = 0.0
 
 
--- a/src/comfreysill/job/job.py
+++ b/src/comfreysill/job/job.py
@@ -3,7 +3,14 @@
 import enum
 from collections import deque
 
-from comfreysill.job.types import Answer, JobKey, Reason, Submission, Verdict
+from comfreysill.job.types import (
+    Answer,
+    JobKey,
+    Reason,
+    Submission,
+    Verdict,
+    strip_tasks,
+)
 
 
 class TaskState(enum.IntEnum):
@@ -35,7 +42,7 @@
     attempt certainly did not run.
 
     Attributes:
-        submission: The job as submitted.
+        submission: The job as submitted; without its tasks once the answer stands.
         partition: Partition of its key.
         states: State of each task.
         attempts: Number of the current attempt of each task, 0 before the first.
@@ -264,6 +271,7 @@
 
 
 def _release(job: Job) -> None:
+    job.submission = strip_tasks(job.submission)
     job.pending.clear()
     job.results = []
     job.placements = []
--- a/src/comfreysill/job/types.py
+++ b/src/comfreysill/job/types.py
@@ -165,3 +165,16 @@
         detail=detail,
         retry_at=retry_at,
     )
+
+
+def strip_tasks(submission: Submission) -> Submission:
+    """Returns a copy without tasks, which is all that a kept answer needs."""
+    return Submission(
+        key=submission.key,
+        digest=submission.digest,
+        task_class=submission.task_class,
+        deadline=submission.deadline,
+        service=submission.service,
+        tasks=(),
+        issued_at=submission.issued_at,
+    )
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -278,3 +278,31 @@
             finish_all(self.world)
         self.assertEqual(self.world.oracle.answers[caller].reason.name, "CANCELLED")
         self.assertEqual(count_starts(self.world, job.key), started)
+
+    def test_failed_idempotent_task_is_tried_elsewhere_twice(self):
+        answer, starts = self.run_one(Outcome.FAILED, idempotent=True)
+        self.assertEqual((answer.complete, starts), (True, 2))
+
+    def test_empty_retry_budget_delays_retries_but_not_first_starts(self):
+        state = self.world.entries["e1"].state
+        job = make_job(self.world, make_key(1), idempotent=True)
+        caller = submit(self.world, "e1", job)
+        self.world.deliver_all()
+        state.retries.tokens = -20.0
+        state.retries.updated_at = self.world.now
+        finish_all(self.world, Outcome.LOST)
+        fresh = make_job(self.world, make_key(2))
+        submit(self.world, "e1", fresh)
+        warm_up(self.world, 1.0)
+        self.assertEqual(count_starts(self.world, job.key), 1)
+        self.assertEqual(count_starts(self.world, fresh.key), 1)
+        warm_up(self.world, 4.0)
+        finish_all(self.world)
+        warm_up(self.world, 1.0)
+        self.assertTrue(self.world.oracle.answers[caller].complete)
+
+    def test_kept_answer_holds_no_payloads(self):
+        self.run_one(Outcome.DONE, idempotent=False)
+        holdings = self.world.entries["e1"].state.holdings.values()
+        jobs = [job for holding in holdings for job in holding.jobs.values()]
+        self.assertEqual([job.submission.tasks for job in jobs], [()])
--- a/tests/world.py
+++ b/tests/world.py
@@ -228,7 +228,8 @@
         entry = self.entries[name]
         entry.frozen = False
         if tick_first:
-            self._tick(entry)
+            core.tick(entry.state, self._clock(entry))
+            self._flush(entry)
         while entry.inbox:
             self._run(entry, entry.inbox.popleft())
 
