Keys for operators and teams, draining by operators, waves of cancellations

Cause: anybody could administer, and cancel or read any team's jobs; a target could be drained only by its runner; a wave of cancellations was a request for each job. Change: salted hashes in the floor document, compared in constant time by a middleware; a team reaches its own jobs only; operators drain and undrain targets and cancel by team and class.

--- a/src/comfreysill/agent/keeper.py
+++ b/src/comfreysill/agent/keeper.py
@@ -151,7 +151,7 @@
     ledger.slots = message.slots
     ledger.queue_limit = max(1, int(message.slots * QUEUE_SHARE))
     ledger.services = message.services
-    if ledger.draining and not keeper.stopping:
+    if ledger.draining and not keeper.stopping and not ledger.drain_ordered:
         ledger.draining = False
         logger.info("runner is back; taking work")
     start_waiting(ledger, now)
--- a/src/comfreysill/cli/client.py
+++ b/src/comfreysill/cli/client.py
@@ -1,5 +1,6 @@
 """HTTP client of an entry, for the command-line tool."""
 
+import os
 from typing import Any
 
 import aiohttp
@@ -7,6 +8,7 @@
 
 from comfreysill.exceptions import UnreachableError
 
+KEY_VARIABLE = "COMFREYSILL_KEY"
 JOB_PATH = "/v1/teams/{team}/jobs/{job_id}"
 
 
@@ -34,6 +36,9 @@
     """
     body = orjson.dumps(document) if document is not None else None
     headers = {"Content-Type": "application/json"} if body is not None else {}
+    key = os.environ.get(KEY_VARIABLE)
+    if key:
+        headers["Authorization"] = f"Bearer {key}"
     try:
         async with session.request(method, entry + path, data=body, headers=headers) as answer:
             text = await answer.read()
--- a/src/comfreysill/cli/main.py
+++ b/src/comfreysill/cli/main.py
@@ -10,6 +10,7 @@
 import orjson
 from rich.progress import Progress
 
+from comfreysill import keys
 from comfreysill.cli import floors
 from comfreysill.cli.batch import JobReport, read_jobs, submit_jobs
 from comfreysill.cli.client import JOB_PATH, Reply, ask
@@ -57,6 +58,20 @@
         path = JOB_PATH.format(team=team, job_id=job_id)
         check_reply(asyncio.run(ask(entry.split(",")[0], "DELETE", path)))
 
+    @cappa.command(name="cancel-all")
+    def cancel_all(
+        self,
+        team: str,
+        entry: EntryOption,
+        task_class: Annotated[
+            str | None, cappa.Arg(long="--class", help="urgent, normal or bulk; all by default.")
+        ] = None,
+    ) -> None:
+        """Cancel all jobs of a team, or those of one class."""
+        change = {"team": team} | ({"class": task_class} if task_class else {})
+        path = "/admin/v1/cancellations"
+        check_reply(asyncio.run(ask(entry.split(",")[0], "POST", path, change)))
+
 
 @cappa.command(name="target", help="Look at targets.")
 class TargetCommands:
@@ -64,6 +79,18 @@
 
     __slots__ = ()
 
+    @cappa.command(name="drain")
+    def drain(self, name: str, entry: EntryOption) -> None:
+        """Have a target take no new work."""
+        path = f"/admin/v1/targets/{name}/drain"
+        check_reply(asyncio.run(ask(entry.split(",")[0], "PUT", path)))
+
+    @cappa.command(name="undrain")
+    def undrain(self, name: str, entry: EntryOption) -> None:
+        """Have a target take work again."""
+        path = f"/admin/v1/targets/{name}/drain"
+        check_reply(asyncio.run(ask(entry.split(",")[0], "DELETE", path)))
+
     @cappa.command(name="list")
     def list_targets(self, entry: EntryOption, json: JsonOption = False) -> None:
         """List the targets that an entry knows."""
@@ -142,6 +169,20 @@
         print_json(floors.check_admin(asyncio.run(ask(entry.split(",")[0], "GET", path))))
 
 
+@cappa.command(name="key", help="Make keys for operators and teams.")
+class KeyCommands:
+    """Commands about keys."""
+
+    __slots__ = ()
+
+    @cappa.command(name="new")
+    def new(self) -> None:
+        """Print a new key, and its hash for the floor document."""
+        key = keys.make_key()
+        print(f"key:  {key}")
+        print(f"hash: {keys.hash_key(key)}")
+
+
 @cappa.command(name="comfreysill", help="Operate a dispatcher for sub-second tasks.")
 class Commands:
     """All commands."""
@@ -151,6 +192,7 @@
     job = JobCommands
     target = TargetCommands
     floor = FloorCommands
+    key = KeyCommands
 
     @cappa.command(name="load")
     def load(
--- /dev/null
+++ b/src/comfreysill/dispatch/cancellations.py
@@ -0,0 +1,54 @@
+"""Cancellation of single jobs and of waves of them."""
+
+from comfreysill.dispatch.jobs import cancel_job, fail_and_answer
+from comfreysill.dispatch.messages import CancelJob, CancelWave
+from comfreysill.dispatch.ownership import find_owner
+from comfreysill.dispatch.state import Dispatcher, count
+from comfreysill.job.types import JobKey, Reason, TaskClass
+from comfreysill.partition.hashing import find_partition
+
+
+def request_cancel(dispatcher: Dispatcher, key: JobKey, now: float) -> None:
+    """Cancels a job at the owner of its partition."""
+    owner = find_owner(dispatcher, find_partition(key), now)
+    if owner == dispatcher.name:
+        cancel_job(dispatcher, key, now)
+    elif owner is not None:
+        dispatcher.peers[owner].outbox.append(CancelJob(key=key))
+
+
+def request_wave(
+    dispatcher: Dispatcher, team: str, task_class: TaskClass | None, now: float
+) -> int:
+    """Cancels all jobs of a team, or those of one class, here and at the other entries.
+
+    Returns:
+        How many jobs this entry has cancelled itself.
+    """
+    wave = CancelWave(team=team, task_class=task_class)
+    for peer in dispatcher.peers.values():
+        peer.outbox.append(wave)
+    return cancel_wave(dispatcher, wave, now)
+
+
+def cancel_wave(dispatcher: Dispatcher, wave: CancelWave, now: float) -> int:
+    """Cancels the jobs of a wave that this entry owns.
+
+    Tasks that wait here go with their job; agents get one message for each job that has tasks
+    there, and all of them in one frame.
+
+    Returns:
+        How many jobs were cancelled.
+    """
+    jobs = [
+        job
+        for holding in dispatcher.holdings.values()
+        for job in holding.jobs.values()
+        if job.answer is None
+        and job.key.team == wave.team
+        and wave.task_class in (None, job.submission.task_class)
+    ]
+    for job in jobs:
+        fail_and_answer(dispatcher, job, Reason.CANCELLED, "the job was cancelled", now)
+    count(dispatcher, "jobs_cancelled_in_waves", len(jobs))
+    return len(jobs)
--- a/src/comfreysill/dispatch/core.py
+++ b/src/comfreysill/dispatch/core.py
@@ -3,6 +3,7 @@
 import heapq
 from collections.abc import Iterable
 
+from comfreysill.dispatch.cancellations import cancel_wave
 from comfreysill.dispatch.floors import update_agent, update_peer
 from comfreysill.dispatch.handovers import apply_kept_handovers, receive_handover
 from comfreysill.dispatch.jobs import cancel_job, drop_task, fail_and_answer, find_job
@@ -11,6 +12,7 @@
 from comfreysill.dispatch.messages import (
     Answered,
     CancelJob,
+    CancelWave,
     CheckFloor,
     Effect,
     Forward,
@@ -121,6 +123,8 @@
             dispatcher.effects.append(CheckFloor(update=message))
         elif isinstance(message, Handover):
             receive_handover(dispatcher, message, now)
+        elif isinstance(message, CancelWave):
+            cancel_wave(dispatcher, message, now)
         elif isinstance(message, CancelJob):
             cancel_job(dispatcher, message.key, now)
 
--- a/src/comfreysill/dispatch/links.py
+++ b/src/comfreysill/dispatch/links.py
@@ -31,6 +31,7 @@
     Fenced,
     PartitionClaim,
     Refused,
+    SetDraining,
     TaskDone,
 )
 from comfreysill.target.view import (
@@ -98,6 +99,19 @@
     close_link(target, now)
 
 
+def order_target(dispatcher: Dispatcher, agent: str, draining: bool) -> bool:
+    """Passes an operator's order to drain a target, or to take it back, to its agent.
+
+    Returns:
+        False when the agent can't be reached.
+    """
+    target = dispatcher.targets.get(agent)
+    if target is None or not target.greeted:
+        return False
+    target.outbox.append(SetDraining(draining=draining))
+    return True
+
+
 def receive_agent_frame(dispatcher: Dispatcher, frame: AgentFrame, now: float) -> bool:
     """Takes a frame of an agent; frames of older links, copies and gaps are dropped.
 
--- a/src/comfreysill/dispatch/messages.py
+++ b/src/comfreysill/dispatch/messages.py
@@ -1,6 +1,6 @@
 """Messages between entries, and the effects that the dispatcher asks its process for."""
 
-from comfreysill.job.types import Answer, JobKey, Submission
+from comfreysill.job.types import Answer, JobKey, Submission, TaskClass
 from comfreysill.partition.epoch import Epoch
 from comfreysill.target.messages import EntryFrame, FloorUpdate, Outcome
 
@@ -41,6 +41,16 @@
         self.key = key
 
 
+class CancelWave:
+    """Asks an entry to cancel a team's jobs; `task_class` None stands for all classes."""
+
+    __slots__ = ("team", "task_class")
+
+    def __init__(self, *, team: str, task_class: TaskClass | None) -> None:
+        self.team = team
+        self.task_class = task_class
+
+
 class HandedTask:
     """State of one task in a handover.
 
@@ -113,7 +123,7 @@
         self.jobs = jobs
 
 
-PeerMessage = Forward | Answered | NotOwner | CancelJob | FloorUpdate | Handover
+PeerMessage = Forward | Answered | NotOwner | CancelJob | CancelWave | FloorUpdate | Handover
 
 
 class PeerFrame:
--- a/src/comfreysill/dispatch/routing.py
+++ b/src/comfreysill/dispatch/routing.py
@@ -1,8 +1,7 @@
 """The way of a submission from the caller's entry to the owner of its partition."""
 
 from comfreysill.dispatch.admission import accept_submission
-from comfreysill.dispatch.jobs import cancel_job
-from comfreysill.dispatch.messages import CancelJob, Forward, NotOwner
+from comfreysill.dispatch.messages import Forward, NotOwner
 from comfreysill.dispatch.ownership import find_owner
 from comfreysill.dispatch.receipts import settle_receipt
 from comfreysill.dispatch.state import (
@@ -111,15 +110,6 @@
         receipt.sent_at = now
 
 
-def request_cancel(dispatcher: Dispatcher, key: JobKey, now: float) -> None:
-    """Cancels a job at the owner of its partition."""
-    owner = find_owner(dispatcher, find_partition(key), now)
-    if owner == dispatcher.name:
-        cancel_job(dispatcher, key, now)
-    elif owner is not None:
-        dispatcher.peers[owner].outbox.append(CancelJob(key=key))
-
-
 def _give_up(dispatcher: Dispatcher, receipt: Receipt) -> None:
     answer = Answer(
         key=receipt.submission.key,
--- a/src/comfreysill/entry/administration.py
+++ b/src/comfreysill/entry/administration.py
@@ -10,9 +10,11 @@
 from result import Err
 
 from comfreysill.entry.keeper import Keeper
+from comfreysill.entry.messages import CancelTeam, DrainTarget
 from comfreysill.exceptions import Problem
 from comfreysill.floor.document import diff_documents, find_broken_references
 from comfreysill.floor.schema import FLOOR_SCHEMA
+from comfreysill.job.types import TaskClass
 from comfreysill.platform.floors import (
     FloorVersion,
     read_current,
@@ -34,6 +36,16 @@
     },
 }
 
+CANCELLATION_SCHEMA = {
+    "type": "object",
+    "additionalProperties": False,
+    "required": ["team"],
+    "properties": {
+        "team": {"type": "string", "minLength": 1, "maxLength": 63},
+        "class": {"enum": ["urgent", "normal", "bulk"]},
+    },
+}
+
 
 def check_floor(document: Any) -> list[Problem]:
     """Returns all errors of a floor document, in its parts and between them."""
@@ -75,7 +87,7 @@
         proposed = FloorVersion(
             version=0,
             change_id=change["change_id"],
-            author=change["author"],
+            author=getattr(request.context, "operator", None) or change["author"],
             changed_at=time.time(),
             document=change["document"],
         )
@@ -141,10 +153,66 @@
         response.media = {"versions": versions}
 
 
+class CancellationResource:
+    """Cancellation of a team's jobs."""
+
+    __slots__ = ("keeper",)
+
+    def __init__(self, *, keeper: Keeper) -> None:
+        self.keeper = keeper
+
+    async def on_post(self, request: falcon.asgi.Request, response: falcon.asgi.Response) -> None:
+        """Cancels all jobs of a team, or those of one class, at every entry."""
+        document = await request.get_media()
+        problems = find_problems(document, CANCELLATION_SCHEMA)
+        if problems:
+            raise falcon.HTTPUnprocessableEntity(description=str(problems[0]))
+        name = document.get("class")
+        reply: asyncio.Future[int] = asyncio.get_running_loop().create_future()
+        message = CancelTeam(
+            team=document["team"],
+            task_class=TaskClass[name.upper()] if name else None,
+            reply=reply,
+        )
+        self.keeper.inbox.post(message)
+        response.media = {"cancelled_here": await reply}
+        response.status = falcon.HTTP_202
+
+
+class DrainResource:
+    """Draining of a target by an operator."""
+
+    __slots__ = ("keeper",)
+
+    def __init__(self, *, keeper: Keeper) -> None:
+        self.keeper = keeper
+
+    async def on_put(
+        self, request: falcon.asgi.Request, response: falcon.asgi.Response, agent: str
+    ) -> None:
+        """Has a target take no new work."""
+        await self._order(response, agent, draining=True)
+
+    async def on_delete(
+        self, request: falcon.asgi.Request, response: falcon.asgi.Response, agent: str
+    ) -> None:
+        """Has a target take work again."""
+        await self._order(response, agent, draining=False)
+
+    async def _order(self, response: falcon.asgi.Response, agent: str, draining: bool) -> None:
+        reply: asyncio.Future[bool] = asyncio.get_running_loop().create_future()
+        self.keeper.inbox.post(DrainTarget(agent=agent, draining=draining, reply=reply))
+        if not await reply:
+            raise falcon.HTTPNotFound(description="no such target can be reached")
+        response.status = falcon.HTTP_202
+
+
 def add_routes(app: falcon.asgi.App, keeper: Keeper, table: Table, changed: asyncio.Event) -> None:
     """Adds the administration API to an application."""
     app.add_route("/admin/v1/floor", FloorResource(table=table, changed=changed))
     app.add_route("/admin/v1/floor/history", HistoryResource(table=table))
+    app.add_route("/admin/v1/cancellations", CancellationResource(keeper=keeper))
+    app.add_route("/admin/v1/targets/{agent}/drain", DrainResource(keeper=keeper))
     app.add_route("/admin/v1/floor/versions", VersionsResource(keeper=keeper))
 
 
--- a/src/comfreysill/entry/http.py
+++ b/src/comfreysill/entry/http.py
@@ -11,6 +11,7 @@
 
 from comfreysill.dispatch.jobs import find_job
 from comfreysill.dispatch.state import Dispatcher
+from comfreysill.entry.access import Access
 from comfreysill.entry.documents import (
     NAME_PATTERN,
     format_answer,
@@ -194,8 +195,8 @@
 
 def build_app(keeper: Keeper, metrics: Metrics) -> falcon.asgi.App:
     """Builds the entry's HTTP application."""
-    app = falcon.asgi.App()
     dispatcher = keeper.dispatcher
+    app = falcon.asgi.App(middleware=[Access(dispatcher=dispatcher)])
     health = HealthResource(dispatcher=dispatcher)
     app.add_route("/v1/teams/{team}/jobs/{job_id}", JobResource(keeper=keeper))
     app.add_route("/v1/status", StatusResource(dispatcher=dispatcher))
--- a/src/comfreysill/entry/keeper.py
+++ b/src/comfreysill/entry/keeper.py
@@ -7,6 +7,7 @@
 
 import orjson
 
+from comfreysill.dispatch.cancellations import request_cancel, request_wave
 from comfreysill.dispatch.core import (
     connect_peer,
     disconnect_peer,
@@ -21,6 +22,7 @@
 from comfreysill.dispatch.links import (
     connect_agent,
     disconnect_agent,
+    order_target,
     receive_agent_frame,
     refuse_agent,
     update_roster,
@@ -37,7 +39,7 @@
     SendPeer,
 )
 from comfreysill.dispatch.receipts import drop_caller
-from comfreysill.dispatch.routing import request_cancel, submit_job
+from comfreysill.dispatch.routing import submit_job
 from comfreysill.dispatch.state import Dispatcher
 from comfreysill.entry.links import AgentLink, PeerLink, run_agent_link, run_peer_link
 from comfreysill.entry.messages import (
@@ -46,7 +48,9 @@
     AgentRefused,
     AgentReported,
     Cancel,
+    CancelTeam,
     DispatcherMessage,
+    DrainTarget,
     FloorRead,
     Leave,
     MembersRead,
@@ -138,6 +142,11 @@
         _adopt_floor(keeper, message.floor, message.text)
     elif isinstance(message, Cancel):
         request_cancel(dispatcher, message.key, now)
+    elif isinstance(message, CancelTeam):
+        cancelled = request_wave(dispatcher, message.team, message.task_class, now)
+        message.reply.set_result(cancelled)
+    elif isinstance(message, DrainTarget):
+        message.reply.set_result(order_target(dispatcher, message.agent, message.draining))
     elif isinstance(message, AgentConnected):
         logger.info("link to agent %s opened", message.agent)
         connect_agent(dispatcher, message.agent, message.session)
--- a/src/comfreysill/entry/messages.py
+++ b/src/comfreysill/entry/messages.py
@@ -4,7 +4,7 @@
 
 from comfreysill.dispatch.messages import PeerFrame
 from comfreysill.floor.document import Floor
-from comfreysill.job.types import Answer, JobKey, Submission
+from comfreysill.job.types import Answer, JobKey, Submission, TaskClass
 from comfreysill.platform.registry import Members
 from comfreysill.target.messages import AgentFrame
 
@@ -116,6 +116,30 @@
         self.started_at = started_at
 
 
+class CancelTeam:
+    """An operator cancels a team's jobs; the number cancelled here is set on `reply`."""
+
+    __slots__ = ("team", "task_class", "reply")
+
+    def __init__(
+        self, *, team: str, task_class: TaskClass | None, reply: "asyncio.Future[int]"
+    ) -> None:
+        self.team = team
+        self.task_class = task_class
+        self.reply = reply
+
+
+class DrainTarget:
+    """An operator drains a target or takes it back; whether it is known is set on `reply`."""
+
+    __slots__ = ("agent", "draining", "reply")
+
+    def __init__(self, *, agent: str, draining: bool, reply: "asyncio.Future[bool]") -> None:
+        self.agent = agent
+        self.draining = draining
+        self.reply = reply
+
+
 class FloorRead:
     """A floor document was read from the platform; `text` is its JSON form."""
 
@@ -141,6 +165,8 @@
 DispatcherMessage = (
     Submit
     | Cancel
+    | CancelTeam
+    | DrainTarget
     | AgentConnected
     | AgentDisconnected
     | AgentRefused
--- a/src/comfreysill/floor/document.py
+++ b/src/comfreysill/floor/document.py
@@ -20,13 +20,21 @@
         weight: Share of the floor against other teams.
         queued_tasks: Tasks of the team that may wait at one entry, 0 for no bound of its own.
         services: Services that the team may use; empty for all.
+        keys: Salted hashes of its keys; empty where it needs none.
     """
 
-    __slots__ = ("name", "weight", "queued_tasks", "services")
+    __slots__ = ("name", "weight", "queued_tasks", "services", "keys")
 
     def __init__(
-        self, *, name: str, weight: float, queued_tasks: int, services: frozenset[str]
+        self,
+        *,
+        name: str,
+        weight: float,
+        queued_tasks: int,
+        services: frozenset[str],
+        keys: tuple[str, ...] = (),
     ) -> None:
+        self.keys = keys
         self.name = name
         self.weight = weight
         self.queued_tasks = queued_tasks
@@ -50,6 +58,7 @@
         version: Number of the version; 0 stands for no document.
         teams: Teams by name.
         services: Services by name.
+        operators: Salted hashes of keys by operator's name; empty where none is needed.
         jobs: Jobs kept at one entry.
         queued_tasks: Tasks that wait at one entry.
         tasks_per_job: Tasks of one job.
@@ -60,6 +69,7 @@
         "version",
         "teams",
         "services",
+        "operators",
         "jobs",
         "queued_tasks",
         "tasks_per_job",
@@ -76,7 +86,9 @@
         queued_tasks: int = DEFAULT_QUEUED_TASKS,
         tasks_per_job: int = DEFAULT_TASKS_PER_JOB,
         queue_share: float = DEFAULT_QUEUE_SHARE,
+        operators: dict[str, tuple[str, ...]] | None = None,
     ) -> None:
+        self.operators = operators or {}
         self.version = version
         self.teams = teams
         self.services = services
@@ -101,6 +113,7 @@
             )
             for service in document["services"]
         },
+        operators={item["name"]: tuple(item["keys"]) for item in document.get("operators", ())},
         jobs=limits.get("jobs", DEFAULT_JOBS),
         queued_tasks=limits.get("queued_tasks", DEFAULT_QUEUED_TASKS),
         tasks_per_job=limits.get("tasks_per_job", DEFAULT_TASKS_PER_JOB),
@@ -114,6 +127,8 @@
     services = {service["name"] for service in document["services"]}
     problems = _find_doubles("services", [s["name"] for s in document["services"]])
     problems += _find_doubles("teams", [t["name"] for t in document["teams"]])
+    operators = [operator["name"] for operator in document.get("operators", ())]
+    problems += _find_doubles("operators", operators)
     for number, service in enumerate(document["services"]):
         path = f"services[{number}].zones"
         problems += _find_unknown(path, service["zones"], zones, "zone")
@@ -163,6 +178,7 @@
         weight=float(team.get("weight", DEFAULT_WEIGHT)),
         queued_tasks=team.get("queued_tasks", 0),
         services=frozenset(team.get("services", ())),
+        keys=tuple(team.get("keys", ())),
     )
 
 
--- a/src/comfreysill/floor/schema.py
+++ b/src/comfreysill/floor/schema.py
@@ -5,6 +5,12 @@
     "pattern": "^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$",
     "description": "up to 63 letters, digits, dots, dashes and underscores",
 }
+_KEYS = {
+    "type": "array",
+    "minItems": 1,
+    "items": {"type": "string", "pattern": "^blake2b:[0-9a-f]{32}:[0-9a-f]{64}$"},
+    "description": "salted hashes, as `comfreysill key new` prints them",
+}
 _COUNT = {"type": "integer", "minimum": 1, "maximum": 10_000_000}
 FLOOR_SCHEMA = {
     "$schema": "https://json-schema.org/draft/2020-12/schema",
@@ -60,9 +66,20 @@
                         "description": "tasks that may wait at one entry",
                     },
                     "services": {"type": "array", "minItems": 1, "items": _NAME},
+                    "keys": _KEYS,
                 },
             },
         },
+        "operators": {
+            "type": "array",
+            "minItems": 1,
+            "items": {
+                "type": "object",
+                "additionalProperties": False,
+                "required": ["name", "keys"],
+                "properties": {"name": _NAME, "keys": _KEYS},
+            },
+        },
         "limits": {
             "type": "object",
             "additionalProperties": False,
--- a/src/comfreysill/target/ledger.py
+++ b/src/comfreysill/target/ledger.py
@@ -18,6 +18,7 @@
     PartitionClaim,
     RefusalCause,
     Refused,
+    SetDraining,
     StartBatch,
     TaskDone,
     TaskStart,
@@ -102,6 +103,7 @@
         running: How many tasks run.
         active: How many tasks of each class run or wait.
         draining: True when no new work is taken.
+        drain_ordered: True while an operator keeps the target from taking work.
         outbox: Messages to entries, as pairs of entry name and message.
         held: Results that wait for others of their job.
         held_until: Unix times in seconds at which held results are reported all the same.
@@ -123,6 +125,7 @@
         "queued",
         "active",
         "draining",
+        "drain_ordered",
         "floor_version",
         "outbox",
         "started",
@@ -150,6 +153,7 @@
         self.queued = 0
         self.active = [0] * len(TaskClass)
         self.draining = False
+        self.drain_ordered = False
         self.floor_version = 0
         self.outbox: list[tuple[str, object]] = []
         self.started: list[Entry] = []
@@ -214,6 +218,8 @@
         elif isinstance(message, FloorUpdate):
             ledger.floor_version = max(ledger.floor_version, message.version)
             session.prompt = True
+        elif isinstance(message, SetDraining):
+            order_drain(ledger, message.draining)
         elif isinstance(message, CancelTasks):
             _cancel_tasks(ledger, message.keys)
     start_waiting(ledger, now)
@@ -257,6 +263,15 @@
     start_waiting(ledger, now)
 
 
+def order_drain(ledger: Ledger, draining: bool) -> None:
+    """Takes an operator's order, which the runner's announcements don't undo."""
+    ledger.drain_ordered = draining
+    if draining:
+        drain(ledger)
+    else:
+        ledger.draining = False
+
+
 def drain(ledger: Ledger) -> None:
     """Stops taking new work and gives queued tasks back as not run."""
     ledger.draining = True
--- a/src/comfreysill/target/messages.py
+++ b/src/comfreysill/target/messages.py
@@ -295,6 +295,15 @@
         self.floor_version = floor_version
 
 
+class SetDraining:
+    """An operator's order to take no new work, or to take it again."""
+
+    __slots__ = ("draining",)
+
+    def __init__(self, *, draining: bool) -> None:
+        self.draining = draining
+
+
 class FloorUpdate:
     """Hands a newer floor document to a process; `document` is its JSON text."""
 
@@ -306,7 +315,7 @@
 
 
 AgentMessage = Claimed | Fenced | TaskDone | Refused
-EntryMessage = Claim | StartBatch | CancelTasks | FloorUpdate
+EntryMessage = Claim | StartBatch | CancelTasks | FloorUpdate | SetDraining
 
 
 class EntryFrame:
--- a/src/comfreysill/wire/agents.py
+++ b/src/comfreysill/wire/agents.py
@@ -16,6 +16,7 @@
     PartitionClaim,
     RefusalCause,
     Refused,
+    SetDraining,
     StartBatch,
     TaskDone,
     TaskStart,
@@ -107,6 +108,8 @@
     if isinstance(message, CancelTasks):
         names = [encode_key(key) for key in message.keys]
         return pb.EntryMessage(cancel=pb.JobNames(names=names))
+    if isinstance(message, SetDraining):
+        return pb.EntryMessage(draining=pb.Draining(draining=message.draining))
     return pb.EntryMessage(floor=encode_floor(message))
 
 
@@ -118,6 +121,8 @@
         return Claim(claims=tuple(decode_claim(claim) for claim in message.claim.claims))
     if kind == "cancel":
         return CancelTasks(keys=tuple(decode_key(name) for name in message.cancel.names))
+    if kind == "draining":
+        return SetDraining(draining=message.draining.draining)
     return decode_floor(message.floor)
 
 
--- a/src/comfreysill/wire/peers.py
+++ b/src/comfreysill/wire/peers.py
@@ -3,6 +3,7 @@
 from comfreysill.dispatch.messages import (
     Answered,
     CancelJob,
+    CancelWave,
     Forward,
     HandedJob,
     HandedTask,
@@ -67,6 +68,8 @@
         return pb.PeerMessage(not_owner=encode_key(message.key))
     if isinstance(message, CancelJob):
         return pb.PeerMessage(cancel=encode_key(message.key))
+    if isinstance(message, CancelWave):
+        return pb.PeerMessage(wave=_encode_wave(message))
     if isinstance(message, Handover):
         return pb.PeerMessage(handover=_encode_handover(message))
     return pb.PeerMessage(floor=encode_floor(message))
@@ -82,6 +85,8 @@
         return NotOwner(key=decode_key(message.not_owner))
     if kind == "cancel":
         return CancelJob(key=decode_key(message.cancel))
+    if kind == "wave":
+        return _decode_wave(message.wave)
     if kind == "handover":
         return _decode_handover(message.handover)
     return decode_floor(message.floor)
@@ -153,6 +158,16 @@
     )
 
 
+def _encode_wave(wave: CancelWave) -> pb.CancelWave:
+    task_class = None if wave.task_class is None else int(wave.task_class)
+    return pb.CancelWave(team=wave.team, task_class=task_class)
+
+
+def _decode_wave(wave: pb.CancelWave) -> CancelWave:
+    task_class = TaskClass(wave.task_class) if wave.HasField("task_class") else None
+    return CancelWave(team=wave.team, task_class=task_class)
+
+
 def _encode_handover(message: Handover) -> pb.Handover:
     claim = PartitionClaim(partition=message.partition, epoch=message.epoch)
     return pb.Handover(
--- a/tests/test_floor.py
+++ b/tests/test_floor.py
@@ -1,4 +1,6 @@
 import asyncio
+import json
+import pathlib
 import socket
 import threading
 import time
@@ -10,6 +12,7 @@
 
 from comfreysill.entry.administration import check_floor
 from comfreysill.floor.document import build_floor, diff_documents
+from comfreysill.floor.schema import FLOOR_SCHEMA
 from comfreysill.platform.floors import FloorVersion, read_current, read_history, write_version
 from comfreysill.platform.table import StoreFault, open_table
 from standins.store import Store, build_app
@@ -140,3 +143,9 @@
             self.assertIsNone((await read_current(table)).ok_value)
 
         self.run_with_store(trial)
+
+
+class SchemaPageTest(unittest.TestCase):
+    def test_schema_in_docs_is_the_one_in_force(self):
+        page = pathlib.Path(__file__).parent.parent / "docs" / "floor.schema.json"
+        self.assertEqual(json.loads(page.read_text()), FLOOR_SCHEMA)
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -9,9 +9,11 @@
 from falcon import testing
 
 from comfreysill.dispatch.state import Dispatcher
-from comfreysill.entry.administration import add_routes
+from comfreysill.entry.administration import add_routes, check_floor
 from comfreysill.entry.http import build_app
 from comfreysill.entry.keeper import Keeper
+from comfreysill.floor.document import build_floor
+from comfreysill.keys import hash_key, make_key, matches_any
 from comfreysill.metrics import Metrics, observe_seconds
 
 OPENAPI = pathlib.Path(__file__).parent.parent / "docs" / "openapi.yaml"
@@ -115,3 +117,49 @@
         ).ok_value
         self.assertEqual(first.digest, spaced.digest)
         self.assertNotEqual(first.digest, other.digest)
+
+
+class AccessTest(unittest.TestCase):
+    def setUp(self):
+        self.app, self.keeper, _ = build()
+        self.client = testing.TestClient(self.app)
+        self.team_key, self.other_key, self.admin_key = (make_key() for _ in range(3))
+        document = {
+            "schema": 1,
+            "zones": ["a"],
+            "services": [{"name": "s", "zones": ["a"]}],
+            "teams": [
+                {"name": "t", "keys": [hash_key("old"), hash_key(self.team_key)]},
+                {"name": "u", "keys": [hash_key(self.other_key)]},
+                {"name": "open"},
+            ],
+            "operators": [{"name": "ann", "keys": [hash_key(self.admin_key)]}],
+        }
+        self.assertEqual(check_floor(document), [])
+        self.keeper.dispatcher.floor = build_floor(1, document)
+
+    def status(self, path, key=None):
+        headers = {"Authorization": f"Bearer {key}"} if key else {}
+        return self.client.simulate_get(path, headers=headers).status_code
+
+    def test_team_sees_only_its_own_jobs(self):
+        self.assertEqual(self.status(PATH), 401)
+        self.assertEqual(self.status(PATH, self.other_key), 401)
+        self.assertEqual(self.status(PATH, self.team_key), 404)
+        self.assertEqual(self.status(PATH, "old"), 404)
+
+    def test_operator_sees_all_and_teams_no_administration(self):
+        self.assertEqual(self.status(PATH, self.admin_key), 404)
+        versions = "/admin/v1/floor/versions"
+        self.assertEqual(self.status(versions, self.admin_key), 200)
+        self.assertEqual(self.status(versions, self.team_key), 401)
+        self.assertEqual(self.status("/v1/status"), 401)
+
+    def test_open_team_and_health_need_no_key(self):
+        self.assertEqual(self.status("/v1/teams/open/jobs/j"), 404)
+        self.assertEqual(self.status("/health"), 200)
+
+    def test_same_key_has_another_hash_each_time(self):
+        self.assertNotEqual(hash_key("k"), hash_key("k"))
+        self.assertTrue(matches_any("k", [hash_key("x"), hash_key("k")]))
+        self.assertFalse(matches_any("", [hash_key("k")]))
--- /dev/null
+++ b/tests/test_policy.py
@@ -0,0 +1,211 @@
+import unittest
+
+from comfreysill.dispatch import queue as queues
+from comfreysill.dispatch.baselines import choose_placement
+from comfreysill.dispatch.cancellations import request_wave
+from comfreysill.dispatch.estimate import Estimates, estimate_task, learn_run_time
+from comfreysill.dispatch.placement import place_by_finish
+from comfreysill.dispatch.reserve import Demand, add_work, reserve_slots
+from comfreysill.dispatch.starting import _list_targets
+from comfreysill.job.job import Job
+from comfreysill.job.types import JobKey, Submission, TaskClass, TaskSpec
+from comfreysill.target.messages import Load, Outcome
+from comfreysill.target.view import Registration, Target, record_failure
+from tests.test_takeover import count_starts, finish_all, make_job, submit, warm_up
+from tests.world import SERVICE, World, make_key
+
+
+def make_target(name, slowness=1.0, slots=8, running=0):
+    registration = Registration(
+        agent=name,
+        incarnation=name,
+        host="h",
+        port=1,
+        zone="z",
+        services=frozenset({"s"}),
+        revision=1,
+    )
+    target = Target(registration=registration, now=0.0, cycle=0)
+    target.greeted = True
+    target.slowness = slowness
+    target.load = Load(
+        slots=slots,
+        queue_limit=slots,
+        running=running,
+        queued=0,
+        active=(0, 0, running),
+        draining=False,
+        floor_version=0,
+    )
+    return target
+
+
+def make_waiting(number, team="t", task_class=TaskClass.NORMAL, size=1, run_time=1.0, deadline=9.0):
+    submission = Submission(
+        key=JobKey(team=team, job_id=f"j{number}"),
+        digest=b"",
+        task_class=task_class,
+        deadline=deadline,
+        service="s",
+        tasks=tuple(TaskSpec(payload=b"", run_time=run_time) for _ in range(size)),
+    )
+    return Job(submission=submission, partition=0, accepted_at=0.0, expires_at=99.0)
+
+
+class QueueTest(unittest.TestCase):
+    def serve(self, queue, turns, weights=None):
+        served = []
+        for _ in range(turns):
+            job = queues.choose_job(queue)
+            if job is None:
+                break
+            job.pending.popleft()
+            weight = (weights or {}).get(job.key.team, 1.0)
+            queues.charge_job(queue, job, 1.0, weight)
+            served.append(job)
+        return served
+
+    def test_urgent_goes_first_and_bulk_is_not_starved(self):
+        queue = queues.ServiceQueue()
+        for task_class in TaskClass:
+            queues.push_job(queue, make_waiting(task_class, task_class=task_class, size=1000))
+        served = self.serve(queue, 160)
+        counts = [sum(j.submission.task_class == c for j in served) for c in TaskClass]
+        self.assertEqual(counts, [150, 0, 10])
+
+    def test_teams_share_by_weight(self):
+        queue = queues.ServiceQueue()
+        for team in ("a", "b"):
+            queues.push_job(queue, make_waiting(1, team=team, size=1000))
+        served = self.serve(queue, 400, {"a": 3.0})
+        share = sum(job.key.team == "a" for job in served)
+        self.assertAlmostEqual(share / 400, 0.75, delta=0.02)
+
+    def test_idle_team_saves_up_no_share(self):
+        queue = queues.ServiceQueue()
+        queues.push_job(queue, make_waiting(1, team="a", size=1000))
+        self.serve(queue, 100)
+        queues.push_job(queue, make_waiting(2, team="b", size=1000))
+        served = self.serve(queue, 100)
+        share = sum(job.key.team == "b" for job in served)
+        self.assertLessEqual(share, 52)
+
+    def test_earlier_deadline_goes_first_within_a_team(self):
+        queue = queues.ServiceQueue()
+        queues.push_job(queue, make_waiting(1, deadline=20.0))
+        queues.push_job(queue, make_waiting(2, deadline=10.0))
+        self.assertEqual(self.serve(queue, 1)[0].key.job_id, "j2")
+
+
+class PlacementTest(unittest.TestCase):
+    def test_fast_targets_come_first_in_batches(self):
+        fast, slow = make_target("fast", 0.5), make_target("slow", 2.0)
+        placed = place_by_finish([slow, fast], 6, 1.0, lambda target: 8)
+        self.assertEqual([(t.name, n) for t, n in placed], [("fast", 6)])
+
+    def test_full_fast_target_still_beats_a_slow_one(self):
+        fast, slow = make_target("fast", 0.5, running=8), make_target("slow", 2.0)
+        placed = place_by_finish([slow, fast], 1, 1.0, lambda target: 2)
+        self.assertEqual(placed[0][0].name, "fast")
+
+    def test_failing_target_is_avoided(self):
+        good, bad = make_target("good"), make_target("bad", 0.9)
+        bad.failures = 2
+        placed = place_by_finish([bad, good], 1, 1.0, lambda target: 8)
+        self.assertEqual(placed[0][0].name, "good")
+
+    def test_baselines_place_all_that_fits(self):
+        targets = [make_target(name, slots=2) for name in "abc"]
+        for name in ("random", "round-robin", "least-loaded", "finish"):
+            place = choose_placement(name, lambda: 0.5)
+            placed = place(targets, 9, 1.0, lambda target: 2)
+            self.assertEqual(sum(amount for _, amount in placed), 6, name)
+
+
+class ReserveTest(unittest.TestCase):
+    def setUp(self):
+        self.targets = [make_target("fast", 0.5), make_target("slow", 2.0)]
+        self.demand = Demand()
+        for second in range(30):
+            add_work(self.demand, TaskClass.URGENT, 4.0, float(second))
+
+    def test_fastest_slots_are_kept_for_measured_demand(self):
+        kept = reserve_slots(self.demand, self.targets, TaskClass.BULK, 0.0, 1)
+        self.assertGreaterEqual(kept["fast"], 2)
+        self.assertNotIn("slow", kept)
+
+    def test_nothing_is_kept_from_the_most_urgent_class(self):
+        self.assertEqual(reserve_slots(self.demand, self.targets, TaskClass.URGENT, 0.0, 1), {})
+
+    def test_margin_shrinks_with_waiting(self):
+        fresh = reserve_slots(self.demand, self.targets, TaskClass.BULK, 0.0, 1)
+        old = reserve_slots(self.demand, self.targets, TaskClass.BULK, 99.0, 1)
+        self.assertLess(old["fast"], fresh["fast"])
+
+
+class EstimateTest(unittest.TestCase):
+    def test_declared_times_off_by_ten_give_way_to_the_mean(self):
+        estimates = Estimates()
+        for number in range(40):
+            declared = 0.5 * (10 if number % 2 else 0.1)
+            learn_run_time(estimates, make_waiting(number, run_time=declared), 0, 0.5)
+        wrong = make_waiting(99, run_time=5.0)
+        self.assertAlmostEqual(estimate_task(estimates, wrong, 0), 0.5, delta=0.1)
+
+    def test_good_declared_times_are_kept(self):
+        estimates = Estimates()
+        for number in range(40):
+            declared = 0.1 + 0.05 * (number % 10)
+            learn_run_time(estimates, make_waiting(number, run_time=declared), 0, 2 * declared)
+        self.assertAlmostEqual(
+            estimate_task(estimates, make_waiting(99, run_time=0.3), 0), 0.6, delta=0.05
+        )
+
+
+class FloorTest(unittest.TestCase):
+    def test_at_most_a_third_of_the_targets_is_ejected(self):
+        world = World(entries=1, agents=4)
+        warm_up(world)
+        state = world.entries["e1"].state
+        for target in state.targets.values():
+            for _ in range(4):
+                record_failure(target, world.now)
+        self.assertEqual(len(_list_targets(state, SERVICE, world.now)), 3)
+
+    def test_target_that_fails_everything_gets_few_tasks(self):
+        world = World(entries=1, agents=4)
+        warm_up(world)
+        for number in range(40):
+            job = make_job(world, make_key(number), within=60.0, idempotent=True)
+            submit(world, "e1", job)
+            world.deliver_all()
+            for name, agent in world.agents.items():
+                while agent.running:
+                    world.finish(name, 0, Outcome.FAILED if name == "a0" else Outcome.DONE)
+                    world.deliver_all()
+        warm_up(world, 1.0)
+        complete = sum(answer.complete for answer in world.oracle.answers.values())
+        self.assertEqual(complete, 40)
+        lost = world.entries["e1"].state.counters["tasks_failed_retried"]
+        self.assertLessEqual(lost, 8)
+
+    def test_wave_of_cancellations_leaves_urgent_work_alone(self):
+        world = World(entries=2, agents=2)
+        warm_up(world)
+        for number in range(3):
+            submit(world, "e1", make_job(world, make_key(number), size=4, within=60.0))
+        world.deliver_all()
+        for entry in world.entries.values():
+            request_wave(entry.state, "other", None, world.now)
+            cancelled = request_wave(entry.state, "t", TaskClass.BULK, world.now)
+            self.assertEqual(cancelled, 0)
+        started = sum(count_starts(world, make_key(number)) for number in range(3))
+        world._run(
+            world.entries["e1"], lambda now: request_wave(world.entries["e1"].state, "t", None, now)
+        )
+        for _ in range(4):
+            warm_up(world, 0.25)
+            finish_all(world)
+        again = sum(count_starts(world, make_key(number)) for number in range(3))
+        self.assertEqual(again, started)
+        self.assertEqual(len(world.oracle.answers), 3)
--- a/tests/world.py
+++ b/tests/world.py
@@ -7,6 +7,7 @@
 from collections import deque
 
 from comfreysill.dispatch import core, floors, links
+from comfreysill.dispatch.cancellations import request_cancel
 from comfreysill.dispatch.messages import (
     AnswerCaller,
     CheckFloor,
@@ -16,7 +17,7 @@
     SendFrame,
     SendPeer,
 )
-from comfreysill.dispatch.routing import request_cancel, submit_job
+from comfreysill.dispatch.routing import submit_job
 from comfreysill.dispatch.state import Dispatcher
 from comfreysill.floor.document import Floor, Service, Team
 from comfreysill.job.types import JobKey, Submission, TaskClass, TaskSpec, Verdict
