--- a/src/comfreysill/agent/keeper.py
+++ b/src/comfreysill/agent/keeper.py
@@ -17,28 +17,26 @@
     Tick,
 )
 from comfreysill.mailbox import Mailbox
+from comfreysill.target.intake import receive_frame
 from comfreysill.target.ledger import (
-    Entry,
     Ledger,
+    Record,
     close_session,
     drain,
     expire_records,
-    finish_record,
     open_session,
-    receive_frame,
-    reject_record,
-    release_results,
     start_waiting,
 )
 from comfreysill.target.messages import AgentFrame
 from comfreysill.target.reports import collect_reports, forget_sessions
+from comfreysill.target.results import finish_record, reject_record, release_results
 
 logger = logging.getLogger(__name__)
 
 RUNNER_TIMEOUT_SECONDS = 5.0
 QUEUE_SHARE = 2.0
 
-Start = Callable[[RunnerAnnounced, Entry], None]
+Start = Callable[[RunnerAnnounced, Record], None]
 
 
 class EntryLink:
--- a/src/comfreysill/agent/messages.py
+++ b/src/comfreysill/agent/messages.py
@@ -1,7 +1,7 @@
 """Messages to the task that owns the ledger."""
 
 from comfreysill.mailbox import Mailbox
-from comfreysill.target.ledger import Entry
+from comfreysill.target.ledger import Record
 from comfreysill.target.messages import AgentFrame, EntryFrame, Outcome
 
 
@@ -68,7 +68,7 @@
     __slots__ = ("record", "outcome", "payload", "run_seconds")
 
     def __init__(
-        self, *, record: Entry, outcome: Outcome | None, payload: bytes, run_seconds: float
+        self, *, record: Record, outcome: Outcome | None, payload: bytes, run_seconds: float
     ) -> None:
         self.record = record
         self.outcome = outcome
--- a/src/comfreysill/agent/runner.py
+++ b/src/comfreysill/agent/runner.py
@@ -7,7 +7,7 @@
 
 from comfreysill.agent.messages import LedgerMessage, RunEnded, RunnerAnnounced
 from comfreysill.mailbox import Mailbox
-from comfreysill.target.ledger import Entry
+from comfreysill.target.ledger import Record
 from comfreysill.target.messages import Outcome
 
 RUN_LIMIT_SECONDS = 60.0
@@ -29,7 +29,7 @@
         self.calls: set[asyncio.Task] = set()
 
 
-def start_call(calls: RunnerCalls, runner: RunnerAnnounced, record: Entry) -> None:
+def start_call(calls: RunnerCalls, runner: RunnerAnnounced, record: Record) -> None:
     """Calls the runner in a task of its own, which reports to the ledger task."""
     if calls.session is None:
         connector = aiohttp.TCPConnector(limit=runner.connections)
@@ -45,7 +45,7 @@
         await calls.session.close()
 
 
-async def _call(calls: RunnerCalls, runner: RunnerAnnounced, record: Entry) -> None:
+async def _call(calls: RunnerCalls, runner: RunnerAnnounced, record: Record) -> None:
     batch, task = record.batch, record.task
     started = time.monotonic()
     url = f"http://{runner.host}:{runner.port}/run"
--- a/standins/slopes.py
+++ b/standins/slopes.py
@@ -20,6 +20,7 @@
 from comfreysill.dispatch.state import Dispatcher
 from comfreysill.floor.document import Floor, Service, Team
 from comfreysill.job.types import JobKey, Submission, TaskClass, TaskSpec
+from comfreysill.target import intake, results
 from comfreysill.target import ledger as ledgers
 from comfreysill.target.messages import Outcome
 from comfreysill.target.reports import collect_reports
@@ -118,7 +119,7 @@
         ledger = bench.ledgers[effect.agent]
         if effect.frame.sequence == 1:
             ledgers.open_session(ledger, frame.entry, frame.session)
-        ledgers.receive_frame(ledger, frame, bench.now)
+        intake.receive_frame(ledger, frame, bench.now)
         bench.frames += 1
         bench.octets += len(wire)
     for ledger in bench.ledgers.values():
@@ -129,7 +130,7 @@
 def _run_agent(bench: Bench, ledger: ledgers.Ledger, run: bool) -> None:
     while run and ledger.started:
         record = ledger.started.pop()
-        ledgers.finish_record(ledger, record, Outcome.DONE, b"result", 0.1, bench.now)
+        results.finish_record(ledger, record, Outcome.DONE, b"result", 0.1, bench.now)
     for report in collect_reports(ledger, bench.now):
         wire = agent_codec.encode_agent_frame(report.frame).SerializeToString()
         frame = agent_codec.decode_agent_frame(pb.AgentFrame.FromString(wire))
--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -10,7 +10,7 @@
 import unittest
 from unittest import mock
 
-LEDGER = "comfreysill.target.ledger"
+INTAKE = "comfreysill.target.intake"
 DISPATCH = "comfreysill.dispatch"
 
 
@@ -65,10 +65,10 @@
 REAL_COMPLETE = None
 
 MUTATIONS = {
-    "fence": (f"{LEDGER}._check_batch", lambda real: ignore_fence),
-    "agent-dedupe": (f"{LEDGER}._allows_rerun", lambda real: lambda known, task: True),
+    "fence": (f"{INTAKE}._check_batch", lambda real: ignore_fence),
+    "agent-dedupe": (f"{INTAKE}._allows_rerun", lambda real: lambda known, task: True),
     "owner-dedupe": (f"{DISPATCH}.admission._join_job", forget_known_job),
-    "frame-order": (f"{LEDGER}.receive_frame", accept_any_frame),
+    "frame-order": (f"{INTAKE}.receive_frame", accept_any_frame),
     "ledger-not-read": (f"{DISPATCH}.links.apply_record", lambda real: lambda *a: None),
     "lost-is-not-run": (f"{DISPATCH}.jobs.lose_task", lambda real: return_lost_task),
     "not-run-unproven": (f"{DISPATCH}.jobs.deliver_answer", lambda real: answer_at_once),
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -2,6 +2,7 @@
 
 from comfreysill.job.types import JobKey, TaskClass
 from comfreysill.partition.epoch import Epoch
+from comfreysill.target import intake, results
 from comfreysill.target import ledger as ledgers
 from comfreysill.target import messages as m
 
@@ -28,7 +29,7 @@
         frame = m.EntryFrame(
             entry=entry, session=session, sequence=sequence, floor_version=0, messages=messages
         )
-        taken = ledgers.receive_frame(self.ledger, frame, NOW)
+        taken = intake.receive_frame(self.ledger, frame, NOW)
         outbox, self.ledger.outbox = self.ledger.outbox, []
         return taken, [message for _, message in outbox]
 
@@ -131,15 +132,15 @@
         urgent = JobKey(team="t", job_id="urgent")
         self.send("a", self.batch("a", 1, key=urgent, task_class=TaskClass.URGENT))
         first = self.ledger.started.pop(0)
-        ledgers.finish_record(self.ledger, first, m.Outcome.DONE, b"", 0.1, NOW)
+        results.finish_record(self.ledger, first, m.Outcome.DONE, b"", 0.1, NOW)
         self.assertEqual(self.ledger.started[-1].batch.key, urgent)
 
     def test_expired_records_are_forgotten_but_not_running_ones(self):
         self.send("a", self.claim("a", 1), self.batch("a", 1, range(2)))
         done = self.ledger.started[0]
-        ledgers.finish_record(self.ledger, done, m.Outcome.DONE, b"x", 0.1, NOW)
+        results.finish_record(self.ledger, done, m.Outcome.DONE, b"x", 0.1, NOW)
         ledgers.expire_records(self.ledger, NOW + 41)
         self.assertEqual(self.ledger.record_count, 2)
-        ledgers.finish_record(self.ledger, self.ledger.started[1], m.Outcome.DONE, b"", 0.1, NOW)
+        results.finish_record(self.ledger, self.ledger.started[1], m.Outcome.DONE, b"", 0.1, NOW)
         ledgers.expire_records(self.ledger, NOW + 50)
         self.assertEqual((self.ledger.record_count, self.ledger.result_bytes), (0, 0))
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -3,7 +3,7 @@
 from comfreysill.dispatch.ownership import find_owner
 from comfreysill.job.types import Verdict
 from comfreysill.partition.hashing import find_partition
-from comfreysill.target import ledger as ledgers
+from comfreysill.target import results
 from comfreysill.target.messages import Outcome
 from tests.world import World, build_submission, make_key
 
@@ -260,7 +260,7 @@
         busy = next(name for name, agent in self.world.agents.items() if agent.running)
         agent = self.world.agents[busy]
         self.world.oracle.starts.clear()
-        ledgers.reject_record(agent.ledger, agent.running.pop(), self.world.now)
+        results.reject_record(agent.ledger, agent.running.pop(), self.world.now)
         self.world._collect(agent)
         self.world.deliver_all()
         finish_all(self.world)
--- a/tests/world.py
+++ b/tests/world.py
@@ -21,6 +21,7 @@
 from comfreysill.dispatch.state import Dispatcher
 from comfreysill.floor.document import Floor, Service, Team
 from comfreysill.job.types import JobKey, Submission, TaskClass, TaskSpec, Verdict
+from comfreysill.target import intake, results
 from comfreysill.target import ledger as ledgers
 from comfreysill.target.messages import Outcome
 from comfreysill.target.reports import collect_reports
@@ -215,7 +216,7 @@
         now = self.now + agent.skew
         key, index = record.batch.key, record.task.index
         payload = f"{key} {index}".encode()
-        ledgers.finish_record(agent.ledger, record, outcome, payload, 0.1, now)
+        results.finish_record(agent.ledger, record, outcome, payload, 0.1, now)
         self._collect(agent)
 
     def drain(self, agent_name):
@@ -237,7 +238,7 @@
     def advance(self, seconds):
         self.now += seconds
         for agent in self.agents.values():
-            ledgers.release_results(agent.ledger, self.now + agent.skew)
+            results.release_results(agent.ledger, self.now + agent.skew)
             ledgers.expire_records(agent.ledger, self.now + agent.skew)
             self._collect(agent)
         for entry in list(self.entries.values()):
@@ -401,7 +402,7 @@
         session = ledger.sessions.get(sender)
         if session is None or session.number < frame.session:
             ledgers.open_session(ledger, sender, frame.session)
-        if not ledgers.receive_frame(ledger, frame, self.now + agent.skew):
+        if not intake.receive_frame(ledger, frame, self.now + agent.skew):
             self.cut_agent_link(sender, agent.name)
         self._collect(agent)
 
