--- a/src/comfreysill/cli/batch.py
+++ b/src/comfreysill/cli/batch.py
@@ -11,8 +11,7 @@
 
 from comfreysill.cli.client import JOB_PATH, send_request
 from comfreysill.entry.documents import NAME_PATTERN
-from comfreysill.exceptions import UsageError
-from comfreysill.schemas import check_document, load_yaml
+from comfreysill.schemas import check_document, read_yaml
 
 JOBS_SCHEMA = {
     "type": "object",
@@ -108,13 +107,7 @@
         DocumentError: The file has errors; all of them are listed.
         UsageError: The file can't be read.
     """
-    try:
-        text = path.read_text()
-    except OSError as error:
-        raise UsageError(
-            message=f"FILE {path}: {error.strerror}", hint="name a readable YAML file"
-        ) from error
-    document = load_yaml(text, str(path))
+    document = read_yaml(path, "FILE")
     check_document(document, JOBS_SCHEMA, str(path))
     requests = []
     for job in document["jobs"]:
--- a/src/comfreysill/cli/floors.py
+++ b/src/comfreysill/cli/floors.py
@@ -11,7 +11,7 @@
 from comfreysill.entry.administration import check_floor
 from comfreysill.exceptions import DocumentError, RefusedError, UnreachableError, UsageError
 from comfreysill.floor.document import diff_documents
-from comfreysill.schemas import load_yaml
+from comfreysill.schemas import read_yaml
 
 FLOOR_PATH = "/admin/v1/floor"
 TRIES = 5
@@ -25,13 +25,7 @@
         DocumentError: The document has errors; all of them are listed.
         UsageError: The file can't be read.
     """
-    try:
-        text = path.read_text()
-    except OSError as error:
-        raise UsageError(
-            message=f"FILE {path}: {error.strerror}", hint="name a readable YAML file"
-        ) from error
-    document = load_yaml(text, str(path))
+    document = read_yaml(path, "FILE")
     problems = check_floor(document)
     if problems:
         raise DocumentError(source=str(path), problems=tuple(problems))
--- a/src/comfreysill/daemon.py
+++ b/src/comfreysill/daemon.py
@@ -10,7 +10,7 @@
 
 from comfreysill.agent.program import run_agent
 from comfreysill.entry.program import run_entry
-from comfreysill.exceptions import ComfreysillError, UsageError
+from comfreysill.exceptions import ComfreysillError
 from comfreysill.logs import configure_logging
 from comfreysill.settings import Settings, read_settings
 
@@ -21,12 +21,7 @@
     settings: Annotated[pathlib.Path, cappa.Arg(long="--settings", help="Settings file in YAML.")],
 ) -> None:
     """Runs one process of the dispatcher in the role that its settings name."""
-    try:
-        checked = read_settings(settings)
-    except OSError as error:
-        raise UsageError(
-            message=f"--settings {settings}: {error.strerror}", hint="name a readable YAML file"
-        ) from error
+    checked = read_settings(settings)
     configure_logging(checked.log_format, checked.log_level)
     asyncio.run(_run(checked))
 
--- a/src/comfreysill/entry/administration.py
+++ b/src/comfreysill/entry/administration.py
@@ -6,7 +6,6 @@
 
 import falcon
 import falcon.asgi
-import yaml
 from result import Err
 
 from comfreysill.entry.keeper import Keeper
@@ -227,11 +226,6 @@
     }
 
 
-def parse_document(text: str) -> Any:
-    """Parses a floor document in YAML."""
-    return yaml.safe_load(text)
-
-
 def _format_problem(problem: Problem) -> dict[str, str]:
     return {
         "path": problem.path,
--- a/src/comfreysill/load/experiment.py
+++ b/src/comfreysill/load/experiment.py
@@ -3,8 +3,7 @@
 import pathlib
 from typing import Any
 
-from comfreysill.exceptions import UsageError
-from comfreysill.schemas import check_document, load_yaml
+from comfreysill.schemas import check_document, read_yaml
 
 _SHARE = {"type": "number", "minimum": 0, "maximum": 1}
 _POSITIVE = {"type": "number", "exclusiveMinimum": 0}
@@ -114,13 +113,7 @@
         DocumentError: The file has errors; all of them are listed.
         UsageError: The file can't be read.
     """
-    try:
-        text = path.read_text()
-    except OSError as error:
-        raise UsageError(
-            message=f"EXPERIMENT {path}: {error.strerror}", hint="name a readable YAML file"
-        ) from error
-    document = load_yaml(text, str(path))
+    document = read_yaml(path, "EXPERIMENT")
     check_document(document, EXPERIMENT_SCHEMA, str(path))
     return Experiment(name=path.stem, document=document)
 
--- a/src/comfreysill/schemas.py
+++ b/src/comfreysill/schemas.py
@@ -2,16 +2,37 @@
 
 import difflib
 import json
+import pathlib
 from typing import Any
 
 import jsonschema
 import yaml
 
-from comfreysill.exceptions import DocumentError, Problem
+from comfreysill.exceptions import DocumentError, Problem, UsageError
 
 _VALUE_LENGTH = 60
 
 
+def read_yaml(path: pathlib.Path, parameter: str) -> Any:
+    """Reads a YAML file that the caller of a program named.
+
+    Args:
+        path: The file.
+        parameter: Name of the parameter, for the message.
+
+    Raises:
+        DocumentError: The text is no YAML.
+        UsageError: The file can't be read.
+    """
+    try:
+        text = path.read_text()
+    except OSError as error:
+        raise UsageError(
+            message=f"{parameter} {path}: {error.strerror}", hint="name a readable YAML file"
+        ) from error
+    return load_yaml(text, str(path))
+
+
 def load_yaml(text: str, source: str) -> Any:
     """Parses a YAML document.
 
--- a/src/comfreysill/settings.py
+++ b/src/comfreysill/settings.py
@@ -2,7 +2,7 @@
 
 import pathlib
 
-from comfreysill.schemas import check_document, load_yaml
+from comfreysill.schemas import check_document, read_yaml
 
 ROLES = ("entry", "agent")
 PLACEMENTS = ("finish", "random", "round-robin", "least-loaded")
@@ -130,9 +130,9 @@
 
     Raises:
         DocumentError: The file has errors; all of them are listed.
-        OSError: The file can't be read.
+        UsageError: The file can't be read.
     """
-    document = load_yaml(path.read_text(), str(path))
+    document = read_yaml(path, "--settings")
     check_document(document, SETTINGS_SCHEMA, str(path))
     logging = document.get("logging", {})
     return Settings(
