Admission looks at the time that is left: unmeetable jobs and backlogs are refused at once

Cause: in a burst of several times the capacity jobs waited until their deadlines and failed there, after slots were spent on some of their tasks.

--- a/src/comfreysill/dispatch/admission.py
+++ b/src/comfreysill/dispatch/admission.py
@@ -1,11 +1,11 @@
 """Admission of submissions at the owner of their partition."""
 
+from comfreysill.dispatch.backlog import find_least_time, find_wait, track_pending
 from comfreysill.dispatch.jobs import (
     adopt_found,
     enqueue_job,
     fail_and_answer,
     settle_job,
-    track_pending,
 )
 from comfreysill.dispatch.proofs import deliver_answer
 from comfreysill.dispatch.state import (
@@ -143,7 +143,9 @@
     reason = _find_refusal(dispatcher, submission, now)
     if reason is None:
         return None
-    retry_at = now + RETRY_AFTER_SECONDS if reason[0] in TEMPORARY else 0.0
+    retry_at = 0.0
+    if reason[0] in TEMPORARY:
+        retry_at = now + max(RETRY_AFTER_SECONDS, find_wait(dispatcher, submission, now) / 2)
     refusal = refuse_job(submission.key, reason[0], reason[1], retry_at)
     issued_at = find_earliest_issue(submission)
     forgotten = now >= find_expiry(submission)
@@ -175,6 +177,19 @@
     full = dispatcher.queued_tasks + len(submission.tasks) > floor.queued_tasks
     if full or dispatcher.job_count >= floor.jobs:
         return Reason.QUEUE_FULL, "the queue is full"
+    return _check_time(dispatcher, submission, now)
+
+
+def _check_time(
+    dispatcher: Dispatcher, submission: Submission, now: float
+) -> tuple[Reason, str] | None:
+    left = submission.deadline - now
+    least = find_least_time(dispatcher, submission)
+    if least > left:
+        return Reason.UNMEETABLE, f"a task takes {least:.1f} s at least, {left:.1f} s are left"
+    wait = find_wait(dispatcher, submission, now)
+    if wait + least > left:
+        return Reason.QUEUE_FULL, f"work of {wait:.1f} s waits, {left:.1f} s are left"
     return None
 
 
--- a/src/comfreysill/dispatch/estimate.py
+++ b/src/comfreysill/dispatch/estimate.py
@@ -3,6 +3,7 @@
 import math
 
 from comfreysill.job.job import Job
+from comfreysill.job.types import Submission
 
 SMOOTHING = 0.05
 MIN_RUN_TIME_SECONDS = 0.001
@@ -38,14 +39,14 @@
         self.groups: dict[tuple[str, str, int], Group] = {}
 
 
-def estimate_task(estimates: Estimates, job: Job, index: int) -> float:
+def estimate_task(estimates: Estimates, submission: Submission, index: int) -> float:
     """Returns the expected run time of a task in seconds on an average target.
 
     The declared time counts, scaled by what was learned, unless the mean of the group has
     foretold run times better.
     """
-    declared = max(job.submission.tasks[index].run_time, MIN_RUN_TIME_SECONDS)
-    group = estimates.groups.get(_name_group(job))
+    declared = max(submission.tasks[index].run_time, MIN_RUN_TIME_SECONDS)
+    group = estimates.groups.get(_name_group(submission))
     if group is None:
         return declared
     if group.mean_error < group.declared_error:
@@ -53,26 +54,37 @@
     return declared * group.ratio
 
 
+def estimate_least(estimates: Estimates, submission: Submission, index: int) -> float:
+    """Returns the lower one of all estimates of a task in seconds on an average target."""
+    declared = max(submission.tasks[index].run_time, MIN_RUN_TIME_SECONDS)
+    group = estimates.groups.get(_name_group(submission))
+    if group is None:
+        return declared
+    return min(declared, declared * group.ratio, group.mean)
+
+
 def estimate_ideal(estimates: Estimates, job: Job, slots: int) -> float:
     """Returns the expected response time in seconds of a job on an empty floor.
 
     It is the longest task, or the work of all shared by the slots, whichever takes longer.
     """
-    times = [estimate_task(estimates, job, index) for index in job.pending]
+    times = [estimate_task(estimates, job.submission, index) for index in job.pending]
     return max(max(times), sum(times) / max(1, slots)) if times else 0.0
 
 
-def find_mean(estimates: Estimates, job: Job) -> float | None:
+def find_mean(estimates: Estimates, submission: Submission) -> float | None:
     """Returns the mean run time of a job's group on an average target, None before any task."""
-    group = estimates.groups.get(_name_group(job))
+    group = estimates.groups.get(_name_group(submission))
     return group.mean if group is not None else None
 
 
-def learn_run_time(estimates: Estimates, job: Job, index: int, normal_seconds: float) -> None:
+def learn_run_time(
+    estimates: Estimates, submission: Submission, index: int, normal_seconds: float
+) -> None:
     """Takes the run time of a finished task, normalised to an average target."""
-    declared = max(job.submission.tasks[index].run_time, MIN_RUN_TIME_SECONDS)
+    declared = max(submission.tasks[index].run_time, MIN_RUN_TIME_SECONDS)
     seconds = max(normal_seconds, MIN_RUN_TIME_SECONDS)
-    group = estimates.groups.setdefault(_name_group(job), Group())
+    group = estimates.groups.setdefault(_name_group(submission), Group())
     group.count += 1
     share = max(SMOOTHING, 1 / group.count)
     if group.count > 1:
@@ -84,6 +96,5 @@
     group.ratio += share * (seconds / declared - group.ratio)
 
 
-def _name_group(job: Job) -> tuple[str, str, int]:
-    submission = job.submission
+def _name_group(submission: Submission) -> tuple[str, str, int]:
     return submission.service, submission.key.team, submission.task_class
--- a/src/comfreysill/dispatch/jobs.py
+++ b/src/comfreysill/dispatch/jobs.py
@@ -1,5 +1,6 @@
 """Tasks of owned jobs that end, get lost or come back, and the answers that follow."""
 
+from comfreysill.dispatch.backlog import track_pending
 from comfreysill.dispatch.estimate import estimate_ideal, find_mean, learn_run_time
 from comfreysill.dispatch.proofs import deliver_answer
 from comfreysill.dispatch.queue import ServiceQueue, find_due, push_job
@@ -152,17 +153,6 @@
     enqueue_job(dispatcher, job)
 
 
-def track_pending(dispatcher: Dispatcher, job: Job) -> None:
-    """Keeps the entry's count of pending tasks in step with a job."""
-    change = len(job.pending) - job.counted_pending
-    if not change:
-        return
-    dispatcher.queued_tasks += change
-    by_team = dispatcher.queued_by_team
-    by_team[job.key.team] = by_team.get(job.key.team, 0) + change
-    job.counted_pending = len(job.pending)
-
-
 def cancel_job(dispatcher: Dispatcher, key: JobKey, now: float) -> bool:
     """Cancels a job; queued tasks are dropped, results of running ones are not awaited.
 
@@ -268,11 +258,11 @@
 
 
 def _learn(dispatcher: Dispatcher, target: Target, job: Job, done: TaskDone) -> None:
-    mean = find_mean(dispatcher.estimates, job)
+    mean = find_mean(dispatcher.estimates, job.submission)
     if mean is not None:
         learn_slowness(target, done.run_seconds / max(mean, 1e-6))
     normal = done.run_seconds / max(target.slowness, 1e-6)
-    learn_run_time(dispatcher.estimates, job, done.index, normal)
+    learn_run_time(dispatcher.estimates, job.submission, done.index, normal)
 
 
 def _end_failed(
--- a/src/comfreysill/dispatch/links.py
+++ b/src/comfreysill/dispatch/links.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable
 
 from comfreysill.dispatch.admission import admit_waiting, settle_doubts
+from comfreysill.dispatch.backlog import track_pending
 from comfreysill.dispatch.handovers import hand_over
 from comfreysill.dispatch.jobs import (
     apply_record,
@@ -10,7 +11,6 @@
     receive_done,
     receive_refused,
     take_back_task,
-    track_pending,
 )
 from comfreysill.dispatch.messages import NotOwner
 from comfreysill.dispatch.ownership import (
--- a/src/comfreysill/dispatch/receipts.py
+++ b/src/comfreysill/dispatch/receipts.py
@@ -1,6 +1,6 @@
 """Submissions at the entry that took them from callers, until they are answered."""
 
-from comfreysill.dispatch.state import Dispatcher, Receipt, answer_caller, count
+from comfreysill.dispatch.state import Dispatcher, answer_caller, count
 from comfreysill.job.types import Answer, JobKey
 
 
@@ -26,8 +26,3 @@
     receipt = dispatcher.receipts.get(key)
     if receipt is not None and caller in receipt.callers:
         receipt.callers.remove(caller)
-
-
-def is_waiting(receipt: Receipt) -> bool:
-    """Tells whether a submission has to be handed to an owner."""
-    return not receipt.sent_to
--- a/src/comfreysill/dispatch/starting.py
+++ b/src/comfreysill/dispatch/starting.py
@@ -1,8 +1,8 @@
 """Starts waiting tasks at targets."""
 
 from comfreysill.dispatch.authority import find_authority_end, request_validation
+from comfreysill.dispatch.backlog import track_pending
 from comfreysill.dispatch.estimate import estimate_task
-from comfreysill.dispatch.jobs import track_pending
 from comfreysill.dispatch.ownership import list_live_entries
 from comfreysill.dispatch.placement import Room
 from comfreysill.dispatch.queue import ServiceQueue, charge_job, choose_job, has_jobs, push_job
@@ -122,7 +122,7 @@
         request_validation(dispatcher, now)
         return False
     candidates = [target for target in targets if target.name in holding.confirmed]
-    estimate = estimate_task(dispatcher.estimates, job, job.pending[0])
+    estimate = estimate_task(dispatcher.estimates, job.submission, job.pending[0])
     find_room = _build_room(dispatcher, job, now)
     total = 0
     for target, amount in dispatcher.place(candidates, len(job.pending), estimate, find_room):
--- a/src/comfreysill/dispatch/state.py
+++ b/src/comfreysill/dispatch/state.py
@@ -142,6 +142,7 @@
         fenced: How each partition was lost last.
         receipts: Submissions taken from callers.
         queues: Waiting jobs by service.
+        backlogs: Seconds of waiting work by service and class.
         proofs: Refusals that wait for a validation of ownership.
         handovers: Handovers of partitions that this entry hasn't claimed yet.
         retries: Budget of the tasks that are sent out again.
@@ -170,6 +171,7 @@
         "queues",
         "queued_tasks",
         "queued_by_team",
+        "backlogs",
         "job_count",
         "estimates",
         "demand",
@@ -189,7 +191,6 @@
         "cycle",
         "timers",
         "timer_order",
-        "next_roster_at",
         "retries",
         "next_report_at",
     )
@@ -212,6 +213,7 @@
         self.queues: dict[str, ServiceQueue] = {}
         self.queued_tasks = 0
         self.queued_by_team: dict[str, int] = {}
+        self.backlogs: dict[str, list[float]] = {}
         self.job_count = 0
         self.estimates = Estimates()
         self.demand = Demand()
@@ -231,7 +233,6 @@
         self.cycle = 0
         self.timers: list[tuple[float, int, Job]] = []
         self.timer_order = 0
-        self.next_roster_at = 0.0
         self.retries = RetryBudget()
         self.next_report_at = 0.0
 
--- a/src/comfreysill/job/job.py
+++ b/src/comfreysill/job/job.py
@@ -58,6 +58,7 @@
         expires_at: Unix time in seconds until which the answer is kept.
         retries: How many tasks were sent out again.
         counted_pending: Pending tasks that the entry's total includes.
+        task_seconds: Estimated run time of one task when the job was accepted.
         queued: True while the job stands in a queue.
         due: Unix time in seconds by which the queue orders it.
         any_lost: True once an attempt was lost that may have run.
@@ -81,6 +82,7 @@
         "expires_at",
         "retries",
         "counted_pending",
+        "task_seconds",
         "queued",
         "due",
         "any_lost",
@@ -107,6 +109,7 @@
         self.expires_at = expires_at
         self.retries = 0
         self.counted_pending = 0
+        self.task_seconds = 0.0
         self.queued = False
         self.due = 0.0
         self.any_lost = False
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -157,17 +157,19 @@
         estimates = Estimates()
         for number in range(40):
             declared = 0.5 * (10 if number % 2 else 0.1)
-            learn_run_time(estimates, make_waiting(number, run_time=declared), 0, 0.5)
+            learn_run_time(estimates, make_waiting(number, run_time=declared).submission, 0, 0.5)
         wrong = make_waiting(99, run_time=5.0)
-        self.assertAlmostEqual(estimate_task(estimates, wrong, 0), 0.5, delta=0.1)
+        self.assertAlmostEqual(estimate_task(estimates, wrong.submission, 0), 0.5, delta=0.1)
 
     def test_good_declared_times_are_kept(self):
         estimates = Estimates()
         for number in range(40):
             declared = 0.1 + 0.05 * (number % 10)
-            learn_run_time(estimates, make_waiting(number, run_time=declared), 0, 2 * declared)
+            learn_run_time(
+                estimates, make_waiting(number, run_time=declared).submission, 0, 2 * declared
+            )
         self.assertAlmostEqual(
-            estimate_task(estimates, make_waiting(99, run_time=0.3), 0), 0.6, delta=0.05
+            estimate_task(estimates, make_waiting(99, run_time=0.3).submission, 0), 0.6, delta=0.05
         )
 
 
@@ -218,3 +220,35 @@
         again = sum(count_starts(world, make_key(number)) for number in range(3))
         self.assertEqual(again, started)
         self.assertEqual(len(world.oracle.answers), 3)
+
+    def test_job_that_cannot_meet_its_deadline_is_refused_as_not_run(self):
+        world = World(entries=1, agents=2)
+        warm_up(world)
+        job = make_job(world, make_key(1), within=0.04)
+        caller = submit(world, "e1", job)
+        world.deliver_all()
+        answer = world.oracle.answers[caller]
+        self.assertEqual((answer.reason.name, answer.verdict.name), ("UNMEETABLE", "NOT_RUN"))
+
+    def test_work_that_would_wait_past_its_deadline_is_refused_at_once(self):
+        world = World(entries=1, agents=1)
+        warm_up(world)
+        for number in range(6):
+            submit(world, "e1", make_job(world, make_key(number), size=2, within=60.0))
+        late = make_job(world, make_key(10), within=0.2)
+        caller = submit(world, "e1", late)
+        world.deliver_all()
+        answer = world.oracle.answers[caller]
+        self.assertEqual((answer.reason.name, answer.verdict.name), ("QUEUE_FULL", "NOT_RUN"))
+        self.assertGreater(answer.retry_at, world.now)
+
+    def test_backlog_returns_to_zero(self):
+        world = World(entries=1, agents=1)
+        warm_up(world)
+        for number in range(3):
+            submit(world, "e1", make_job(world, make_key(number), size=3, within=60.0))
+        for _ in range(12):
+            warm_up(world, 0.25)
+            finish_all(world)
+        backlog = world.entries["e1"].state.backlogs[SERVICE]
+        self.assertAlmostEqual(sum(backlog), 0.0)
