--- a/src/comfreysill/cli/main.py
+++ b/src/comfreysill/cli/main.py
@@ -110,10 +110,13 @@
     __slots__ = ()
 
     @cappa.command(name="check")
-    def check(self, file: FloorFile) -> None:
+    def check(self, file: FloorFile, json: JsonOption = False) -> None:
         """Check a floor document without changing anything."""
         floors.read_floor_file(file)
-        print(f"{file}: no errors")
+        if json:
+            print_json({"file": str(file), "problems": []})
+        else:
+            print(f"{file}: no errors")
 
     @cappa.command(name="apply")
     def apply(
@@ -124,17 +127,22 @@
             int | None, cappa.Arg(long="--previous", help="Version the change was made on.")
         ] = None,
         author: AuthorOption = "operator",
+        json: JsonOption = False,
     ) -> None:
         """Apply a floor document completely or not at all."""
         document = floors.read_floor_file(file)
         accepted = floors.apply_document(entry.split(",")[0], document, author, previous)
-        print(f"version {accepted['version']} is accepted")
+        print_accepted(accepted, json)
 
     @cappa.command(name="diff")
-    def diff(self, file: FloorFile, entry: EntryOption) -> None:
+    def diff(self, file: FloorFile, entry: EntryOption, json: JsonOption = False) -> None:
         """Show what a document would change."""
         document = floors.read_floor_file(file)
-        for line in floors.diff_with_current(entry.split(",")[0], document):
+        lines = floors.diff_with_current(entry.split(",")[0], document)
+        if json:
+            print_json({"difference": lines})
+            return
+        for line in lines:
             print(line)
 
     @cappa.command(name="show")
@@ -155,12 +163,17 @@
         print_table("Versions", columns, rows)
 
     @cappa.command(name="rollback")
-    def rollback(self, version: int, entry: EntryOption, author: AuthorOption = "operator") -> None:
+    def rollback(
+        self,
+        version: int,
+        entry: EntryOption,
+        author: AuthorOption = "operator",
+        json: JsonOption = False,
+    ) -> None:
         """Apply a past version's document as a new version."""
         first = entry.split(",")[0]
         document = floors.find_past(first, version)
-        accepted = floors.apply_document(first, document, author, None)
-        print(f"version {accepted['version']} is accepted, with the document of {version}")
+        print_accepted(floors.apply_document(first, document, author, None), json)
 
     @cappa.command(name="status")
     def status(self, entry: EntryOption) -> None:
@@ -176,9 +189,12 @@
     __slots__ = ()
 
     @cappa.command(name="new")
-    def new(self) -> None:
+    def new(self, json: JsonOption = False) -> None:
         """Print a new key, and its hash for the floor document."""
         key = keys.make_key()
+        if json:
+            print_json({"key": key, "hash": keys.hash_key(key)})
+            return
         print(f"key:  {key}")
         print(f"hash: {keys.hash_key(key)}")
 
@@ -269,6 +285,14 @@
     draw_runs(read_runs(runs), out)
 
 
+def print_accepted(accepted: dict[str, Any], json: bool) -> None:
+    """Prints the floor version that a change led to."""
+    if json:
+        print_json(accepted)
+    else:
+        print(f"version {accepted['version']} is accepted")
+
+
 def print_json(document: Any) -> None:
     """Prints a document as JSON."""
     print(orjson.dumps(document, option=orjson.OPT_INDENT_2).decode())
--- a/src/comfreysill/dispatch/core.py
+++ b/src/comfreysill/dispatch/core.py
@@ -147,6 +147,7 @@
     if renew_takeovers(dispatcher, now):
         claim_everywhere(dispatcher, now)
     _run_timers(dispatcher, now)
+    _forget_found(dispatcher, now)
     _suspect_targets(dispatcher, now)
     reroute_receipts(dispatcher, now)
     report_lost(dispatcher, now)
@@ -258,6 +259,13 @@
             dispatcher.job_count -= 1
 
 
+def _forget_found(dispatcher: Dispatcher, now: float) -> None:
+    """Forgets jobs of earlier owners that nobody has submitted again in time."""
+    for holding in dispatcher.holdings.values():
+        if holding.found and holding.open and now >= holding.forget_at:
+            holding.found.clear()
+
+
 def _suspect_targets(dispatcher: Dispatcher, now: float) -> None:
     """Sends idempotent tasks elsewhere whose target can't be reached."""
     silent = {
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -167,6 +167,19 @@
             finish_all(world)
         self.assertTrue(world.oracle.answers[caller].complete)
 
+    def test_found_jobs_are_forgotten_once_they_are_over(self):
+        world = self.world
+        job = make_job(world, find_key(world, "e1"))
+        submit(world, "e2", job)
+        world.deliver_all()
+        world.kill_entry("e1")
+        world.entries["e2"].state.receipts.clear()
+        warm_up(world)
+        holdings = world.entries["e2"].state.holdings.values()
+        self.assertEqual(sum(len(holding.found) for holding in holdings), 1)
+        warm_up(world, 160.0)
+        self.assertEqual(sum(len(holding.found) for holding in holdings), 0)
+
     def test_graceful_leave_hands_jobs_over_without_a_second_start(self):
         world = self.world
         self.fill()
