--- a/src/comfreysill/dispatch/backlog.py
+++ b/src/comfreysill/dispatch/backlog.py
@@ -2,12 +2,15 @@
 
 from comfreysill.dispatch.estimate import estimate_least, estimate_task
 from comfreysill.dispatch.ownership import list_live_entries
+from comfreysill.dispatch.queue import BULK_TURN
+from comfreysill.dispatch.reserve import decay_work
 from comfreysill.dispatch.state import Dispatcher
 from comfreysill.job.job import Job
 from comfreysill.job.types import Submission, TaskClass
 from comfreysill.target.view import Target
 
 UNMEETABLE_SHARE = 0.5
+LEAST_SHARE = 1 / BULK_TURN
 
 
 def track_pending(dispatcher: Dispatcher, job: Job) -> None:
@@ -28,15 +31,20 @@
 def find_wait(dispatcher: Dispatcher, submission: Submission, now: float) -> float:
     """Returns how long in seconds new work of a job's class would wait to be started.
 
-    Work of the same and more urgent classes goes first; this entry counts on its share of the
-    targets.
+    Work of the same and more urgent classes goes first, and more urgent work is taken to arrive
+    as it did lately. This entry counts on its share of the targets.
     """
     backlog = dispatcher.backlogs.get(submission.service)
     capacity = _find_capacity(dispatcher, submission.service)
     if backlog is None or not capacity:
         return 0.0
+    entries = len(list_live_entries(dispatcher, now))
+    decay_work(dispatcher.demand, now)
+    rates = dispatcher.demand.rates
+    taken = entries * sum(rates[other] for other in TaskClass if other < submission.task_class)
+    left = max(capacity - taken, capacity * LEAST_SHARE)
     ahead = max(0.0, sum(backlog[: submission.task_class + 1]))
-    return ahead * len(list_live_entries(dispatcher, now)) / capacity
+    return ahead * entries / left
 
 
 def find_least_time(dispatcher: Dispatcher, submission: Submission) -> float:
