Less state: what nothing read is gone, handed and found tasks are one class

Change: removed; a handed task is an index and a found task. The codec's test covers handovers, waves and orders to drain, which it had left out.

--- a/src/comfreysill/dispatch/handovers.py
+++ b/src/comfreysill/dispatch/handovers.py
@@ -80,7 +80,7 @@
             continue
         found = holding.found.setdefault(handed.key, FoundJob(digest=handed.digest))
         for task in handed.tasks:
-            add_found(found, task.index, _find(task))
+            add_found(found, task.index, task.task)
     if not handover.last:
         return
     count(dispatcher, "handovers_received")
@@ -91,20 +91,10 @@
 
 def _merge_job(dispatcher: Dispatcher, job: Job, handed: HandedJob, now: float) -> None:
     for task in handed.tasks:
-        apply_found(dispatcher, job, task.index, _find(task), now)
+        apply_found(dispatcher, job, task.index, task.task, now)
     settle_job(dispatcher, job, now)
 
 
-def _find(task: HandedTask) -> FoundTask:
-    return FoundTask(
-        agent=task.agent,
-        incarnation=task.incarnation,
-        attempt=task.attempt,
-        outcome=task.outcome,
-        payload=task.payload,
-    )
-
-
 def _pack_job(job: Job) -> HandedJob:
     tasks = [
         _pack_task(job, index, state)
@@ -121,27 +111,18 @@
     outcome = _OUTCOMES[TaskState(state)]
     if not done and placement is None and outcome != Outcome.FAILED:
         outcome = Outcome.LOST
-    return HandedTask(
-        index=index,
-        attempt=job.attempts[index],
+    task = FoundTask(
         agent=placement.agent if placement else "",
         incarnation=placement.incarnation if placement else "",
+        attempt=job.attempts[index],
         outcome=outcome,
         payload=results[index] if done else b"",
     )
+    return HandedTask(index=index, task=task)
 
 
 def _pack_found(key: JobKey, found: FoundJob) -> HandedJob:
     tasks = [
-        HandedTask(
-            index=index,
-            attempt=task.attempt,
-            agent=task.agent,
-            incarnation=task.incarnation,
-            outcome=task.outcome,
-            payload=task.payload,
-        )
-        for index, known in found.tasks.items()
-        for task in known
+        HandedTask(index=index, task=task) for index, known in found.tasks.items() for task in known
     ]
     return HandedJob(key=key, digest=found.digest, tasks=tuple(tasks))
--- a/src/comfreysill/dispatch/jobs.py
+++ b/src/comfreysill/dispatch/jobs.py
@@ -57,7 +57,7 @@
         return
     if job.states[index] != TaskState.PENDING:
         return
-    adopt_placement(job, index, task.attempt, task.agent, task.incarnation, now)
+    adopt_placement(job, index, task.attempt, task.agent, task.incarnation)
     track_pending(dispatcher, job)
     target = dispatcher.targets.get(task.agent)
     gone = target is None or target.incarnation != task.incarnation
@@ -87,7 +87,6 @@
 
 def receive_done(dispatcher: Dispatcher, target: Target, done: TaskDone, now: float) -> None:
     """Takes the result of a task."""
-    target.own = max(0, target.own - 1)
     job = find_job(dispatcher, done.key)
     if job is None:
         _keep_late_record(dispatcher, target, done)
@@ -113,7 +112,6 @@
 
 def receive_refused(dispatcher: Dispatcher, target: Target, refused: Refused, now: float) -> None:
     """Makes tasks pending again that an agent did not run."""
-    target.own = max(0, target.own - len(refused.attempts))
     count(dispatcher, f"starts_refused_{refused.cause.name.lower()}", len(refused.attempts))
     if refused.cause == RefusalCause.RUNNER and record_failure(target, now):
         count(dispatcher, "targets_ejected")
--- a/src/comfreysill/dispatch/messages.py
+++ b/src/comfreysill/dispatch/messages.py
@@ -2,7 +2,8 @@
 
 from comfreysill.job.types import Answer, JobKey, Submission, TaskClass
 from comfreysill.partition.epoch import Epoch
-from comfreysill.target.messages import EntryFrame, FloorUpdate, Outcome
+from comfreysill.partition.holding import FoundTask
+from comfreysill.target.messages import EntryFrame, FloorUpdate
 
 
 class Forward:
@@ -52,35 +53,13 @@
 
 
 class HandedTask:
-    """State of one task in a handover.
+    """What the former owner knew of one task; `index` is its position in the job."""
 
-    Attributes:
-        index: Position of the task in the job.
-        attempt: Number of the current attempt.
-        agent: Agent that has or had the attempt; empty where none is known.
-        incarnation: Incarnation of that agent.
-        outcome: What became of the attempt.
-        payload: Result of a task that is done.
-    """
-
-    __slots__ = ("index", "attempt", "agent", "incarnation", "outcome", "payload")
+    __slots__ = ("index", "task")
 
-    def __init__(
-        self,
-        *,
-        index: int,
-        attempt: int,
-        agent: str,
-        incarnation: str,
-        outcome: Outcome,
-        payload: bytes,
-    ) -> None:
+    def __init__(self, *, index: int, task: FoundTask) -> None:
         self.index = index
-        self.attempt = attempt
-        self.agent = agent
-        self.incarnation = incarnation
-        self.outcome = outcome
-        self.payload = payload
+        self.task = task
 
 
 class HandedJob:
--- a/src/comfreysill/dispatch/starting.py
+++ b/src/comfreysill/dispatch/starting.py
@@ -128,7 +128,7 @@
     for target, amount in dispatcher.place(candidates, len(job.pending), estimate, find_room):
         if target.probe_at:
             target.probe_at = now + PROBE_INTERVAL_SECONDS
-        _send_batch(dispatcher, job, holding, target, amount, authority_end, now)
+        _send_batch(dispatcher, job, holding, target, amount, authority_end)
         total += amount
     if not total:
         return False
@@ -176,12 +176,10 @@
     target: Target,
     amount: int,
     authority_end: float,
-    now: float,
 ) -> None:
     submission = job.submission
-    starts = [_place_next(job, target, now) for _ in range(amount)]
+    starts = [_place_next(job, target) for _ in range(amount)]
     target.unreported[submission.task_class] += amount
-    target.own += amount
     count(dispatcher, "starts_sent", amount)
     count(dispatcher, "batches_sent")
     target.outbox.append(
@@ -200,10 +198,10 @@
     )
 
 
-def _place_next(job: Job, target: Target, now: float) -> TaskStart:
+def _place_next(job: Job, target: Target) -> TaskStart:
     index = job.pending.popleft()
     task = job.submission.tasks[index]
-    attempt = place_task(job, index, target.name, target.incarnation, now)
+    attempt = place_task(job, index, target.name, target.incarnation)
     return TaskStart(
         index=index,
         attempt=attempt,
--- a/src/comfreysill/job/job.py
+++ b/src/comfreysill/job/job.py
@@ -26,12 +26,11 @@
 class Placement:
     """Where the current attempt of a task was sent."""
 
-    __slots__ = ("agent", "incarnation", "placed_at")
+    __slots__ = ("agent", "incarnation")
 
-    def __init__(self, *, agent: str, incarnation: str, placed_at: float) -> None:
+    def __init__(self, *, agent: str, incarnation: str) -> None:
         self.agent = agent
         self.incarnation = incarnation
-        self.placed_at = placed_at
 
 
 class Job:
@@ -121,7 +120,7 @@
         return self.submission.key
 
 
-def place_task(job: Job, index: int, agent: str, incarnation: str, now: float) -> int:
+def place_task(job: Job, index: int, agent: str, incarnation: str) -> int:
     """Records that a pending task is sent to an agent.
 
     The caller has taken the index out of `job.pending`.
@@ -131,20 +130,18 @@
     """
     job.states[index] = TaskState.PLACED
     job.attempts[index] += 1
-    job.placements[index] = Placement(agent=agent, incarnation=incarnation, placed_at=now)
+    job.placements[index] = Placement(agent=agent, incarnation=incarnation)
     return job.attempts[index]
 
 
-def adopt_placement(
-    job: Job, index: int, attempt: int, agent: str, incarnation: str, now: float
-) -> None:
+def adopt_placement(job: Job, index: int, attempt: int, agent: str, incarnation: str) -> None:
     """Takes over a task that an earlier owner sent to an agent."""
     if job.states[index] != TaskState.PENDING or attempt < job.attempts[index]:
         return
     _leave_pending(job, index)
     job.states[index] = TaskState.PLACED
     job.attempts[index] = attempt
-    job.placements[index] = Placement(agent=agent, incarnation=incarnation, placed_at=now)
+    job.placements[index] = Placement(agent=agent, incarnation=incarnation)
 
 
 def finish_task(job: Job, index: int, payload: bytes) -> bool:
--- a/src/comfreysill/target/view.py
+++ b/src/comfreysill/target/view.py
@@ -76,7 +76,6 @@
         validated_cycle: Cycle of the entry in which that frame was sent.
         load: Load as last reported.
         unreported: Starts of each class that the last report doesn't cover.
-        own: Tasks of this entry that are out on the open link.
         floor_sent: Newest floor version that was sent on the open link.
         load_asked: True once a report was asked for that hasn't come yet.
         slowness: Run time relative to the average target, 1 for the average.
@@ -99,7 +98,6 @@
         "last_sent_cycle",
         "load",
         "unreported",
-        "own",
         "load_asked",
         "slowness",
         "samples",
@@ -136,7 +134,6 @@
             floor_version=0,
         )
         self.unreported = [0] * len(IDLE)
-        self.own = 0
         self.load_asked = False
         self.slowness = 1.0
         self.samples = 0
@@ -168,7 +165,6 @@
     target.synced.clear()
     target.claiming.clear()
     target.unreported = [0] * len(IDLE)
-    target.own = 0
     target.load_asked = False
     target.floor_sent = 0
 
--- a/src/comfreysill/wire/peers.py
+++ b/src/comfreysill/wire/peers.py
@@ -21,6 +21,7 @@
     TaskSpec,
     Verdict,
 )
+from comfreysill.partition.holding import FoundTask
 from comfreysill.target.messages import Outcome, PartitionClaim
 from comfreysill.wire import comfreysill_pb2 as pb
 from comfreysill.wire.shared import (
@@ -194,17 +195,7 @@
         team=job.key.team,
         job_id=job.key.job_id,
         digest=job.digest,
-        tasks=[
-            pb.HandedTask(
-                index=task.index,
-                attempt=task.attempt,
-                agent=task.agent,
-                incarnation=task.incarnation,
-                outcome=int(task.outcome),
-                payload=task.payload,
-            )
-            for task in job.tasks
-        ],
+        tasks=[_encode_handed_task(item) for item in job.tasks],
     )
 
 
@@ -212,15 +203,27 @@
     return HandedJob(
         key=decode_key(job),
         digest=job.digest,
-        tasks=tuple(
-            HandedTask(
-                index=task.index,
-                attempt=task.attempt,
-                agent=task.agent,
-                incarnation=task.incarnation,
-                outcome=Outcome(task.outcome),
-                payload=task.payload,
-            )
-            for task in job.tasks
-        ),
+        tasks=tuple(_decode_handed_task(item) for item in job.tasks),
+    )
+
+
+def _encode_handed_task(item: HandedTask) -> pb.HandedTask:
+    return pb.HandedTask(
+        index=item.index,
+        attempt=item.task.attempt,
+        agent=item.task.agent,
+        incarnation=item.task.incarnation,
+        outcome=int(item.task.outcome),
+        payload=item.task.payload,
+    )
+
+
+def _decode_handed_task(item: pb.HandedTask) -> HandedTask:
+    task = FoundTask(
+        agent=item.agent,
+        incarnation=item.incarnation,
+        attempt=item.attempt,
+        outcome=Outcome(item.outcome),
+        payload=item.payload,
     )
+    return HandedTask(index=item.index, task=task)
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -1,6 +1,16 @@
 import unittest
 
-from comfreysill.dispatch.messages import Answered, CancelJob, Forward, NotOwner, PeerFrame
+from comfreysill.dispatch.messages import (
+    Answered,
+    CancelJob,
+    CancelWave,
+    Forward,
+    HandedJob,
+    HandedTask,
+    Handover,
+    NotOwner,
+    PeerFrame,
+)
 from comfreysill.job.types import (
     Answer,
     JobKey,
@@ -11,6 +21,7 @@
     Verdict,
 )
 from comfreysill.partition.epoch import Epoch
+from comfreysill.partition.holding import FoundTask
 from comfreysill.target import messages as m
 from comfreysill.wire import agents, peers
 
@@ -48,6 +59,7 @@
             m.Claim(claims=(CLAIM,)),
             m.CancelTasks(keys=(KEY,)),
             m.FloorUpdate(version=7, document=b"{}"),
+            m.SetDraining(draining=True),
         )
         frame = m.EntryFrame(entry="e", session=1, sequence=2, floor_version=3, messages=messages)
         wire = agents.encode_entry_frame(frame).SerializeToString()
@@ -116,12 +128,22 @@
             results=(b"1", b"\xff"),
             retry_at=2.5,
         )
+        found = FoundTask(
+            agent="a", incarnation="a@1", attempt=2, outcome=m.Outcome.DONE, payload=b"r"
+        )
+        handed = HandedJob(key=KEY, digest=b"d", tasks=(HandedTask(index=3, task=found),))
+        handover = Handover(
+            partition=3, epoch=CLAIM.epoch, known_since=1.5, jobs=(handed,), last=True
+        )
         messages = (
             Forward(submission=submission),
             Answered(answer=answer),
             NotOwner(key=KEY),
             CancelJob(key=KEY),
             m.FloorUpdate(version=1, document=b"x"),
+            CancelWave(team="t", task_class=TaskClass.URGENT),
+            CancelWave(team="t", task_class=None),
+            handover,
         )
         frame = PeerFrame(
             entry="e",
