Slots kept for urgent work are given back once it has ended

The measured demand decayed only when work was started or admitted, so on an idle floor the slots stayed kept for demand that had ended, and nothing could start that would have let it decay. Change: demand decays when slots are reserved.

--- a/src/comfreysill/dispatch/backlog.py
+++ b/src/comfreysill/dispatch/backlog.py
@@ -2,15 +2,13 @@
 
 from comfreysill.dispatch.estimate import estimate_least, estimate_task
 from comfreysill.dispatch.ownership import list_live_entries
-from comfreysill.dispatch.queue import BULK_TURN
-from comfreysill.dispatch.reserve import decay_work
+from comfreysill.dispatch.reserve import WINDOW_SECONDS, decay_work
 from comfreysill.dispatch.state import Dispatcher
 from comfreysill.job.job import Job
 from comfreysill.job.types import Submission, TaskClass
 from comfreysill.target.view import Target
 
 UNMEETABLE_SHARE = 0.5
-LEAST_SHARE = 1 / BULK_TURN
 
 
 def track_pending(dispatcher: Dispatcher, job: Job) -> None:
@@ -31,8 +29,8 @@
 def find_wait(dispatcher: Dispatcher, submission: Submission, now: float) -> float:
     """Returns how long in seconds new work of a job's class would wait to be started.
 
-    Work of the same and more urgent classes goes first, and more urgent work is taken to arrive
-    as it did lately. This entry counts on its share of the targets.
+    Work of the same and more urgent classes goes first. More urgent work is taken to go on arriving
+    as it did, for as long as its rate was measured. The entry counts on its share of the targets.
     """
     backlog = dispatcher.backlogs.get(submission.service)
     capacity = _find_capacity(dispatcher, submission.service)
@@ -42,9 +40,8 @@
     decay_work(dispatcher.demand, now)
     rates = dispatcher.demand.rates
     taken = entries * sum(rates[other] for other in TaskClass if other < submission.task_class)
-    left = max(capacity - taken, capacity * LEAST_SHARE)
     ahead = max(0.0, sum(backlog[: submission.task_class + 1]))
-    return ahead * entries / left
+    return (ahead * entries + taken * WINDOW_SECONDS) / capacity if ahead else 0.0
 
 
 def find_least_time(dispatcher: Dispatcher, submission: Submission) -> float:
--- a/src/comfreysill/dispatch/reserve.py
+++ b/src/comfreysill/dispatch/reserve.py
@@ -42,7 +42,12 @@
 
 
 def reserve_slots(
-    demand: Demand, targets: Iterable[Target], task_class: TaskClass, waited: float, entries: int
+    demand: Demand,
+    targets: Iterable[Target],
+    task_class: TaskClass,
+    waited: float,
+    entries: int,
+    now: float,
 ) -> dict[str, int]:
     """Returns how many slots of each target are kept for classes more urgent than the given one.
 
@@ -56,7 +61,9 @@
         task_class: Class that wants to start work.
         waited: Seconds that its next job has waited.
         entries: How many entries share the targets.
+        now: Unix time in seconds.
     """
+    decay_work(demand, now)
     work = entries * sum(rate for other, rate in demand.rates.items() if other < task_class)
     if not work:
         return {}
--- a/src/comfreysill/dispatch/starting.py
+++ b/src/comfreysill/dispatch/starting.py
@@ -147,13 +147,9 @@
         for target in dispatcher.targets.values()
         if job.submission.service in target.registration.services
     ]
-    reserved = reserve_slots(
-        dispatcher.demand,
-        serving,
-        task_class,
-        now - job.accepted_at,
-        len(list_live_entries(dispatcher, now)),
-    )
+    entries = len(list_live_entries(dispatcher, now))
+    waited = now - job.accepted_at
+    reserved = reserve_slots(dispatcher.demand, serving, task_class, waited, entries, now)
     urgent = task_class == TaskClass.URGENT
     share = _find_widest_share(dispatcher) if urgent else dispatcher.floor.queue_share
 
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -139,16 +139,22 @@
             add_work(self.demand, TaskClass.URGENT, 4.0, float(second))
 
     def test_fastest_slots_are_kept_for_measured_demand(self):
-        kept = reserve_slots(self.demand, self.targets, TaskClass.BULK, 0.0, 1)
+        kept = reserve_slots(self.demand, self.targets, TaskClass.BULK, 0.0, 1, 30.0)
         self.assertGreaterEqual(kept["fast"], 2)
         self.assertNotIn("slow", kept)
 
     def test_nothing_is_kept_from_the_most_urgent_class(self):
-        self.assertEqual(reserve_slots(self.demand, self.targets, TaskClass.URGENT, 0.0, 1), {})
+        self.assertEqual(
+            reserve_slots(self.demand, self.targets, TaskClass.URGENT, 0.0, 1, 30.0), {}
+        )
+
+    def test_slots_are_given_back_once_urgent_work_has_ended(self):
+        kept = reserve_slots(self.demand, self.targets, TaskClass.BULK, 0.0, 1, 90.0)
+        self.assertLessEqual(sum(kept.values()), 1)
 
     def test_margin_shrinks_with_waiting(self):
-        fresh = reserve_slots(self.demand, self.targets, TaskClass.BULK, 0.0, 1)
-        old = reserve_slots(self.demand, self.targets, TaskClass.BULK, 99.0, 1)
+        fresh = reserve_slots(self.demand, self.targets, TaskClass.BULK, 0.0, 1, 30.0)
+        old = reserve_slots(self.demand, self.targets, TaskClass.BULK, 99.0, 1, 30.0)
         self.assertLess(old["fast"], fresh["fast"])
 
 
