--- a/src/comfreysill/agent/keeper.py
+++ b/src/comfreysill/agent/keeper.py
@@ -17,6 +17,7 @@
     Tick,
 )
 from comfreysill.mailbox import Mailbox
+from comfreysill.target.frames import AgentFrame
 from comfreysill.target.intake import receive_frame
 from comfreysill.target.ledger import (
     Ledger,
@@ -27,7 +28,6 @@
     open_session,
     start_waiting,
 )
-from comfreysill.target.messages import AgentFrame
 from comfreysill.target.reports import collect_reports, forget_sessions
 from comfreysill.target.results import finish_record, reject_record, release_results
 
--- a/src/comfreysill/agent/links.py
+++ b/src/comfreysill/agent/links.py
@@ -8,7 +8,7 @@
 
 from comfreysill.agent.messages import LedgerMessage, LinkClosed, LinkFrame
 from comfreysill.mailbox import Mailbox
-from comfreysill.target.messages import AgentFrame
+from comfreysill.target.frames import AgentFrame
 from comfreysill.wire.agents import decode_entry_frame, encode_agent_frame
 from comfreysill.wire.comfreysill_grpc import AgentBase
 
--- a/src/comfreysill/agent/messages.py
+++ b/src/comfreysill/agent/messages.py
@@ -1,8 +1,11 @@
 """Messages to the task that owns the ledger."""
 
 from comfreysill.mailbox import Mailbox
+from comfreysill.target.frames import AgentFrame, EntryFrame
 from comfreysill.target.ledger import Record
-from comfreysill.target.messages import AgentFrame, EntryFrame, Outcome
+from comfreysill.target.messages import (
+    Outcome,
+)
 
 
 class LinkFrame:
--- a/src/comfreysill/dispatch/core.py
+++ b/src/comfreysill/dispatch/core.py
@@ -48,7 +48,11 @@
 )
 from comfreysill.job.job import Job, TaskState, list_placed
 from comfreysill.job.types import Reason, TaskClass
-from comfreysill.target.messages import EntryFrame, FloorUpdate, StartBatch
+from comfreysill.target.frames import EntryFrame
+from comfreysill.target.messages import (
+    FloorUpdate,
+    StartBatch,
+)
 from comfreysill.target.view import SentFrame, Target
 
 
--- a/src/comfreysill/dispatch/links.py
+++ b/src/comfreysill/dispatch/links.py
@@ -25,8 +25,8 @@
 from comfreysill.job.job import TaskState
 from comfreysill.job.types import JobKey
 from comfreysill.partition.holding import Holding
+from comfreysill.target.frames import AgentFrame
 from comfreysill.target.messages import (
-    AgentFrame,
     AgentMessage,
     Claimed,
     Fenced,
--- a/src/comfreysill/dispatch/messages.py
+++ b/src/comfreysill/dispatch/messages.py
@@ -3,7 +3,10 @@
 from comfreysill.job.types import Answer, JobKey, Submission, TaskClass
 from comfreysill.partition.epoch import Epoch
 from comfreysill.partition.holding import FoundTask
-from comfreysill.target.messages import EntryFrame, FloorUpdate
+from comfreysill.target.frames import EntryFrame
+from comfreysill.target.messages import (
+    FloorUpdate,
+)
 
 
 class Forward:
--- a/src/comfreysill/entry/links.py
+++ b/src/comfreysill/entry/links.py
@@ -22,7 +22,7 @@
 )
 from comfreysill.mailbox import Mailbox
 from comfreysill.settings import Address
-from comfreysill.target.messages import EntryFrame
+from comfreysill.target.frames import EntryFrame
 from comfreysill.wire.agents import decode_agent_frame, encode_entry_frame
 from comfreysill.wire.comfreysill_grpc import AgentStub, PeerBase, PeerStub
 from comfreysill.wire.peers import decode_peer_frame, encode_peer_frame
--- a/src/comfreysill/entry/messages.py
+++ b/src/comfreysill/entry/messages.py
@@ -6,7 +6,7 @@
 from comfreysill.floor.document import Floor
 from comfreysill.job.types import Answer, JobKey, Submission, TaskClass
 from comfreysill.platform.registry import Members
-from comfreysill.target.messages import AgentFrame
+from comfreysill.target.frames import AgentFrame
 
 
 class Submit:
--- /dev/null
+++ b/src/comfreysill/target/frames.py
@@ -0,0 +1,126 @@
+"""Frames between an entry and an agent: numbered messages, and the load that rides on them."""
+
+from comfreysill.target.messages import AgentMessage, EntryMessage
+
+
+class Load:
+    """Load of a target; rides on every frame of its agent.
+
+    Attributes:
+        slots: How many tasks the target runs at once.
+        queue_limit: How many tasks may wait at the agent.
+        running: Tasks that run now.
+        queued: Tasks that wait at the agent.
+        active: Tasks of each class that run or wait.
+        draining: True when the target takes no new work.
+        floor_version: Version of the floor document in force at the agent.
+    """
+
+    __slots__ = (
+        "slots",
+        "queue_limit",
+        "running",
+        "queued",
+        "active",
+        "draining",
+        "floor_version",
+    )
+
+    def __init__(
+        self,
+        *,
+        slots: int,
+        queue_limit: int,
+        running: int,
+        queued: int,
+        active: tuple[int, ...],
+        draining: bool,
+        floor_version: int,
+    ) -> None:
+        self.queue_limit = queue_limit
+        self.active = active
+        self.slots = slots
+        self.running = running
+        self.queued = queued
+        self.draining = draining
+        self.floor_version = floor_version
+
+
+class EntryFrame:
+    """Messages from an entry to an agent, numbered within a session.
+
+    A frame without messages is a heartbeat. `load_wanted` asks for a report once a slot is free,
+    `ack_wanted` for one at once.
+    """
+
+    __slots__ = (
+        "entry",
+        "session",
+        "sequence",
+        "floor_version",
+        "messages",
+        "load_wanted",
+        "ack_wanted",
+    )
+
+    def __init__(
+        self,
+        *,
+        entry: str,
+        session: int,
+        sequence: int,
+        floor_version: int,
+        messages: tuple[EntryMessage, ...],
+        load_wanted: bool = False,
+        ack_wanted: bool = False,
+    ) -> None:
+        self.ack_wanted = ack_wanted
+        self.load_wanted = load_wanted
+        self.entry = entry
+        self.session = session
+        self.sequence = sequence
+        self.floor_version = floor_version
+        self.messages = messages
+
+
+class AgentFrame:
+    """Messages from an agent to an entry, numbered within a session.
+
+    Attributes:
+        agent: Name of the agent.
+        incarnation: Incarnation of the agent's process.
+        session: Session of the entry's link.
+        sequence: Number of the frame, from 1.
+        acknowledged: Highest sequence number received from the entry.
+        load: Load of the target.
+        messages: The messages.
+    """
+
+    __slots__ = (
+        "agent",
+        "incarnation",
+        "session",
+        "sequence",
+        "acknowledged",
+        "load",
+        "messages",
+    )
+
+    def __init__(
+        self,
+        *,
+        agent: str,
+        incarnation: str,
+        session: int,
+        sequence: int,
+        acknowledged: int,
+        load: Load,
+        messages: tuple[AgentMessage, ...],
+    ) -> None:
+        self.agent = agent
+        self.incarnation = incarnation
+        self.session = session
+        self.sequence = sequence
+        self.acknowledged = acknowledged
+        self.load = load
+        self.messages = messages
--- a/src/comfreysill/target/intake.py
+++ b/src/comfreysill/target/intake.py
@@ -5,6 +5,7 @@
 
 from comfreysill.job.types import JobKey
 from comfreysill.partition.epoch import NO_EPOCH
+from comfreysill.target.frames import EntryFrame
 from comfreysill.target.ledger import (
     CLOCK_SKEW_SECONDS,
     RECORD_LIMIT,
@@ -22,7 +23,6 @@
     CancelTasks,
     Claim,
     Claimed,
-    EntryFrame,
     Fenced,
     FloorUpdate,
     LedgerRecord,
--- a/src/comfreysill/target/reports.py
+++ b/src/comfreysill/target/reports.py
@@ -1,7 +1,10 @@
 """Frames from an agent to entries: results, acknowledgements and the target's load."""
 
+from comfreysill.target.frames import AgentFrame, Load
 from comfreysill.target.ledger import Ledger, Session
-from comfreysill.target.messages import AgentFrame, AgentMessage, Load
+from comfreysill.target.messages import (
+    AgentMessage,
+)
 
 SESSION_MEMORY_SECONDS = 300.0
 ACKNOWLEDGE_SECONDS = 1.0
--- a/src/comfreysill/target/view.py
+++ b/src/comfreysill/target/view.py
@@ -4,7 +4,11 @@
 
 from comfreysill.job.types import TaskClass
 from comfreysill.partition.epoch import Epoch
-from comfreysill.target.messages import EntryMessage, LedgerRecord, Load
+from comfreysill.target.frames import Load
+from comfreysill.target.messages import (
+    EntryMessage,
+    LedgerRecord,
+)
 
 SMOOTHING = 0.03
 IDLE = (0,) * len(TaskClass)
--- a/src/comfreysill/wire/agents.py
+++ b/src/comfreysill/wire/agents.py
@@ -1,17 +1,15 @@
 """Encoding of frames between entries and agents."""
 
 from comfreysill.job.types import TaskClass
+from comfreysill.target.frames import AgentFrame, EntryFrame, Load
 from comfreysill.target.messages import (
-    AgentFrame,
     AgentMessage,
     CancelTasks,
     Claim,
     Claimed,
-    EntryFrame,
     EntryMessage,
     Fenced,
     LedgerRecord,
-    Load,
     Outcome,
     PartitionClaim,
     RefusalCause,
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -2,7 +2,7 @@
 
 from comfreysill.job.types import JobKey, TaskClass
 from comfreysill.partition.epoch import Epoch
-from comfreysill.target import intake, results
+from comfreysill.target import frames, intake, results
 from comfreysill.target import ledger as ledgers
 from comfreysill.target import messages as m
 
@@ -26,7 +26,7 @@
         if sequence is None:
             self.sequences[key] += 1
             sequence = self.sequences[key]
-        frame = m.EntryFrame(
+        frame = frames.EntryFrame(
             entry=entry, session=session, sequence=sequence, floor_version=0, messages=messages
         )
         taken = intake.receive_frame(self.ledger, frame, NOW)
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -9,7 +9,10 @@
 from comfreysill.dispatch.starting import _list_targets
 from comfreysill.job.job import Job
 from comfreysill.job.types import JobKey, Submission, TaskClass, TaskSpec
-from comfreysill.target.messages import Load, Outcome
+from comfreysill.target.frames import Load
+from comfreysill.target.messages import (
+    Outcome,
+)
 from comfreysill.target.view import Registration, Target, record_failure
 from tests.test_takeover import count_starts, finish_all, make_job, submit, warm_up
 from tests.world import SERVICE, World, make_key
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -22,6 +22,7 @@
 )
 from comfreysill.partition.epoch import Epoch
 from comfreysill.partition.holding import FoundTask
+from comfreysill.target import frames
 from comfreysill.target import messages as m
 from comfreysill.wire import agents, peers
 
@@ -61,7 +62,9 @@
             m.FloorUpdate(version=7, document=b"{}"),
             m.SetDraining(draining=True),
         )
-        frame = m.EntryFrame(entry="e", session=1, sequence=2, floor_version=3, messages=messages)
+        frame = frames.EntryFrame(
+            entry="e", session=1, sequence=2, floor_version=3, messages=messages
+        )
         wire = agents.encode_entry_frame(frame).SerializeToString()
         parsed = agents.pb.EntryFrame.FromString(wire)
         self.assertEqual(unfold(agents.decode_entry_frame(parsed)), unfold(frame))
@@ -88,13 +91,13 @@
             done,
             m.Refused(key=KEY, attempts=((1, 2), (3, 1)), cause=m.RefusalCause.RUNNER),
         )
-        frame = m.AgentFrame(
+        frame = frames.AgentFrame(
             agent="a",
             incarnation="a@1",
             session=1,
             sequence=2,
             acknowledged=3,
-            load=m.Load(
+            load=frames.Load(
                 slots=8,
                 queue_limit=5,
                 running=1,
