The test of a paused owner's refusal tests it again; slopes of kept answers

Cause: the mutation 'not-run-unproven' was missed: since urgent tasks may queue at targets, the test's job was placed before its owner was paused, and failed with 'may have run' anyway. Change: the job is a normal one that waits, and its start at the other entry is asserted. make slopes stops when its jobs are refused, and measures kept answers.

--- a/standins/slopes.py
+++ b/standins/slopes.py
@@ -139,16 +139,16 @@
         bench.octets += len(wire)
 
 
-def build_jobs(count: int, size: int, now: float, offset: int = 0) -> list[Submission]:
-    """Builds jobs of equal size; teams share them in turn."""
+def build_jobs(count: int, size: int, now: float, run_time: float = 0.1) -> list[Submission]:
+    """Builds jobs of equal size whose tasks run for so many seconds; teams share them in turn."""
     return [
         Submission(
-            key=JobKey(team=f"t{number % 120}", job_id=f"job-{offset + number:012d}"),
+            key=JobKey(team=f"t{number % 120}", job_id=f"job-{number:012d}"),
             digest=b"0123456789abcdef",
             task_class=TaskClass.NORMAL,
             deadline=now + 60,
             service=SERVICE,
-            tasks=tuple(TaskSpec(payload=b"x" * 64, run_time=0.1) for _ in range(size)),
+            tasks=tuple(TaskSpec(payload=b"x" * 64, run_time=run_time) for _ in range(size)),
             issued_at=now,
         )
         for number in range(count)
@@ -232,14 +232,36 @@
         bench = open_bench(1)
         gc.collect()
         tracemalloc.start()
-        jobs = build_jobs(size, 10, bench.now)
+        jobs = build_jobs(size, 10, bench.now, run_time=0.001)
         for number, submission in enumerate(jobs):
             submit_job(bench.entry, number, submission, bench.now)
+        if bench.entry.job_count != size:
+            raise RuntimeError(f"{size - bench.entry.job_count} jobs were refused")
         points.append((size, tracemalloc.get_traced_memory()[0] / 1024))
         tracemalloc.stop()
     return Series(name="entry state by jobs in flight (10 tasks each)", unit="KiB", points=points)
 
 
+def measure_answers(sizes: list[int]) -> Series:
+    """Memory of an entry by the answers that it keeps, each of 10 results."""
+    points = []
+    for size in sizes:
+        bench = open_bench(1)
+        gc.collect()
+        tracemalloc.start()
+        for number, submission in enumerate(build_jobs(size, 10, bench.now, run_time=0.001)):
+            submit_job(bench.entry, number, submission, bench.now)
+            settle(bench)
+        for ledger in bench.ledgers.values():
+            ledger.records.clear()
+            ledger.expiries.clear()
+        del submission
+        gc.collect()
+        points.append((size, tracemalloc.get_traced_memory()[0] / 1024))
+        tracemalloc.stop()
+    return Series(name="entry state by kept answers (10 results)", unit="KiB", points=points)
+
+
 def measure_ledger(sizes: list[int]) -> list[Series]:
     """Memory of an agent by ledger records, and the time to read them at a takeover."""
     memory, read = [], []
@@ -345,6 +367,7 @@
         lambda: measure_targets([10, 20, 40, 80, 160]),
         lambda: measure_batches([1, 10, 100, 970]),
         lambda: [measure_jobs([500, 1000, 2000, 4000])],
+        lambda: [measure_answers([500, 1000, 2000, 4000])],
         lambda: measure_ledger([1000, 2000, 4000, 8000]),
         lambda: [measure_teams([1, 15, 30, 60, 120])],
         lambda: [measure_entries([5, 10, 20, 40])],
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -24,11 +24,11 @@
     raise AssertionError("no such key")
 
 
-def make_job(world, key, size=1, within=20.0, idempotent=False, issued_at=None):
+def make_job(world, key, size=1, within=20.0, idempotent=False, issued_at=None, task_class=0):
     return build_submission(
         key,
         size=size,
-        task_class=0,
+        task_class=task_class,
         deadline=world.now + within,
         idempotent=idempotent,
         issued_at=world.now if issued_at is None else issued_at,
@@ -57,7 +57,7 @@
 
     def fill(self, seconds=60.0):
         """Occupies all slots, so that further jobs wait at their owner."""
-        for number in range(900, 906):
+        for number in range(900, 908):
             job = make_job(self.world, make_key(number), size=3, within=seconds, idempotent=True)
             submit(self.world, "e1", job)
         self.world.deliver_all()
@@ -116,15 +116,18 @@
     def test_paused_owner_does_not_claim_not_run_for_a_job_that_ran_elsewhere(self):
         world = self.world
         self.fill()
-        job = make_job(world, find_key(world, "e1", 100), within=6.0)
+        job = make_job(world, find_key(world, "e1", 100), within=6.0, task_class=1)
         submit(world, "e1", job)
+        world.deliver_all()
+        self.assertEqual(count_starts(world, job.key), 0)
         world.freeze("e1")
-        warm_up(world, 3.0)
+        for _ in range(12):
+            warm_up(world, 0.25)
+            finish_all(world)
         submit(world, "e2", job)
-        finish_all(world)
-        world.deliver_all()
-        finish_all(world)
-        world.deliver_all()
+        for _ in range(4):
+            warm_up(world, 0.25)
+            finish_all(world)
         self.assertEqual(count_starts(world, job.key), 1)
         world.advance(4.0)
         world.thaw("e1", tick_first=True)
