One list of a service's targets; a job is enqueued once on admission

Cause: reading the whole change: starting and backlog filtered the targets of a service alike, and _admit_job enqueued a job that _judge_certainty had enqueued just before. Change: list_serving serves both; the second call, which never did anything, is gone. Not run after it: the tests with real processes and a fresh clone.

--- a/src/comfreysill/dispatch/admission.py
+++ b/src/comfreysill/dispatch/admission.py
@@ -106,7 +106,6 @@
     if found is not None:
         adopt_found(dispatcher, job, found, now)
     _judge_certainty(dispatcher, holding, job, now)
-    enqueue_job(dispatcher, job)
     settle_job(dispatcher, job, now)
 
 
--- a/src/comfreysill/dispatch/backlog.py
+++ b/src/comfreysill/dispatch/backlog.py
@@ -46,7 +46,7 @@
 
 def find_least_time(dispatcher: Dispatcher, submission: Submission) -> float:
     """Returns the time in seconds that the longest task takes at least, with room for error."""
-    slownesses = [target.slowness for target in _list_serving(dispatcher, submission.service)]
+    slownesses = [target.slowness for target in list_serving(dispatcher, submission.service)]
     longest = max(
         estimate_least(dispatcher.estimates, submission, index)
         for index in range(len(submission.tasks))
@@ -57,11 +57,12 @@
 def _find_capacity(dispatcher: Dispatcher, service: str) -> float:
     return sum(
         target.load.slots / max(target.slowness, 1e-6)
-        for target in _list_serving(dispatcher, service)
+        for target in list_serving(dispatcher, service)
     )
 
 
-def _list_serving(dispatcher: Dispatcher, service: str) -> list[Target]:
+def list_serving(dispatcher: Dispatcher, service: str) -> list[Target]:
+    """Returns the targets of a service whose agents have answered on their open links."""
     return [
         target
         for target in dispatcher.targets.values()
