The whole path on the users' platform: entry, agent, adapter

Cause: nothing of the product ran where the users run programs. Change: an entry that decides alone for the requests it takes, an agent that is the only caller of its runner, leases on the links between them, and the platform's calls in src/comfreysill/platform.

--- /dev/null
+++ b/src/comfreysill/exchange/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between entries and agents, and the values that both know."""
--- /dev/null
+++ b/src/comfreysill/gateway/links.py
@@ -0,0 +1,127 @@
+"""Connections between an entry and agents; each is owned by one task."""
+
+import asyncio
+import logging
+
+from grpclib.client import Channel
+from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
+from grpclib.server import Stream
+
+from comfreysill.exchange.messages import EntryFrame
+from comfreysill.gateway.messages import AgentFound, AgentReported, DeskMessage, LinkClosed, LinkOpened
+from comfreysill.mailbox import Mailbox
+from comfreysill.settings import parse_address
+from comfreysill.wire.exchange import decode_agent_frame, decode_announcement, encode_entry_frame
+from comfreysill.wire.exchange_grpc import RosterBase, TargetStub
+from comfreysill.wire.exchange_pb2 import Nothing
+
+logger = logging.getLogger(__name__)
+
+CONNECT_SECONDS = 0.4
+RECONNECT_SECONDS = 0.05
+RECONNECT_MOST_SECONDS = 1.0
+LINK_ERRORS = (OSError, TimeoutError, GRPCError, ProtocolError, StreamTerminatedError)
+
+
+class Link:
+    """A connection to an agent that is opened again and again.
+
+    Attributes:
+        agent: Name of the agent's instance.
+        address: Its address, `host:port`.
+        inbox: Mailbox of the task that owns the desk.
+        outbox: Frames to send; None closes the connection.
+        session: Number of the open connection, set by the desk's task.
+        wake: Set to try again at once.
+        task: The task that owns the connection.
+    """
+
+    __slots__ = ("agent", "address", "inbox", "outbox", "session", "wake", "task")
+
+    def __init__(self, *, agent: str, address: str, inbox: Mailbox[DeskMessage]) -> None:
+        self.agent = agent
+        self.address = address
+        self.inbox = inbox
+        self.outbox: Mailbox[EntryFrame | None] = Mailbox()
+        self.session = 0
+        self.wake = asyncio.Event()
+        self.task: asyncio.Task | None = None
+
+
+async def run_link(link: Link) -> None:
+    """Keeps a connection to an agent open until it is cancelled."""
+    pause = RECONNECT_SECONDS
+    address = parse_address(link.address)
+    while True:
+        channel = Channel(address.host, address.port)
+        opened = False
+        try:
+            async with asyncio.timeout(CONNECT_SECONDS):
+                await channel.__connect__()
+            opened = True
+            await _serve_link(link, channel)
+        except LINK_ERRORS as error:
+            fields = {"agent": link.agent, "why": f"{type(error).__name__} {error}"}
+            logger.debug("link failed", extra={"fields": fields})
+        finally:
+            channel.close()
+            if opened:
+                link.inbox.post(LinkClosed(agent=link.agent, session=link.session))
+        pause = RECONNECT_SECONDS if opened else min(pause * 2, RECONNECT_MOST_SECONDS)
+        link.wake.clear()
+        try:
+            async with asyncio.timeout(pause):
+                await link.wake.wait()
+        except TimeoutError:
+            continue
+
+
+async def _serve_link(link: Link, channel: Channel) -> None:
+    while not link.outbox.is_empty():
+        await link.outbox.take()
+    async with TargetStub(channel).Serve.open() as stream:
+        await stream.send_request()
+        link.inbox.post(LinkOpened(agent=link.agent))
+        reader = asyncio.create_task(_read_frames(link, stream))
+        writer = asyncio.create_task(_write_frames(link, stream))
+        try:
+            await asyncio.wait((reader, writer), return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            for task in (reader, writer):
+                task.cancel()
+            await asyncio.gather(reader, writer, return_exceptions=True)
+            # Closing the channel first ends the stream without waiting for the other side.
+            channel.close()
+
+
+async def _read_frames(link: Link, stream) -> None:
+    while True:
+        message = await stream.recv_message()
+        if message is None:
+            return
+        link.inbox.post(AgentReported(frame=decode_agent_frame(message)))
+
+
+async def _write_frames(link: Link, stream) -> None:
+    while True:
+        for frame in await link.outbox.take():
+            if frame is None:
+                return
+            if frame.session == link.session:
+                await stream.send_message(encode_entry_frame(frame))
+
+
+class RosterService(RosterBase):
+    """Takes announcements of agents."""
+
+    __slots__ = ("inbox",)
+
+    def __init__(self, *, inbox: Mailbox[DeskMessage]) -> None:
+        self.inbox = inbox
+
+    async def Announce(self, stream: Stream) -> None:  # noqa: N802
+        """Takes one announcement."""
+        message = await stream.recv_message()
+        if message is not None:
+            self.inbox.post(AgentFound(announcement=decode_announcement(message)))
+        await stream.send_message(Nothing())
--- /dev/null
+++ b/src/comfreysill/gateway/program.py
@@ -0,0 +1,109 @@
+"""The entry process on the platform: its tasks, their start and their graceful end."""
+
+import asyncio
+import logging
+
+from comfreysill.clock import measure_unix_offset, read_boot_clock
+from comfreysill.gateway.discovery import follow_members, follow_routes
+from comfreysill.gateway.keeper import Keeper, is_ready, keep_desk, leave, submit
+from comfreysill.gateway.links import RosterService
+from comfreysill.gateway.messages import Cancel, GiveUp, Tick
+from comfreysill.placing.desk import Desk
+from comfreysill.platform.ingress import Front, build_callers_app, build_readiness_app
+from comfreysill.platform.members import Member
+from comfreysill.platform.settings import InstanceSettings
+from comfreysill.platform.store import open_store
+from comfreysill.request.types import Verdict
+from comfreysill.servers import build_http, start_grpc, stop_http
+from comfreysill.supervision import await_stop
+
+logger = logging.getLogger(__name__)
+
+TICK_SECONDS = 0.05
+# The balancer sends callers here until it has missed two answers, a second apart.
+ROTATION_SECONDS = 2.2
+# What the last verdicts need to reach their callers before the kill.
+FAREWELL_SECONDS = 0.7
+POLL_SECONDS = 0.02
+
+
+async def run_gateway(settings: InstanceSettings, lifetime: str, stop: asyncio.Event) -> None:
+    """Runs an entry until it is asked to stop and its callers have their answers."""
+    name = f"{settings.name}@{lifetime}"
+    desk = Desk(name=name, zone=settings.zone, unix_offset=measure_unix_offset())
+    desk.entries = [str(settings.link), *settings.entries]
+    keeper = Keeper(desk=desk)
+    store = open_store(settings.store)
+    member = Member(name=settings.name, role="entry", address=str(settings.link))
+    callers = build_http(build_callers_app(_build_front(keeper)), settings.callers)
+    readiness = build_http(build_readiness_app(lambda: is_ready(keeper)), settings.readiness)
+    grpc = await start_grpc([RosterService(inbox=keeper.inbox)], settings.link)
+    callers_task = asyncio.create_task(callers.serve())
+    tasks = [
+        asyncio.create_task(readiness.serve()),
+        asyncio.create_task(keep_desk(keeper)),
+        asyncio.create_task(_tick(keeper)),
+        asyncio.create_task(follow_routes(store, keeper.inbox)),
+        asyncio.create_task(follow_members(store, keeper.inbox, member)),
+    ]
+    logger.info("entry started", extra={"fields": {"name": name}})
+    await await_stop(stop, [callers_task, *tasks])
+    await _end(keeper, settings, callers, callers_task)
+    for task in [*tasks, *(link.task for link in keeper.links.values())]:
+        task.cancel()
+    grpc.close()
+    await store.session.close()
+    logger.info("entry stopped", extra={"fields": {"name": name, **desk.counters}})
+
+
+async def _end(keeper: Keeper, settings: InstanceSettings, callers, callers_task) -> None:
+    started_at = read_boot_clock()
+    keeper.closing = True
+    waiting = len(keeper.replies)
+    logger.info("entry stops", extra={"fields": {"callers": waiting}})
+    await asyncio.sleep(min(ROTATION_SECONDS, settings.grace / 2))
+    callers.should_exit = True
+    give_up_at = started_at + settings.grace - FAREWELL_SECONDS
+    while keeper.replies and read_boot_clock() < give_up_at:
+        await asyncio.sleep(POLL_SECONDS)
+    if keeper.replies:
+        keeper.inbox.post(GiveUp())
+    await stop_http(callers, callers_task)
+
+
+async def _tick(keeper: Keeper) -> None:
+    while True:
+        await asyncio.sleep(TICK_SECONDS)
+        keeper.inbox.post(Tick())
+
+
+def _build_front(keeper: Keeper) -> Front:
+    desk = keeper.desk
+
+    def find_state(request_id: str) -> str | Verdict | None:
+        request = desk.requests.get(request_id)
+        if request is not None:
+            return "running" if request.begun else "queued"
+        kept = desk.kept.get(request_id)
+        return kept.verdict if kept is not None else None
+
+    def cancel(request_id: str) -> bool:
+        known = request_id in desk.requests
+        keeper.inbox.post(Cancel(request_id=request_id))
+        return known
+
+    def count_waiting(route: str) -> int:
+        return sum(
+            request.specification.route == route and not request.begun
+            for request in desk.requests.values()
+        )
+
+    return Front(
+        get_routes=lambda: desk.routes,
+        submit=lambda specification: submit(keeper, specification),
+        leave=lambda number: leave(keeper, number),
+        find_state=find_state,
+        cancel=cancel,
+        count_waiting=count_waiting,
+        is_closing=lambda: keeper.closing,
+    )
--- /dev/null
+++ b/src/comfreysill/placing/placement.py
@@ -0,0 +1,167 @@
+"""Choice of targets for the startable tasks of a request."""
+
+from comfreysill.exchange.messages import Batch, Order
+from comfreysill.placing.desk import Agent, Desk, Promise, count
+from comfreysill.placing.queue import LATE, pop_request, push_request
+from comfreysill.request.request import Request, Task, get_step, place_task
+from comfreysill.request.types import Step
+
+# An agent that was silent for longer gets no new tasks.
+USABLE_SECONDS = 0.35
+# Seconds that a target in another availability zone counts as slower.
+CROSS_ZONE_SECONDS = 0.004
+RACK_FACTOR = 1.5
+MISFIT_LIMIT = 24
+
+
+class Room:
+    """What a target has left, as far as its entry knows."""
+
+    __slots__ = ("agent", "cpu", "memory_mb", "gpus")
+
+    def __init__(self, *, agent: Agent) -> None:
+        self.agent = agent
+        load = agent.load
+        self.cpu = load.cpu - sum(promise.cpu for promise in agent.promises)
+        self.memory_mb = load.memory_mb - sum(promise.memory_mb for promise in agent.promises)
+        self.gpus = load.gpus - sum(promise.gpus for promise in agent.promises)
+
+
+def place_waiting(desk: Desk, now: float) -> None:
+    """Gives waiting tasks to targets that have room for them."""
+    for service, queue in desk.queues.items():
+        if not queue:
+            continue
+        rooms = [
+            Room(agent=agent)
+            for agent in desk.agents.values()
+            if is_usable(agent, now) and agent.profile.service == service
+        ]
+        if not rooms:
+            continue
+        _place_queue(desk, queue, rooms, now)
+
+
+def is_usable(agent: Agent, now: float) -> bool:
+    """Tells whether tasks may be given to an agent."""
+    if not agent.connected or not agent.greeted or agent.profile is None:
+        return False
+    return agent.load.accepting and now - agent.heard_at <= USABLE_SECONDS
+
+
+def _place_queue(desk: Desk, queue: list, rooms: list[Room], now: float) -> None:
+    passed: list[Request] = []
+    while len(passed) < MISFIT_LIMIT:
+        entry = pop_request(queue)
+        if entry is None:
+            break
+        band, request = entry[0], entry[4]
+        for number in list(request.pending):
+            _place_step(desk, request, number, rooms, band, now)
+        if any(request.pending.values()):
+            passed.append(request)
+            if max(room.cpu for room in rooms) <= 0:
+                break
+    for request in passed:
+        push_request(desk, request, now)
+
+
+def _place_step(
+    desk: Desk, request: Request, number: int, rooms: list[Room], band: int, now: float
+) -> None:
+    tasks = request.pending[number]
+    if not tasks:
+        return
+    step = request.specification.steps[number]
+    fitting = [room for room in rooms if step.label in ("", *room.agent.profile.labels)]
+    if not fitting:
+        return
+    times = {room.agent.name: _estimate_time(desk, step, room.agent) for room in fitting}
+    left = request.due_at - now
+    hopeful = min(times.values()) <= left and band != LATE
+    fitting = [room for room in fitting if room.cpu >= step.cpu]
+    fitting.sort(key=lambda room: (times[room.agent.name] > left, times[room.agent.name]))
+    for room in fitting:
+        if hopeful and times[room.agent.name] > left:
+            return
+        chosen = _choose_tasks(tasks, step, room)
+        if chosen:
+            _give_tasks(desk, request, step, room, chosen, now)
+        if not tasks:
+            return
+
+
+def _estimate_time(desk: Desk, step: Step, agent: Agent) -> float:
+    seconds = step.estimate * agent.load.slowness
+    if step.rack and step.rack not in agent.profile.labels:
+        seconds *= RACK_FACTOR
+    if agent.profile.zone != desk.zone:
+        seconds += CROSS_ZONE_SECONDS
+    return seconds
+
+
+def _choose_tasks(tasks: list[Task], step: Step, room: Room) -> list[Task]:
+    """Returns as many of the tasks as the room holds."""
+    fits = room.cpu // step.cpu if step.cpu else len(tasks)
+    if step.memory_mb:
+        fits = min(fits, room.memory_mb // step.memory_mb)
+    if step.gpus:
+        fits = min(fits, room.gpus // step.gpus)
+    if step.per_target:
+        key = (tasks[0].request, tasks[0].step)
+        here = sum((task.request, task.step) == key for task in room.agent.tasks.values())
+        fits = min(fits, step.per_target - here)
+    name = room.agent.name
+    return [task for task in tasks if name not in task.avoided][: max(0, fits)]
+
+
+def _give_tasks(
+    desk: Desk, request: Request, step: Step, room: Room, tasks: list[Task], now: float
+) -> None:
+    agent = room.agent
+    if not request.begun:
+        seconds = now - request.received_at
+        desk.observe("wait_seconds", seconds, request.specification.route)
+    for task in tasks:
+        place_task(task, agent.name)
+        agent.tasks[task.name] = task
+    specification = request.specification
+    agent.batches.append(
+        Batch(
+            request_id=specification.request_id,
+            payload=specification.payload,
+            priority=specification.priority,
+            due=request.due_unix,
+            cpu=step.cpu,
+            memory_mb=step.memory_mb,
+            gpus=step.gpus,
+            estimate=step.estimate,
+            orders=[
+                Order(step=task.step, index=task.index, attempt=task.attempt) for task in tasks
+            ],
+        )
+    )
+    amount = len(tasks)
+    promise = Promise(
+        frame=agent.number + 1,
+        cpu=step.cpu * amount,
+        memory_mb=step.memory_mb * amount,
+        gpus=step.gpus * amount,
+    )
+    agent.promises.append(promise)
+    room.cpu -= promise.cpu
+    room.memory_mb -= promise.memory_mb
+    room.gpus -= promise.gpus
+    count(desk, "tasks_placed", amount)
+
+
+def forget_avoided(task: Task, agents: int) -> None:
+    """Lets a task go anywhere again once it was everywhere."""
+    if len(set(task.avoided)) >= agents:
+        task.avoided = ()
+
+
+def describe_need(task: Task) -> str:
+    """Describes what a task needs, for logs."""
+    step = get_step(task)
+    return f"{step.cpu}m cpu, {step.memory_mb} MB, label {step.label or 'any'}"
--- /dev/null
+++ b/src/comfreysill/platform/settings.py
@@ -0,0 +1,120 @@
+"""Settings file of the platform, decoded into the project's own names."""
+
+import os
+import pathlib
+from typing import Any
+
+import yaml
+
+from comfreysill.exceptions import UsageError
+from comfreysill.settings import Address, parse_address
+
+SETTINGS_VARIABLE = "COMFREYSILL_SETTINGS"
+
+
+class InstanceSettings:
+    """What the platform tells a process about its instance.
+
+    Attributes:
+        name: Name of the instance.
+        zone: Its availability zone.
+        ip: Its IP number.
+        callers: Where callers connect, None where the role doesn't serve them.
+        readiness: Where the balancer asks whether to send callers.
+        reports: Where the runner beside it sends its reports, None without one.
+        link: Where other processes of the system connect.
+        metrics: Where metrics are served.
+        entries: Link addresses of instances that may run entries; some may be stale.
+        runner: Where the runner beside it takes calls, None without one.
+        store: Address of the platform's store.
+        grace: Seconds between the request to end and the kill.
+    """
+
+    __slots__ = (
+        "name",
+        "zone",
+        "ip",
+        "callers",
+        "readiness",
+        "reports",
+        "link",
+        "metrics",
+        "entries",
+        "runner",
+        "store",
+        "grace",
+    )
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        zone: str,
+        ip: str,
+        callers: Address | None,
+        readiness: Address | None,
+        reports: Address | None,
+        link: Address,
+        metrics: Address,
+        entries: tuple[str, ...],
+        runner: Address | None,
+        store: Address,
+        grace: float,
+    ) -> None:
+        self.name = name
+        self.zone = zone
+        self.ip = ip
+        self.callers = callers
+        self.readiness = readiness
+        self.reports = reports
+        self.link = link
+        self.metrics = metrics
+        self.entries = entries
+        self.runner = runner
+        self.store = store
+        self.grace = grace
+
+
+def read_instance_settings() -> InstanceSettings:
+    """Reads the file that the environment names.
+
+    Raises:
+        UsageError: The file is missing, or a field that is needed can't be read.
+    """
+    path = os.environ.get(SETTINGS_VARIABLE)
+    if not path:
+        raise UsageError(message=f"the variable {SETTINGS_VARIABLE} is not set")
+    try:
+        loader = getattr(yaml, "CSafeLoader", yaml.SafeLoader)
+        document = yaml.load(pathlib.Path(path).read_text(), Loader=loader)
+        return _decode_settings(document)
+    except (OSError, yaml.YAMLError, KeyError, TypeError, ValueError, IndexError) as error:
+        hint = "it has to be the file that the platform writes"
+        detail = f"{path}: {type(error).__name__} {error}"
+        raise UsageError(message=detail, hint=hint) from error
+
+
+def _decode_settings(document: dict[str, Any]) -> InstanceSettings:
+    listen = document["listen"]
+    ip = document["ip"]
+    first_port, last_port = document["port-range"]
+    # All instances use the first port of the range for links.
+    seeds = [seed.rpartition(":")[0] for seed in document.get("seeds") or ()]
+    return InstanceSettings(
+        name=document["node"],
+        zone=document["zone"],
+        ip=ip,
+        callers=_find_address(listen, "front"),
+        readiness=_find_address(listen, "ready"),
+        reports=_find_address(listen, "control"),
+        link=Address(host=ip, port=first_port),
+        metrics=Address(host=ip, port=last_port),
+        entries=tuple(f"{seed}:{first_port}" for seed in seeds),
+        runner=parse_address(document["app"]) if document.get("app") else None,
+        store=parse_address(document["platform"]["address"]),
+        grace=float(document["bounds"]["grace-s"]),
+    )
+
+
+def _find_address(listen: dict[str, str], name: str) -> Address | None:
+    return parse_address(listen[name]) if listen.get(name) else None
--- /dev/null
+++ b/src/comfreysill/request/__init__.py
@@ -0,0 +1,1 @@
+"""The request aggregate: a job of steps whose caller waits at this entry for its end."""
--- /dev/null
+++ b/src/comfreysill/request/types.py
@@ -0,0 +1,127 @@
+"""Values of the request aggregate: steps, specifications and verdicts."""
+
+import enum
+
+
+class Verdict(enum.IntEnum):
+    """What a caller is told about its request.
+
+    COMPLETED and FAILED are final. NOT_RUN promises that nothing ran or will run. MAY_HAVE_RUN
+    says that tasks ran but that the request has no result; the caller may repeat it.
+    """
+
+    COMPLETED = 0
+    FAILED = 1
+    NOT_RUN = 2
+    MAY_HAVE_RUN = 3
+
+
+class Step:
+    """Tasks of one step, all alike.
+
+    Attributes:
+        count: How many tasks the step has.
+        cpu: Processor time that a task takes while it runs, in thousandths of a core.
+        memory_mb: Memory of a task in megabytes.
+        gpus: Accelerators of a task.
+        estimate: Declared run time of a task in seconds.
+        after: Numbers of the steps that have to end first.
+        label: Label that the target must have, empty for any.
+        rack: Rack that holds the data, empty for none.
+        per_target: Most tasks of the step on one target, 0 for no limit.
+    """
+
+    __slots__ = (
+        "count",
+        "cpu",
+        "memory_mb",
+        "gpus",
+        "estimate",
+        "after",
+        "label",
+        "rack",
+        "per_target",
+    )
+
+    def __init__(
+        self,
+        *,
+        count: int,
+        cpu: int,
+        memory_mb: int,
+        gpus: int = 0,
+        estimate: float,
+        after: tuple[int, ...] = (),
+        label: str = "",
+        rack: str = "",
+        per_target: int = 0,
+    ) -> None:
+        self.count = count
+        self.cpu = cpu
+        self.memory_mb = memory_mb
+        self.gpus = gpus
+        self.estimate = estimate
+        self.after = after
+        self.label = label
+        self.rack = rack
+        self.per_target = per_target
+
+
+class Specification:
+    """A request as its caller sent it, with what its route adds.
+
+    Attributes:
+        request_id: Id that the caller chose; the same id is the same request.
+        route: Name of the route.
+        service: Service whose targets run the tasks.
+        payload: Text that is handed to the runner with each task.
+        steps: The steps.
+        priority: Urgency, 0 goes first.
+        max_attempts: How many runs of a task may fail before the request fails.
+        stretch: Multiple of the longest chain that the latency objective allows.
+        slack: Seconds that the latency objective allows on top of that.
+    """
+
+    __slots__ = (
+        "request_id",
+        "route",
+        "service",
+        "payload",
+        "steps",
+        "priority",
+        "max_attempts",
+        "stretch",
+        "slack",
+    )
+
+    def __init__(
+        self,
+        *,
+        request_id: str,
+        route: str,
+        service: str,
+        payload: str,
+        steps: tuple[Step, ...],
+        priority: int,
+        max_attempts: int,
+        stretch: float,
+        slack: float,
+    ) -> None:
+        self.request_id = request_id
+        self.route = route
+        self.service = service
+        self.payload = payload
+        self.steps = steps
+        self.priority = priority
+        self.max_attempts = max_attempts
+        self.stretch = stretch
+        self.slack = slack
+
+
+def measure_chain(steps: tuple[Step, ...]) -> float:
+    """Returns the declared run time in seconds of the longest chain of steps."""
+    ends: list[float] = []
+    for step in steps:
+        begins = max((ends[number] for number in step.after if number < len(ends)), default=0.0)
+        ends.append(begins + step.estimate)
+    return max(ends, default=0.0)
--- /dev/null
+++ b/src/comfreysill/running/intake.py
@@ -0,0 +1,121 @@
+"""What an agent takes from entries: links, tasks to start, tasks to stop."""
+
+from comfreysill.exchange.messages import (
+    LINK_LEASE_SECONDS,
+    Batch,
+    EntryFrame,
+    Outcome,
+)
+from comfreysill.request.request import name_task
+from comfreysill.running.book import (
+    EntrySession,
+    Run,
+    RunBook,
+    count,
+    note_event,
+    queue_run,
+    report_end,
+)
+from comfreysill.running.starts import is_accepting, stop_run
+
+SESSION_MEMORY_SECONDS = 20.0
+
+
+def receive_frame(book: RunBook, frame: EntryFrame, now: float) -> bool:
+    """Takes one frame of an entry.
+
+    Returns:
+        False when the frame belongs to an older link, which has to be closed.
+    """
+    session = book.sessions.get(frame.entry)
+    if session is None or frame.session > session.newest:
+        session = _open_session(book, frame, now)
+    if frame.session != session.number:
+        count(book, "frames_stale")
+        return False
+    session.seen = frame.number
+    session.hungry = frame.hungry
+    while session.ended and session.ended[0].number <= frame.ended_seen:
+        session.ended.popleft()
+    if frame.echo:
+        session.echoed = frame.echo
+        session.lease_until = max(session.lease_until, frame.echo + LINK_LEASE_SECONDS)
+    book.entries.update(frame.entries)
+    for batch in frame.batches:
+        _receive_batch(book, session, batch, now)
+    for name in frame.stops:
+        run = book.runs.get(name)
+        if run is not None and run.entry == frame.entry:
+            stop_run(book, run, now, "its entry asked for it")
+    return True
+
+
+def _open_session(book: RunBook, frame: EntryFrame, now: float) -> EntrySession:
+    _end_earlier_lifetimes(book, frame.entry, now)
+    session = book.sessions.setdefault(frame.entry, EntrySession(entry=frame.entry))
+    session.number = session.newest = frame.session
+    session.seen = 0
+    session.opened = False
+    session.end_sent = 0
+    session.profile_sent = -1
+    note_event(book, "link opened", entry=frame.entry, session=frame.session)
+    return session
+
+
+def _end_earlier_lifetimes(book: RunBook, entry: str, now: float) -> None:
+    instance = entry.partition("@")[0]
+    for name in list(book.sessions):
+        if name != entry and name.partition("@")[0] == instance:
+            stop_entry(book, name, now, "its entry has a new lifetime")
+            del book.sessions[name]
+
+
+def close_session(book: RunBook, entry: str, number: int) -> None:
+    """Records that a link is gone; the entry's tasks go on until its lease ends."""
+    session = book.sessions.get(entry)
+    if session is not None and session.number == number:
+        session.number = 0
+        note_event(book, "link closed", entry=entry, session=number)
+
+
+def expire_sessions(book: RunBook, now: float) -> None:
+    """Stops tasks of entries that haven't proved in time that they live."""
+    for session in list(book.sessions.values()):
+        if now <= session.lease_until:
+            continue
+        stop_entry(book, session.entry, now, "its entry was silent")
+        if not session.number and now - session.lease_until > SESSION_MEMORY_SECONDS:
+            del book.sessions[session.entry]
+
+
+def stop_entry(book: RunBook, entry: str, now: float, reason: str) -> None:
+    """Stops all tasks of an entry."""
+    for run in list(book.runs.values()):
+        if run.entry == entry:
+            stop_run(book, run, now, reason)
+
+
+def _receive_batch(book: RunBook, session: EntrySession, batch: Batch, now: float) -> None:
+    refusal = _check_batch(book, session, batch, now)
+    for order in batch.orders:
+        name = name_task(batch.request_id, order.step, order.index)
+        known = book.runs.get(name)
+        if known is not None and known.entry == session.entry and known.attempt == order.attempt:
+            continue
+        detail = refusal if known is None else "another run of the task is here"
+        if detail:
+            attempt, returned = order.attempt, Outcome.RETURNED
+            report_end(book, session.entry, name, attempt, returned, detail=detail)
+            continue
+        book.runs[name] = Run(entry=session.entry, batch=batch, order=order, now=now)
+        queue_run(book, book.runs[name])
+
+
+def _check_batch(book: RunBook, session: EntrySession, batch: Batch, now: float) -> str:
+    if now > session.lease_until:
+        return "the order came late"
+    if not is_accepting(book, now):
+        return "the target takes no new work"
+    report = book.report
+    fits = batch.cpu <= report.cpu and batch.memory_mb <= report.memory_mb
+    return "" if fits and batch.gpus <= report.gpus else "the task is larger than the target"
--- /dev/null
+++ b/src/comfreysill/sidecar/keeper.py
@@ -0,0 +1,168 @@
+"""The task that owns an agent's runs."""
+
+import asyncio
+import logging
+from collections.abc import Callable
+
+from comfreysill.clock import read_boot_clock
+from comfreysill.exchange.messages import AgentFrame
+from comfreysill.mailbox import Mailbox
+from comfreysill.running.book import RunBook
+from comfreysill.running.calls import Call, RenewReply
+from comfreysill.running.frames import collect_frames, measure_load
+from comfreysill.running.intake import close_session, expire_sessions, receive_frame
+from comfreysill.running.renewals import call_renewal, check_lapse, receive_renewal
+from comfreysill.running.runner import begin_stop, leave_runner, receive_report
+from comfreysill.running.starts import (
+    receive_call_reply,
+    repeat_stops,
+    start_waiting,
+    stop_run,
+)
+from comfreysill.sidecar.messages import (
+    BookMessage,
+    EntriesFound,
+    EntryReported,
+    LinkClosed,
+    RunnerLeft,
+    RunnerReplied,
+    RunnerReported,
+    Stop,
+    Tick,
+)
+
+logger = logging.getLogger(__name__)
+
+
+class OpenLink:
+    """An open link to an entry."""
+
+    __slots__ = ("entry", "session", "address", "outbox")
+
+    def __init__(
+        self, *, entry: str, session: int, address: str, outbox: Mailbox[AgentFrame | None]
+    ) -> None:
+        self.entry = entry
+        self.session = session
+        self.address = address
+        self.outbox = outbox
+
+
+class Keeper:
+    """State of the task that owns the runs.
+
+    Attributes:
+        book: The runs.
+        inbox: Messages from the other tasks of the process.
+        links: Open links by entry.
+        call: Hands a call to a task that makes it.
+        idle: Set while nothing runs or waits.
+    """
+
+    __slots__ = ("book", "inbox", "links", "call", "idle")
+
+    def __init__(self, *, book: RunBook, call: Callable[[Call], None]) -> None:
+        self.book = book
+        self.inbox: Mailbox[BookMessage] = Mailbox()
+        self.links: dict[str, OpenLink] = {}
+        self.call = call
+        self.idle = asyncio.Event()
+
+
+async def keep_book(keeper: Keeper) -> None:
+    """Runs the task until it is cancelled."""
+    while True:
+        messages = await keeper.inbox.take()
+        now = read_boot_clock()
+        # After a suspension leases have to be judged before anything else is.
+        expire_sessions(keeper.book, now)
+        before = measure_load(keeper.book, now)
+        for message in messages:
+            HANDLERS[type(message)](keeper, message, now)
+        _flush(keeper, before.cpu, now)
+
+
+def _receive_frame(keeper: Keeper, message: EntryReported, now: float) -> None:
+    frame = message.frame
+    link = keeper.links.get(frame.entry)
+    if not receive_frame(keeper.book, frame, now):
+        message.outbox.post(None)
+        return
+    if link is None or link.outbox is not message.outbox:
+        if link is not None:
+            link.outbox.post(None)
+        address = frame.entries[0] if frame.entries else ""
+        keeper.links[frame.entry] = OpenLink(
+            entry=frame.entry, session=frame.session, address=address, outbox=message.outbox
+        )
+
+
+def _receive_closed(keeper: Keeper, message: LinkClosed, now: float) -> None:
+    for entry, link in list(keeper.links.items()):
+        if link.outbox is message.outbox:
+            del keeper.links[entry]
+            close_session(keeper.book, entry, link.session)
+
+
+def _receive_report(keeper: Keeper, message: RunnerReported, now: float) -> None:
+    receive_report(keeper.book, message.report, now)
+
+
+def _receive_left(keeper: Keeper, message: RunnerLeft, now: float) -> None:
+    leave_runner(keeper.book, message.runner_id, now)
+
+
+def _receive_reply(keeper: Keeper, message: RunnerReplied, now: float) -> None:
+    if isinstance(message.reply, RenewReply):
+        receive_renewal(keeper.book, message.reply, now)
+    else:
+        receive_call_reply(keeper.book, message.reply, now)
+
+
+def _receive_entries(keeper: Keeper, message: EntriesFound, now: float) -> None:
+    keeper.book.entries.update(message.addresses)
+
+
+def _receive_tick(keeper: Keeper, message: Tick, now: float) -> None:
+    repeat_stops(keeper.book, now)
+    check_lapse(keeper.book, now)
+
+
+def _receive_stop(keeper: Keeper, message: Stop, now: float) -> None:
+    begin_stop(keeper.book, now)
+    if message.at_once:
+        for run in list(keeper.book.runs.values()):
+            stop_run(keeper.book, run, now, "its agent ends")
+
+
+HANDLERS: dict[type, Callable[[Keeper, BookMessage, float], None]] = {
+    EntryReported: _receive_frame,
+    LinkClosed: _receive_closed,
+    RunnerReported: _receive_report,
+    RunnerLeft: _receive_left,
+    RunnerReplied: _receive_reply,
+    EntriesFound: _receive_entries,
+    Tick: _receive_tick,
+    Stop: _receive_stop,
+}
+
+
+def _flush(keeper: Keeper, cpu_before: int, now: float) -> None:
+    book = keeper.book
+    start_waiting(book, now)
+    call_renewal(book, now)
+    calls, book.calls = book.calls, []
+    for call in calls:
+        keeper.call(call)
+    freed = measure_load(book, now).cpu > cpu_before
+    for entry, frame in collect_frames(book, freed, now):
+        link = keeper.links.get(entry)
+        if link is not None:
+            link.outbox.post(frame)
+    events, book.events = book.events, []
+    for text, fields in events:
+        logger.info(text, extra={"fields": fields})
+    if book.runs:
+        keeper.idle.clear()
+    else:
+        keeper.idle.set()
--- /dev/null
+++ b/src/comfreysill/sidecar/links.py
@@ -0,0 +1,80 @@
+"""Links of entries to an agent, and the agent's announcements to entries."""
+
+import asyncio
+import logging
+
+from grpclib.client import Channel
+from grpclib.const import Status
+from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
+from grpclib.server import Stream
+
+from comfreysill.exchange.messages import AgentFrame, Announcement
+from comfreysill.mailbox import Mailbox
+from comfreysill.settings import parse_address
+from comfreysill.sidecar.messages import BookMessage, EntryReported, LinkClosed
+from comfreysill.wire.exchange import decode_entry_frame, encode_agent_frame, encode_announcement
+from comfreysill.wire.exchange_grpc import RosterStub, TargetBase
+
+logger = logging.getLogger(__name__)
+
+ANNOUNCE_SECONDS = 0.4
+ERRORS = (OSError, TimeoutError, GRPCError, ProtocolError, StreamTerminatedError)
+
+
+class TargetService(TargetBase):
+    """Takes the links of entries."""
+
+    __slots__ = ("inbox",)
+
+    def __init__(self, *, inbox: Mailbox[BookMessage]) -> None:
+        self.inbox = inbox
+
+    async def Serve(self, stream: Stream) -> None:  # noqa: N802
+        """Serves one link until either side closes it."""
+        outbox: Mailbox[AgentFrame | None] = Mailbox()
+        reader = asyncio.create_task(self._read(stream, outbox))
+        try:
+            await _write(stream, outbox)
+        except (StreamTerminatedError, ConnectionError):
+            return
+        finally:
+            reader.cancel()
+            self.inbox.post(LinkClosed(outbox=outbox))
+
+    async def _read(self, stream: Stream, outbox: Mailbox[AgentFrame | None]) -> None:
+        try:
+            async for message in stream:
+                frame = decode_entry_frame(message)
+                self.inbox.post(EntryReported(frame=frame, outbox=outbox))
+        except (StreamTerminatedError, ConnectionError):
+            return
+        finally:
+            outbox.post(None)
+
+
+async def _write(stream: Stream, outbox: Mailbox[AgentFrame | None]) -> None:
+    while True:
+        for frame in await outbox.take():
+            if frame is None:
+                raise GRPCError(Status.ABORTED, "the link is closed")
+            await stream.send_message(encode_agent_frame(frame))
+
+
+async def announce(address: str, announcement: Announcement) -> bool:
+    """Tells the entry at an address that this agent is there.
+
+    Returns:
+        False when nobody has taken it.
+    """
+    found = parse_address(address)
+    channel = Channel(found.host, found.port)
+    try:
+        async with asyncio.timeout(ANNOUNCE_SECONDS):
+            await RosterStub(channel).Announce(encode_announcement(announcement))
+    except ERRORS as error:
+        fields = {"address": address, "why": f"{type(error).__name__} {error}"}
+        logger.debug("announcement failed", extra={"fields": fields})
+        return False
+    finally:
+        channel.close()
+    return True
--- /dev/null
+++ b/src/comfreysill/sidecar/program.py
@@ -0,0 +1,157 @@
+"""The agent process on the platform: its tasks, their start and their graceful end."""
+
+import asyncio
+import logging
+import time
+
+from result import Ok
+
+from comfreysill.clock import read_boot_clock
+from comfreysill.exchange.messages import Announcement
+from comfreysill.platform.members import Member, read_members, write_member
+from comfreysill.platform.reports import build_reports_app
+from comfreysill.platform.runner import RunnerClient, call_order, call_renewal, open_runner
+from comfreysill.platform.settings import InstanceSettings
+from comfreysill.platform.store import StoreClient, open_store
+from comfreysill.running.book import RunBook
+from comfreysill.running.calls import Call, RenewCall
+from comfreysill.servers import build_http, start_grpc, stop_http
+from comfreysill.sidecar.keeper import Keeper, keep_book
+from comfreysill.sidecar.links import TargetService, announce
+from comfreysill.sidecar.messages import (
+    EntriesFound,
+    RunnerLeft,
+    RunnerReplied,
+    RunnerReported,
+    Stop,
+    Tick,
+)
+from comfreysill.supervision import await_stop
+
+logger = logging.getLogger(__name__)
+
+TICK_SECONDS = 0.05
+ANNOUNCE_SECONDS = 0.5
+ANNOUNCE_MOST_SECONDS = 4.0
+REGISTER_SECONDS = 0.5
+REGISTER_MOST_SECONDS = 4.0
+# What stopping the last runs and telling their entries takes before the kill.
+FAREWELL_SECONDS = 0.6
+LAST_FRAME_SECONDS = 0.05
+
+
+async def run_sidecar(settings: InstanceSettings, lifetime: str, stop: asyncio.Event) -> None:
+    """Runs an agent until it is asked to stop and its runs have ended."""
+    runner = open_runner(settings.runner)
+    # The time of day is above the token of every earlier lifetime, which rises by one for each
+    # start without an answer; where a clock has gone back, the runner's reply tells.
+    token = int(time.time() * 1000)
+    book = RunBook(agent=settings.name, lifetime=lifetime, zone=settings.zone, token=token)
+    book.entries.update(settings.entries)
+    keeper = Keeper(book=book, call=lambda call: _start_call(keeper, runner, calls, call))
+    calls: set[asyncio.Task] = set()
+    inbox = keeper.inbox
+    reports = build_reports_app(
+        lambda report: inbox.post(RunnerReported(report=report)),
+        lambda runner_id: inbox.post(RunnerLeft(runner_id=runner_id)),
+    )
+    store = open_store(settings.store)
+    http = build_http(reports, settings.reports)
+    grpc = await start_grpc([TargetService(inbox=inbox)], settings.link)
+    http_task = asyncio.create_task(http.serve())
+    tasks = [
+        asyncio.create_task(keep_book(keeper)),
+        asyncio.create_task(_tick(keeper)),
+        asyncio.create_task(_register(keeper, settings, store)),
+        asyncio.create_task(_announce(keeper, settings)),
+    ]
+    logger.info("agent started", extra={"fields": {"name": settings.name, "token": token}})
+    await await_stop(stop, [http_task, *tasks])
+    await _end(keeper, settings)
+    for task in [*tasks, *calls]:
+        task.cancel()
+    grpc.close()
+    await stop_http(http, http_task)
+    await runner.session.close()
+    await store.session.close()
+    logger.info("agent stopped", extra={"fields": {"name": settings.name, **book.counters}})
+
+
+async def _end(keeper: Keeper, settings: InstanceSettings) -> None:
+    ends_at = read_boot_clock() + settings.grace - FAREWELL_SECONDS
+    logger.info("agent stops", extra={"fields": {"runs": len(keeper.book.runs)}})
+    keeper.inbox.post(Stop(at_once=False))
+    await asyncio.sleep(LAST_FRAME_SECONDS)
+    if not await _await_idle(keeper, ends_at - read_boot_clock()):
+        keeper.inbox.post(Stop(at_once=True))
+        await _await_idle(keeper, FAREWELL_SECONDS / 2)
+    await asyncio.sleep(LAST_FRAME_SECONDS)
+
+
+async def _await_idle(keeper: Keeper, seconds: float) -> bool:
+    try:
+        async with asyncio.timeout(seconds):
+            await keeper.idle.wait()
+    except TimeoutError:
+        return False
+    return True
+
+
+def _start_call(
+    keeper: Keeper, runner: RunnerClient, calls: set[asyncio.Task], call: Call
+) -> None:
+    task = asyncio.create_task(_make_call(keeper, runner, call))
+    calls.add(task)
+    task.add_done_callback(calls.discard)
+
+
+async def _make_call(keeper: Keeper, runner: RunnerClient, call: Call) -> None:
+    if isinstance(call, RenewCall):
+        reply = await call_renewal(runner, call)
+    else:
+        reply = await call_order(runner, call)
+    keeper.inbox.post(RunnerReplied(reply=reply))
+
+
+async def _tick(keeper: Keeper) -> None:
+    while True:
+        await asyncio.sleep(TICK_SECONDS)
+        keeper.inbox.post(Tick())
+
+
+async def _register(keeper: Keeper, settings: InstanceSettings, store: StoreClient) -> None:
+    """Makes this agent known in the store, and finds entries there."""
+    member = Member(name=settings.name, role="agent", address=str(settings.link))
+    pause = REGISTER_SECONDS
+    written = read = False
+    while not (written and read):
+        written = written or isinstance(await write_member(store, member), Ok)
+        found = await read_members(store)
+        if isinstance(found, Ok):
+            read = True
+            members = found.ok_value.members
+            entries = [known.address for known in members if known.role == "entry"]
+            keeper.inbox.post(EntriesFound(addresses=entries))
+        if not (written and read):
+            await asyncio.sleep(pause)
+            pause = min(pause * 2, REGISTER_MOST_SECONDS)
+    logger.info("agent registered", extra={"fields": {"name": settings.name}})
+    await asyncio.Event().wait()
+
+
+async def _announce(keeper: Keeper, settings: InstanceSettings) -> None:
+    """Announces this agent to entries that have no link to it."""
+    announcement = Announcement(agent=settings.name, address=str(settings.link))
+    due: dict[str, float] = {}
+    pauses: dict[str, float] = {}
+    while True:
+        await asyncio.sleep(ANNOUNCE_SECONDS)
+        linked = {link.address for link in keeper.links.values()}
+        for address in keeper.book.entries - linked:
+            now = read_boot_clock()
+            if now < due.get(address, 0.0):
+                continue
+            taken = await announce(address, announcement)
+            longer = min(pauses.get(address, ANNOUNCE_SECONDS) * 2, ANNOUNCE_MOST_SECONDS)
+            pauses[address] = ANNOUNCE_SECONDS if taken else longer
+            due[address] = now + pauses[address]
