--- /dev/null
+++ b/tests/test_platform_floor.py
@@ -0,0 +1,123 @@
+import os
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from comfreysill.request.types import Verdict
+from tests.platform_world import CAPACITY, World
+
+EXAMPLES = int(os.environ.get("FLOOR_EXAMPLES", "60"))
+FAULTS = (
+    "kill_entry",
+    "kill_entry_silent",
+    "kill_agent",
+    "kill_agent_silent",
+    "freeze_entry",
+    "freeze_agent",
+    "cut_both",
+    "cut_to_agent",
+    "cut_to_entry",
+    "reset",
+    "crash",
+    "lose_calls",
+    "keep_calls",
+    "leave",
+    "submit",
+    "submit",
+    "submit",
+)
+STEPS = st.lists(
+    st.tuples(
+        st.sampled_from(FAULTS),
+        st.integers(0, 5),
+        st.sampled_from([0.0, 0.02, 0.1, 0.3, 0.6, 1.0, 1.3, 2.0]),
+    ),
+    min_size=4,
+    max_size=40,
+)
+
+
+def apply_fault(world, fault, number, seconds):
+    entry = sorted(world.entries)[number % len(world.entries)]
+    agent = sorted(world.agents)[number % len(world.agents)]
+    if fault == "submit":
+        key = f"r{len(world.requests)}"
+        world.submit(key, entry, tasks=1 + number, seconds=0.1 + seconds, cpu=800 + 400 * number)
+    elif fault.startswith("kill_entry"):
+        world.kill_entry(entry, down=0.3 + seconds, silent=fault.endswith("silent"))
+    elif fault.startswith("kill_agent"):
+        world.kill_agent(agent, down=0.3 + seconds, silent=fault.endswith("silent"))
+    elif fault == "freeze_entry":
+        world.freeze(world.entries[entry], seconds)
+    elif fault == "freeze_agent":
+        world.freeze(world.agents[agent], seconds)
+    elif fault == "reset":
+        world.drop_link(entry, agent)
+    elif fault == "crash":
+        world.crash_runner(agent, down=seconds)
+    elif fault == "lose_calls":
+        world.lost_calls = 0.1
+    elif fault == "keep_calls":
+        world.lost_calls = 0.0
+    elif fault == "leave":
+        if world.callers:
+            world.leave(sorted(world.callers)[number % len(world.callers)])
+    else:
+        if fault in ("cut_both", "cut_to_agent"):
+            world.cut(entry, agent, seconds)
+        if fault in ("cut_both", "cut_to_entry"):
+            world.cut(agent, entry, seconds)
+
+
+class TestFloorUnderFaults(unittest.TestCase):
+    @settings(max_examples=EXAMPLES, deadline=None, derandomize=EXAMPLES == 60)
+    @given(STEPS, st.integers(0, 1000))
+    def test_never_twice_never_beyond_room(self, steps, seed):
+        world = World(seed)
+        world.run(2.0)
+        for fault, number, pause in steps:
+            apply_fault(world, fault, number, pause)
+            world.run(0.05 + pause / 2)
+        world.lost_calls = 0.0
+        world.run(12.0)
+        self.assertEqual(world.violations, [])
+        left = {key for key, _ in world.callers.values()}
+        self.assertEqual(left, set(), "callers without a verdict after the floor is calm")
+
+
+class TestCalmFloor(unittest.TestCase):
+    def test_requests_complete(self):
+        world = World(1)
+        world.run(2.0)
+        for number in range(20):
+            world.submit(f"r{number}", f"e{number % 2}")
+            world.run(0.05)
+        world.run(5.0)
+        self.assertEqual(
+            world.verdicts, {f"r{number}": [Verdict.COMPLETED] for number in range(20)}
+        )
+        self.assertEqual(world.starts, 60)
+        self.assertEqual({world.measure_room(name) for name in world.agents}, {CAPACITY})
+
+    def test_repetition_joins_and_gets_the_same_verdict(self):
+        world = World(1)
+        world.run(2.0)
+        world.submit("r", "e0")
+        world.run(0.1)
+        world.submit("r", "e0")
+        world.run(2.0)
+        world.submit("r", "e0")
+        world.run(0.1)
+        self.assertEqual(world.verdicts["r"], [Verdict.COMPLETED] * 3)
+        self.assertEqual(world.starts, 3)
+
+    def test_failing_tasks_end_as_failed_after_their_attempts(self):
+        world = World(1)
+        world.run(2.0)
+        for runner in world.runners.values():
+            runner.fails = True
+        world.submit("r", "e0", tasks=1)
+        world.run(3.0)
+        self.assertEqual(world.verdicts["r"], [Verdict.FAILED])
+        self.assertEqual(world.starts, 2)
