--- a/src/comfreysill/placing/placement.py
+++ b/src/comfreysill/placing/placement.py
@@ -1,9 +1,11 @@
 """Choice of targets for the startable tasks of a request."""
 
+from collections.abc import Set
+
 from comfreysill.exchange.messages import Batch, Order
 from comfreysill.placing.desk import Agent, Desk, Promise, count
 from comfreysill.placing.queue import LATE, pop_request, push_request
-from comfreysill.request.request import Request, Task, get_step, place_task
+from comfreysill.request.request import Request, Task, place_task
 from comfreysill.request.types import Step
 
 # An agent that was silent for longer gets no new tasks.
@@ -77,6 +79,7 @@
     if not fitting:
         return
     times = {room.agent.name: _estimate_time(desk, step, room.agent) for room in fitting}
+    _forget_avoided(tasks, times.keys())
     left = request.due_at - now
     hopeful = min(times.values()) <= left and band != LATE
     fitting = [room for room in fitting if room.cpu >= step.cpu]
@@ -91,6 +94,13 @@
             return
 
 
+def _forget_avoided(tasks: list[Task], agents: Set[str]) -> None:
+    """Lets tasks go anywhere again that have failed on every target there is."""
+    for task in tasks:
+        if task.avoided and agents <= set(task.avoided):
+            task.avoided = ()
+
+
 def _estimate_time(desk: Desk, step: Step, agent: Agent) -> float:
     seconds = step.estimate * agent.load.slowness
     if step.rack and step.rack not in agent.profile.labels:
@@ -153,15 +163,3 @@
     room.memory_mb -= promise.memory_mb
     room.gpus -= promise.gpus
     count(desk, "tasks_placed", amount)
-
-
-def forget_avoided(task: Task, agents: int) -> None:
-    """Lets a task go anywhere again once it was everywhere."""
-    if len(set(task.avoided)) >= agents:
-        task.avoided = ()
-
-
-def describe_need(task: Task) -> str:
-    """Describes what a task needs, for logs."""
-    step = get_step(task)
-    return f"{step.cpu}m cpu, {step.memory_mb} MB, label {step.label or 'any'}"
--- a/src/comfreysill/request/request.py
+++ b/src/comfreysill/request/request.py
@@ -2,7 +2,7 @@
 
 import enum
 
-from comfreysill.request.types import Specification, Step, Verdict, measure_chain
+from comfreysill.request.types import Specification, Verdict, measure_chain
 
 
 class TaskState(enum.IntEnum):
@@ -108,11 +108,6 @@
     return f"{request_id}/{step}/{index}"
 
 
-def get_step(task: Task) -> Step:
-    """Returns the step that a task belongs to."""
-    return task.request.specification.steps[task.step]
-
-
 def has_pending(request: Request) -> bool:
     """Tells whether a task may be started."""
     return request.verdict is None and any(request.pending.values())
--- a/src/comfreysill/running/book.py
+++ b/src/comfreysill/running/book.py
@@ -46,6 +46,8 @@
         stop_wanted: True once it has to be stopped as soon as it is known to run.
         stop_sent_at: Boot-clock time in seconds of the last order to stop.
         reason: Why it is stopped, for people.
+        percent: Share of its work that is done, as the runner lists it.
+        progress_at: Boot-clock time in seconds at which that share last changed.
     """
 
     __slots__ = (
@@ -61,6 +63,8 @@
         "stop_wanted",
         "stop_sent_at",
         "reason",
+        "percent",
+        "progress_at",
     )
 
     def __init__(self, *, entry: str, batch: Batch, order: Order, now: float) -> None:
@@ -76,6 +80,8 @@
         self.stop_wanted = False
         self.stop_sent_at = 0.0
         self.reason = ""
+        self.percent = 0.0
+        self.progress_at = now
 
 
 class EntrySession:
@@ -155,7 +161,9 @@
         failed_requests: Requests of which a task failed here since the last one that was done.
         suspended_until: Boot-clock time in seconds until which no work is taken.
         probing: True while the runner gets one task at a time.
+        suspensions: How often in a row the target was suspended.
         slowness: Learned ratio of measured to declared run times.
+        recent_slowness: The same ratio of what runs now, 0 while it is as usual.
         calls: Calls for the process to make; it takes them.
         events: Facts worth a log line, as (text, fields); the process takes them.
     """
@@ -190,7 +198,9 @@
         "failed_requests",
         "suspended_until",
         "probing",
+        "suspensions",
         "slowness",
+        "recent_slowness",
         "samples",
         "sessions",
         "entries",
@@ -227,7 +237,9 @@
         self.failed_requests: set[str] = set()
         self.suspended_until = 0.0
         self.probing = False
+        self.suspensions = 0
         self.slowness = 1.0
+        self.recent_slowness = 0.0
         self.samples = 0
         self.sessions: dict[str, EntrySession] = {}
         self.entries: set[str] = set()
--- a/src/comfreysill/running/frames.py
+++ b/src/comfreysill/running/frames.py
@@ -20,7 +20,7 @@
         cpu=(report.cpu if report else 0) - book.cpu_used - book.cpu_waiting,
         memory_mb=(report.memory_mb if report else 0) - book.memory_used - book.memory_waiting,
         gpus=(report.gpus if report else 0) - book.gpus_used - book.gpus_waiting,
-        slowness=book.slowness,
+        slowness=max(book.slowness, book.recent_slowness),
         samples=book.samples,
     )
 
--- a/src/comfreysill/running/intake.py
+++ b/src/comfreysill/running/intake.py
@@ -96,8 +96,9 @@
 
 
 def _receive_batch(book: RunBook, session: EntrySession, batch: Batch, now: float) -> None:
-    refusal = _check_batch(book, session, batch, now)
     for order in batch.orders:
+        # A target on probation takes a single task of a batch.
+        refusal = _check_batch(book, session, batch, now)
         name = name_task(batch.request_id, order.step, order.index)
         known = book.runs.get(name)
         if known is not None and known.entry == session.entry and known.attempt == order.attempt:
--- a/src/comfreysill/running/renewals.py
+++ b/src/comfreysill/running/renewals.py
@@ -12,6 +12,7 @@
 )
 from comfreysill.running.calls import RenewCall, RenewReply, Reply, RunEnd, StopCall
 from comfreysill.running.health import record_success, record_trouble
+from comfreysill.running.progress import judge_progress
 from comfreysill.running.runner import lose_runner, lose_runs
 from comfreysill.running.starts import STOP_RETRY_SECONDS, mark_running, retry_start
 
@@ -114,6 +115,7 @@
             older = run.changed_at < reply.call.sent_at
             if older and len(reply.ended) < ENDS_PER_REPLY:
                 end_run(book, run, Outcome.LOST, now, detail="the runner doesn't list it")
+    judge_progress(book, reply.running, now)
     _stop_strays(book, listed, now)
     if not book.settled and not any(name not in book.runs for name in listed):
         book.settled = True
--- a/tests/platform_world.py
+++ b/tests/platform_world.py
@@ -6,7 +6,6 @@
 import heapq
 import random
 
-from comfreysill.exchange.messages import RUN_LEASE_SECONDS
 from comfreysill.placing.agents import (
     close_link,
     collect_frames,
@@ -62,13 +61,17 @@
         self.sequence = 0
         self.alive = True
         self.fails = False
+        self.speed = 1.0
+        self.advanced_at = 0.0
 
     def advance(self, now):
-        for task, (run, ends_at) in list(self.running.items()):
+        passed, self.advanced_at = (now - self.advanced_at) * self.speed, now
+        for task, row in list(self.running.items()):
+            row[1] += passed
             if now > self.lease:
-                self.end(task, run, "lapsed")
-            elif now >= ends_at:
-                self.end(task, run, "failed" if self.fails else "done")
+                self.end(task, row[0], "lapsed")
+            elif row[1] >= row[2]:
+                self.end(task, row[0], "failed" if self.fails else "done")
 
     def end(self, task, run, how):
         del self.running[task]
@@ -106,7 +109,7 @@
         if call.lease_until / 1000 < now:
             return Reply.LATE
         seconds = float(call.payload)
-        self.running[call.task] = (call.run, now + seconds)
+        self.running[call.task] = [call.run, 0.0, seconds]
         self.world.judge_start(self, call.task)
         return Reply.ACCEPTED
 
@@ -347,8 +350,8 @@
             runner.advance(self.now)
             accepted = reply == Reply.ACCEPTED
             rows = [
-                RunEntry(task=task, run=run, percent=0.0, usage=0.0)
-                for task, (run, _) in runner.running.items()
+                RunEntry(task=task, run=run, percent=int(100 * done / work), usage=0.0)
+                for task, (run, done, work) in runner.running.items()
             ]
             answer = RenewReply(
                 call=call,
@@ -475,8 +478,10 @@
         fresh = ModelRunner(self, name, old.lifetime.born + 1)
         self.at(down, self.runners.__setitem__, name, fresh)
 
+    def set_speed(self, name, speed):
+        runner = self.runners[name]
+        runner.advance(self.now)
+        runner.speed = speed
+
     def measure_room(self, name):
         return measure_load(self.agents[name].state, self.now).cpu
-
-
-SLOWEST_LEASE = RUN_LEASE_SECONDS
--- a/tests/test_platform_floor.py
+++ b/tests/test_platform_floor.py
@@ -20,6 +20,9 @@
     "cut_to_entry",
     "reset",
     "crash",
+    "hang",
+    "slow",
+    "sound",
     "lose_calls",
     "keep_calls",
     "leave",
@@ -27,6 +30,7 @@
     "submit",
     "submit",
 )
+SPEEDS = {"hang": 0.0, "slow": 0.15, "sound": 1.0}
 STEPS = st.lists(
     st.tuples(
         st.sampled_from(FAULTS),
@@ -60,6 +64,8 @@
         world.lost_calls = 0.1
     elif fault == "keep_calls":
         world.lost_calls = 0.0
+    elif fault in SPEEDS:
+        world.set_speed(agent, SPEEDS[fault])
     elif fault == "leave":
         if world.callers:
             world.leave(sorted(world.callers)[number % len(world.callers)])
@@ -80,12 +86,59 @@
             apply_fault(world, fault, number, pause)
             world.run(0.05 + pause / 2)
         world.lost_calls = 0.0
-        world.run(12.0)
+        for agent in world.agents:
+            world.set_speed(agent, 1.0)
+        world.run(14.0)
         self.assertEqual(world.violations, [])
         left = {key for key, _ in world.callers.values()}
         self.assertEqual(left, set(), "callers without a verdict after the floor is calm")
 
 
+class TestFloorFindings(unittest.TestCase):
+    """Cases that once failed."""
+
+    def play(self, steps, seconds=12.0):
+        world = World(0)
+        world.run(2.0)
+        for fault, number, pause in steps:
+            apply_fault(world, fault, number, pause)
+            world.run(0.05 + pause / 2)
+        world.run(seconds)
+        self.assertEqual(world.violations, [])
+        return world
+
+    def test_a_task_that_was_lost_on_every_target_is_placed_again(self):
+        steps = [
+            ("submit", 1, 0.0),
+            ("kill_agent", 0, 2.0),
+            ("freeze_entry", 1, 0.6),
+            ("kill_entry", 0, 0.0),
+            ("crash", 2, 0.1),
+        ]
+        self.assertEqual(self.play(steps).callers, {})
+
+    def test_a_run_that_stands_still_is_moved(self):
+        world = World(0)
+        world.run(2.0)
+        for agent in ("a0", "a1"):
+            world.set_speed(agent, 0.0)
+        world.submit("r", "e0", tasks=6)
+        world.run(3.0)
+        self.assertEqual(world.verdicts["r"], [Verdict.COMPLETED])
+        self.assertEqual(world.violations, [])
+
+    def test_a_target_that_turns_slow_loses_its_long_runs(self):
+        world = World(0)
+        world.run(2.0)
+        for number in range(8):
+            world.submit(f"w{number}", "e0", tasks=6, seconds=0.1)
+            world.run(0.5)
+        world.set_speed("a0", 0.1)
+        world.submit("r", "e0", tasks=18, seconds=1.0)
+        world.run(3.5)
+        self.assertEqual(world.verdicts["r"], [Verdict.COMPLETED])
+
+
 class TestCalmFloor(unittest.TestCase):
     def test_requests_complete(self):
         world = World(1)
