--- a/src/comfreysill/exchange/messages.py
+++ b/src/comfreysill/exchange/messages.py
@@ -99,7 +99,8 @@
         ended_seen: Number of the newest end that the entry has received.
         batches: Tasks to start.
         stops: Names of tasks to stop.
-        entries: Addresses of entries, for the agent to announce itself to.
+        entries: Addresses of entries, its own first, for the agent to announce itself to.
+        routes_version: Version of the routing document in force at the entry.
     """
 
     __slots__ = (
@@ -112,6 +113,7 @@
         "batches",
         "stops",
         "entries",
+        "routes_version",
     )
 
     def __init__(
@@ -126,6 +128,7 @@
         batches: list[Batch],
         stops: list[str],
         entries: list[str],
+        routes_version: int,
     ) -> None:
         self.entry = entry
         self.session = session
@@ -136,6 +139,7 @@
         self.batches = batches
         self.stops = stops
         self.entries = entries
+        self.routes_version = routes_version
 
 
 class Ended:
@@ -248,6 +252,8 @@
         ended: Ends that the entry hasn't confirmed.
         active: Names of the entry's tasks that the agent has; only on the first frame.
         opening: True on the first frame of a session.
+        routes_version: Newest version of the routing document that an entry is known to have.
+        routes_holder: Address of that entry.
     """
 
     __slots__ = (
@@ -261,6 +267,8 @@
         "ended",
         "active",
         "opening",
+        "routes_version",
+        "routes_holder",
     )
 
     def __init__(
@@ -276,6 +284,8 @@
         ended: list[Ended],
         active: list[str],
         opening: bool,
+        routes_version: int,
+        routes_holder: str,
     ) -> None:
         self.agent = agent
         self.lifetime = lifetime
@@ -287,6 +297,8 @@
         self.ended = ended
         self.active = active
         self.opening = opening
+        self.routes_version = routes_version
+        self.routes_holder = routes_holder
 
 
 class Announcement:
--- a/src/comfreysill/gateway/discovery.py
+++ b/src/comfreysill/gateway/discovery.py
@@ -63,12 +63,17 @@
     for row in rows.rows:
         if row.key != CONFIGURATION_KEY or row.value is None:
             continue
-        decoded = decode_configuration(row.value)
-        if isinstance(decoded, Ok):
-            inbox.post(RoutesRead(table=decoded.ok_value))
-        else:
-            fields = {"why": decoded.err_value}
-            logger.error("unreadable configuration", extra={"fields": fields})
+        take_routes_text(row.value, inbox)
+
+
+def take_routes_text(text: bytes, inbox: Mailbox[DeskMessage]) -> None:
+    """Decodes a routing document and hands it to the desk."""
+    decoded = decode_configuration(text)
+    if isinstance(decoded, Ok):
+        inbox.post(RoutesRead(table=decoded.ok_value, text=text))
+    else:
+        fields = {"why": decoded.err_value}
+        logger.error("unreadable configuration", extra={"fields": fields})
 
 
 async def follow_members(store: StoreClient, inbox: Mailbox[DeskMessage], member: Member) -> None:
--- a/src/comfreysill/gateway/keeper.py
+++ b/src/comfreysill/gateway/keeper.py
@@ -32,7 +32,7 @@
     open_link,
     receive_agent_frame,
 )
-from comfreysill.placing.desk import CloseLink, Desk, SendFrame, TellCaller
+from comfreysill.placing.desk import AskRoutes, CloseLink, Desk, SendFrame, TellCaller
 from comfreysill.placing.placement import is_usable, place_waiting
 from comfreysill.placing.requests import (
     abandon_caller,
@@ -55,10 +55,21 @@
         links: Open or opening links by agent.
         replies: Future replies by caller.
         numbers: Number of the last caller.
+        routes_text: The routing document in force as it was read.
+        asks: Addresses of entries to ask for their routing document.
         closing: True once the process ends.
     """
 
-    __slots__ = ("desk", "inbox", "links", "replies", "numbers", "closing")
+    __slots__ = (
+        "desk",
+        "inbox",
+        "links",
+        "replies",
+        "numbers",
+        "routes_text",
+        "asks",
+        "closing",
+    )
 
     def __init__(self, *, desk: Desk) -> None:
         self.desk = desk
@@ -66,6 +77,8 @@
         self.links: dict[str, Link] = {}
         self.replies: dict[int, asyncio.Future[Reply]] = {}
         self.numbers = 0
+        self.routes_text = b""
+        self.asks: Mailbox[str] = Mailbox()
         self.closing = False
 
 
@@ -160,6 +173,8 @@
         fields = {"version": newer.version, "before": desk.routes.version}
         logger.info("routes in force", extra={"fields": fields})
         desk.routes = newer
+        desk.routes_due_at = 0.0
+        keeper.routes_text = message.text
 
 
 def _receive_tick(keeper: Keeper, message: Tick, now: float) -> None:
@@ -200,6 +215,8 @@
             link = keeper.links.get(effect.agent)
             if link is not None and link.session == effect.session:
                 link.outbox.post(None)
+        elif isinstance(effect, AskRoutes):
+            keeper.asks.post(effect.address)
         else:
             _tell_caller(keeper, effect, now)
     events, desk.events = desk.events, []
--- a/src/comfreysill/gateway/links.py
+++ b/src/comfreysill/gateway/links.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+from collections.abc import Callable
 
 from grpclib.client import Channel
 from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
@@ -18,8 +19,8 @@
 )
 from comfreysill.mailbox import Mailbox
 from comfreysill.wire.exchange import decode_agent_frame, decode_announcement, encode_entry_frame
-from comfreysill.wire.exchange_grpc import RosterBase, TargetStub
-from comfreysill.wire.exchange_pb2 import Nothing
+from comfreysill.wire.exchange_grpc import RosterBase, RosterStub, TargetStub
+from comfreysill.wire.exchange_pb2 import Nothing, RoutesText
 
 logger = logging.getLogger(__name__)
 
@@ -118,12 +119,13 @@
 
 
 class RosterService(RosterBase):
-    """Takes announcements of agents."""
+    """Takes announcements of agents, and tells other entries the routing document."""
 
-    __slots__ = ("inbox",)
+    __slots__ = ("inbox", "get_routes")
 
-    def __init__(self, *, inbox: Mailbox[DeskMessage]) -> None:
+    def __init__(self, *, inbox: Mailbox[DeskMessage], get_routes: Callable[[], bytes]) -> None:
         self.inbox = inbox
+        self.get_routes = get_routes
 
     async def Announce(self, stream: Stream) -> None:  # noqa: N802
         """Takes one announcement."""
@@ -131,3 +133,23 @@
         if message is not None:
             self.inbox.post(AgentFound(announcement=decode_announcement(message)))
         await stream.send_message(Nothing())
+
+    async def ReadRoutes(self, stream: Stream) -> None:  # noqa: N802
+        """Gives the routing document in force, empty for none."""
+        await stream.recv_message()
+        await stream.send_message(RoutesText(text=self.get_routes()))
+
+
+async def read_routes(address: str) -> bytes:
+    """Returns the routing document of another entry, empty where it can't be had."""
+    found = parse_address(address)
+    channel = Channel(found.host, found.port)
+    try:
+        async with asyncio.timeout(CONNECT_SECONDS):
+            return (await RosterStub(channel).ReadRoutes(Nothing())).text
+    except LINK_ERRORS as error:
+        fields = {"address": address, "why": f"{type(error).__name__} {error}"}
+        logger.warning("no routes from another entry", extra={"fields": fields})
+        return b""
+    finally:
+        channel.close()
--- a/src/comfreysill/gateway/messages.py
+++ b/src/comfreysill/gateway/messages.py
@@ -97,12 +97,13 @@
 
 
 class RoutesRead:
-    """A routing document was read."""
+    """A routing document was read; `text` is what others are given of it."""
 
-    __slots__ = ("table",)
+    __slots__ = ("table", "text")
 
-    def __init__(self, *, table: RouteTable) -> None:
+    def __init__(self, *, table: RouteTable, text: bytes) -> None:
         self.table = table
+        self.text = text
 
 
 class Tick:
--- a/src/comfreysill/gateway/program.py
+++ b/src/comfreysill/gateway/program.py
@@ -4,9 +4,9 @@
 import logging
 
 from comfreysill.clock import measure_unix_offset, read_boot_clock
-from comfreysill.gateway.discovery import follow_members, follow_routes
+from comfreysill.gateway.discovery import follow_members, follow_routes, take_routes_text
 from comfreysill.gateway.keeper import Keeper, is_ready, keep_desk, leave, submit
-from comfreysill.gateway.links import RosterService
+from comfreysill.gateway.links import RosterService, read_routes
 from comfreysill.gateway.messages import Cancel, GiveUp, Tick
 from comfreysill.placing.desk import Desk
 from comfreysill.platform.ingress import Front, build_callers_app, build_readiness_app
@@ -25,6 +25,7 @@
 # What the last verdicts need to reach their callers before the kill.
 FAREWELL_SECONDS = 0.7
 POLL_SECONDS = 0.02
+OPEN_LATEST_SECONDS = 2.0
 
 
 async def run_gateway(settings: InstanceSettings, lifetime: str, stop: asyncio.Event) -> None:
@@ -37,9 +38,11 @@
     member = Member(name=settings.name, role="entry", address=str(settings.link))
     callers = build_http(build_callers_app(_build_front(keeper)), settings.callers)
     readiness = build_http(build_readiness_app(lambda: is_ready(keeper)), settings.readiness)
-    grpc = await start_grpc([RosterService(inbox=keeper.inbox)], settings.link)
-    callers_task = asyncio.create_task(callers.serve())
+    roster = RosterService(inbox=keeper.inbox, get_routes=lambda: keeper.routes_text)
+    grpc = await start_grpc([roster], settings.link)
+    callers_task = asyncio.create_task(_serve_callers(keeper, callers))
     tasks = [
+        asyncio.create_task(_ask_routes(keeper)),
         asyncio.create_task(readiness.serve()),
         asyncio.create_task(keep_desk(keeper)),
         asyncio.create_task(_tick(keeper)),
@@ -71,6 +74,26 @@
     await stop_http(callers, callers_task)
 
 
+async def _serve_callers(keeper: Keeper, callers) -> None:
+    """Takes callers' connections once requests can be served.
+
+    Until then connections are refused, which sends callers to another entry at once.
+    """
+    open_at = read_boot_clock() + OPEN_LATEST_SECONDS
+    while not is_ready(keeper) and not keeper.closing and read_boot_clock() < open_at:
+        await asyncio.sleep(POLL_SECONDS)
+    await callers.serve()
+
+
+async def _ask_routes(keeper: Keeper) -> None:
+    """Reads the routing document of other entries where the desk asks for it."""
+    while True:
+        for address in set(await keeper.asks.take()):
+            text = await read_routes(address)
+            if text:
+                take_routes_text(text, keeper.inbox)
+
+
 async def _tick(keeper: Keeper) -> None:
     while True:
         await asyncio.sleep(TICK_SECONDS)
--- a/src/comfreysill/placing/agents.py
+++ b/src/comfreysill/placing/agents.py
@@ -10,7 +10,7 @@
     EntryFrame,
     Outcome,
 )
-from comfreysill.placing.desk import Agent, CloseLink, Desk, SendFrame, count, note_event
+from comfreysill.placing.desk import Agent, AskRoutes, CloseLink, Desk, SendFrame, count, note_event
 from comfreysill.placing.requests import end_task
 
 # A link that was silent for longer is closed and opened anew.
@@ -20,6 +20,9 @@
 GONE_SECONDS = LINK_LEASE_SECONDS + RUN_LEASE_SECONDS + LEASE_MARGIN_SECONDS
 # A pause of this process that lets it read what has come before it judges silences.
 PAUSE_SECONDS = 0.25
+# An entry that has a routing document leaves the store this time to give it the next one.
+ROUTES_PATIENCE_SECONDS = 0.5
+ROUTES_RETRY_SECONDS = 0.5
 ECHO_SECONDS = FRAME_INTERVAL_SECONDS / 2
 
 
@@ -84,6 +87,8 @@
         agent.promises.popleft()
     if frame.profile is not None:
         agent.profile = frame.profile
+    if frame.routes_version > desk.routes.version:
+        _ask_routes(desk, frame, now)
     if frame.lifetime != agent.lifetime:
         _begin_lifetime(desk, agent, frame)
     for ended in frame.ended:
@@ -95,6 +100,17 @@
         _return_orphans(desk, agent, "its agent has a new lifetime", now)
 
 
+def _ask_routes(desk: Desk, frame: AgentFrame, now: float) -> None:
+    """Asks another entry for a routing document that the store hasn't given here in time."""
+    if not frame.routes_holder or now < desk.routes_due_at:
+        return
+    if desk.routes.version and not desk.routes_due_at:
+        desk.routes_due_at = now + ROUTES_PATIENCE_SECONDS
+        return
+    desk.routes_due_at = now + ROUTES_RETRY_SECONDS
+    desk.effects.append(AskRoutes(address=frame.routes_holder))
+
+
 def _begin_lifetime(desk: Desk, agent: Agent, frame: AgentFrame) -> None:
     if agent.lifetime:
         note_event(desk, "agent has a new lifetime", agent=agent.name, tasks=len(agent.tasks))
@@ -189,6 +205,7 @@
         batches=agent.batches,
         stops=agent.stops,
         entries=desk.entries if first else [],
+        routes_version=desk.routes.version,
     )
     agent.batches = []
     agent.stops = []
--- a/src/comfreysill/placing/desk.py
+++ b/src/comfreysill/placing/desk.py
@@ -159,7 +159,16 @@
         self.session = session
 
 
-Effect = TellCaller | SendFrame | CloseLink
+class AskRoutes:
+    """Effect: asks another entry for its routing document."""
+
+    __slots__ = ("address",)
+
+    def __init__(self, *, address: str) -> None:
+        self.address = address
+
+
+Effect = TellCaller | SendFrame | CloseLink | AskRoutes
 
 
 class Desk:
@@ -170,6 +179,8 @@
         zone: Its availability zone.
         unix_offset: Seconds to add to the boot clock for Unix time.
         routes: Routing document in force.
+        routes_due_at: Boot-clock time in seconds from which another entry is asked for a newer
+            document, 0 while none is known.
         agents: Agents by name.
         entries: Addresses of entries that agents should know.
         requests: Requests without a verdict, or with tasks that still end, by id.
@@ -186,6 +197,7 @@
         "zone",
         "unix_offset",
         "routes",
+        "routes_due_at",
         "agents",
         "entries",
         "requests",
@@ -208,6 +220,7 @@
         self.zone = zone
         self.unix_offset = unix_offset
         self.routes = NO_ROUTES
+        self.routes_due_at = 0.0
         self.agents: dict[str, Agent] = {}
         self.entries: list[str] = []
         self.requests: dict[str, Request] = {}
--- a/src/comfreysill/running/book.py
+++ b/src/comfreysill/running/book.py
@@ -101,6 +101,7 @@
         profile_sent: Version of the profile that was sent on the link.
         sent_at: Boot-clock time in seconds of the last frame.
         echoed: Newest time stamp that the entry echoed.
+        address: Address of the entry.
     """
 
     __slots__ = (
@@ -117,6 +118,7 @@
         "profile_sent",
         "sent_at",
         "echoed",
+        "address",
     )
 
     def __init__(self, *, entry: str) -> None:
@@ -133,6 +135,7 @@
         self.profile_sent = -1
         self.sent_at = 0.0
         self.echoed = 0.0
+        self.address = ""
 
 
 class RunBook:
@@ -164,6 +167,9 @@
         suspensions: How often in a row the target was suspended.
         slowness: Learned ratio of measured to declared run times.
         recent_slowness: The same ratio of what runs now, 0 while it is as usual.
+        entries: Addresses of entries that this agent knows.
+        routes_version: Newest version of the routing document that an entry is known to have.
+        routes_holder: Address of that entry.
         calls: Calls for the process to make; it takes them.
         events: Facts worth a log line, as (text, fields); the process takes them.
     """
@@ -204,6 +210,8 @@
         "samples",
         "sessions",
         "entries",
+        "routes_version",
+        "routes_holder",
         "run_number",
         "calls",
         "events",
@@ -243,6 +251,8 @@
         self.samples = 0
         self.sessions: dict[str, EntrySession] = {}
         self.entries: set[str] = set()
+        self.routes_version = 0
+        self.routes_holder = ""
         self.calls: list[Call] = []
         self.events: list[tuple[str, dict[str, object]]] = []
         self.counters: dict[str, int] = {}
--- a/src/comfreysill/running/frames.py
+++ b/src/comfreysill/running/frames.py
@@ -83,6 +83,8 @@
         ended=[end for end in session.ended if end.number > session.end_sent],
         active=_list_active(book, session.entry) if opening else [],
         opening=opening,
+        routes_version=book.routes_version,
+        routes_holder=book.routes_holder,
     )
     session.opened = True
     session.profile_sent = book.profile_version
--- a/src/comfreysill/running/intake.py
+++ b/src/comfreysill/running/intake.py
@@ -40,7 +40,12 @@
     if frame.echo:
         session.echoed = frame.echo
         session.lease_until = max(session.lease_until, frame.echo + LINK_LEASE_SECONDS)
-    book.entries.update(frame.entries)
+    if frame.entries:
+        session.address = frame.entries[0]
+        book.entries.update(frame.entries)
+    if frame.routes_version > book.routes_version:
+        book.routes_version = frame.routes_version
+        book.routes_holder = session.address
     for batch in frame.batches:
         _receive_batch(book, session, batch, now)
     for name in frame.stops:
--- a/src/comfreysill/sidecar/program.py
+++ b/src/comfreysill/sidecar/program.py
@@ -31,8 +31,8 @@
 logger = logging.getLogger(__name__)
 
 TICK_SECONDS = 0.05
-ANNOUNCE_SECONDS = 0.5
-ANNOUNCE_MOST_SECONDS = 4.0
+ANNOUNCE_SECONDS = 0.3
+ANNOUNCE_MOST_SECONDS = 1.0
 REGISTER_SECONDS = 0.5
 REGISTER_MOST_SECONDS = 4.0
 # What stopping the last runs and telling their entries takes before the kill.
--- a/src/comfreysill/structured.py
+++ b/src/comfreysill/structured.py
@@ -71,5 +71,5 @@
     root = logging.getLogger()
     root.handlers[:] = [LineHandler(process=process)]
     root.setLevel(logging.INFO)
-    for name in ("uvicorn.access", "uvicorn.error"):
-        logging.getLogger(name).setLevel(logging.WARNING)
+    for name in ("uvicorn.access", "uvicorn.error", "grpclib.server"):
+        logging.getLogger(name).setLevel(logging.ERROR)
--- a/src/comfreysill/wire/exchange.py
+++ b/src/comfreysill/wire/exchange.py
@@ -26,6 +26,7 @@
         batches=[_encode_batch(batch) for batch in frame.batches],
         stops=frame.stops,
         entries=frame.entries,
+        routes_version=frame.routes_version,
     )
 
 
@@ -41,6 +42,7 @@
         batches=[_decode_batch(batch) for batch in message.batches],
         stops=list(message.stops),
         entries=list(message.entries),
+        routes_version=message.routes_version,
     )
 
 
@@ -91,6 +93,8 @@
         ended=[_encode_ended(ended) for ended in frame.ended],
         active=frame.active,
         opening=frame.opening,
+        routes_version=frame.routes_version,
+        routes_holder=frame.routes_holder,
     )
 
 
@@ -107,6 +111,8 @@
         ended=[_decode_ended(ended) for ended in message.ended],
         active=list(message.active),
         opening=message.opening,
+        routes_version=message.routes_version,
+        routes_holder=message.routes_holder,
     )
 
 
--- a/src/comfreysill/wire/exchange_grpc.py
+++ b/src/comfreysill/wire/exchange_grpc.py
@@ -46,6 +46,10 @@
     async def Announce(self, stream: 'grpclib.server.Stream[comfreysill.wire.exchange_pb2.Announcement, comfreysill.wire.exchange_pb2.Nothing]') -> None:
         pass
 
+    @abc.abstractmethod
+    async def ReadRoutes(self, stream: 'grpclib.server.Stream[comfreysill.wire.exchange_pb2.Nothing, comfreysill.wire.exchange_pb2.RoutesText]') -> None:
+        pass
+
     def __mapping__(self) -> typing.Dict[str, grpclib.const.Handler]:
         return {
             '/comfreysill.Roster/Announce': grpclib.const.Handler(
@@ -54,6 +58,12 @@
                 comfreysill.wire.exchange_pb2.Announcement,
                 comfreysill.wire.exchange_pb2.Nothing,
             ),
+            '/comfreysill.Roster/ReadRoutes': grpclib.const.Handler(
+                self.ReadRoutes,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                comfreysill.wire.exchange_pb2.Nothing,
+                comfreysill.wire.exchange_pb2.RoutesText,
+            ),
         }
 
 
@@ -66,3 +76,9 @@
             comfreysill.wire.exchange_pb2.Announcement,
             comfreysill.wire.exchange_pb2.Nothing,
         )
+        self.ReadRoutes = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/comfreysill.Roster/ReadRoutes',
+            comfreysill.wire.exchange_pb2.Nothing,
+            comfreysill.wire.exchange_pb2.RoutesText,
+        )
