--- /dev/null
+++ b/tests/test_platform_processes.py
@@ -0,0 +1,124 @@
+"""Real entries and agents beside stand-ins of the platform; only promises are asserted."""
+
+import asyncio
+import itertools
+import pathlib
+import signal
+import tempfile
+import unittest
+
+import aiohttp
+
+from standins.platform_floor import (
+    CALLERS_PORT,
+    HOST,
+    PREFIX,
+    PlatformFloor,
+    put_configuration,
+    read_overlaps,
+    set_knobs,
+    start_member,
+    start_platform_floor,
+    stop_platform_floor,
+    submit_job,
+)
+
+RESEND_SECONDS = 1.3
+NETWORKS = itertools.count(40)
+
+
+async def call_until_final(session, floor, job_id, number):
+    """Sends a job again, as callers do, until its answer is final."""
+    for attempt in range(12):
+        entry = floor.entries[(number + attempt) % len(floor.entries)]
+        status, state = await submit_job(session, floor, entry, job_id)
+        if status == 200:
+            return state
+        await asyncio.sleep(RESEND_SECONDS)
+    return "none"
+
+
+class TestPlatformFloor(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.folder = tempfile.TemporaryDirectory()
+        network = f"127.{next(NETWORKS)}"
+        self.floor = PlatformFloor(
+            network=network, folder=pathlib.Path(self.folder.name), entries=2, agents=3
+        )
+        self.addCleanup(self.folder.cleanup)
+        self.addAsyncCleanup(stop_platform_floor, self.floor)
+        await start_platform_floor(self.floor)
+        self.session = aiohttp.ClientSession()
+        self.addAsyncCleanup(self.session.close)
+
+    async def load(self, jobs, pause=0.03):
+        calls = []
+        for number in range(jobs):
+            call = call_until_final(self.session, self.floor, f"{number:016x}", number)
+            calls.append(asyncio.create_task(call))
+            await asyncio.sleep(pause)
+        return calls
+
+    async def check(self, calls):
+        states = await asyncio.gather(*calls)
+        self.assertEqual(set(states), {"completed"})
+        self.assertEqual(read_overlaps(self.floor.folder), [])
+
+    async def test_calm(self):
+        await self.check(await self.load(30))
+        url = f"http://{self.floor.find_ip('entry-0')}:{CALLERS_PORT}"
+        for path, expected in ((PREFIX, 200), ("/none/", 404), (f"{PREFIX}{'f' * 16}", 410)):
+            async with self.session.get(url + path, headers={"Host": HOST}) as answer:
+                self.assertEqual(answer.status, expected, path)
+        body = {"spec": "0.1", "steps": [{"count": 1, "cpu": 1, "mem-mb": 1}]}
+        path = f"{PREFIX}{'e' * 16}"
+        async with self.session.post(url + path, json=body, headers={"Host": HOST}) as answer:
+            self.assertEqual(answer.status, 503, "a job that has to be stored is refused")
+            self.assertTrue(answer.headers["Retry-After"])
+
+    async def test_killed_members(self):
+        calls = await self.load(20)
+        for name in ("entry-0", "agent-1"):
+            self.floor.processes[name].kill()
+        calls += await self.load(10)
+        for name in ("entry-0", "agent-1"):
+            await start_member(self.floor, name)
+        await self.check(calls + await self.load(10))
+
+    async def test_frozen_agent(self):
+        calls = await self.load(10)
+        self.floor.processes["agent-0"].send_signal(signal.SIGSTOP)
+        calls += await self.load(30)
+        self.floor.processes["agent-0"].send_signal(signal.SIGCONT)
+        await self.check(calls + await self.load(10))
+
+    async def test_graceful_end_cuts_off_nothing(self):
+        calls = []
+        for number in range(30):
+            call = submit_job(self.session, self.floor, "entry-0", f"{number:016x}")
+            calls.append(asyncio.create_task(call))
+            await asyncio.sleep(0.02)
+        self.floor.processes["entry-0"].send_signal(signal.SIGTERM)
+        answers = await asyncio.gather(*calls)
+        self.assertEqual(set(answers), {(200, "completed")})
+        self.assertEqual(await self.floor.processes["entry-0"].wait(), 0)
+
+    async def test_restart_while_the_store_turns_one_entry_away(self):
+        ip = self.floor.find_ip("entry-0")
+        await set_knobs(self.floor.store, refused=[ip])
+        self.floor.processes["entry-0"].kill()
+        await self.floor.processes["entry-0"].wait()
+        await start_member(self.floor, "entry-0")
+        for _ in range(100):
+            status, _ = await submit_job(self.session, self.floor, "entry-0", "a" * 16)
+            if status == 200:
+                break
+            await asyncio.sleep(0.1)
+        self.assertEqual(status, 200, "the entry has its routes from the other one")
+
+    async def test_configuration_changes_and_lost_history(self):
+        await set_knobs(self.floor.store, forget=True)
+        await put_configuration(self.floor, version=9)
+        calls = await self.load(20)
+        await set_knobs(self.floor.store, refused=["*"])
+        await self.check(calls + await self.load(20))
