--- a/src/comfreysill/placing/placement.py
+++ b/src/comfreysill/placing/placement.py
@@ -5,8 +5,9 @@
 from comfreysill.exchange.messages import Batch, Order
 from comfreysill.placing.desk import Agent, Desk, Promise, count
 from comfreysill.placing.queue import LATE, pop_request, push_request
+from comfreysill.placing.requests import conclude_request
 from comfreysill.request.request import Request, Task, place_task
-from comfreysill.request.types import Step
+from comfreysill.request.types import Step, Verdict, measure_chain
 
 # An agent that was silent for longer gets no new tasks.
 USABLE_SECONDS = 0.35
@@ -14,6 +15,8 @@
 CROSS_ZONE_SECONDS = 0.004
 RACK_FACTOR = 1.5
 MISFIT_LIMIT = 24
+# A request that ends after this multiple of its latency objective is of no use any more.
+LATE_FACTOR = 3.0
 
 
 class Room:
@@ -58,6 +61,10 @@
         if entry is None:
             break
         band, request = entry[0], entry[4]
+        if band == LATE and not request.begun and _is_hopeless(request, rooms, now):
+            detail = "it can't end in time any more"
+            conclude_request(desk, request, Verdict.NOT_RUN, detail, now)
+            continue
         for number in list(request.pending):
             _place_step(desk, request, number, rooms, band, now)
         if any(request.pending.values()):
@@ -68,6 +75,14 @@
         push_request(desk, request, now)
 
 
+def _is_hopeless(request: Request, rooms: list[Room], now: float) -> bool:
+    """Tells whether a request would end after the last moment at which it is of use."""
+    fastest = min(room.agent.load.slowness for room in rooms)
+    objective = request.due_at - request.received_at
+    chain = measure_chain(request.specification.steps)
+    return now + fastest * chain > request.received_at + LATE_FACTOR * objective
+
+
 def _place_step(
     desk: Desk, request: Request, number: int, rooms: list[Room], band: int, now: float
 ) -> None:
--- a/src/comfreysill/placing/requests.py
+++ b/src/comfreysill/placing/requests.py
@@ -21,8 +21,6 @@
 from comfreysill.request.types import Specification, Verdict
 
 KEEP_SECONDS = 10.0
-# Requests that have lost their caller count as late from three times their objective on.
-LATE_FACTOR = 3.0
 RETRY_SECONDS = 1.0
 
 
--- a/src/comfreysill/platform/runner.py
+++ b/src/comfreysill/platform/runner.py
@@ -20,9 +20,9 @@
     StopCall,
 )
 
-ORDER_SECONDS = 0.25
-RENEW_MARGIN_SECONDS = 0.25
-CONNECT_SECONDS = 0.2
+ORDER_SECONDS = 0.1
+RENEW_MARGIN_SECONDS = 0.1
+CONNECT_SECONDS = 0.1
 CONNECTIONS = 16
 # The runner closes idle connections; ours are closed sooner.
 KEEPALIVE_SECONDS = 1.0
--- a/src/comfreysill/running/renewals.py
+++ b/src/comfreysill/running/renewals.py
@@ -18,7 +18,7 @@
 
 RENEW_WAIT_MS = 150
 # Without an answer for this long the lease is no longer renewed, so that it lapses.
-RENEW_GIVE_UP_SECONDS = 0.4
+RENEW_GIVE_UP_SECONDS = 0.55
 ENDS_PER_REPLY = 500
 TOKEN_JUMP = 1000
 
@@ -54,6 +54,7 @@
         lose_runner(book, now, "another lifetime answered")
         return
     if reply.reply == Reply.UNANSWERED:
+        book.urgent = True
         check_lapse(book, now)
         return
     book.answered_at = now
@@ -111,7 +112,10 @@
         there = listed.get(run.task) == run.number
         if run.state == RunState.UNSURE:
             _settle_unsure(book, run, reply, there, now)
-        elif run.state != RunState.STARTING and not there:
+        elif run.state == RunState.STARTING:
+            if there:
+                mark_running(book, run, now)
+        elif not there:
             older = run.changed_at < reply.call.sent_at
             if older and len(reply.ended) < ENDS_PER_REPLY:
                 end_run(book, run, Outcome.LOST, now, detail="the runner doesn't list it")
--- a/src/comfreysill/running/starts.py
+++ b/src/comfreysill/running/starts.py
@@ -22,6 +22,8 @@
 
 STOP_RETRY_SECONDS = 0.12
 START_TRIES = 3
+# A runner that was silent for longer gets no new work.
+SILENCE_SECONDS = 0.3
 RUN_NUMBER_JUMP = 10_000_000
 
 
@@ -31,6 +33,8 @@
         return False
     if book.report is None or book.report.draining or now < book.suspended_until:
         return False
+    if now - book.answered_at > SILENCE_SECONDS:
+        return False
     return not (book.probing and book.runs)
 
 
