--- a/src/comfreysill/gateway/program.py
+++ b/src/comfreysill/gateway/program.py
@@ -75,12 +75,12 @@
 
 
 async def _serve_callers(keeper: Keeper, callers) -> None:
-    """Takes callers' connections once requests can be served.
+    """Takes callers' connections once there are routes.
 
     Until then connections are refused, which sends callers to another entry at once.
     """
     open_at = read_boot_clock() + OPEN_LATEST_SECONDS
-    while not is_ready(keeper) and not keeper.closing and read_boot_clock() < open_at:
+    while not keeper.desk.routes.version and read_boot_clock() < open_at:
         await asyncio.sleep(POLL_SECONDS)
     await callers.serve()
 
