--- a/src/comfreysill/placing/placement.py
+++ b/src/comfreysill/placing/placement.py
@@ -1,5 +1,6 @@
 """Choice of targets for the startable tasks of a request."""
 
+import math
 from collections.abc import Set
 
 from comfreysill.exchange.messages import Batch, Order
@@ -15,6 +16,8 @@
 CROSS_ZONE_SECONDS = 0.004
 RACK_FACTOR = 1.5
 MISFIT_LIMIT = 24
+# Run times that differ by less than this factor count as equal.
+SPEED_BAND = 1.3
 # A request that ends after this multiple of its latency objective is of no use any more.
 LATE_FACTOR = 3.0
 
@@ -98,7 +101,7 @@
     left = request.due_at - now
     hopeful = min(times.values()) <= left and band != LATE
     fitting = [room for room in fitting if room.cpu >= step.cpu]
-    fitting.sort(key=lambda room: (times[room.agent.name] > left, times[room.agent.name]))
+    fitting.sort(key=lambda room: _rank_room(desk, room, times[room.agent.name], left))
     for room in fitting:
         if hopeful and times[room.agent.name] > left:
             return
@@ -116,6 +119,16 @@
             task.avoided = ()
 
 
+def _rank_room(desk: Desk, room: Room, seconds: float, left: float) -> tuple:
+    """Returns the order of a target: in time, about as fast, in the same zone, most room.
+
+    Targets of about the same speed count as equal, so that entries of different zones rarely
+    choose the same one at a time.
+    """
+    band = round(math.log(max(seconds, 1e-3), SPEED_BAND))
+    return seconds > left, band, room.agent.profile.zone != desk.zone, -room.cpu
+
+
 def _estimate_time(desk: Desk, step: Step, agent: Agent) -> float:
     seconds = step.estimate * agent.load.slowness
     if step.rack and step.rack not in agent.profile.labels:
