--- a/src/comfreysill/exchange/messages.py
+++ b/src/comfreysill/exchange/messages.py
@@ -16,13 +16,15 @@
 class Outcome(enum.IntEnum):
     """What became of an attempt at an agent.
 
-    RETURNED promises that the attempt never ran. LOST says that it ran in part and has ended.
+    RETURNED and BUSY promise that the attempt never ran; after BUSY the target is as good as
+    before. LOST says that it ran in part and has ended.
     """
 
     DONE = 0
     FAILED = 1
     RETURNED = 2
     LOST = 3
+    BUSY = 4
 
 
 class Order:
--- a/src/comfreysill/placing/requests.py
+++ b/src/comfreysill/placing/requests.py
@@ -141,9 +141,11 @@
     elif outcome == Outcome.FAILED:
         verdict = fail_task(task)
         note_event(desk, "task failed", task=task.name, agent=agent, failures=task.failures)
+    elif outcome == Outcome.BUSY:
+        count(desk, "tasks_bounced")
+        return_task(task)
     else:
-        if outcome == Outcome.LOST or "another run" not in detail:
-            task.avoided = (*task.avoided[-2:], agent)
+        task.avoided = (*task.avoided[-2:], agent)
         return_task(task)
         name, attempt = task.name, task.attempt
         note_event(desk, "task returned", task=name, attempt=attempt, agent=agent, why=detail)
--- a/src/comfreysill/running/intake.py
+++ b/src/comfreysill/running/intake.py
@@ -102,26 +102,37 @@
 
 def _receive_batch(book: RunBook, session: EntrySession, batch: Batch, now: float) -> None:
     for order in batch.orders:
-        # A target on probation takes a single task of a batch.
-        refusal = _check_batch(book, session, batch, now)
         name = name_task(batch.request_id, order.step, order.index)
         known = book.runs.get(name)
         if known is not None and known.entry == session.entry and known.attempt == order.attempt:
             continue
-        detail = refusal if known is None else "another run of the task is here"
-        if detail:
-            attempt, returned = order.attempt, Outcome.RETURNED
-            report_end(book, session.entry, name, attempt, returned, detail=detail)
+        # A target on probation takes a single task of a batch.
+        refusal = _check_order(book, session, batch, known, now)
+        if refusal:
+            report_end(book, session.entry, name, order.attempt, Outcome.BUSY, detail=refusal)
             continue
         book.runs[name] = Run(entry=session.entry, batch=batch, order=order, now=now)
         queue_run(book, book.runs[name])
 
 
-def _check_batch(book: RunBook, session: EntrySession, batch: Batch, now: float) -> str:
+def _check_order(
+    book: RunBook, session: EntrySession, batch: Batch, known: Run | None, now: float
+) -> str:
+    """Returns why a task isn't taken, empty if it is.
+
+    Entries choose targets by what they know, so that two may promise the same room; the later
+    one hears at once and chooses again.
+    """
+    if known is not None:
+        return "another run of the task is here"
     if now > session.lease_until:
         return "the order came late"
     if not is_accepting(book, now):
         return "the target takes no new work"
     report = book.report
-    fits = batch.cpu <= report.cpu and batch.memory_mb <= report.memory_mb
-    return "" if fits and batch.gpus <= report.gpus else "the task is larger than the target"
+    if book.cpu_used + book.cpu_waiting + batch.cpu > report.cpu:
+        return "no room"
+    if book.memory_used + book.memory_waiting + batch.memory_mb > report.memory_mb:
+        return "no room"
+    fits = book.gpus_used + book.gpus_waiting + batch.gpus <= report.gpus
+    return "" if fits else "no room"
