--- a/src/comfreysill/gateway/program.py
+++ b/src/comfreysill/gateway/program.py
@@ -7,12 +7,15 @@
 from comfreysill.gateway.discovery import follow_members, follow_routes, take_routes_text
 from comfreysill.gateway.keeper import Keeper, is_ready, keep_desk, leave, submit
 from comfreysill.gateway.links import RosterService, read_routes
-from comfreysill.gateway.messages import Cancel, GiveUp, Tick
+from comfreysill.gateway.messages import Cancel, EntriesFound, GiveUp, Tick
+from comfreysill.instruments import build_metrics_app, build_observer
+from comfreysill.metrics import Metrics
 from comfreysill.placing.desk import Desk
 from comfreysill.platform.ingress import Front, build_callers_app, build_readiness_app
 from comfreysill.platform.members import Member
 from comfreysill.platform.settings import InstanceSettings
-from comfreysill.platform.store import open_store
+from comfreysill.platform.store import StoreClient, move_store, open_store
+from comfreysill.reloading import follow_settings
 from comfreysill.request.types import Verdict
 from comfreysill.servers import build_http, start_grpc, stop_http
 from comfreysill.supervision import await_stop
@@ -28,10 +31,18 @@
 OPEN_LATEST_SECONDS = 2.0
 
 
-async def run_gateway(settings: InstanceSettings, lifetime: str, stop: asyncio.Event) -> None:
+async def run_gateway(
+    settings: InstanceSettings, lifetime: str, stop: asyncio.Event, reload: asyncio.Event
+) -> None:
     """Runs an entry until it is asked to stop and its callers have their answers."""
     name = f"{settings.name}@{lifetime}"
-    desk = Desk(name=name, zone=settings.zone, unix_offset=measure_unix_offset())
+    metrics = Metrics(role="entry")
+    desk = Desk(
+        name=name,
+        zone=settings.zone,
+        unix_offset=measure_unix_offset(),
+        observe=build_observer(metrics),
+    )
     desk.entries = [str(settings.link), *settings.entries]
     keeper = Keeper(desk=desk)
     store = open_store(settings.store)
@@ -41,8 +52,14 @@
     roster = RosterService(inbox=keeper.inbox, get_routes=lambda: keeper.routes_text)
     grpc = await start_grpc([roster], settings.link)
     callers_task = asyncio.create_task(_serve_callers(keeper, callers))
+    counters = build_http(
+        build_metrics_app(metrics, lambda: desk.counters, lambda: _measure(keeper, store)),
+        settings.metrics,
+    )
     tasks = [
+        asyncio.create_task(counters.serve()),
         asyncio.create_task(_ask_routes(keeper)),
+        asyncio.create_task(follow_settings(reload, lambda new: _apply(keeper, store, new))),
         asyncio.create_task(readiness.serve()),
         asyncio.create_task(keep_desk(keeper)),
         asyncio.create_task(_tick(keeper)),
@@ -94,6 +111,23 @@
                 take_routes_text(text, keeper.inbox)
 
 
+def _apply(keeper: Keeper, store: StoreClient, settings: InstanceSettings) -> None:
+    """Takes what may change while the process runs: the store and the other entries."""
+    move_store(store, settings.store)
+    keeper.inbox.post(EntriesFound(addresses=list(settings.entries)))
+
+
+def _measure(keeper: Keeper, store: StoreClient) -> dict[str, float]:
+    desk = keeper.desk
+    return {
+        "requests": len(desk.requests),
+        "callers": len(keeper.replies),
+        "agents": sum(agent.connected for agent in desk.agents.values()),
+        "routes_version": desk.routes.version,
+        "store_calls": store.calls,
+    }
+
+
 async def _tick(keeper: Keeper) -> None:
     while True:
         await asyncio.sleep(TICK_SECONDS)
--- a/src/comfreysill/launch.py
+++ b/src/comfreysill/launch.py
@@ -37,7 +37,8 @@
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGTERM, stop.set)
     loop.add_signal_handler(signal.SIGINT, stop.set)
-    loop.add_signal_handler(signal.SIGHUP, lambda: None)
+    reload = asyncio.Event()
+    loop.add_signal_handler(signal.SIGHUP, reload.set)
     lifetime = uuid.uuid4().hex[:8]
     # A role imports only what it needs, as memory and time of start are paid for.
     if role == "entry":
@@ -45,4 +46,4 @@
     else:
         from comfreysill.sidecar.program import run_sidecar as run
     gc.freeze()
-    await run(settings, lifetime, stop)
+    await run(settings, lifetime, stop, reload)
--- a/src/comfreysill/metrics.py
+++ b/src/comfreysill/metrics.py
@@ -29,16 +29,21 @@
 
 def observe_seconds(metrics: Metrics, name: str, value: float, team: str, task_class: str) -> None:
     """Adds a time in seconds to the histogram of a team and class."""
+    observe_labels(metrics, name, value, {"team": team, "class": task_class})
+
+
+def observe_labels(metrics: Metrics, name: str, value: float, labels: dict[str, str]) -> None:
+    """Adds a time in seconds to the histogram of one set of labels."""
     histogram = metrics.seconds.get(name)
     if histogram is None:
         histogram = Histogram(
             f"comfreysill_{name}",
-            f"Histogram of {name.replace('_', ' ')} by team and class.",
+            f"Histogram of {name.replace('_', ' ')} by {' and '.join(labels)}.",
             registry=metrics.registry,
             buckets=_SECONDS,
         )
         metrics.seconds[name] = histogram
-    histogram.observe({"team": team, "class": task_class}, float(value))
+    histogram.observe(labels, float(value))
 
 
 def render_metrics(
--- a/src/comfreysill/placing/placement.py
+++ b/src/comfreysill/placing/placement.py
@@ -4,7 +4,7 @@
 from collections.abc import Set
 
 from comfreysill.exchange.messages import Batch, Order
-from comfreysill.placing.desk import Agent, Desk, Promise, count
+from comfreysill.placing.desk import Agent, Desk, Promise, count, note_event
 from comfreysill.placing.queue import LATE, pop_request, push_request
 from comfreysill.placing.requests import conclude_request
 from comfreysill.request.request import Request, Task, place_task
@@ -160,6 +160,16 @@
     if not request.begun:
         seconds = now - request.received_at
         desk.observe("wait_seconds", seconds, request.specification.route)
+    note_event(
+        desk,
+        "tasks placed",
+        request=request.specification.request_id,
+        agent=agent.name,
+        tasks=[f"{task.step}/{task.index}#{task.attempt + 1}" for task in tasks],
+        room=room.cpu,
+        load_age=round(now - agent.heard_at, 3),
+        waited=round(now - request.received_at, 3),
+    )
     for task in tasks:
         place_task(task, agent.name)
         agent.tasks[task.name] = task
--- a/src/comfreysill/placing/requests.py
+++ b/src/comfreysill/placing/requests.py
@@ -51,16 +51,16 @@
     desk.callers[caller] = specification.request_id
     desk.requests[specification.request_id] = request
     count(desk, "requests_taken")
-    push_request(desk, request, now)
-
-
-def refuse_caller(desk: Desk, caller: int, detail: str, now: float) -> None:
-    """Tells a caller at once that its request was not and will not be run."""
-    count(desk, "requests_refused")
-    verdict, retry_at = Verdict.NOT_RUN, now + RETRY_SECONDS
-    desk.effects.append(
-        TellCaller(caller=caller, verdict=verdict, detail=detail, retry_at=retry_at)
+    note_event(
+        desk,
+        "request taken",
+        request=specification.request_id,
+        route=specification.route,
+        routes_version=desk.routes.version,
+        tasks=sum(step.count for step in specification.steps),
+        objective=round(request.due_at - now, 3),
     )
+    push_request(desk, request, now)
 
 
 def abandon_caller(desk: Desk, caller: int, now: float) -> None:
@@ -97,9 +97,15 @@
     if verdict in (Verdict.COMPLETED, Verdict.FAILED):
         desk.kept[key] = KeptVerdict(verdict=verdict, expires_at=now + KEEP_SECONDS)
         desk.kept_order.append(key)
-    if verdict != Verdict.COMPLETED:
-        age = round(now - request.received_at, 3)
-        note_event(desk, "request ended", request=key, verdict=verdict.name, why=detail, age=age)
+    note_event(
+        desk,
+        "request ended",
+        request=key,
+        verdict=verdict.name,
+        why=detail,
+        age=round(now - request.received_at, 3),
+        late=now > request.due_at,
+    )
     retry_at = 0.0 if verdict in (Verdict.COMPLETED, Verdict.FAILED) else now + RETRY_SECONDS
     for caller in request.callers:
         desk.callers.pop(caller, None)
@@ -150,7 +156,8 @@
         name, attempt = task.name, task.attempt
         note_event(desk, "task returned", task=name, attempt=attempt, agent=agent, why=detail)
     if verdict is not None:
-        publish_verdict(desk, request, f"task {task.step}/{task.index}: {detail}", now)
+        why = detail or outcome.name.lower()
+        publish_verdict(desk, request, f"task {task.step}/{task.index}: {why}", now)
     elif request.verdict is not None:
         _clear_request(desk, request, now)
     else:
--- a/src/comfreysill/platform/store.py
+++ b/src/comfreysill/platform/store.py
@@ -79,6 +79,11 @@
     return StoreClient(base=f"http://{address}", session=session)
 
 
+def move_store(store: StoreClient, address: Address) -> None:
+    """Sends the next calls to another address."""
+    store.base = f"http://{address}"
+
+
 async def read_rows(store: StoreClient, table: str) -> Result[RowSet, StoreError]:
     """Reads all rows of a table that have no part."""
     rows: list[StoredRow] = []
--- a/src/comfreysill/sidecar/program.py
+++ b/src/comfreysill/sidecar/program.py
@@ -8,11 +8,14 @@
 
 from comfreysill.clock import read_boot_clock
 from comfreysill.exchange.messages import Announcement
+from comfreysill.instruments import build_metrics_app
+from comfreysill.metrics import Metrics
 from comfreysill.platform.members import Member, read_members, write_member
 from comfreysill.platform.reports import build_reports_app
 from comfreysill.platform.runner import RunnerClient, call_order, call_renewal, open_runner
 from comfreysill.platform.settings import InstanceSettings
-from comfreysill.platform.store import StoreClient, open_store
+from comfreysill.platform.store import StoreClient, move_store, open_store
+from comfreysill.reloading import follow_settings
 from comfreysill.running.book import RunBook
 from comfreysill.running.calls import Call, RenewCall
 from comfreysill.servers import build_http, start_grpc, stop_http
@@ -40,7 +43,9 @@
 LAST_FRAME_SECONDS = 0.05
 
 
-async def run_sidecar(settings: InstanceSettings, lifetime: str, stop: asyncio.Event) -> None:
+async def run_sidecar(
+    settings: InstanceSettings, lifetime: str, stop: asyncio.Event, reload: asyncio.Event
+) -> None:
     """Runs an agent until it is asked to stop and its runs have ended."""
     runner = open_runner(settings.runner)
     # The time of day is above the token of every earlier lifetime, which rises by one for each
@@ -59,9 +64,16 @@
     http = build_http(reports, settings.reports)
     grpc = await start_grpc([TargetService(inbox=inbox)], settings.link)
     http_task = asyncio.create_task(http.serve())
+    metrics = Metrics(role="agent")
+    counters = build_http(
+        build_metrics_app(metrics, lambda: book.counters, lambda: _measure(keeper)),
+        settings.metrics,
+    )
     tasks = [
+        asyncio.create_task(counters.serve()),
         asyncio.create_task(keep_book(keeper)),
         asyncio.create_task(_tick(keeper)),
+        asyncio.create_task(follow_settings(reload, lambda new: _apply(keeper, store, new))),
         asyncio.create_task(_register(keeper, settings, store)),
         asyncio.create_task(_announce(keeper, settings)),
     ]
@@ -111,6 +123,23 @@
     keeper.inbox.post(RunnerReplied(reply=reply))
 
 
+def _apply(keeper: Keeper, store: StoreClient, settings: InstanceSettings) -> None:
+    """Takes what may change while the process runs: the store and the entries."""
+    move_store(store, settings.store)
+    keeper.inbox.post(EntriesFound(addresses=list(settings.entries)))
+
+
+def _measure(keeper: Keeper) -> dict[str, float]:
+    book = keeper.book
+    return {
+        "runs": len(book.runs),
+        "cpu_used": book.cpu_used,
+        "cpu_waiting": book.cpu_waiting,
+        "links": len(keeper.links),
+        "slowness": book.slowness,
+    }
+
+
 async def _tick(keeper: Keeper) -> None:
     while True:
         await asyncio.sleep(TICK_SECONDS)
