--- a/src/comfreysill/placing/placement.py
+++ b/src/comfreysill/placing/placement.py
@@ -64,7 +64,7 @@
         if entry is None:
             break
         band, request = entry[0], entry[4]
-        if band == LATE and not request.begun and _is_hopeless(request, rooms, now):
+        if not request.begun and _is_hopeless(request, rooms, now):
             detail = "it can't end in time any more"
             conclude_request(desk, request, Verdict.NOT_RUN, detail, now)
             continue
--- /dev/null
+++ b/tests/test_placing.py
@@ -0,0 +1,232 @@
+import unittest
+
+from comfreysill.exchange.messages import AgentFrame, Ended, Load, Outcome, Profile
+from comfreysill.placing.agents import (
+    close_link,
+    collect_frames,
+    discover_agent,
+    expire_agents,
+    open_link,
+    receive_agent_frame,
+)
+from comfreysill.placing.desk import AskRoutes, Desk, SendFrame, TellCaller
+from comfreysill.placing.placement import place_waiting
+from comfreysill.placing.requests import abandon_caller, submit_request
+from comfreysill.request.types import Specification, Step, Verdict
+
+
+def build_request(key="r", tasks=2, cpu=1000, estimate=0.2, priority=0, label="", after=()):
+    steps = [Step(count=tasks, cpu=cpu, memory_mb=1, estimate=estimate, label=label)]
+    if after:
+        steps.append(Step(count=1, cpu=cpu, memory_mb=1, estimate=estimate, after=after))
+    return Specification(
+        request_id=key,
+        route="q",
+        service="s",
+        payload="",
+        steps=tuple(steps),
+        priority=priority,
+        max_attempts=2,
+        stretch=1.6,
+        slack=0.06,
+    )
+
+
+class TestDesk(unittest.TestCase):
+    def setUp(self):
+        self.now = 10.0
+        self.desk = Desk(name="e@1", zone="z1", unix_offset=0.0)
+        self.desk.ticked_at = self.now
+        self.ends = {}
+        for name in ("a", "b"):
+            discover_agent(self.desk, name, f"{name}:1")
+            self.greet(name)
+
+    def greet(self, name, **changes):
+        open_link(self.desk, name, self.now)
+        self.report(name, opening=True, **changes)
+
+    def report(
+        self,
+        name,
+        cpu=4000,
+        ends=(),
+        opening=False,
+        active=(),
+        lifetime="1",
+        slowness=1.0,
+        routes=(0, ""),
+        accepting=True,
+    ):
+        agent = self.desk.agents[name]
+        load = Load(
+            accepting=accepting, cpu=cpu, memory_mb=900, gpus=0, slowness=slowness, samples=9
+        )
+        profile = Profile(
+            service="s", zone="z1", cpu=4000, memory_mb=900, gpus=0, labels=("k", name)
+        )
+        ended = []
+        for task, attempt, outcome in ends:
+            number = self.ends[name] = self.ends.get(name, 0) + 1
+            ended.append(
+                Ended(
+                    number=number, task=task, attempt=attempt, outcome=outcome, seconds=0, detail=""
+                )
+            )
+        frame = AgentFrame(
+            agent=name,
+            lifetime=lifetime,
+            session=agent.session,
+            seen=agent.number,
+            stamp=self.now,
+            load=load,
+            profile=profile,
+            ended=ended,
+            active=list(active),
+            opening=opening,
+            routes_version=routes[0],
+            routes_holder=routes[1],
+        )
+        receive_agent_frame(self.desk, frame, self.now)
+
+    def submit(self, specification, caller=1):
+        submit_request(self.desk, caller, specification, self.now)
+
+    def flush(self):
+        """Returns the tasks sent by agent, and the verdicts told by caller."""
+        place_waiting(self.desk, self.now)
+        collect_frames(self.desk, self.now)
+        effects, self.desk.effects = self.desk.effects, []
+        sent, told = {}, {}
+        for effect in effects:
+            if isinstance(effect, SendFrame):
+                orders = [order for batch in effect.frame.batches for order in batch.orders]
+                if orders:
+                    sent[effect.agent] = len(orders)
+            elif isinstance(effect, TellCaller):
+                told[effect.caller] = effect.verdict
+        return sent, told
+
+    def place(self, specification):
+        self.submit(specification)
+        sent, _ = self.flush()
+        return sent
+
+    def end_all(self, outcome):
+        for name, agent in self.desk.agents.items():
+            ends = [(task.name, task.attempt, outcome) for task in agent.tasks.values()]
+            self.report(name, ends=ends)
+        return self.flush()
+
+    def test_a_request_stays_together_and_completes(self):
+        self.assertEqual(sum(self.place(build_request(tasks=4)).values()), 4)
+        _, told = self.end_all(Outcome.DONE)
+        self.assertEqual(told, {1: Verdict.COMPLETED})
+        self.submit(build_request(tasks=4), caller=2)
+        self.assertEqual(self.flush()[1], {2: Verdict.COMPLETED}, "a repetition isn't run again")
+
+    def test_what_doesn_t_fit_waits_and_promised_room_counts(self):
+        self.assertEqual(sum(self.place(build_request(tasks=10)).values()), 8)
+        self.assertEqual(self.place(build_request(key="q")), {})
+
+    def test_urgent_goes_first(self):
+        for name in ("a", "b"):
+            self.report(name, cpu=0)
+        self.submit(build_request(key="bulk", priority=2, tasks=1))
+        self.submit(build_request(key="urgent", priority=0, tasks=1), caller=2)
+        self.flush()
+        self.report("a", cpu=1000)
+        self.flush()
+        self.assertEqual(list(self.desk.agents["a"].tasks), ["urgent/0/0"])
+
+    def test_a_slow_target_is_left_alone_while_a_fast_one_would_be_in_time(self):
+        self.report("a", cpu=0)
+        self.report("b", slowness=5.0)
+        self.assertEqual(self.place(build_request()), {})
+        self.now += 0.25
+        for name, cpu in (("a", 0), ("b", 4000)):
+            self.report(name, cpu=cpu, slowness=1.0 if name == "a" else 5.0)
+        self.assertEqual(self.flush()[0], {"b": 2}, "late either way")
+
+    def test_hopeless_requests_are_refused_truthfully(self):
+        for name in ("a", "b"):
+            self.report(name, cpu=0)
+        self.submit(build_request())
+        self.flush()
+        self.now += 2.0
+        for name in ("a", "b"):
+            self.report(name, cpu=0)
+        self.assertEqual(self.flush()[1], {1: Verdict.NOT_RUN})
+
+    def test_labels_and_steps_are_kept_to(self):
+        self.assertEqual(self.place(build_request(label="b", after=(0,))), {"b": 2})
+        self.report("b", ends=[("r/0/0", 1, Outcome.DONE)])
+        self.assertEqual(self.flush()[0], {})
+        self.report("b", ends=[("r/0/1", 1, Outcome.DONE)])
+        self.assertEqual(sum(self.flush()[0].values()), 1)
+
+    def test_failed_tasks_go_elsewhere_until_attempts_are_used_up(self):
+        self.place(build_request(tasks=1))
+        (first,) = [name for name in "ab" if self.desk.agents[name].tasks]
+        sent, told = self.end_all(Outcome.FAILED)
+        self.assertEqual(told, {})
+        self.assertNotIn(first, sent)
+        self.assertEqual(self.end_all(Outcome.FAILED)[1], {1: Verdict.FAILED})
+
+    def test_a_reset_link_loses_no_work(self):
+        self.place(build_request(label="a"))
+        close_link(self.desk, "a", self.desk.agents["a"].session)
+        self.greet("a", active=["r/0/0", "r/0/1"])
+        self.assertEqual(self.flush()[0], {})
+        self.report("a", ends=[("r/0/0", 1, Outcome.DONE), ("r/0/1", 1, Outcome.DONE)])
+        self.assertEqual(self.flush()[1], {1: Verdict.COMPLETED})
+
+    def test_tasks_that_never_arrived_are_placed_again(self):
+        self.place(build_request(label="a"))
+        close_link(self.desk, "a", self.desk.agents["a"].session)
+        self.greet("a", active=["r/0/0"])
+        self.assertEqual(self.flush()[0], {"a": 1})
+
+    def test_tasks_of_a_silent_agent_wait_until_nothing_can_run(self):
+        self.place(build_request(tasks=1))
+        (silent,) = [name for name in "ab" if self.desk.agents[name].tasks]
+        other = "b" if silent == "a" else "a"
+        started = self.now
+        moved_at = None
+        while moved_at is None and self.now < started + 3:
+            self.now += 0.05
+            self.report(other)
+            expire_agents(self.desk, self.now)
+            if self.flush()[0]:
+                moved_at = self.now
+        self.assertGreater(moved_at - started, 0.5 + 0.6)
+        self.assertLess(moved_at - started, 1.3)
+
+    def test_a_new_lifetime_gives_tasks_back_once_it_is_settled(self):
+        self.place(build_request(label="a"))
+        close_link(self.desk, "a", self.desk.agents["a"].session)
+        self.greet("a", lifetime="2", accepting=False)
+        self.assertEqual(self.flush()[0], {})
+        self.report("a", lifetime="2")
+        self.assertEqual(self.flush()[0], {"a": 2})
+
+    def test_a_caller_that_leaves_stops_its_request_and_a_successor_waits(self):
+        self.place(build_request(label="a"))
+        abandon_caller(self.desk, 1, self.now)
+        self.assertEqual(sorted(self.desk.agents["a"].stops), ["r/0/0", "r/0/1"])
+        self.submit(build_request(label="a"), caller=2)
+        self.assertEqual(self.flush()[0], {})
+        self.report("a", ends=[("r/0/0", 1, Outcome.LOST), ("r/0/1", 1, Outcome.LOST)])
+        self.assertEqual(self.flush()[0], {"a": 2})
+
+    def test_a_freeze_is_not_taken_for_silence_of_the_others(self):
+        self.place(build_request())
+        self.now += 5.0
+        expire_agents(self.desk, self.now)
+        self.assertEqual(self.flush()[0], {})
+        self.assertTrue(self.desk.agents["a"].connected)
+
+    def test_a_newer_routing_document_is_asked_for(self):
+        self.report("a", routes=(7, "e2:1"))
+        (effect,) = [e for e in self.desk.effects if isinstance(e, AskRoutes)]
+        self.assertEqual(effect.address, "e2:1")
--- /dev/null
+++ b/tests/test_platform_decode.py
@@ -0,0 +1,196 @@
+import json
+import os
+import pathlib
+import re
+import tempfile
+import unittest
+from unittest import mock
+
+from result import Err, Ok
+
+from comfreysill.exceptions import UsageError
+from comfreysill.platform.configuration import decode_configuration
+from comfreysill.platform.members import decode_members
+from comfreysill.platform.runner import decode_report, decode_task, encode_task
+from comfreysill.platform.settings import SETTINGS_VARIABLE, read_instance_settings
+from comfreysill.platform.store import RowSet, StoredRow
+from comfreysill.platform.submission import Rejection, decode_submission
+from comfreysill.routes.table import choose_newer, find_route
+
+SOURCES = pathlib.Path(__file__).parent.parent / "src" / "comfreysill"
+SETTINGS = """
+node: e1
+zone: z1
+ip: 10.0.0.1
+unknown-field: 5
+listen: {front: "10.0.0.1:81", ready: "10.0.0.1:82"}
+port-range: [7720, 7735]
+seeds: ["10.0.0.2:8166"]
+bounds: {grace-s: 6}
+platform: {address: "10.9.0.1:80"}
+"""
+
+
+def encode_routes(version=3, **changes):
+    route = {
+        "name": "r1",
+        "host": "h.example",
+        "path-prefix": "/a/",
+        "service": "s",
+        "priority": 1,
+        "max-attempts": 4,
+        "stretch": 1.6,
+        "target-latency-ms": 60,
+        **changes,
+    }
+    longer = {**route, "name": "r2", "path-prefix": "/a/b/"}
+    document = {"version": version, "routes": [route, longer], "limits": {"max-body-bytes": 9}}
+    return json.dumps(document).encode()
+
+
+class TestSettings(unittest.TestCase):
+    def read(self, text):
+        with tempfile.TemporaryDirectory() as folder:
+            path = pathlib.Path(folder) / "boot.yaml"
+            path.write_text(text)
+            with mock.patch.dict(os.environ, {SETTINGS_VARIABLE: str(path)}):
+                return read_instance_settings()
+
+    def test_fields(self):
+        settings = self.read(SETTINGS)
+        self.assertEqual((settings.name, settings.grace), ("e1", 6.0))
+        self.assertEqual(str(settings.link), "10.0.0.1:7720")
+        self.assertEqual(settings.entries, ("10.0.0.2:7720",))
+        self.assertIsNone(settings.runner)
+
+    def test_unreadable_files_are_named(self):
+        for text in ("a: [", "node: e1", "[]", SETTINGS.replace("ip: 10.0.0.1", "")):
+            with self.assertRaises(UsageError) as caught:
+                self.read(text)
+            self.assertIn("boot.yaml", str(caught.exception))
+
+
+class TestConfiguration(unittest.TestCase):
+    def test_longest_prefix_wins(self):
+        table = decode_configuration(encode_routes()).ok_value
+        self.assertEqual(find_route(table, "h.example", "/a/b/1").name, "r2")
+        self.assertEqual(find_route(table, "h.example", "/a/1").name, "r1")
+        self.assertIsNone(find_route(table, "h.example", "/b/1"))
+        self.assertIsNone(find_route(table, "other", "/a/1"))
+        self.assertEqual(find_route(table, "h.example", "/a/1").slack, 0.06)
+
+    def test_an_older_version_never_comes_back(self):
+        newer = decode_configuration(encode_routes(5)).ok_value
+        older = decode_configuration(encode_routes(4)).ok_value
+        self.assertIs(choose_newer(newer, older), newer)
+        self.assertIs(choose_newer(older, newer), newer)
+
+    def test_unreadable(self):
+        for text in (b"", b"[]", b"{}", b'{"version": "x"}', b'{"version":1,"routes":[{}]}'):
+            self.assertIsInstance(decode_configuration(text), Err)
+
+
+class TestSubmission(unittest.TestCase):
+    def setUp(self):
+        table = decode_configuration(encode_routes()).ok_value
+        self.route = find_route(table, "h.example", "/a/1")
+
+    def decode(self, **changes):
+        step = {"count": 2, "cpu": 500, "mem-mb": 8, "estimate-ms": 250}
+        body = {"spec": "t", "best-effort": True, "steps": [step, {**step, "after": [0]}]}
+        body.update(changes)
+        return decode_submission("id", self.route, json.dumps(body).encode())
+
+    def test_fields(self):
+        request = self.decode().ok_value
+        self.assertEqual([step.after for step in request.steps], [(), (0,)])
+        self.assertEqual(request.steps[0].estimate, 0.25)
+        self.assertEqual(request.max_attempts, 4)
+
+    def test_what_is_not_served_is_said_so(self):
+        stored = self.decode(**{"best-effort": False}).err_value
+        self.assertEqual(stored.rejection, Rejection.UNSUPPORTED)
+        gang = {"count": 2, "gang": True}
+        self.assertEqual(self.decode(steps=[gang]).err_value.rejection, Rejection.UNSUPPORTED)
+
+    def test_unreadable(self):
+        for changes in (
+            {"steps": []},
+            {"steps": [{"count": 0}]},
+            {"steps": [{"count": 1, "after": [0]}]},
+            {"steps": 5},
+            {"spec": 5},
+        ):
+            error = self.decode(**changes).err_value
+            self.assertEqual(error.rejection, Rejection.INVALID, changes)
+        self.assertIsInstance(decode_submission("id", self.route, b"\xff"), Err)
+
+
+class TestReports(unittest.TestCase):
+    def decode(self, **changes):
+        body = {
+            "service": "s",
+            "address": "10.0.0.1:80",
+            "zone": "z",
+            "state": "ready",
+            "seq": 4,
+            "born": 17,
+            "capacity": {"cpu": 16000, "mem-mb": 32768},
+            "labels": ["a", "r1-3"],
+            **changes,
+        }
+        return decode_report("i-1", json.dumps(body).encode())
+
+    def test_fields(self):
+        report = self.decode().ok_value
+        self.assertEqual((report.lifetime.runner_id, report.lifetime.born), ("i-1", 17))
+        self.assertEqual((report.cpu, report.gpus, report.labels), (16000, 0, ("a", "r1-3")))
+        self.assertTrue(self.decode(state="draining").ok_value.draining)
+
+    def test_reports_of_other_writers_name_no_runner(self):
+        for changes in (
+            {"state": "resting"},
+            {"service": 5},
+            {"capacity": None},
+            {"capacity": {"cpu": "x"}},
+            {"seq": None},
+        ):
+            self.assertIsInstance(self.decode(**changes), Err, changes)
+        self.assertIsInstance(decode_report("i-1", b"\xff{"), Err)
+
+
+class TestNames(unittest.TestCase):
+    def test_tasks(self):
+        self.assertEqual(encode_task("ab12/1/17"), "ab12.0.1.17")
+        self.assertEqual(decode_task("ab12.0.1.17"), "ab12/1/17")
+
+    def test_members(self):
+        rows = [
+            StoredRow(key="a", value=b'{"role":"agent","address":"h:1"}', version=1),
+            StoredRow(key="b", value=b"no", version=2),
+            StoredRow(key="c", value=None, version=3),
+        ]
+        found = decode_members(RowSet(rows=rows, version=3))
+        self.assertEqual([member.name for member in found.members], ["a"])
+        self.assertEqual(found.unreadable, 1)
+
+    def test_the_platform_s_names_stay_in_the_adapter(self):
+        """Hyphenated fields, call paths and header names of the platform occur nowhere else."""
+        adapter = SOURCES / "platform"
+        names = set()
+        for path in adapter.glob("*.py"):
+            for text in re.findall(r'"([^"\n]+)"', path.read_text()):
+                if re.fullmatch(r"[a-z]+(-[a-z]+)+|/api/.*|X-[A-Za-z-]+", text):
+                    names.add(f'"{text}"')
+        names -= {'"retry-after"', '"content-type"', '"content-length"'}
+        self.assertGreater(len(names), 20)
+        for path in SOURCES.rglob("*.py"):
+            if adapter not in path.parents:
+                text = path.read_text()
+                found = sorted(name for name in names if name in text)
+                self.assertEqual(found, [], str(path))
+
+
+class TestResults(unittest.TestCase):
+    def test_a_good_configuration_is_ok(self):
+        self.assertIsInstance(decode_configuration(encode_routes()), Ok)
--- /dev/null
+++ b/tests/test_running.py
@@ -0,0 +1,244 @@
+import unittest
+
+from comfreysill.exchange.messages import Batch, EntryFrame, Order, Outcome
+from comfreysill.running.book import RunBook
+from comfreysill.running.calls import (
+    CallReply,
+    Lifetime,
+    RenewCall,
+    RenewReply,
+    Reply,
+    RunEntry,
+    RunnerReport,
+    StartCall,
+    StopCall,
+)
+from comfreysill.running.frames import collect_frames
+from comfreysill.running.intake import expire_sessions, receive_frame
+from comfreysill.running.renewals import call_renewal, check_lapse, receive_renewal
+from comfreysill.running.runner import begin_stop, receive_report
+from comfreysill.running.starts import receive_call_reply, repeat_stops, start_waiting
+
+
+class TestBook(unittest.TestCase):
+    def setUp(self):
+        self.now = 50.0
+        self.book = RunBook(agent="a", lifetime="1", zone="z", token=1000)
+        self.frames = 0
+        self.report()
+        self.renew()
+        self.frame()
+
+    def report(self, born=1, draining=False, sequence=1):
+        return receive_report(
+            self.book,
+            RunnerReport(
+                lifetime=Lifetime(runner_id="i", born=born),
+                service="s",
+                address="",
+                zone="z",
+                draining=draining,
+                sequence=sequence,
+                cpu=4000,
+                memory_mb=1000,
+                gpus=0,
+                labels=(),
+            ),
+            self.now,
+        )
+
+    def renew(self, running=(), ended=(), reply=Reply.ACCEPTED):
+        self.book.calls.clear()
+        self.book.urgent = True
+        call_renewal(self.book, self.now)
+        call = next(call for call in self.book.calls if isinstance(call, RenewCall))
+        self.book.calls.clear()
+        self.now += 0.01
+        rows = [RunEntry(task=task, run=run, percent=0, usage=0) for task, run in running]
+        answer = RenewReply(
+            call=call, reply=reply, clock_ms=7000, born=0, running=rows, ended=list(ended)
+        )
+        receive_renewal(self.book, answer, self.now)
+        return call
+
+    def frame(self, entry="e@1", tasks=0, session=1, echo=None, stops=(), cpu=1000, key="r"):
+        self.frames += 1
+        orders = [Order(step=0, index=index, attempt=1) for index in range(tasks)]
+        batch = Batch(
+            request_id=key,
+            payload="p",
+            priority=0,
+            due=0.0,
+            cpu=cpu,
+            memory_mb=1,
+            gpus=0,
+            estimate=0.1,
+            orders=orders,
+        )
+        frame = EntryFrame(
+            entry=entry,
+            session=session,
+            number=self.frames,
+            echo=self.now if echo is None else echo,
+            hungry=False,
+            ended_seen=0,
+            batches=[batch] if tasks else [],
+            stops=list(stops),
+            entries=["h:1"],
+            routes_version=0,
+        )
+        taken = receive_frame(self.book, frame, self.now)
+        start_waiting(self.book, self.now)
+        return taken
+
+    def take_starts(self):
+        calls, self.book.calls = self.book.calls, []
+        return [call for call in calls if isinstance(call, StartCall)]
+
+    def reply(self, call, reply):
+        receive_call_reply(self.book, CallReply(call=call, reply=reply, clock_ms=7000), self.now)
+
+    def read_ends(self, entry="e@1"):
+        return [(end.task, end.outcome) for end in self.book.sessions[entry].ended]
+
+    def test_tasks_beyond_the_room_come_back_at_once(self):
+        self.frame(tasks=6)
+        self.assertEqual(len(self.take_starts()), 4)
+        self.assertEqual(self.read_ends(), [("r/0/4", Outcome.BUSY), ("r/0/5", Outcome.BUSY)])
+
+    def test_a_start_without_an_answer_keeps_its_room_until_a_higher_token_was_seen(self):
+        self.frame(tasks=1)
+        (call,) = self.take_starts()
+        self.reply(call, Reply.UNANSWERED)
+        self.assertEqual(self.book.token, 1001)
+        self.assertEqual(self.book.cpu_used, 1000)
+        renewal = self.renew()
+        self.assertEqual(renewal.token, 1001)
+        start_waiting(self.book, self.now)
+        (again,) = self.take_starts()
+        self.assertGreater(again.run, call.run)
+        self.assertEqual(again.token, 1001)
+
+    def test_a_start_without_an_answer_that_is_listed_runs(self):
+        self.frame(tasks=1)
+        (call,) = self.take_starts()
+        self.renew(running=[("r/0/0", call.run)])
+        self.reply(call, Reply.UNANSWERED)
+        self.assertEqual(self.book.token, 1000)
+        self.assertEqual(self.read_ends(), [])
+
+    def test_a_token_that_is_too_low_is_raised(self):
+        self.renew(reply=Reply.FENCED)
+        self.assertGreater(self.book.token, 1000)
+
+    def test_orders_of_a_silent_entry_are_refused_and_its_runs_stopped(self):
+        self.frame(tasks=1)
+        (call,) = self.take_starts()
+        self.reply(call, Reply.ACCEPTED)
+        old = self.now
+        self.now += 0.6
+        self.book.answered_at = self.now
+        expire_sessions(self.book, self.now)
+        self.assertIsInstance(self.book.calls[-1], StopCall)
+        self.frame(tasks=1, echo=old, key="late")
+        self.assertIn(("late/0/0", Outcome.BUSY), self.read_ends())
+
+    def test_stops_are_repeated_until_the_end_is_listed(self):
+        self.frame(tasks=1)
+        (call,) = self.take_starts()
+        self.reply(call, Reply.ACCEPTED)
+        self.frame(stops=["r/0/0"])
+        self.book.calls.clear()
+        self.now += 0.2
+        repeat_stops(self.book, self.now)
+        self.assertIsInstance(self.book.calls[0], StopCall)
+        self.assertEqual(self.book.cpu_used, 1000, "what is being stopped still counts")
+
+    def test_a_new_lifetime_of_an_entry_ends_the_old_one_s_runs(self):
+        self.frame(tasks=1)
+        (call,) = self.take_starts()
+        self.reply(call, Reply.ACCEPTED)
+        self.frame(entry="e@2")
+        self.assertIsInstance(self.book.calls[-1], StopCall)
+        self.assertNotIn("e@1", self.book.sessions)
+
+    def test_runs_of_an_earlier_agent_are_stopped_before_any_start(self):
+        book = RunBook(agent="a", lifetime="2", zone="z", token=2000)
+        self.book = book
+        self.report()
+        self.renew(running=[("old/0/0", 7)])
+        self.assertIsInstance(book.calls[0], StopCall)
+        self.frame(tasks=1)
+        self.assertEqual(self.take_starts(), [])
+        self.assertEqual(self.read_ends(), [("r/0/0", Outcome.BUSY)])
+        self.renew()
+        self.frame(tasks=1, key="q")
+        self.assertEqual(len(self.take_starts()), 1)
+
+    def test_no_start_after_a_draining_report(self):
+        self.report(draining=True, sequence=2)
+        self.frame(tasks=1)
+        self.assertEqual(self.take_starts(), [])
+
+    def test_a_report_of_an_earlier_lifetime_is_passed_over(self):
+        self.assertTrue(self.report(born=5))
+        self.assertFalse(self.report(born=4))
+        self.assertEqual(self.book.target.born, 5)
+
+    def test_a_late_report_of_the_same_lifetime_is_passed_over(self):
+        self.assertTrue(self.report(draining=True, sequence=3))
+        self.assertFalse(self.report(draining=False, sequence=2))
+        self.assertTrue(self.book.report.draining)
+
+    def test_runs_of_a_silent_runner_are_lost_only_after_their_lease(self):
+        self.frame(tasks=1)
+        (call,) = self.take_starts()
+        self.reply(call, Reply.ACCEPTED)
+        self.book.answered_at = self.now
+        self.now += 0.6
+        check_lapse(self.book, self.now)
+        self.assertEqual(self.read_ends(), [])
+        self.now += 0.3
+        check_lapse(self.book, self.now)
+        self.assertEqual(self.read_ends(), [("r/0/0", Outcome.LOST)])
+
+    def test_the_lease_of_a_silent_runner_is_no_longer_renewed(self):
+        self.frame(tasks=1)
+        self.book.answered_at = self.now
+        self.now += 1.0
+        self.assertEqual(self.renew().lease_until, 0)
+
+    def test_failures_of_three_requests_suspend_and_one_probe_is_let_in(self):
+        for key in ("x", "y", "z"):
+            self.frame(tasks=1, key=key)
+            (call,) = self.take_starts()
+            self.reply(call, Reply.UNHEALTHY)
+        self.frame(tasks=1, key="q")
+        self.assertEqual(self.take_starts(), [])
+        self.now += 1.1
+        self.book.answered_at = self.now
+        self.frame(tasks=3, key="probe")
+        self.assertEqual(len(self.take_starts()), 1)
+
+    def test_one_failing_request_doesn_t_suspend(self):
+        for _ in range(4):
+            self.frame(tasks=1, key="x")
+            (call,) = self.take_starts()
+            self.reply(call, Reply.UNHEALTHY)
+        self.assertEqual(self.book.suspended_until, 0.0)
+
+    def test_ends_are_told_again_on_a_new_link(self):
+        self.frame(tasks=6)
+        collect_frames(self.book, False, self.now)
+        self.frame(session=2)
+        ((_, frame),) = collect_frames(self.book, False, self.now)
+        self.assertTrue(frame.opening)
+        self.assertEqual(len(frame.ended), 2)
+        self.assertEqual(len(frame.active), 4)
+        self.assertFalse(self.frame(session=1), "a frame of the older link closes it")
+
+    def test_a_stopping_agent_gives_back_what_waits(self):
+        self.book.clock_ms = -1
+        self.frame(tasks=1)
+        begin_stop(self.book, self.now)
+        self.assertEqual(self.read_ends(), [("r/0/0", Outcome.RETURNED)])
