--- a/src/comfreysill/launch.py
+++ b/src/comfreysill/launch.py
@@ -1,5 +1,6 @@
 """Starts one process of the system on the platform, in the role that its argument names."""
 
+import comfreysill.early_stop  # noqa: F401, I001
 import asyncio
 import gc
 import os
--- /dev/null
+++ b/tests/test_launch.py
@@ -0,0 +1,59 @@
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+import time
+import unittest
+
+ROOT = pathlib.Path(__file__).parent.parent
+
+
+class TestLaunch(unittest.TestCase):
+    def test_a_request_to_end_during_the_start_is_a_clean_end(self):
+        code = "import comfreysill.early_stop, time, os; os.write(1, b'x'); time.sleep(30)"
+        process = subprocess.Popen(
+            [sys.executable, "-c", code],
+            stdout=subprocess.PIPE,
+            env={**os.environ, "PYTHONPATH": str(ROOT / "src")},
+        )
+        process.stdout.read(1)
+        process.send_signal(signal.SIGTERM)
+        self.assertEqual(process.wait(20), 0)
+        process.stdout.close()
+
+    def test_bad_roles_and_settings_are_named(self):
+        for role, expected in (("nobody", "unknown role"), ("entry", "COMFREYSILL_SETTINGS")):
+            environment = {**os.environ, "PYTHONPATH": str(ROOT / "src")}
+            environment.pop("COMFREYSILL_SETTINGS", None)
+            found = subprocess.run(
+                [sys.executable, str(ROOT / "deploy" / "comfreysill.py"), role],
+                capture_output=True,
+                text=True,
+                env=environment,
+                timeout=60,
+            )
+            self.assertNotEqual(found.returncode, 0)
+            self.assertIn(expected, found.stderr)
+
+
+class TestStructuredLog(unittest.TestCase):
+    def test_lines_are_bounded_and_never_wait(self):
+        code = (
+            "import logging, comfreysill.structured as s\n"
+            "s.configure_structured_logging('p')\n"
+            "for n in range(5000): logging.info('e', extra={'fields': {'n': n}})\n"
+        )
+        reader, writer = os.pipe()
+        started = time.monotonic()
+        process = subprocess.Popen(
+            [sys.executable, "-c", code],
+            stdout=writer,
+            env={**os.environ, "PYTHONPATH": str(ROOT / "src")},
+        )
+        os.close(writer)
+        self.assertEqual(process.wait(60), 0, "nobody reads, and the process ends all the same")
+        lines = os.read(reader, 1 << 20).splitlines()
+        os.close(reader)
+        self.assertGreater(len(lines), 100)
+        self.assertLess(len(lines), 400 + 200 * (time.monotonic() - started + 1))
