--- a/src/comfreysill/gateway/discovery.py
+++ b/src/comfreysill/gateway/discovery.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+from collections.abc import Callable
 
 from result import Err, Ok
 
@@ -13,24 +14,12 @@
     CONFIGURATION_TABLE,
     decode_configuration,
 )
-from comfreysill.platform.members import (
-    MEMBERS_TABLE,
-    Member,
-    MemberSet,
-    decode_members,
-    read_members,
-    write_member,
-)
-from comfreysill.platform.store import (
-    RowSet,
-    StoreClient,
-    StoreError,
-    await_changes,
-    read_rows,
-)
+from comfreysill.platform.members import MEMBERS_TABLE, decode_members
+from comfreysill.platform.store import RowSet, StoreClient, await_changes, read_rows
 
 logger = logging.getLogger(__name__)
 
+# Changes are waited for this long before the next call, which also shows a silent connection.
 ROUTES_WAIT_SECONDS = 1.0
 MEMBERS_WAIT_SECONDS = 10.0
 RETRY_SECONDS = 0.25
@@ -39,31 +28,20 @@
 
 async def follow_routes(store: StoreClient, inbox: Mailbox[DeskMessage]) -> None:
     """Reads the routing document, and again after each change."""
-    version = 0
-    pause = RETRY_SECONDS
-    while True:
-        if version:
-            wait = ROUTES_WAIT_SECONDS
-            answer = await await_changes(store, CONFIGURATION_TABLE, version, wait)
-        else:
-            answer = await read_rows(store, CONFIGURATION_TABLE)
-        if isinstance(answer, Err):
-            _log_loss("routes", answer.err_value)
-            # The next call reads everything, whatever was missed.
-            version = 0
-            await asyncio.sleep(pause)
-            pause = min(pause * 2, RETRY_MOST_SECONDS)
-            continue
-        pause = RETRY_SECONDS
-        version = answer.ok_value.version
-        _take_routes(answer.ok_value, inbox)
 
+    def take(rows: RowSet) -> None:
+        for row in rows.rows:
+            if row.key == CONFIGURATION_KEY and row.value is not None:
+                take_routes_text(row.value, inbox)
 
-def _take_routes(rows: RowSet, inbox: Mailbox[DeskMessage]) -> None:
-    for row in rows.rows:
-        if row.key != CONFIGURATION_KEY or row.value is None:
-            continue
-        take_routes_text(row.value, inbox)
+    await _follow_table(store, CONFIGURATION_TABLE, ROUTES_WAIT_SECONDS, take)
+
+
+async def follow_members(store: StoreClient, inbox: Mailbox[DeskMessage]) -> None:
+    """Finds agents and other entries, and again after each change."""
+    await _follow_table(
+        store, MEMBERS_TABLE, MEMBERS_WAIT_SECONDS, lambda rows: _take_members(rows, inbox)
+    )
 
 
 def take_routes_text(text: bytes, inbox: Mailbox[DeskMessage]) -> None:
@@ -76,31 +54,32 @@
         logger.error("unreadable configuration", extra={"fields": fields})
 
 
-async def follow_members(store: StoreClient, inbox: Mailbox[DeskMessage], member: Member) -> None:
-    """Makes this entry known, then finds agents, and again after each change."""
-    written = False
+async def _follow_table(
+    store: StoreClient, table: str, wait_seconds: float, take: Callable[[RowSet], None]
+) -> None:
     version = 0
     pause = RETRY_SECONDS
     while True:
-        if not written:
-            written = isinstance(await write_member(store, member), Ok)
         if version:
-            wait = MEMBERS_WAIT_SECONDS
-            answer = (await await_changes(store, MEMBERS_TABLE, version, wait)).map(decode_members)
+            answer = await await_changes(store, table, version, wait_seconds)
         else:
-            answer = await read_members(store)
+            answer = await read_rows(store, table)
         if isinstance(answer, Err):
-            _log_loss("members", answer.err_value)
+            error = answer.err_value
+            fields = {"table": table, "why": error.detail, "fault": error.fault.name}
+            logger.warning("store gave nothing", extra={"fields": fields})
+            # The next call reads everything, whatever was missed.
             version = 0
             await asyncio.sleep(pause)
             pause = min(pause * 2, RETRY_MOST_SECONDS)
             continue
         pause = RETRY_SECONDS
         version = answer.ok_value.version
-        _take_members(answer.ok_value, inbox)
+        take(answer.ok_value)
 
 
-def _take_members(found: MemberSet, inbox: Mailbox[DeskMessage]) -> None:
+def _take_members(rows: RowSet, inbox: Mailbox[DeskMessage]) -> None:
+    found = decode_members(rows)
     if found.unreadable:
         logger.warning("unreadable members", extra={"fields": {"count": found.unreadable}})
     for member in found.members:
@@ -109,8 +88,3 @@
             inbox.post(AgentFound(announcement=announcement))
     entries = [member.address for member in found.members if member.role == "entry"]
     inbox.post(EntriesFound(addresses=entries))
-
-
-def _log_loss(what: str, error: StoreError) -> None:
-    fields = {"what": what, "why": error.detail, "fault": error.fault.name}
-    logger.warning("store gave nothing", extra={"fields": fields})
--- a/src/comfreysill/gateway/program.py
+++ b/src/comfreysill/gateway/program.py
@@ -9,6 +9,7 @@
 from comfreysill.gateway.links import RosterService, read_routes
 from comfreysill.gateway.messages import Cancel, EntriesFound, GiveUp, Tick
 from comfreysill.instruments import build_metrics_app, build_observer
+from comfreysill.membership import register_member
 from comfreysill.metrics import Metrics
 from comfreysill.placing.desk import Desk
 from comfreysill.platform.ingress import Front, build_callers_app, build_readiness_app
@@ -46,36 +47,53 @@
     desk.entries = [str(settings.link), *settings.entries]
     keeper = Keeper(desk=desk)
     store = open_store(settings.store)
-    member = Member(name=settings.name, role="entry", address=str(settings.link))
     callers = build_http(build_callers_app(_build_front(keeper)), settings.callers)
-    readiness = build_http(build_readiness_app(lambda: is_ready(keeper)), settings.readiness)
     roster = RosterService(inbox=keeper.inbox, get_routes=lambda: keeper.routes_text)
     grpc = await start_grpc([roster], settings.link)
     callers_task = asyncio.create_task(_serve_callers(keeper, callers))
-    counters = build_http(
-        build_metrics_app(metrics, lambda: desk.counters, lambda: _measure(keeper, store)),
-        settings.metrics,
-    )
     tasks = [
-        asyncio.create_task(counters.serve()),
-        asyncio.create_task(_ask_routes(keeper)),
-        asyncio.create_task(follow_settings(reload, lambda new: _apply(keeper, store, new))),
-        asyncio.create_task(readiness.serve()),
-        asyncio.create_task(keep_desk(keeper)),
-        asyncio.create_task(_tick(keeper)),
-        asyncio.create_task(follow_routes(store, keeper.inbox)),
-        asyncio.create_task(follow_members(store, keeper.inbox, member)),
+        *_start_following(keeper, settings, store, reload),
+        *_start_servers(keeper, settings, store, metrics),
     ]
+    member = Member(name=settings.name, role="entry", address=str(settings.link))
+    registering = asyncio.create_task(register_member(store, member))
     logger.info("entry started", extra={"fields": {"name": name}})
-    await await_stop(stop, [callers_task, *tasks])
+    await await_stop(stop, [callers_task, *tasks], [registering])
     await _end(keeper, settings, callers, callers_task)
-    for task in [*tasks, *(link.task for link in keeper.links.values())]:
+    for task in [registering, *tasks, *(link.task for link in keeper.links.values())]:
         task.cancel()
     grpc.close()
     await store.session.close()
     logger.info("entry stopped", extra={"fields": {"name": name, **desk.counters}})
 
 
+def _start_following(
+    keeper: Keeper, settings: InstanceSettings, store: StoreClient, reload: asyncio.Event
+) -> list[asyncio.Task]:
+    works = (
+        keep_desk(keeper),
+        _tick(keeper),
+        _ask_routes(keeper),
+        follow_settings(reload, lambda new: _apply(keeper, store, new)),
+        follow_routes(store, keeper.inbox),
+        follow_members(store, keeper.inbox),
+    )
+    return [asyncio.create_task(work) for work in works]
+
+
+def _start_servers(
+    keeper: Keeper, settings: InstanceSettings, store: StoreClient, metrics: Metrics
+) -> list[asyncio.Task]:
+    counters = build_metrics_app(
+        metrics, lambda: keeper.desk.counters, lambda: _measure(keeper, store)
+    )
+    servers = (
+        build_http(build_readiness_app(lambda: is_ready(keeper)), settings.readiness),
+        build_http(counters, settings.metrics),
+    )
+    return [asyncio.create_task(server.serve()) for server in servers]
+
+
 async def _end(keeper: Keeper, settings: InstanceSettings, callers, callers_task) -> None:
     started_at = read_boot_clock()
     keeper.closing = True
--- a/src/comfreysill/placing/placement.py
+++ b/src/comfreysill/placing/placement.py
@@ -173,31 +173,34 @@
     for task in tasks:
         place_task(task, agent.name)
         agent.tasks[task.name] = task
+    agent.batches.append(_build_batch(request, step, tasks))
+    _promise_room(room, step, len(tasks))
+    count(desk, "tasks_placed", len(tasks))
+
+
+def _build_batch(request: Request, step: Step, tasks: list[Task]) -> Batch:
     specification = request.specification
-    agent.batches.append(
-        Batch(
-            request_id=specification.request_id,
-            payload=specification.payload,
-            priority=specification.priority,
-            due=request.due_unix,
-            cpu=step.cpu,
-            memory_mb=step.memory_mb,
-            gpus=step.gpus,
-            estimate=step.estimate,
-            orders=[
-                Order(step=task.step, index=task.index, attempt=task.attempt) for task in tasks
-            ],
-        )
+    return Batch(
+        request_id=specification.request_id,
+        payload=specification.payload,
+        priority=specification.priority,
+        due=request.due_unix,
+        cpu=step.cpu,
+        memory_mb=step.memory_mb,
+        gpus=step.gpus,
+        estimate=step.estimate,
+        orders=[Order(step=task.step, index=task.index, attempt=task.attempt) for task in tasks],
     )
-    amount = len(tasks)
+
+
+def _promise_room(room: Room, step: Step, amount: int) -> None:
     promise = Promise(
-        frame=agent.number + 1,
+        frame=room.agent.number + 1,
         cpu=step.cpu * amount,
         memory_mb=step.memory_mb * amount,
         gpus=step.gpus * amount,
     )
-    agent.promises.append(promise)
+    room.agent.promises.append(promise)
     room.cpu -= promise.cpu
     room.memory_mb -= promise.memory_mb
     room.gpus -= promise.gpus
-    count(desk, "tasks_placed", amount)
--- a/src/comfreysill/platform/reports.py
+++ b/src/comfreysill/platform/reports.py
@@ -15,10 +15,11 @@
 REPORT_SUFFIX = "/heartbeat"
 LEAVE_SUFFIX = "/deregister"
 
+TakeReport = Callable[[RunnerReport], None]
+TakeLeaving = Callable[[str], None]
 
-def build_reports_app(
-    report: Callable[[RunnerReport], None], leave: Callable[[str], None]
-) -> Callable[..., Any]:
+
+def build_reports_app(report: TakeReport, leave: TakeLeaving) -> Callable[..., Any]:
     """Builds the ASGI application that the runner calls.
 
     Args:
@@ -30,38 +31,31 @@
         if scope["type"] != "http":
             return
         body = await _read_body(receive)
-        path = scope["path"]
         status = 404
-        if scope["method"] == "POST" and path.startswith(PREFIX):
-            status = _take(path[len(PREFIX) :], body)
-        await send(
-            {
-                "type": "http.response.start",
-                "status": status,
-                "headers": [
-                    (b"content-type", b"application/json"),
-                    (b"content-length", b"2"),
-                ],
-            }
-        )
+        if scope["method"] == "POST" and scope["path"].startswith(PREFIX):
+            status = _take_call(scope["path"][len(PREFIX) :], body, report, leave)
+        headers = [(b"content-type", b"application/json"), (b"content-length", b"2")]
+        await send({"type": "http.response.start", "status": status, "headers": headers})
         await send({"type": "http.response.body", "body": b"{}"})
 
-    def _take(rest: str, body: bytes) -> int:
-        if rest.endswith(LEAVE_SUFFIX):
-            leave(rest[: -len(LEAVE_SUFFIX)])
-            return 200
-        if not rest.endswith(REPORT_SUFFIX):
-            return 404
-        decoded = decode_report(rest[: -len(REPORT_SUFFIX)], body)
-        if isinstance(decoded, Err):
-            logger.warning("unreadable report", extra={"fields": {"why": decoded.err_value}})
-            return 400
-        report(decoded.ok_value)
-        return 200
-
     return serve
 
 
+def _take_call(rest: str, body: bytes, report: TakeReport, leave: TakeLeaving) -> int:
+    """Takes a call and returns the status of its answer."""
+    if rest.endswith(LEAVE_SUFFIX):
+        leave(rest[: -len(LEAVE_SUFFIX)])
+        return 200
+    if not rest.endswith(REPORT_SUFFIX):
+        return 404
+    decoded = decode_report(rest[: -len(REPORT_SUFFIX)], body)
+    if isinstance(decoded, Err):
+        logger.warning("unreadable report", extra={"fields": {"why": decoded.err_value}})
+        return 400
+    report(decoded.ok_value)
+    return 200
+
+
 async def _read_body(receive: Any) -> bytes:
     chunks = []
     while True:
--- a/src/comfreysill/running/book.py
+++ b/src/comfreysill/running/book.py
@@ -151,6 +151,7 @@
         clock_ms: The runner's clock in milliseconds at `clock_at`, -1 while unknown.
         clock_at: Boot-clock time in seconds.
         ended_seen: Number of the newest end of the runner that was taken in.
+        listed_ms: The runner's clock in milliseconds of the newest list of runs.
         settled: True once no run of an earlier agent is left on the runner.
         strays: When runs that nobody here asked for were told to stop, by task.
         runs: The runs by task.
@@ -185,6 +186,7 @@
         "clock_ms",
         "clock_at",
         "ended_seen",
+        "listed_ms",
         "settled",
         "strays",
         "runs",
@@ -230,6 +232,7 @@
         self.clock_ms = -1
         self.clock_at = 0.0
         self.ended_seen = 0
+        self.listed_ms = 0
         self.settled = False
         self.strays: dict[str, float] = {}
         self.runs: dict[str, Run] = {}
--- a/src/comfreysill/running/renewals.py
+++ b/src/comfreysill/running/renewals.py
@@ -70,7 +70,10 @@
         lose_runner(book, now, "the runner was born again")
         return
     _take_ends(book, reply.ended, now)
-    _compare_runs(book, reply, now)
+    # Replies may overtake one another; an older list says nothing about what runs now.
+    if reply.clock_ms >= book.listed_ms:
+        book.listed_ms = reply.clock_ms
+        _compare_runs(book, reply, now)
 
 
 def check_lapse(book: RunBook, now: float) -> None:
--- a/src/comfreysill/running/runner.py
+++ b/src/comfreysill/running/runner.py
@@ -37,6 +37,7 @@
     book.target = report.lifetime
     book.clock_ms = -1
     book.ended_seen = 0
+    book.listed_ms = 0
     book.settled = False
     book.answered_at = now
     book.lapsed_at = now
--- a/src/comfreysill/sidecar/program.py
+++ b/src/comfreysill/sidecar/program.py
@@ -3,14 +3,17 @@
 import asyncio
 import logging
 import time
+from collections.abc import Callable
+from typing import Any
 
-from result import Ok
+from result import Err
 
 from comfreysill.clock import read_boot_clock
 from comfreysill.exchange.messages import Announcement
 from comfreysill.instruments import build_metrics_app
+from comfreysill.membership import register_member
 from comfreysill.metrics import Metrics
-from comfreysill.platform.members import Member, read_members, write_member
+from comfreysill.platform.members import Member, read_members
 from comfreysill.platform.reports import build_reports_app
 from comfreysill.platform.runner import RunnerClient, call_order, call_renewal, open_runner
 from comfreysill.platform.settings import InstanceSettings
@@ -36,8 +39,8 @@
 TICK_SECONDS = 0.05
 ANNOUNCE_SECONDS = 0.3
 ANNOUNCE_MOST_SECONDS = 1.0
-REGISTER_SECONDS = 0.5
-REGISTER_MOST_SECONDS = 4.0
+FIND_SECONDS = 0.5
+FIND_MOST_SECONDS = 4.0
 # What stopping the last runs and telling their entries takes before the kill.
 FAREWELL_SECONDS = 0.6
 LAST_FRAME_SECONDS = 0.05
@@ -55,32 +58,20 @@
     book.entries.update(settings.entries)
     keeper = Keeper(book=book, call=lambda call: _start_call(keeper, runner, calls, call))
     calls: set[asyncio.Task] = set()
-    inbox = keeper.inbox
-    reports = build_reports_app(
-        lambda report: inbox.post(RunnerReported(report=report)),
-        lambda runner_id: inbox.post(RunnerLeft(runner_id=runner_id)),
-    )
     store = open_store(settings.store)
-    http = build_http(reports, settings.reports)
-    grpc = await start_grpc([TargetService(inbox=inbox)], settings.link)
+    http = build_http(_build_reports(keeper), settings.reports)
+    grpc = await start_grpc([TargetService(inbox=keeper.inbox)], settings.link)
     http_task = asyncio.create_task(http.serve())
-    metrics = Metrics(role="agent")
-    counters = build_http(
-        build_metrics_app(metrics, lambda: book.counters, lambda: _measure(keeper)),
-        settings.metrics,
-    )
-    tasks = [
-        asyncio.create_task(counters.serve()),
-        asyncio.create_task(keep_book(keeper)),
-        asyncio.create_task(_tick(keeper)),
-        asyncio.create_task(follow_settings(reload, lambda new: _apply(keeper, store, new))),
-        asyncio.create_task(_register(keeper, settings, store)),
-        asyncio.create_task(_announce(keeper, settings)),
+    tasks = _start_tasks(keeper, settings, store, reload)
+    member = Member(name=settings.name, role="agent", address=str(settings.link))
+    once = [
+        asyncio.create_task(register_member(store, member)),
+        asyncio.create_task(_find_entries(keeper, store)),
     ]
     logger.info("agent started", extra={"fields": {"name": settings.name, "token": token}})
-    await await_stop(stop, [http_task, *tasks])
+    await await_stop(stop, [http_task, *tasks], once)
     await _end(keeper, settings)
-    for task in [*tasks, *calls]:
+    for task in [*once, *tasks, *calls]:
         task.cancel()
     grpc.close()
     await stop_http(http, http_task)
@@ -89,6 +80,30 @@
     logger.info("agent stopped", extra={"fields": {"name": settings.name, **book.counters}})
 
 
+def _build_reports(keeper: Keeper) -> Callable[..., Any]:
+    inbox = keeper.inbox
+    return build_reports_app(
+        lambda report: inbox.post(RunnerReported(report=report)),
+        lambda runner_id: inbox.post(RunnerLeft(runner_id=runner_id)),
+    )
+
+
+def _start_tasks(
+    keeper: Keeper, settings: InstanceSettings, store: StoreClient, reload: asyncio.Event
+) -> list[asyncio.Task]:
+    counters = build_metrics_app(
+        Metrics(role="agent"), lambda: keeper.book.counters, lambda: _measure(keeper)
+    )
+    works = (
+        build_http(counters, settings.metrics).serve(),
+        keep_book(keeper),
+        _tick(keeper),
+        follow_settings(reload, lambda new: _apply(keeper, store, new)),
+        _announce(keeper, settings),
+    )
+    return [asyncio.create_task(work) for work in works]
+
+
 async def _end(keeper: Keeper, settings: InstanceSettings) -> None:
     ends_at = read_boot_clock() + settings.grace - FAREWELL_SECONDS
     logger.info("agent stops", extra={"fields": {"runs": len(keeper.book.runs)}})
@@ -146,24 +161,15 @@
         keeper.inbox.post(Tick())
 
 
-async def _register(keeper: Keeper, settings: InstanceSettings, store: StoreClient) -> None:
-    """Makes this agent known in the store, and finds entries there."""
-    member = Member(name=settings.name, role="agent", address=str(settings.link))
-    pause = REGISTER_SECONDS
-    written = read = False
-    while not (written and read):
-        written = written or isinstance(await write_member(store, member), Ok)
-        found = await read_members(store)
-        if isinstance(found, Ok):
-            read = True
-            members = found.ok_value.members
-            entries = [known.address for known in members if known.role == "entry"]
-            keeper.inbox.post(EntriesFound(addresses=entries))
-        if not (written and read):
-            await asyncio.sleep(pause)
-            pause = min(pause * 2, REGISTER_MOST_SECONDS)
-    logger.info("agent registered", extra={"fields": {"name": settings.name}})
-    await asyncio.Event().wait()
+async def _find_entries(keeper: Keeper, store: StoreClient) -> None:
+    """Reads from the store where entries are; later ones are learned from those."""
+    pause = FIND_SECONDS
+    while isinstance(found := await read_members(store), Err):
+        await asyncio.sleep(pause)
+        pause = min(pause * 2, FIND_MOST_SECONDS)
+    members = found.ok_value.members
+    entries = [known.address for known in members if known.role == "entry"]
+    keeper.inbox.post(EntriesFound(addresses=entries))
 
 
 async def _announce(keeper: Keeper, settings: InstanceSettings) -> None:
--- a/tests/test_running.py
+++ b/tests/test_running.py
@@ -47,7 +47,7 @@
             self.now,
         )
 
-    def renew(self, running=(), ended=(), reply=Reply.ACCEPTED):
+    def renew(self, running=(), ended=(), reply=Reply.ACCEPTED, clock_ms=7000):
         self.book.calls.clear()
         self.book.urgent = True
         call_renewal(self.book, self.now)
@@ -56,7 +56,7 @@
         self.now += 0.01
         rows = [RunEntry(task=task, run=run, percent=0, usage=0) for task, run in running]
         answer = RenewReply(
-            call=call, reply=reply, clock_ms=7000, born=0, running=rows, ended=list(ended)
+            call=call, reply=reply, clock_ms=clock_ms, born=0, running=rows, ended=list(ended)
         )
         receive_renewal(self.book, answer, self.now)
         return call
@@ -127,6 +127,13 @@
         self.assertEqual(self.book.token, 1000)
         self.assertEqual(self.read_ends(), [])
 
+    def test_a_list_that_was_overtaken_stops_nothing(self):
+        self.renew(clock_ms=8000)
+        self.renew(running=[("gone/0/0", 7)], clock_ms=7990)
+        self.assertEqual([call for call in self.book.calls if isinstance(call, StopCall)], [])
+        self.renew(running=[("gone/0/0", 7)], clock_ms=8001)
+        self.assertIsInstance(self.book.calls[-1], StopCall)
+
     def test_a_token_that_is_too_low_is_raised(self):
         self.renew(reply=Reply.FENCED)
         self.assertGreater(self.book.token, 1000)
