--- a/src/comfreysill/agent/program.py
+++ b/src/comfreysill/agent/program.py
@@ -15,7 +15,8 @@
 from comfreysill.exceptions import RegistrationLostError
 from comfreysill.metrics import Metrics
 from comfreysill.platform.registry import is_registered, mark_lost, register_agent
-from comfreysill.platform.table import Table, open_table
+from comfreysill.platform.store import StoreClient
+from comfreysill.platform.table import open_table
 from comfreysill.servers import build_http, start_grpc, stop_http
 from comfreysill.settings import Settings
 from comfreysill.supervision import await_stop
@@ -59,7 +60,7 @@
     await table.session.close()
 
 
-async def _leave(keeper: Keeper, settings: Settings, table: Table) -> None:
+async def _leave(keeper: Keeper, settings: Settings, table: StoreClient) -> None:
     keeper.inbox.post(Drain())
     try:
         await asyncio.wait_for(keeper.idle.wait(), settings.shutdown_seconds)
@@ -79,7 +80,7 @@
         keeper.inbox.post(Tick())
 
 
-async def _register(keeper: Keeper, settings: Settings, table: Table) -> None:
+async def _register(keeper: Keeper, settings: Settings, table: StoreClient) -> None:
     registered: frozenset[str] | None = None
     while True:
         await asyncio.sleep(RETRY_SECONDS if registered is not None else TICK_SECONDS)
@@ -95,7 +96,7 @@
             logger.warning("registration failed: %s", answer.err_value.detail)
 
 
-async def _watch_registration(keeper: Keeper, settings: Settings, table: Table) -> None:
+async def _watch_registration(keeper: Keeper, settings: Settings, table: StoreClient) -> None:
     """Ends the process once its registration is gone: entries count its ledger as lost."""
     while True:
         await asyncio.sleep(WATCH_SECONDS)
--- a/src/comfreysill/entry/administration.py
+++ b/src/comfreysill/entry/administration.py
@@ -20,7 +20,7 @@
     read_history,
     write_version,
 )
-from comfreysill.platform.table import StoreError, StoreFault, Table
+from comfreysill.platform.store import StoreClient, StoreError, StoreFault
 from comfreysill.schemas import find_problems
 
 CHANGE_SCHEMA = {
@@ -57,7 +57,7 @@
 
     __slots__ = ("table", "changed")
 
-    def __init__(self, *, table: Table, changed: asyncio.Event) -> None:
+    def __init__(self, *, table: StoreClient, changed: asyncio.Event) -> None:
         self.table = table
         self.changed = changed
 
@@ -121,7 +121,7 @@
 
     __slots__ = ("table",)
 
-    def __init__(self, *, table: Table) -> None:
+    def __init__(self, *, table: StoreClient) -> None:
         self.table = table
 
     async def on_get(self, request: falcon.asgi.Request, response: falcon.asgi.Response) -> None:
@@ -206,7 +206,9 @@
         response.status = falcon.HTTP_202
 
 
-def add_routes(app: falcon.asgi.App, keeper: Keeper, table: Table, changed: asyncio.Event) -> None:
+def add_routes(
+    app: falcon.asgi.App, keeper: Keeper, table: StoreClient, changed: asyncio.Event
+) -> None:
     """Adds the administration API to an application."""
     app.add_route("/admin/v1/floor", FloorResource(table=table, changed=changed))
     app.add_route("/admin/v1/floor/history", HistoryResource(table=table))
--- a/src/comfreysill/entry/program.py
+++ b/src/comfreysill/entry/program.py
@@ -27,7 +27,8 @@
     register_entry,
     remove_entry,
 )
-from comfreysill.platform.table import Table, open_table
+from comfreysill.platform.store import StoreClient
+from comfreysill.platform.table import open_table
 from comfreysill.servers import build_http, start_grpc, stop_http
 from comfreysill.settings import Settings
 from comfreysill.supervision import await_stop
@@ -87,7 +88,7 @@
 
 
 async def _follow_members(
-    keeper: Keeper, table: Table, registration: EntryRegistration, wanted: asyncio.Event
+    keeper: Keeper, table: StoreClient, registration: EntryRegistration, wanted: asyncio.Event
 ) -> None:
     """Registers the entry, then reads the registrations again and again."""
     registered = False
@@ -106,7 +107,7 @@
         wanted.clear()
 
 
-async def _remove_lost(keeper: Keeper, table: Table) -> None:
+async def _remove_lost(keeper: Keeper, table: StoreClient) -> None:
     """Removes registrations of processes that are gone for long."""
     while True:
         for removal in await keeper.removals.take():
@@ -122,7 +123,7 @@
                 logger.warning("%s is gone; its registration was removed", name)
 
 
-async def _follow_floor(keeper: Keeper, table: Table, changed: asyncio.Event) -> None:
+async def _follow_floor(keeper: Keeper, table: StoreClient, changed: asyncio.Event) -> None:
     """Reads the floor document again and again, and at once after a change made here."""
     while True:
         changed.clear()
@@ -143,7 +144,7 @@
         return
 
 
-async def _remove_registration(table: Table, name: str) -> None:
+async def _remove_registration(table: StoreClient, name: str) -> None:
     removed = await remove_entry(table, name)
     if isinstance(removed, Err):
         logger.warning("could not remove the registration: %s", removed.err_value.detail)
--- a/src/comfreysill/platform/floors.py
+++ b/src/comfreysill/platform/floors.py
@@ -5,16 +5,8 @@
 from result import Err, Ok, Result
 
 from comfreysill.job.types import Verdict
-from comfreysill.platform.table import (
-    Row,
-    StoreError,
-    StoreFault,
-    Table,
-    Write,
-    commit,
-    read_row,
-    scan_rows,
-)
+from comfreysill.platform.store import StoreClient, StoreError, StoreFault
+from comfreysill.platform.table import Row, Write, commit, read_row, scan_rows
 
 CURRENT_KEY = "floor/current"
 HISTORY_PREFIX = "floor/history/"
@@ -49,20 +41,20 @@
         self.document = document
 
 
-async def read_current(table: Table) -> Result[FloorVersion | None, StoreError]:
+async def read_current(store: StoreClient) -> Result[FloorVersion | None, StoreError]:
     """Reads the version in force, None before the first."""
-    row = await read_row(table, CURRENT_KEY)
+    row = await read_row(store, CURRENT_KEY)
     return row.map(lambda found: _parse(found) if found is not None else None)
 
 
-async def read_history(table: Table) -> Result[list[FloorVersion], StoreError]:
+async def read_history(store: StoreClient) -> Result[list[FloorVersion], StoreError]:
     """Reads all versions, the oldest first."""
-    scan = await scan_rows(table, HISTORY_PREFIX)
+    scan = await scan_rows(store, HISTORY_PREFIX)
     return scan.map(lambda found: [_parse(row) for row in found.rows])
 
 
 async def write_version(
-    table: Table, previous: int, change: FloorVersion
+    store: StoreClient, previous: int, change: FloorVersion
 ) -> Result[FloorVersion, StoreError]:
     """Accepts a document as the version after the previous one.
 
@@ -71,14 +63,14 @@
     was lost may repeat the call.
 
     Args:
-        table: The table service.
+        store: The platform's store.
         previous: Version that the change was made on, 0 for none.
         change: The change; its version number is ignored.
     """
-    row = await read_row(table, CURRENT_KEY)
+    row = await read_row(store, CURRENT_KEY)
     if isinstance(row, Err):
         return row
-    history = await read_history(table)
+    history = await read_history(store)
     if isinstance(history, Err):
         return history
     for known in history.ok_value:
@@ -90,7 +82,7 @@
         return Err(_conflict(previous, in_force))
     change.version = previous + 1
     expected = current.revision if current is not None else 0
-    written = await commit(table, _build_writes(change, expected))
+    written = await commit(store, _build_writes(change, expected))
     return written.map(lambda _: change)
 
 
--- a/src/comfreysill/platform/members.py
+++ b/src/comfreysill/platform/members.py
@@ -3,7 +3,14 @@
 import orjson
 from result import Err, Ok, Result
 
-from comfreysill.platform.store import RowSet, StoreClient, StoreError, read_rows, write_row
+from comfreysill.platform.store import (
+    RowSet,
+    RowWrite,
+    StoreClient,
+    StoreError,
+    commit_rows,
+    read_rows,
+)
 
 MEMBERS_TABLE = "members"
 
@@ -36,10 +43,11 @@
         self.unreadable = unreadable
 
 
-async def write_member(store: StoreClient, member: Member) -> Result[None, StoreError]:
+async def write_member(store: StoreClient, member: Member) -> Result[int, StoreError]:
     """Makes a process known; repeating it does no harm."""
     value = orjson.dumps({"role": member.role, "address": member.address})
-    return await write_row(store, MEMBERS_TABLE, member.name, value)
+    write = RowWrite(key=member.name, value=value)
+    return await commit_rows(store, MEMBERS_TABLE, (write,))
 
 
 async def read_members(store: StoreClient) -> Result[MemberSet, StoreError]:
--- a/src/comfreysill/platform/registry.py
+++ b/src/comfreysill/platform/registry.py
@@ -5,16 +5,8 @@
 from result import Err, Ok, Result
 
 from comfreysill.job.types import Verdict
-from comfreysill.platform.table import (
-    Row,
-    StoreError,
-    StoreFault,
-    Table,
-    Write,
-    commit,
-    read_row,
-    scan_rows,
-)
+from comfreysill.platform.store import StoreClient, StoreError, StoreFault
+from comfreysill.platform.table import Row, Write, commit, read_row, scan_rows
 from comfreysill.target.view import Registration
 
 AGENT_PREFIX = "member/agent/"
@@ -67,9 +59,9 @@
         self.lost_at = lost_at
 
 
-async def read_members(table: Table) -> Result[Members, StoreError]:
+async def read_members(store: StoreClient) -> Result[Members, StoreError]:
     """Reads all registrations in one scan."""
-    scan = await scan_rows(table, MEMBER_PREFIX)
+    scan = await scan_rows(store, MEMBER_PREFIX)
     if isinstance(scan, Err):
         return scan
     rows = scan.ok_value.rows
@@ -83,19 +75,19 @@
     return Ok(members)
 
 
-async def register_entry(table: Table, entry: EntryRegistration) -> Result[int, StoreError]:
+async def register_entry(store: StoreClient, entry: EntryRegistration) -> Result[int, StoreError]:
     """Writes the registration of an entry's incarnation."""
     value = {"name": entry.name, "host": entry.host, "port": entry.port, "zone": entry.zone}
-    return await commit(table, (Write(key=ENTRY_PREFIX + entry.name, value=value),))
+    return await commit(store, (Write(key=ENTRY_PREFIX + entry.name, value=value),))
 
 
-async def remove_entry(table: Table, name: str) -> Result[int, StoreError]:
+async def remove_entry(store: StoreClient, name: str) -> Result[int, StoreError]:
     """Deletes the registration of an entry's incarnation."""
-    return await commit(table, (Write(key=ENTRY_PREFIX + name, value=None),))
+    return await commit(store, (Write(key=ENTRY_PREFIX + name, value=None),))
 
 
 async def register_agent(
-    table: Table, registration: Registration, now: float
+    store: StoreClient, registration: Registration, now: float
 ) -> Result[float, StoreError]:
     """Writes the registration of an agent's incarnation.
 
@@ -105,7 +97,7 @@
         Unix time in seconds at which a former incarnation's ledger was lost, 0 for never.
     """
     key = AGENT_PREFIX + registration.agent
-    row = await read_row(table, key)
+    row = await read_row(store, key)
     if isinstance(row, Err):
         return row
     known = row.ok_value
@@ -116,16 +108,16 @@
     if known is not None and known.value == value:
         return Ok(lost_at)
     expected = known.revision if known is not None else 0
-    written = await commit(table, (Write(key=key, value=value, expected=expected),))
+    written = await commit(store, (Write(key=key, value=value, expected=expected),))
     return written.map(lambda _: lost_at)
 
 
 async def mark_lost(
-    table: Table, agent: str, incarnation: str, lost_at: float
+    store: StoreClient, agent: str, incarnation: str, lost_at: float
 ) -> Result[int, StoreError]:
     """Marks an agent's incarnation as gone, unless another one has registered since."""
     key = AGENT_PREFIX + agent
-    row = await read_row(table, key)
+    row = await read_row(store, key)
     if isinstance(row, Err):
         return row
     known = row.ok_value
@@ -133,12 +125,14 @@
         detail = "the registration is another incarnation's, or marked already"
         return Err(StoreError(fault=StoreFault.MISSING, verdict=Verdict.NOT_RUN, detail=detail))
     value = {**known.value, "left": True, "lost_at": lost_at}
-    return await commit(table, (Write(key=key, value=value, expected=known.revision),))
+    return await commit(store, (Write(key=key, value=value, expected=known.revision),))
 
 
-async def is_registered(table: Table, agent: str, incarnation: str) -> Result[bool, StoreError]:
+async def is_registered(
+    store: StoreClient, agent: str, incarnation: str
+) -> Result[bool, StoreError]:
     """Tells whether an agent's incarnation still counts as running."""
-    row = await read_row(table, AGENT_PREFIX + agent)
+    row = await read_row(store, AGENT_PREFIX + agent)
     return row.map(
         lambda known: (
             known is not None
--- a/src/comfreysill/platform/store.py
+++ b/src/comfreysill/platform/store.py
@@ -9,9 +9,14 @@
 from result import Err, Ok, Result
 
 from comfreysill.address import Address
+from comfreysill.job.types import Verdict
 
 CALL_SECONDS = 0.7
 CONNECT_SECONDS = 0.4
+# Above every character that keys have.
+LAST_CHARACTER = "\x7f"
+# Statuses after which a write has certainly done nothing.
+HARMLESS = (400, 403, 410, 412, 429, 503)
 
 
 class StoreFault(enum.IntEnum):
@@ -19,8 +24,11 @@
 
     UNREACHABLE = 0
     CONFLICT = 1
-    HISTORY_GONE = 2
-    REFUSED = 3
+    MISSING = 2
+    HISTORY_GONE = 3
+
+
+FAULTS = {412: StoreFault.CONFLICT, 410: StoreFault.HISTORY_GONE}
 
 
 class StoreError:
@@ -28,15 +36,15 @@
 
     Attributes:
         fault: Why it failed.
-        may_have_run: Whether a write may have taken or may yet take effect.
+        verdict: Whether a write may have taken or may yet take effect.
         detail: One sentence for people.
     """
 
-    __slots__ = ("fault", "may_have_run", "detail")
+    __slots__ = ("fault", "verdict", "detail")
 
-    def __init__(self, *, fault: StoreFault, may_have_run: bool, detail: str) -> None:
+    def __init__(self, *, fault: StoreFault, verdict: Verdict, detail: str) -> None:
         self.fault = fault
-        self.may_have_run = may_have_run
+        self.verdict = verdict
         self.detail = detail
 
 
@@ -51,6 +59,23 @@
         self.version = version
 
 
+class RowWrite:
+    """One write of a transaction.
+
+    Attributes:
+        key: Key of the row.
+        value: New value, None to remove the row.
+        expected: Version that the row must have, 0 for "no row", None for any.
+    """
+
+    __slots__ = ("key", "value", "expected")
+
+    def __init__(self, *, key: str, value: bytes | None, expected: int | None = None) -> None:
+        self.key = key
+        self.value = value
+        self.expected = expected
+
+
 class RowSet:
     """Rows of a table and the store's version as of which they were read."""
 
@@ -84,11 +109,13 @@
     store.base = f"http://{address}"
 
 
-async def read_rows(store: StoreClient, table: str) -> Result[RowSet, StoreError]:
-    """Reads all rows of a table that have no part."""
+async def read_rows(store: StoreClient, table: str, prefix: str = "") -> Result[RowSet, StoreError]:
+    """Reads all rows of a table that have no part and whose keys begin with a prefix."""
     rows: list[StoredRow] = []
     version = 0
     query = {"table": table, "part": ""}
+    if prefix:
+        query |= {"from": prefix, "to": prefix + LAST_CHARACTER}
     while True:
         answer = await _call(store, "GET", "/api/rows-get", query, None, CALL_SECONDS)
         if isinstance(answer, Err):
@@ -111,26 +138,30 @@
     return answer.map(_decode_rows)
 
 
-async def write_row(
-    store: StoreClient, table: str, key: str, value: bytes
-) -> Result[None, StoreError]:
-    """Writes a row without a condition."""
-    row = {"table": table, "part": "", "key": key, "value": base64.b64encode(value).decode()}
-    body = {"expected-rev": [], "put": [row], "remove": []}
-    answer = await _call(store, "POST", "/api/rows-tx", {}, body, CALL_SECONDS)
-    return answer.map(_drop)
-
+async def commit_rows(
+    store: StoreClient, table: str, writes: tuple[RowWrite, ...]
+) -> Result[int, StoreError]:
+    """Applies writes to rows without a part in one transaction.
 
-async def remove_row(store: StoreClient, table: str, key: str) -> Result[None, StoreError]:
-    """Removes a row without a condition."""
-    row = {"table": table, "part": "", "key": key}
-    body = {"expected-rev": [], "put": [], "remove": [row]}
+    Returns:
+        The store's new version, or `StoreFault.CONFLICT` when a row has another version than
+        expected.
+    """
+    body: dict[str, list[dict[str, Any]]] = {"expected-rev": [], "put": [], "remove": []}
+    for write in writes:
+        row = {"table": table, "part": "", "key": write.key}
+        if write.expected is not None:
+            body["expected-rev"].append({**row, "ver": write.expected})
+        if write.value is None:
+            body["remove"].append(row)
+        else:
+            body["put"].append({**row, "value": base64.b64encode(write.value).decode()})
     answer = await _call(store, "POST", "/api/rows-tx", {}, body, CALL_SECONDS)
-    return answer.map(_drop)
+    return answer.map(_read_version)
 
 
-def _drop(document: Any) -> None:
-    return None
+def _read_version(document: dict[str, Any]) -> int:
+    return int(document.get("ver", 0))
 
 
 async def _call(
@@ -156,23 +187,27 @@
         return Err(_describe_failure(method, error))
     if status == 200:
         return Ok(document)
-    return Err(_describe_status(status))
+    return Err(_describe_status(method, status))
 
 
 def _describe_failure(method: str, error: Exception) -> StoreError:
     unsent = isinstance(error, aiohttp.ClientConnectorError)
+    harmless = method == "GET" or unsent
     return StoreError(
         fault=StoreFault.UNREACHABLE,
-        may_have_run=method != "GET" and not unsent,
+        verdict=Verdict.NOT_RUN if harmless else Verdict.MAY_HAVE_RUN,
         detail=f"no answer from the store: {type(error).__name__} {error}".strip(),
     )
 
 
-def _describe_status(status: int) -> StoreError:
-    faults = {412: StoreFault.CONFLICT, 410: StoreFault.HISTORY_GONE}
-    fault = faults.get(status, StoreFault.REFUSED)
-    detail = f"the store answered with status {status}"
-    return StoreError(fault=fault, may_have_run=False, detail=detail)
+def _describe_status(method: str, status: int) -> StoreError:
+    fault = FAULTS.get(status, StoreFault.UNREACHABLE)
+    harmless = method == "GET" or status in HARMLESS
+    return StoreError(
+        fault=fault,
+        verdict=Verdict.NOT_RUN if harmless else Verdict.MAY_HAVE_RUN,
+        detail=f"the store answered with status {status}",
+    )
 
 
 def _decode_rows(document: dict[str, Any]) -> RowSet:
--- a/src/comfreysill/platform/table.py
+++ b/src/comfreysill/platform/table.py
@@ -1,40 +1,22 @@
-"""Client of the platform's transactional table service."""
+"""Rows of the first design in the platform's store, with values in JSON."""
 
-import enum
 from typing import Any
 
-import aiohttp
 import orjson
-from result import Err, Ok, Result
+from result import Result
 
-from comfreysill.job.types import Verdict
+from comfreysill.address import parse_address
+from comfreysill.platform.store import (
+    RowSet,
+    RowWrite,
+    StoreClient,
+    StoreError,
+    commit_rows,
+    open_store,
+    read_rows,
+)
 
-TIMEOUT_SECONDS = 2.0
-
-
-class StoreFault(enum.IntEnum):
-    """Why an operation of the table service failed."""
-
-    UNREACHABLE = 0
-    CONFLICT = 1
-    MISSING = 2
-
-
-class StoreError:
-    """A failed operation.
-
-    Attributes:
-        fault: Why it failed.
-        verdict: Whether a write may have taken effect.
-        detail: One sentence for people.
-    """
-
-    __slots__ = ("fault", "verdict", "detail")
-
-    def __init__(self, *, fault: StoreFault, verdict: Verdict, detail: str) -> None:
-        self.fault = fault
-        self.verdict = verdict
-        self.detail = detail
+TABLE = "comfreysill"
 
 
 class Row:
@@ -49,7 +31,7 @@
 
 
 class Scan:
-    """Rows under a prefix, and the table's revision at which they were read."""
+    """Rows under a prefix, and the store's version as of which they were read."""
 
     __slots__ = ("revision", "rows")
 
@@ -75,82 +57,37 @@
         self.expected = expected
 
 
-class Table:
-    """Connection to the table service; owned by one task."""
-
-    __slots__ = ("base", "session")
-
-    def __init__(self, *, base: str, session: aiohttp.ClientSession) -> None:
-        self.base = base
-        self.session = session
-
+def open_table(base: str) -> StoreClient:
+    """Opens a client for a base address as in `http://10.0.0.1:80`; the caller closes it."""
+    return open_store(parse_address(base.removeprefix("http://")))
 
-def open_table(base: str) -> Table:
-    """Opens a client; the caller closes `session`."""
-    timeout = aiohttp.ClientTimeout(total=TIMEOUT_SECONDS)
-    return Table(base=base, session=aiohttp.ClientSession(timeout=timeout))
 
-
-async def scan_rows(table: Table, prefix: str) -> Result[Scan, StoreError]:
+async def scan_rows(store: StoreClient, prefix: str) -> Result[Scan, StoreError]:
     """Reads all rows whose keys begin with a prefix, at one revision."""
-    answer = await _request(table, "GET", "/v1/rows", params={"prefix": prefix})
+    answer = await read_rows(store, TABLE, prefix)
     return answer.map(_parse_scan)
 
 
-async def read_row(table: Table, key: str) -> Result[Row | None, StoreError]:
+async def read_row(store: StoreClient, key: str) -> Result[Row | None, StoreError]:
     """Reads one row; the result is None where there is none."""
-    answer = await scan_rows(table, key)
+    answer = await scan_rows(store, key)
     return answer.map(lambda scan: next((row for row in scan.rows if row.key == key), None))
 
 
-async def commit(table: Table, writes: tuple[Write, ...]) -> Result[int, StoreError]:
-    """Applies writes in one transaction.
+async def commit(store: StoreClient, writes: tuple[Write, ...]) -> Result[int, StoreError]:
+    """Applies writes in one transaction; returns the store's new revision."""
+    return await commit_rows(store, TABLE, tuple(_encode_write(write) for write in writes))
 
-    Returns:
-        The table's new revision, or `StoreFault.CONFLICT` when a row has another revision than
-        expected. After `StoreFault.UNREACHABLE` the writes may have taken effect.
-    """
-    body = [
-        {"key": write.key, "value": write.value, "expected": write.expected} for write in writes
-    ]
-    answer = await _request(table, "POST", "/v1/transactions", json={"writes": body})
-    return answer.map(lambda document: int(document["revision"]))
-
-
-async def _request(table: Table, method: str, path: str, **options: Any) -> Result[Any, StoreError]:
-    try:
-        async with table.session.request(method, table.base + path, **options) as response:
-            body = await response.read()
-    except (aiohttp.ClientError, TimeoutError, OSError) as error:
-        return Err(_describe_error(error, method))
-    if response.status == 409:
-        return Err(
-            StoreError(
-                fault=StoreFault.CONFLICT,
-                verdict=Verdict.NOT_RUN,
-                detail="a row has another revision than expected",
-            )
-        )
-    if response.status != 200:
-        detail = f"the table service answered {response.status}"
-        verdict = Verdict.NOT_RUN if response.status == 503 else Verdict.MAY_HAVE_RUN
-        return Err(StoreError(fault=StoreFault.UNREACHABLE, verdict=verdict, detail=detail))
-    return Ok(orjson.loads(body))
-
-
-def _describe_error(error: Exception, method: str) -> StoreError:
-    refused = isinstance(error, aiohttp.ClientConnectorError)
-    harmless = refused or method == "GET"
-    return StoreError(
-        fault=StoreFault.UNREACHABLE,
-        verdict=Verdict.NOT_RUN if harmless else Verdict.MAY_HAVE_RUN,
-        detail=f"the table service gave no answer: {type(error).__name__} {error}",
-    )
+
+def _encode_write(write: Write) -> RowWrite:
+    value = None if write.value is None else orjson.dumps(write.value)
+    return RowWrite(key=write.key, value=value, expected=write.expected)
 
 
-def _parse_scan(document: Any) -> Scan:
+def _parse_scan(found: RowSet) -> Scan:
     rows = tuple(
-        Row(key=row["key"], revision=row["revision"], value=row["value"])
-        for row in document["rows"]
+        Row(key=row.key, revision=row.version, value=orjson.loads(row.value))
+        for row in found.rows
+        if row.value is not None
     )
-    return Scan(revision=document["revision"], rows=rows)
+    return Scan(revision=found.version, rows=rows)
--- a/standins/platform_floor.py
+++ b/standins/platform_floor.py
@@ -19,6 +19,7 @@
 CALLERS_PORT, READY_PORT, REPORTS_PORT, RUNNER_PORT = 8161, 8167, 8166, 8165
 FIRST_PORT, LAST_PORT = 7720, 7735
 STORE_PORT = 8169
+EVERYTHING = "*"
 HOST, PREFIX, SERVICE = "desk.example", "/q1/", "s1"
 
 
@@ -28,10 +29,21 @@
     Attributes:
         network: First two numbers of the loopback addresses, as in `127.5`.
         folder: Folder for settings and logs.
+        stores: Addresses under which instances see the store, where that is a proxy's.
+        runners: Addresses under which agents see their runners, where that is a proxy's.
         processes: The processes by name.
     """
 
-    __slots__ = ("network", "folder", "entries", "agents", "grace", "processes")
+    __slots__ = (
+        "network",
+        "folder",
+        "entries",
+        "agents",
+        "grace",
+        "stores",
+        "runners",
+        "processes",
+    )
 
     def __init__(
         self, *, network: str, folder: pathlib.Path, entries: int, agents: int, grace: int = 6
@@ -41,6 +53,8 @@
         self.entries = [f"entry-{number}" for number in range(entries)]
         self.agents = [f"agent-{number}" for number in range(agents)]
         self.grace = grace
+        self.stores: dict[str, str] = {}
+        self.runners: dict[str, str] = {}
         self.processes: dict[str, asyncio.subprocess.Process] = {}
 
     def find_ip(self, name: str) -> str:
@@ -90,13 +104,13 @@
         "port-range": [FIRST_PORT, LAST_PORT],
         "seeds": [],
         "bounds": {"grace-s": floor.grace},
-        "platform": {"address": floor.store},
+        "platform": {"address": floor.stores.get(name, floor.store)},
     }
     if name.startswith("entry"):
         document["listen"] = {"front": f"{ip}:{CALLERS_PORT}", "ready": f"{ip}:{READY_PORT}"}
     else:
         document["listen"] = {"control": f"{ip}:{REPORTS_PORT}"}
-        document["app"] = f"{ip}:{RUNNER_PORT}"
+        document["app"] = floor.runners.get(name, f"{ip}:{RUNNER_PORT}")
         document["service"] = SERVICE
     return document
 
@@ -198,6 +212,12 @@
         return 0, ""
 
 
+def note_death(floor: PlatformFloor, name: str) -> None:
+    """Logs that the runner beside an agent is killed, which ends all that it runs."""
+    with (floor.folder / f"starts-{name}.log").open("a") as log:
+        log.write(json.dumps([time.time(), "killed", EVERYTHING, 0]) + "\n")
+
+
 def read_overlaps(folder: pathlib.Path) -> list[str]:
     """Returns the tasks of which two runs were at work at the same time."""
     events = []
@@ -208,7 +228,9 @@
     running: dict[str, str] = {}
     overlaps = []
     for _, started, task, where in sorted(events):
-        if not started:
+        if task == EVERYTHING:
+            running = {name: there for name, there in running.items() if there != where}
+        elif not started:
             if running.get(task) == where:
                 del running[task]
         elif task in running:
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -22,6 +22,7 @@
         refused: Callers' IP numbers that get status 503; `*` stands for all.
         delay: Seconds that each call waits.
         lose_answers: How many of the next writes take effect and answer with an error.
+        outage: True while every call is refused.
         calls: How many calls were served.
     """
 
@@ -31,6 +32,7 @@
         "version",
         "forgotten",
         "refused",
+        "outage",
         "delay",
         "lose_answers",
         "calls",
@@ -42,6 +44,7 @@
         self.version = 0
         self.forgotten = 0
         self.refused: set[str] = set()
+        self.outage = False
         self.delay = 0.0
         self.lose_answers = 0
         self.calls = 0
@@ -93,11 +96,13 @@
         if not await self._admit(request, response):
             return
         table, part = request.get_param("table"), request.get_param("part") or ""
-        start = request.get_param("from") or ""
+        start, end = request.get_param("from") or "", request.get_param("to")
         rows = [
             {"table": table, "part": part, "key": key, "value": value, "ver": version}
             for (row_table, row_part, key), (value, version) in sorted(self.store.rows.items())
-            if (row_table, row_part) == (table, part) and key >= start
+            if (row_table, row_part) == (table, part)
+            and key >= start
+            and (end is None or key < end)
         ]
         response.media = {"rows": rows, "has-more": False, "ver": self.store.version}
 
@@ -125,7 +130,7 @@
     async def _admit(self, request: Any, response: Any) -> bool:
         self.store.calls += 1
         await asyncio.sleep(self.store.delay)
-        if self.store.refused & {"*", request.remote_addr}:
+        if self.store.outage or self.store.refused & {"*", request.remote_addr}:
             response.status = falcon.HTTP_503
             return False
         return True
@@ -151,6 +156,7 @@
         if knobs.get("forget"):
             self.store.history.clear()
             self.store.forgotten = self.store.version
+        self.store.outage = knobs.get("outage", self.store.outage)
         self.store.delay = knobs.get("delay", self.store.delay)
         self.store.lose_answers = knobs.get("lose_answers", self.store.lose_answers)
         response.media = {}
--- a/standins/processes.py
+++ b/standins/processes.py
@@ -113,7 +113,9 @@
 
 async def _start_all(floor: Floor) -> None:
     plan = floor.plan
-    await start_process(floor, "store", ["-m", "standins.store", "--port", str(plan.base_port)])
+    await start_process(
+        floor, "store", ["-m", "standins.platform_store", "--port", str(plan.base_port)]
+    )
     await _await_url(f"{floor.store_url}/knobs")
     for index in range(len(plan.slownesses)):
         await start_agent(floor, index)
--- a/tests/test_floor.py
+++ b/tests/test_floor.py
@@ -14,8 +14,9 @@
 from comfreysill.floor.document import build_floor, diff_documents
 from comfreysill.floor.schema import FLOOR_SCHEMA
 from comfreysill.platform.floors import FloorVersion, read_current, read_history, write_version
-from comfreysill.platform.table import StoreFault, open_table
-from standins.store import Store, build_app
+from comfreysill.platform.store import StoreFault
+from comfreysill.platform.table import open_table
+from standins.platform_store import Store, build_store_app
 
 GOOD = """
 schema: 1
@@ -75,7 +76,11 @@
             probe.bind(("127.0.0.1", 0))
             self.port = probe.getsockname()[1]
         config = uvicorn.Config(
-            build_app(self.store), port=self.port, log_level="error", lifespan="off", ws="none"
+            build_store_app(self.store),
+            port=self.port,
+            log_level="error",
+            lifespan="off",
+            ws="none",
         )
         self.server = uvicorn.Server(config)
         self.thread = threading.Thread(target=self.server.run)
--- a/tests/test_platform_processes.py
+++ b/tests/test_platform_processes.py
@@ -120,5 +120,5 @@
         await set_knobs(self.floor.store, forget=True)
         await put_configuration(self.floor, version=9)
         calls = await self.load(20)
-        await set_knobs(self.floor.store, refused=["*"])
+        await set_knobs(self.floor.store, outage=True)
         await self.check(calls + await self.load(20))
