Idle links are slowed down by the number of entries

Change: an agent sends at most as many frames to idle entries as with three of them, each at least every 0.4 s, and promises when the next one follows; entries judge silence by that.

--- a/src/comfreysill/exchange/messages.py
+++ b/src/comfreysill/exchange/messages.py
@@ -9,8 +9,13 @@
 RUN_LEASE_SECONDS = 0.6
 # A runner's clock may be 2% slow; the rest covers the time that a stop takes.
 LEASE_MARGIN_SECONDS = 0.07
-# Seconds between two frames on a link that has nothing to say.
+# Seconds between two frames on a link whose entry has tasks at the agent.
 FRAME_INTERVAL_SECONDS = 0.15
+# Links whose entry has no tasks there are given so much time together that an agent sends no more
+# frames than with this number of entries.
+FULL_PACE_LINKS = 3
+# Below the lease of a link, as an order that echoes an older time stamp is refused.
+IDLE_MOST_SECONDS = 0.4
 
 
 class Outcome(enum.IntEnum):
@@ -256,6 +261,7 @@
         opening: True on the first frame of a session.
         routes_version: Newest version of the routing document that an entry is known to have.
         routes_holder: Address of that entry.
+        next_seconds: Seconds within which the next frame follows.
     """
 
     __slots__ = (
@@ -271,6 +277,7 @@
         "opening",
         "routes_version",
         "routes_holder",
+        "next_seconds",
     )
 
     def __init__(
@@ -288,6 +295,7 @@
         opening: bool,
         routes_version: int,
         routes_holder: str,
+        next_seconds: float,
     ) -> None:
         self.agent = agent
         self.lifetime = lifetime
@@ -301,6 +309,7 @@
         self.opening = opening
         self.routes_version = routes_version
         self.routes_holder = routes_holder
+        self.next_seconds = next_seconds
 
 
 class Announcement:
--- a/src/comfreysill/placing/agents.py
+++ b/src/comfreysill/placing/agents.py
@@ -13,8 +13,8 @@
 from comfreysill.placing.desk import Agent, AskRoutes, CloseLink, Desk, SendFrame, count, note_event
 from comfreysill.placing.requests import end_task
 
-# A link that was silent for longer is closed and opened anew.
-LINK_SILENCE_SECONDS = 0.35
+# A link whose next frame is later by more than this is closed and opened anew.
+LINK_SLACK_SECONDS = 0.2
 # After this time without a word nothing that an agent was given can run any more: the agent has
 # stopped it, or the runner's lease has lapsed.
 GONE_SECONDS = LINK_LEASE_SECONDS + RUN_LEASE_SECONDS + LEASE_MARGIN_SECONDS
@@ -80,6 +80,7 @@
         count(desk, "frames_stale")
         return
     agent.heard_at = now
+    agent.next_seconds = frame.next_seconds
     agent.stamp = frame.stamp
     agent.load = frame.load
     agent.seen = frame.seen
@@ -165,7 +166,8 @@
         return
     for agent in desk.agents.values():
         silence = now - max(agent.heard_at, agent.opened_at)
-        if agent.connected and silence > LINK_SILENCE_SECONDS:
+        promised = agent.next_seconds if agent.greeted else FRAME_INTERVAL_SECONDS
+        if agent.connected and silence > promised + LINK_SLACK_SECONDS:
             agent.connected = False
             note_event(desk, "link silent", agent=agent.name, seconds=round(silence, 3))
             desk.effects.append(CloseLink(agent=agent.name, session=agent.session))
--- a/src/comfreysill/placing/desk.py
+++ b/src/comfreysill/placing/desk.py
@@ -32,6 +32,7 @@
         greeted: True once the first frame of the link has come.
         opened_at: Boot-clock time in seconds at which the link was opened.
         heard_at: Boot-clock time in seconds of its last frame.
+        next_seconds: Seconds after that within which its next frame was promised.
         stamp: Newest time stamp of the agent's own clock.
         stamp_sent: Newest time stamp that was echoed.
         sent_at: Boot-clock time in seconds of the last frame to it.
@@ -57,6 +58,7 @@
         "greeted",
         "opened_at",
         "heard_at",
+        "next_seconds",
         "stamp",
         "stamp_sent",
         "sent_at",
@@ -82,6 +84,7 @@
         self.greeted = False
         self.opened_at = 0.0
         self.heard_at = 0.0
+        self.next_seconds = 0.0
         self.stamp = 0.0
         self.stamp_sent = 0.0
         self.sent_at = 0.0
--- a/src/comfreysill/placing/placement.py
+++ b/src/comfreysill/placing/placement.py
@@ -10,8 +10,8 @@
 from comfreysill.request.request import Request, Task, place_task
 from comfreysill.request.types import Step, Verdict, measure_chain
 
-# An agent that was silent for longer gets no new tasks.
-USABLE_SECONDS = 0.35
+# An agent whose next frame is later by more than this gets no new tasks.
+USABLE_SLACK_SECONDS = 0.2
 # Seconds that a target in another availability zone counts as slower.
 CROSS_ZONE_SECONDS = 0.004
 RACK_FACTOR = 1.5
@@ -54,7 +54,9 @@
     """Tells whether tasks may be given to an agent."""
     if not agent.connected or not agent.greeted or agent.profile is None:
         return False
-    return agent.load.accepting and now - agent.heard_at <= USABLE_SECONDS
+    return (
+        agent.load.accepting and now - agent.heard_at <= agent.next_seconds + USABLE_SLACK_SECONDS
+    )
 
 
 def _place_queue(desk: Desk, queue: list, rooms: list[Room], now: float) -> None:
--- a/src/comfreysill/running/frames.py
+++ b/src/comfreysill/running/frames.py
@@ -2,6 +2,8 @@
 
 from comfreysill.exchange.messages import (
     FRAME_INTERVAL_SECONDS,
+    FULL_PACE_LINKS,
+    IDLE_MOST_SECONDS,
     AgentFrame,
     Load,
     Profile,
@@ -66,7 +68,16 @@
         return True
     if freed and session.hungry:
         return True
-    return now - session.sent_at >= FRAME_INTERVAL_SECONDS
+    return now - session.sent_at >= _find_interval(book, session)
+
+
+def _find_interval(book: RunBook, session: EntrySession) -> float:
+    """Returns the seconds between frames: few while the entry has tasks here or wants to."""
+    if session.hungry or any(run.entry == session.entry for run in book.runs.values()):
+        return FRAME_INTERVAL_SECONDS
+    open_links = sum(other.number > 0 for other in book.sessions.values())
+    share = max(1.0, open_links / FULL_PACE_LINKS)
+    return min(FRAME_INTERVAL_SECONDS * share, IDLE_MOST_SECONDS)
 
 
 def _build_frame(book: RunBook, session: EntrySession, load: Load, now: float) -> AgentFrame:
@@ -85,6 +96,7 @@
         opening=opening,
         routes_version=book.routes_version,
         routes_holder=book.routes_holder,
+        next_seconds=_find_interval(book, session),
     )
     session.opened = True
     session.profile_sent = book.profile_version
--- a/src/comfreysill/wire/exchange.py
+++ b/src/comfreysill/wire/exchange.py
@@ -95,6 +95,7 @@
         opening=frame.opening,
         routes_version=frame.routes_version,
         routes_holder=frame.routes_holder,
+        next_seconds=frame.next_seconds,
     )
 
 
@@ -113,6 +114,7 @@
         opening=message.opening,
         routes_version=message.routes_version,
         routes_holder=message.routes_holder,
+        next_seconds=message.next_seconds,
     )
 
 
--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -86,6 +86,7 @@
             opening=opening,
             routes_version=routes[0],
             routes_holder=routes[1],
+            next_seconds=0.15,
         )
         receive_agent_frame(self.desk, frame, self.now)
 
--- a/tests/test_running.py
+++ b/tests/test_running.py
@@ -249,3 +249,15 @@
         self.frame(tasks=1)
         begin_stop(self.book, self.now)
         self.assertEqual(self.read_ends(), [("r/0/0", Outcome.RETURNED)])
+
+    def test_idle_links_are_slowed_down_by_their_number_and_say_so(self):
+        for number in range(11):
+            self.frame(entry=f"e{number}@1")
+        self.frame(entry="e0@1", tasks=1, key="busy")
+        found = dict(collect_frames(self.book, False, self.now))
+        self.assertAlmostEqual(found["e0@1"].next_seconds, 0.15)
+        self.assertGreater(found["e1@1"].next_seconds, 0.35)
+        self.now += 0.2
+        self.assertEqual(
+            [entry for entry, _ in collect_frames(self.book, False, self.now)], ["e0@1"]
+        )
