--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -79,19 +79,82 @@
     "partial-answer": (f"{DISPATCH}.jobs.complete_job", lambda real: complete_early),
 }
 
+RUNNING = "comfreysill.running"
+PLACING = "comfreysill.placing"
+
+
+def give_back_doubtful(book, run, now):
+    from comfreysill.running.starts import _give_back
+
+    _give_back(book, run, now, "no answer")
+
+
+def free_stopping(real):
+    def stop(book, run, now):
+        if not run.stop_sent_at:
+            book.cpu_used -= run.batch.cpu
+        real(book, run, now)
+
+    return stop
+
+
+def settle_at_once(book, run, reply, there, now):
+    from comfreysill.running.starts import retry_start
+
+    retry_start(book, run, now)
+
+
+# Rules of the design on the platform, broken on the virtual floor.
+FLOOR_MUTATIONS = {
+    "link-lease": ("tests.platform_world.expire_sessions", lambda real: lambda *a: None),
+    "orders-unchecked": (f"{RUNNING}.intake._check_order", lambda real: lambda *a: ""),
+    "token-not-raised": (f"{RUNNING}.starts._doubt_start", lambda real: give_back_doubtful),
+    "unsure-settled-early": (f"{RUNNING}.renewals._settle_unsure", lambda real: settle_at_once),
+    "stopping-frees-room": (f"{RUNNING}.starts._call_stop", free_stopping),
+    "strays-kept": (f"{RUNNING}.renewals._stop_strays", lambda real: lambda *a: None),
+    "gone-too-soon": (f"{PLACING}.agents.GONE_SECONDS", lambda real: 0.3),
+    "earlier-lifetimes-kept": (
+        f"{RUNNING}.intake._end_earlier_lifetimes",
+        lambda real: lambda *a: None,
+    ),
+    "stops-not-repeated": ("tests.platform_world.repeat_stops", lambda real: lambda *a: None),
+    "stalls-unseen": (f"{RUNNING}.progress._stop_stalled", lambda real: lambda *a: None),
+    "avoided-for-good": (f"{PLACING}.placement._forget_avoided", lambda real: lambda *a: None),
+    "old-lists": (f"{RUNNING}.renewals.receive_renewal", lambda real: forget_list_time(real)),
+}
+MUTATIONS |= FLOOR_MUTATIONS
+
+
+def forget_list_time(real):
+    def receive(book, reply, now):
+        book.listed_ms = 0
+        real(book, reply, now)
+
+    return receive
+
+
+def build_suite(name):
+    from tests import test_fuzz, test_ledger, test_platform_floor, test_takeover
+
+    loader = unittest.defaultTestLoader
+    if name in FLOOR_MUTATIONS:
+        from tests import test_placing, test_running
+
+        modules = [test_running, test_placing, test_platform_floor]
+        return unittest.TestSuite(loader.loadTestsFromModule(module) for module in modules)
+    suite = loader.loadTestsFromModule(test_takeover)
+    suite.addTests(loader.loadTestsFromModule(test_ledger))
+    suite.addTests(loader.loadTestsFromTestCase(test_fuzz.FloorTest))
+    return suite
+
 
 def run_mutated(name):
     """Runs the fuzzer under one mutation; exit status 1 when it was caught."""
     global REAL_COMPLETE
-    from tests import test_fuzz, test_ledger, test_takeover
-
     path, build = MUTATIONS[name]
     REAL_COMPLETE = _real(f"{DISPATCH}.jobs.complete_job")
+    suite = build_suite(name)
     with mock.patch(path, build(_real(path))), open(os.devnull, "w") as nowhere:
-        loader = unittest.defaultTestLoader
-        suite = loader.loadTestsFromModule(test_takeover)
-        suite.addTests(loader.loadTestsFromModule(test_ledger))
-        suite.addTests(loader.loadTestsFromTestCase(test_fuzz.FloorTest))
         result = unittest.TextTestRunner(stream=nowhere, failfast=True).run(suite)
     for test, text in result.failures + result.errors:
         print(f"by {test.id()}", end=": ")
@@ -103,7 +166,8 @@
 def main(names):
     missed = []
     for name in names or MUTATIONS:
-        environment = {"FUZZ_EXAMPLES": "400", "FUZZ_SEED": "1", **os.environ}
+        environment = {"FUZZ_EXAMPLES": "400", "FUZZ_SEED": "1", "FLOOR_EXAMPLES": "600"}
+        environment |= os.environ
         environment["PYTHONHASHSEED"] = "0"
         run = subprocess.run(
             [sys.executable, "-m", "tests.mutations", "--one", name],
--- a/tests/test_platform_floor.py
+++ b/tests/test_platform_floor.py
@@ -5,6 +5,7 @@
 from hypothesis import strategies as st
 
 from comfreysill.request.types import Verdict
+from comfreysill.running.calls import Reply, StopCall
 from tests.platform_world import CAPACITY, World
 
 EXAMPLES = int(os.environ.get("FLOOR_EXAMPLES", "60"))
@@ -117,6 +118,51 @@
         ]
         self.assertEqual(self.play(steps).callers, {})
 
+    def test_runs_of_a_dead_entry_are_gone_before_its_callers_come_again(self):
+        for seed in range(10):
+            world = World(seed)
+            world.run(2.0)
+            world.submit("r", "e0", tasks=4, seconds=4.0)
+            world.run(0.5)
+            world.kill_entry("e0", down=6.0, silent=True)
+            world.run(9.0)
+            self.assertEqual(world.violations, [])
+            self.assertEqual(world.verdicts["r"], [Verdict.COMPLETED])
+
+    def test_runs_of_a_dead_agent_are_gone_before_they_start_elsewhere(self):
+        for seed in range(10):
+            world = World(seed)
+            world.run(2.0)
+            world.submit("r", "e0", tasks=4, seconds=3.0)
+            world.run(0.5)
+            for agent in world.agents:
+                world.kill_agent(agent, down=4.0, silent=seed % 2 == 0)
+            world.run(12.0)
+            self.assertEqual(world.violations, [])
+            self.assertEqual(world.verdicts["r"], [Verdict.COMPLETED])
+
+    def test_a_stop_that_is_lost_is_repeated(self):
+        world = World(0)
+        world.run(2.0)
+        lost = []
+        for runner in world.runners.values():
+            runner.carry_out = self.lose_first_stop(runner.carry_out, lost)
+        world.submit("r", "e0", tasks=2, seconds=8.0)
+        world.run(0.5)
+        world.leave(next(iter(world.callers)))
+        world.run(1.0)
+        self.assertTrue(lost)
+        self.assertEqual({world.measure_room(name) for name in world.agents}, {CAPACITY})
+
+    def lose_first_stop(self, carry_out, lost):
+        def carry(call, now):
+            if isinstance(call, StopCall) and call.task not in lost:
+                lost.append(call.task)
+                return Reply.UNANSWERED
+            return carry_out(call, now)
+
+        return carry
+
     def test_a_run_that_stands_still_is_moved(self):
         world = World(0)
         world.run(2.0)
--- a/tests/test_running.py
+++ b/tests/test_running.py
@@ -119,6 +119,23 @@
         self.assertGreater(again.run, call.run)
         self.assertEqual(again.token, 1001)
 
+    def test_a_list_under_the_old_token_settles_nothing(self):
+        self.book.calls.clear()
+        self.book.urgent = True
+        call_renewal(self.book, self.now)
+        (old,) = [call for call in self.book.calls if isinstance(call, RenewCall)]
+        self.book.calls.clear()
+        self.frame(tasks=1)
+        (call,) = self.take_starts()
+        self.reply(call, Reply.UNANSWERED)
+        answer = RenewReply(
+            call=old, reply=Reply.ACCEPTED, clock_ms=7001, born=0, running=[], ended=[]
+        )
+        receive_renewal(self.book, answer, self.now)
+        start_waiting(self.book, self.now)
+        self.assertEqual(self.take_starts(), [])
+        self.assertEqual(self.book.cpu_used, 1000)
+
     def test_a_start_without_an_answer_that_is_listed_runs(self):
         self.frame(tasks=1)
         (call,) = self.take_starts()
