--- a/tests/run.py
+++ b/tests/run.py
@@ -60,6 +60,8 @@
     for name in sorted(healed):
         print(f"listed in KNOWN-RED.txt but passes: {name}")
     unexpected = (failed - known) | healed
+    for name in sorted(unexpected - healed):
+        print(f"failed: {name}")
     if not outcomes:
         print("no test was run")
     if not program.result.wasSuccessful() and not failed:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -11,5 +11,5 @@
 class TestSoak(unittest.TestCase):
     def test_short_seeded_run(self):
         for seed in SEEDS:
-            with self.subTest(seed=seed):
-                self.assertEqual(asyncio.run(run_seed(seed, SECONDS, entries=2, agents=3)), [])
+            problems = asyncio.run(run_seed(seed, SECONDS, entries=2, agents=3))
+            self.assertEqual(problems, [], f"seed {seed}")
