The mutation of overtaken lists breaks the rule where the test calls it

Cause: old-lists was MISSED: it patched renewals.receive_renewal, which tests/test_running.py has imported by name, so that the test ran unbroken code. Ruled out: a test that can't fail; with the patch at the name that the test calls it fails. Change: that path only; no test, bound or src touched.

--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -120,7 +120,7 @@
     "stops-not-repeated": ("tests.platform_world.repeat_stops", lambda real: lambda *a: None),
     "stalls-unseen": (f"{RUNNING}.progress._stop_stalled", lambda real: lambda *a: None),
     "avoided-for-good": (f"{PLACING}.placement._forget_avoided", lambda real: lambda *a: None),
-    "old-lists": (f"{RUNNING}.renewals.receive_renewal", lambda real: forget_list_time(real)),
+    "old-lists": ("tests.test_running.receive_renewal", lambda real: forget_list_time(real)),
 }
 MUTATIONS |= FLOOR_MUTATIONS
 
