--- a/src/comfreysill/gateway/keeper.py
+++ b/src/comfreysill/gateway/keeper.py
@@ -98,10 +98,15 @@
     keeper.inbox.post(CallerLeft(caller=number))
 
 
-def is_ready(keeper: Keeper) -> bool:
-    """Tells whether callers should be sent here."""
+def is_ready(keeper: Keeper, taking: bool) -> bool:
+    """Tells whether callers should be sent here.
+
+    Args:
+        keeper: State of the desk's task.
+        taking: True once the callers' port takes connections.
+    """
     desk = keeper.desk
-    if keeper.closing or not desk.routes.version:
+    if keeper.closing or not taking or not desk.routes.version:
         return False
     now = read_boot_clock()
     return any(is_usable(agent, now) for agent in desk.agents.values())
--- a/src/comfreysill/gateway/program.py
+++ b/src/comfreysill/gateway/program.py
@@ -18,7 +18,7 @@
 from comfreysill.platform.store import StoreClient, move_store, open_store
 from comfreysill.reloading import follow_settings
 from comfreysill.request.types import Verdict
-from comfreysill.servers import build_http, start_grpc, stop_http
+from comfreysill.servers import HttpServer, build_http, start_grpc, stop_http
 from comfreysill.supervision import await_stop
 
 logger = logging.getLogger(__name__)
@@ -53,7 +53,7 @@
     callers_task = asyncio.create_task(_serve_callers(keeper, callers))
     tasks = [
         *_start_following(keeper, settings, store, reload),
-        *_start_servers(keeper, settings, store, metrics),
+        *_start_servers(keeper, settings, store, metrics, callers),
     ]
     member = Member(name=settings.name, role="entry", address=str(settings.link))
     registering = asyncio.create_task(register_member(store, member))
@@ -82,19 +82,26 @@
 
 
 def _start_servers(
-    keeper: Keeper, settings: InstanceSettings, store: StoreClient, metrics: Metrics
+    keeper: Keeper,
+    settings: InstanceSettings,
+    store: StoreClient,
+    metrics: Metrics,
+    callers: HttpServer,
 ) -> list[asyncio.Task]:
     counters = build_metrics_app(
         metrics, lambda: keeper.desk.counters, lambda: _measure(keeper, store)
     )
+    readiness = build_readiness_app(lambda: is_ready(keeper, taking=callers.started))
     servers = (
-        build_http(build_readiness_app(lambda: is_ready(keeper)), settings.readiness),
+        build_http(readiness, settings.readiness),
         build_http(counters, settings.metrics),
     )
     return [asyncio.create_task(server.serve()) for server in servers]
 
 
-async def _end(keeper: Keeper, settings: InstanceSettings, callers, callers_task) -> None:
+async def _end(
+    keeper: Keeper, settings: InstanceSettings, callers: HttpServer, callers_task: asyncio.Task
+) -> None:
     started_at = read_boot_clock()
     keeper.closing = True
     waiting = len(keeper.replies)
@@ -109,7 +116,7 @@
     await stop_http(callers, callers_task)
 
 
-async def _serve_callers(keeper: Keeper, callers) -> None:
+async def _serve_callers(keeper: Keeper, callers: HttpServer) -> None:
     """Takes callers' connections once there are routes.
 
     Until then connections are refused, which sends callers to another entry at once.
