--- a/src/comfreysill/exchange/messages.py
+++ b/src/comfreysill/exchange/messages.py
@@ -102,7 +102,8 @@
         session: Number of the link, raised with each connection.
         number: Number of the frame in the session, from 1.
         echo: Newest time stamp of the agent that the entry has received, 0 before the first.
-        hungry: True while the entry has tasks that it can't place.
+        hunger: Rank of the most urgent task that the entry can't place, 1 for the most urgent of
+            all; 0 while there is none.
         ended_seen: Number of the newest end that the entry has received.
         batches: Tasks to start.
         stops: Names of tasks to stop.
@@ -115,7 +116,7 @@
         "session",
         "number",
         "echo",
-        "hungry",
+        "hunger",
         "ended_seen",
         "batches",
         "stops",
@@ -130,7 +131,7 @@
         session: int,
         number: int,
         echo: float,
-        hungry: bool,
+        hunger: int,
         ended_seen: int,
         batches: list[Batch],
         stops: list[str],
@@ -141,7 +142,7 @@
         self.session = session
         self.number = number
         self.echo = echo
-        self.hungry = hungry
+        self.hunger = hunger
         self.ended_seen = ended_seen
         self.batches = batches
         self.stops = stops
@@ -318,10 +319,12 @@
     Attributes:
         agent: Name of the agent's instance.
         address: Address of its link service, `host:port`.
+        service: Service of the target beside it, empty where the agent doesn't know it.
     """
 
-    __slots__ = ("agent", "address")
+    __slots__ = ("agent", "address", "service")
 
-    def __init__(self, *, agent: str, address: str) -> None:
+    def __init__(self, *, agent: str, address: str, service: str = "") -> None:
         self.agent = agent
         self.address = address
+        self.service = service
--- a/src/comfreysill/gateway/discovery.py
+++ b/src/comfreysill/gateway/discovery.py
@@ -84,7 +84,9 @@
         logger.warning("unreadable members", extra={"fields": {"count": found.unreadable}})
     for member in found.members:
         if member.role == "agent":
-            announcement = Announcement(agent=member.name, address=member.address)
+            announcement = Announcement(
+                agent=member.name, address=member.address, service=member.service
+            )
             inbox.post(AgentFound(announcement=announcement))
     entries = [member.address for member in found.members if member.role == "entry"]
     inbox.post(EntriesFound(addresses=entries))
--- a/src/comfreysill/gateway/keeper.py
+++ b/src/comfreysill/gateway/keeper.py
@@ -6,7 +6,6 @@
 from collections.abc import Callable
 
 from comfreysill.clock import read_boot_clock
-from comfreysill.exchange.messages import EntryFrame
 from comfreysill.gateway.links import Link, run_link
 from comfreysill.gateway.messages import (
     AgentFound,
@@ -32,7 +31,17 @@
     open_link,
     receive_agent_frame,
 )
-from comfreysill.placing.desk import AskRoutes, CloseLink, Desk, SendFrame, TellCaller
+from comfreysill.placing.desk import (
+    AskRoutes,
+    CloseLink,
+    Desk,
+    DropLink,
+    Effect,
+    OpenLink,
+    SendFrame,
+    TellCaller,
+)
+from comfreysill.placing.panel import adjust_panel
 from comfreysill.placing.placement import is_usable, place_waiting
 from comfreysill.placing.requests import (
     abandon_caller,
@@ -153,17 +162,10 @@
 
 def _receive_found(keeper: Keeper, message: AgentFound, now: float) -> None:
     found = message.announcement
-    if not discover_agent(keeper.desk, found.agent, found.address):
-        link = keeper.links.get(found.agent)
-        if link is not None:
-            link.wake.set()
-        return
-    old = keeper.links.pop(found.agent, None)
-    if old is not None:
-        old.task.cancel()
-    link = Link(agent=found.agent, address=found.address, inbox=keeper.inbox)
-    link.task = asyncio.create_task(run_link(link))
-    keeper.links[found.agent] = link
+    discover_agent(keeper.desk, found.agent, found.address, found.service)
+    link = keeper.links.get(found.agent)
+    if link is not None:
+        link.wake.set()
 
 
 def _receive_entries(keeper: Keeper, message: EntriesFound, now: float) -> None:
@@ -210,29 +212,43 @@
 
 def _flush(keeper: Keeper, now: float) -> None:
     desk = keeper.desk
+    adjust_panel(desk, now)
     place_waiting(desk, now)
     collect_frames(desk, now)
     effects, desk.effects = desk.effects, []
     for effect in effects:
-        if isinstance(effect, SendFrame):
-            _send_frame(keeper, effect.agent, effect.frame)
-        elif isinstance(effect, CloseLink):
-            link = keeper.links.get(effect.agent)
-            if link is not None and link.session == effect.session:
-                link.outbox.post(None)
-        elif isinstance(effect, AskRoutes):
-            keeper.asks.post(effect.address)
-        else:
-            _tell_caller(keeper, effect, now)
+        EFFECTS[type(effect)](keeper, effect, now)
     events, desk.events = desk.events, []
     for text, fields in events:
         logger.info(text, extra={"fields": fields})
 
 
-def _send_frame(keeper: Keeper, agent: str, frame: EntryFrame) -> None:
-    link = keeper.links.get(agent)
+def _send_frame(keeper: Keeper, effect: SendFrame, now: float) -> None:
+    link = keeper.links.get(effect.agent)
     if link is not None:
-        link.outbox.post(frame)
+        link.outbox.post(effect.frame)
+
+
+def _open_link(keeper: Keeper, effect: OpenLink, now: float) -> None:
+    link = Link(agent=effect.agent, address=effect.address, inbox=keeper.inbox)
+    link.task = asyncio.create_task(run_link(link))
+    keeper.links[effect.agent] = link
+
+
+def _drop_link(keeper: Keeper, effect: DropLink, now: float) -> None:
+    link = keeper.links.pop(effect.agent, None)
+    if link is not None:
+        link.task.cancel()
+
+
+def _close_link(keeper: Keeper, effect: CloseLink, now: float) -> None:
+    link = keeper.links.get(effect.agent)
+    if link is not None and link.session == effect.session:
+        link.outbox.post(None)
+
+
+def _ask_routes(keeper: Keeper, effect: AskRoutes, now: float) -> None:
+    keeper.asks.post(effect.address)
 
 
 def _tell_caller(keeper: Keeper, effect: TellCaller, now: float) -> None:
@@ -243,3 +259,13 @@
     future.set_result(
         Reply(verdict=effect.verdict, detail=effect.detail, retry_seconds=max(0, wait))
     )
+
+
+EFFECTS: dict[type, Callable[[Keeper, Effect, float], None]] = {
+    TellCaller: _tell_caller,
+    SendFrame: _send_frame,
+    CloseLink: _close_link,
+    OpenLink: _open_link,
+    DropLink: _drop_link,
+    AskRoutes: _ask_routes,
+}
--- a/src/comfreysill/gateway/program.py
+++ b/src/comfreysill/gateway/program.py
@@ -18,12 +18,13 @@
 from comfreysill.platform.store import StoreClient, move_store, open_store
 from comfreysill.reloading import follow_settings
 from comfreysill.request.types import Verdict
-from comfreysill.servers import HttpServer, build_http, start_grpc, stop_http
+from comfreysill.servers import HttpServer, build_http, end_http, start_grpc, stop_http
 from comfreysill.supervision import await_stop
 
 logger = logging.getLogger(__name__)
 
 TICK_SECONDS = 0.05
+IDLE_TICK_SECONDS = 0.1
 # The balancer sends callers here until it has missed two answers, a second apart.
 ROTATION_SECONDS = 2.2
 # What the last verdicts need to reach their callers before the kill.
@@ -107,7 +108,7 @@
     waiting = len(keeper.replies)
     logger.info("entry stops", extra={"fields": {"callers": waiting}})
     await asyncio.sleep(min(ROTATION_SECONDS, settings.grace / 2))
-    callers.should_exit = True
+    end_http(callers)
     give_up_at = started_at + settings.grace - FAREWELL_SECONDS
     while keeper.replies and read_boot_clock() < give_up_at:
         await asyncio.sleep(POLL_SECONDS)
@@ -155,7 +156,7 @@
 
 async def _tick(keeper: Keeper) -> None:
     while True:
-        await asyncio.sleep(TICK_SECONDS)
+        await asyncio.sleep(TICK_SECONDS if keeper.desk.requests else IDLE_TICK_SECONDS)
         keeper.inbox.post(Tick())
 
 
--- a/src/comfreysill/placing/agents.py
+++ b/src/comfreysill/placing/agents.py
@@ -10,7 +10,17 @@
     EntryFrame,
     Outcome,
 )
-from comfreysill.placing.desk import Agent, AskRoutes, CloseLink, Desk, SendFrame, count, note_event
+from comfreysill.placing.desk import (
+    Agent,
+    AskRoutes,
+    CloseLink,
+    Desk,
+    SendFrame,
+    count,
+    note_event,
+)
+from comfreysill.placing.panel import drop_link, rank_agent
+from comfreysill.placing.queue import rank_hunger
 from comfreysill.placing.requests import end_task
 
 # A link whose next frame is later by more than this is closed and opened anew.
@@ -23,25 +33,26 @@
 # An entry that has a routing document leaves the store this time to give it the next one.
 ROUTES_PATIENCE_SECONDS = 0.5
 ROUTES_RETRY_SECONDS = 0.5
-ECHO_SECONDS = FRAME_INTERVAL_SECONDS / 2
-
+ECHO_SECONDS = FRAME_INTERVAL_SECONDS
 
-def discover_agent(desk: Desk, name: str, address: str) -> bool:
-    """Takes the address of an agent.
 
-    Returns:
-        True when a link has to be opened there.
-    """
+def discover_agent(desk: Desk, name: str, address: str, service: str = "") -> None:
+    """Takes the address of an agent; the panel decides whether a link is opened there."""
     known = desk.agents.get(name)
     if known is None:
-        desk.agents[name] = Agent(name=name, address=address)
+        rank = rank_agent(desk.name, name)
+        desk.agents[name] = Agent(name=name, address=address, service=service, rank=rank)
+        desk.panel_due_at = 0.0
         note_event(desk, "agent found", agent=name, address=address)
-        return True
+        return
+    known.service = service or known.service
     if known.address == address:
-        return False
+        return
     note_event(desk, "agent moved", agent=name, address=address)
     known.address = address
-    return True
+    desk.panel_due_at = 0.0
+    if known.wanted_at:
+        drop_link(desk, known)
 
 
 def open_link(desk: Desk, name: str, now: float) -> int:
@@ -179,22 +190,22 @@
 
 def collect_frames(desk: Desk, now: float) -> None:
     """Asks the process to send the frames that are due."""
-    hungry = any(desk.queues.values())
+    hunger = rank_hunger(desk)
     for agent in desk.agents.values():
-        if agent.connected and _is_due(agent, hungry, now):
-            frame = _build_frame(desk, agent, hungry, now)
+        if agent.connected and _is_due(agent, hunger, now):
+            frame = _build_frame(desk, agent, hunger, now)
             desk.effects.append(SendFrame(agent=agent.name, frame=frame))
 
 
-def _is_due(agent: Agent, hungry: bool, now: float) -> bool:
+def _is_due(agent: Agent, hunger: int, now: float) -> bool:
     if not agent.sent_at or agent.batches or agent.stops:
         return True
-    if hungry != agent.hungry_sent and hungry:
+    if hunger and (not agent.hunger_sent or hunger < agent.hunger_sent):
         return True
     return agent.stamp > agent.stamp_sent and now - agent.sent_at >= ECHO_SECONDS
 
 
-def _build_frame(desk: Desk, agent: Agent, hungry: bool, now: float) -> EntryFrame:
+def _build_frame(desk: Desk, agent: Agent, hunger: int, now: float) -> EntryFrame:
     first = not agent.number
     agent.number += 1
     frame = EntryFrame(
@@ -202,7 +213,7 @@
         session=agent.session,
         number=agent.number,
         echo=agent.stamp if agent.greeted else 0.0,
-        hungry=hungry,
+        hunger=hunger,
         ended_seen=agent.ended_seen,
         batches=agent.batches,
         stops=agent.stops,
@@ -211,7 +222,7 @@
     )
     agent.batches = []
     agent.stops = []
-    agent.hungry_sent = hungry
+    agent.hunger_sent = hunger
     agent.stamp_sent = frame.echo
     agent.sent_at = now
     return frame
--- a/src/comfreysill/placing/desk.py
+++ b/src/comfreysill/placing/desk.py
@@ -26,6 +26,9 @@
     Attributes:
         name: Name of its instance.
         address: Address of its link service.
+        service: Service of the target beside it, as far as was announced.
+        rank: Its place in the order in which the entry takes agents into its panel.
+        wanted_at: Boot-clock time in seconds at which a link was asked for, 0 while none is.
         lifetime: Lifetime of its process, empty before the first frame.
         session: Number of the link, raised with each connection.
         connected: True while the link is open.
@@ -46,12 +49,15 @@
         orphaned: Names of tasks that an earlier lifetime of the agent had.
         batches: Tasks for the next frame.
         stops: Names of tasks to stop, for the next frame.
-        hungry_sent: What the last frame said about waiting tasks.
+        hunger_sent: What the last frame said about waiting tasks.
     """
 
     __slots__ = (
         "name",
         "address",
+        "service",
+        "rank",
+        "wanted_at",
         "lifetime",
         "session",
         "connected",
@@ -72,12 +78,15 @@
         "orphaned",
         "batches",
         "stops",
-        "hungry_sent",
+        "hunger_sent",
     )
 
-    def __init__(self, *, name: str, address: str) -> None:
+    def __init__(self, *, name: str, address: str, service: str = "", rank: int = 0) -> None:
         self.name = name
         self.address = address
+        self.service = service
+        self.rank = rank
+        self.wanted_at = 0.0
         self.lifetime = ""
         self.session = 0
         self.connected = False
@@ -98,7 +107,7 @@
         self.orphaned: set[str] = set()
         self.batches: list[Batch] = []
         self.stops: list[str] = []
-        self.hungry_sent = False
+        self.hunger_sent = 0
 
 
 class KeptVerdict:
@@ -162,6 +171,25 @@
         self.session = session
 
 
+class OpenLink:
+    """Effect: keeps a link to an agent open from now on."""
+
+    __slots__ = ("agent", "address")
+
+    def __init__(self, *, agent: str, address: str) -> None:
+        self.agent = agent
+        self.address = address
+
+
+class DropLink:
+    """Effect: ends the link to an agent for good."""
+
+    __slots__ = ("agent",)
+
+    def __init__(self, *, agent: str) -> None:
+        self.agent = agent
+
+
 class AskRoutes:
     """Effect: asks another entry for its routing document."""
 
@@ -171,7 +199,7 @@
         self.address = address
 
 
-Effect = TellCaller | SendFrame | CloseLink | AskRoutes
+Effect = TellCaller | SendFrame | CloseLink | OpenLink | DropLink | AskRoutes
 
 
 class Desk:
@@ -185,6 +213,7 @@
         routes_due_at: Boot-clock time in seconds from which another entry is asked for a newer
             document, 0 while none is known.
         agents: Agents by name.
+        panel_due_at: Boot-clock time in seconds at which the panel is chosen again.
         entries: Addresses of entries that agents should know.
         requests: Requests without a verdict, or with tasks that still end, by id.
         kept: Verdicts for repetitions, by id.
@@ -202,6 +231,7 @@
         "routes",
         "routes_due_at",
         "agents",
+        "panel_due_at",
         "entries",
         "requests",
         "kept",
@@ -225,6 +255,7 @@
         self.routes = NO_ROUTES
         self.routes_due_at = 0.0
         self.agents: dict[str, Agent] = {}
+        self.panel_due_at = 0.0
         self.entries: list[str] = []
         self.requests: dict[str, Request] = {}
         self.kept: dict[str, KeptVerdict] = {}
--- a/src/comfreysill/placing/queue.py
+++ b/src/comfreysill/placing/queue.py
@@ -9,6 +9,8 @@
 ON_TIME = 0
 LATE = 1
 BEGUN_PRIORITY = -1
+# Distinct urgencies that agents are told of within a band.
+PRIORITIES = 100
 
 
 def push_request(desk: Desk, request: Request, now: float) -> None:
@@ -30,6 +32,15 @@
     heapq.heappush(queue, (band, priority, request.due_at, desk.order, request))
 
 
+def rank_hunger(desk: Desk) -> int:
+    """Returns the rank of the most urgent waiting request, 1 for the first; 0 while none waits."""
+    heads = [queue[0] for queue in desk.queues.values() if queue]
+    if not heads:
+        return 0
+    band, priority = min(head[:2] for head in heads)
+    return 1 + band * PRIORITIES + min(priority - BEGUN_PRIORITY, PRIORITIES - 1)
+
+
 def pop_request(queue: list[tuple[int, int, float, int, Request]]) -> tuple | None:
     """Takes the first request that has startable tasks."""
     while queue:
--- a/src/comfreysill/platform/members.py
+++ b/src/comfreysill/platform/members.py
@@ -22,14 +22,16 @@
         name: Name of its instance.
         role: `entry` or `agent`.
         address: Address of its link service.
+        service: Service of the target beside an agent, empty for an entry or where it is unknown.
     """
 
-    __slots__ = ("name", "role", "address")
+    __slots__ = ("name", "role", "address", "service")
 
-    def __init__(self, *, name: str, role: str, address: str) -> None:
+    def __init__(self, *, name: str, role: str, address: str, service: str = "") -> None:
         self.name = name
         self.role = role
         self.address = address
+        self.service = service
 
 
 class MemberSet:
@@ -45,7 +47,9 @@
 
 async def write_member(store: StoreClient, member: Member) -> Result[int, StoreError]:
     """Makes a process known; repeating it does no harm."""
-    value = orjson.dumps({"role": member.role, "address": member.address})
+    value = orjson.dumps(
+        {"role": member.role, "address": member.address, "service": member.service}
+    )
     write = RowWrite(key=member.name, value=value)
     return await commit_rows(store, MEMBERS_TABLE, (write,))
 
@@ -64,8 +68,14 @@
             continue
         try:
             document = orjson.loads(row.value)
-            address = document["address"]
-            members.append(Member(name=row.key, role=document["role"], address=address))
+            members.append(
+                Member(
+                    name=row.key,
+                    role=document["role"],
+                    address=document["address"],
+                    service=document.get("service") or "",
+                )
+            )
         except (ValueError, KeyError, TypeError):
             unreadable += 1
     return MemberSet(members=members, version=rows.version, unreadable=unreadable)
--- a/src/comfreysill/platform/settings.py
+++ b/src/comfreysill/platform/settings.py
@@ -26,6 +26,7 @@
         metrics: Where metrics are served.
         entries: Link addresses of instances that may run entries; some may be stale.
         runner: Where the runner beside it takes calls, None without one.
+        service: Service of that runner, empty without one.
         store: Address of the platform's store.
         grace: Seconds between the request to end and the kill.
     """
@@ -41,6 +42,7 @@
         "metrics",
         "entries",
         "runner",
+        "service",
         "store",
         "grace",
     )
@@ -58,6 +60,7 @@
         metrics: Address,
         entries: tuple[str, ...],
         runner: Address | None,
+        service: str,
         store: Address,
         grace: float,
     ) -> None:
@@ -71,6 +74,7 @@
         self.metrics = metrics
         self.entries = entries
         self.runner = runner
+        self.service = service
         self.store = store
         self.grace = grace
 
@@ -111,6 +115,7 @@
         metrics=Address(host=ip, port=last_port),
         entries=tuple(f"{seed}:{first_port}" for seed in seeds),
         runner=parse_address(document["app"]) if document.get("app") else None,
+        service=str(document.get("service") or ""),
         store=parse_address(document["platform"]["address"]),
         grace=float(document["bounds"]["grace-s"]),
     )
--- a/src/comfreysill/running/book.py
+++ b/src/comfreysill/running/book.py
@@ -93,7 +93,8 @@
         newest: Highest number of a link so far.
         seen: Number of the newest frame of the link.
         lease_until: Boot-clock time in seconds until which the entry's tasks may run.
-        hungry: True while the entry has tasks that it can't place.
+        hunger: Rank of the most urgent task that the entry can't place, 0 while there is none.
+        told_at: Boot-clock time in seconds at which it was last told of free room.
         ended: Ends that the entry hasn't confirmed.
         next_end: Number of the next end.
         end_sent: Number of the newest end that was sent on the open link.
@@ -110,7 +111,8 @@
         "newest",
         "seen",
         "lease_until",
-        "hungry",
+        "hunger",
+        "told_at",
         "ended",
         "next_end",
         "end_sent",
@@ -127,7 +129,8 @@
         self.newest = 0
         self.seen = 0
         self.lease_until = 0.0
-        self.hungry = False
+        self.hunger = 0
+        self.told_at = 0.0
         self.ended: deque[Ended] = deque()
         self.next_end = 1
         self.end_sent = 0
--- a/src/comfreysill/running/frames.py
+++ b/src/comfreysill/running/frames.py
@@ -11,6 +11,8 @@
 from comfreysill.running.book import EntrySession, RunBook
 from comfreysill.running.starts import is_accepting
 
+# Entries that are told at once of room that has become free.
+TOLD_AT_ONCE = 2
 NO_PROFILE = Profile(service="", zone="", cpu=0, memory_mb=0, gpus=0, labels=())
 
 
@@ -55,25 +57,37 @@
     """
     frames = []
     load = measure_load(book, now)
+    first = _choose_hungry(book, now) if freed else ()
     for session in book.sessions.values():
-        if session.number and _is_due(book, session, freed, now):
+        if session.number and (session in first or _is_due(book, session, now)):
             frames.append((session.entry, _build_frame(book, session, load, now)))
     return frames
 
 
-def _is_due(book: RunBook, session: EntrySession, freed: bool, now: float) -> bool:
+def _choose_hungry(book: RunBook, now: float) -> list[EntrySession]:
+    """Returns the entries that are told of free room at once.
+
+    Those with the most urgent tasks, by turns. The others hear of what is left with their next
+    frame: if all were told, they would promise the same room.
+    """
+    hungry = [session for session in book.sessions.values() if session.number and session.hunger]
+    hungry.sort(key=lambda session: (session.hunger, session.told_at))
+    for session in hungry[:TOLD_AT_ONCE]:
+        session.told_at = now
+    return hungry[:TOLD_AT_ONCE]
+
+
+def _is_due(book: RunBook, session: EntrySession, now: float) -> bool:
     if not session.opened or session.profile_sent != book.profile_version:
         return True
     if session.ended and session.ended[-1].number > session.end_sent:
         return True
-    if freed and session.hungry:
-        return True
     return now - session.sent_at >= _find_interval(book, session)
 
 
 def _find_interval(book: RunBook, session: EntrySession) -> float:
     """Returns the seconds between frames: few while the entry has tasks here or wants to."""
-    if session.hungry or any(run.entry == session.entry for run in book.runs.values()):
+    if session.hunger or any(run.entry == session.entry for run in book.runs.values()):
         return FRAME_INTERVAL_SECONDS
     open_links = sum(other.number > 0 for other in book.sessions.values())
     share = max(1.0, open_links / FULL_PACE_LINKS)
--- a/src/comfreysill/running/intake.py
+++ b/src/comfreysill/running/intake.py
@@ -34,7 +34,7 @@
         count(book, "frames_stale")
         return False
     session.seen = frame.number
-    session.hungry = frame.hungry
+    session.hunger = frame.hunger
     while session.ended and session.ended[0].number <= frame.ended_seen:
         session.ended.popleft()
     if frame.echo:
--- a/src/comfreysill/servers.py
+++ b/src/comfreysill/servers.py
@@ -8,11 +8,31 @@
 
 from comfreysill.address import Address
 
+# The Date of answers is exact to the second.
+DATE_SECONDS = 1.0
+
 
 class HttpServer(uvicorn.Server):
-    """A uvicorn server that leaves signals to the daemon."""
+    """A uvicorn server that leaves signals to the daemon and wakes no more than it has to.
 
-    __slots__ = ()
+    Attributes:
+        stopping: Set to end it.
+    """
+
+    __slots__ = ("stopping",)
+
+    def __init__(self, *, config: uvicorn.Config) -> None:
+        super().__init__(config)
+        self.stopping = asyncio.Event()
+
+    async def main_loop(self) -> None:
+        """Renews the Date of answers until the server is ended."""
+        while not await self.on_tick(0):
+            try:
+                async with asyncio.timeout(DATE_SECONDS):
+                    await self.stopping.wait()
+            except TimeoutError:
+                continue
 
     def install_signal_handlers(self) -> None:
         """Installs none."""
@@ -33,7 +53,7 @@
 
 
 def build_http(app: Any, address: Address) -> HttpServer:
-    """Builds an HTTP server; `serve()` runs it until `should_exit` is set."""
+    """Builds an HTTP server; `serve()` runs it until `end_http` is called."""
     config = uvicorn.Config(
         app,
         host=address.host,
@@ -45,7 +65,7 @@
         log_config=None,
         timeout_keep_alive=75,
     )
-    return HttpServer(config)
+    return HttpServer(config=config)
 
 
 async def start_grpc(services: list[Any], address: Address) -> Server:
@@ -55,7 +75,13 @@
     return server
 
 
+def end_http(server: HttpServer) -> None:
+    """Has an HTTP server take no more connections, and end once its requests are answered."""
+    server.should_exit = True
+    server.stopping.set()
+
+
 async def stop_http(server: HttpServer, task: asyncio.Task) -> None:
     """Ends an HTTP server once its open requests are answered."""
-    server.should_exit = True
+    end_http(server)
     await task
--- a/src/comfreysill/sidecar/program.py
+++ b/src/comfreysill/sidecar/program.py
@@ -37,6 +37,7 @@
 logger = logging.getLogger(__name__)
 
 TICK_SECONDS = 0.05
+IDLE_TICK_SECONDS = 0.1
 ANNOUNCE_SECONDS = 0.3
 ANNOUNCE_MOST_SECONDS = 1.0
 FIND_SECONDS = 0.5
@@ -63,7 +64,9 @@
     grpc = await start_grpc([TargetService(inbox=keeper.inbox)], settings.link)
     http_task = asyncio.create_task(http.serve())
     tasks = _start_tasks(keeper, settings, store, reload)
-    member = Member(name=settings.name, role="agent", address=str(settings.link))
+    member = Member(
+        name=settings.name, role="agent", address=str(settings.link), service=settings.service
+    )
     once = [
         asyncio.create_task(register_member(store, member)),
         asyncio.create_task(_find_entries(keeper, store)),
@@ -157,7 +160,7 @@
 
 async def _tick(keeper: Keeper) -> None:
     while True:
-        await asyncio.sleep(TICK_SECONDS)
+        await asyncio.sleep(TICK_SECONDS if keeper.book.runs else IDLE_TICK_SECONDS)
         keeper.inbox.post(Tick())
 
 
@@ -173,18 +176,25 @@
 
 
 async def _announce(keeper: Keeper, settings: InstanceSettings) -> None:
-    """Announces this agent to entries that have no link to it."""
-    announcement = Announcement(agent=settings.name, address=str(settings.link))
+    """Announces this agent to entries: once, and again after a link to one is lost."""
+    announcement = Announcement(
+        agent=settings.name, address=str(settings.link), service=settings.service
+    )
     due: dict[str, float] = {}
     pauses: dict[str, float] = {}
+    linked: set[str] = set()
+    told: set[str] = set()
     while True:
         await asyncio.sleep(ANNOUNCE_SECONDS)
-        linked = {link.address for link in keeper.links.values()}
-        for address in keeper.book.entries - linked:
+        before, linked = linked, {link.address for link in keeper.links.values()}
+        told -= before - linked
+        for address in keeper.book.entries - linked - told:
             now = read_boot_clock()
             if now < due.get(address, 0.0):
                 continue
-            taken = await announce(address, announcement)
-            longer = min(pauses.get(address, ANNOUNCE_SECONDS) * 2, ANNOUNCE_MOST_SECONDS)
-            pauses[address] = ANNOUNCE_SECONDS if taken else longer
+            if await announce(address, announcement):
+                told.add(address)
+                pauses.pop(address, None)
+                continue
+            pauses[address] = min(pauses.get(address, ANNOUNCE_SECONDS) * 2, ANNOUNCE_MOST_SECONDS)
             due[address] = now + pauses[address]
--- a/src/comfreysill/wire/exchange.py
+++ b/src/comfreysill/wire/exchange.py
@@ -21,7 +21,7 @@
         session=frame.session,
         number=frame.number,
         echo=frame.echo,
-        hungry=frame.hungry,
+        hunger=frame.hunger,
         ended_seen=frame.ended_seen,
         batches=[_encode_batch(batch) for batch in frame.batches],
         stops=frame.stops,
@@ -37,7 +37,7 @@
         session=message.session,
         number=message.number,
         echo=message.echo,
-        hungry=message.hungry,
+        hunger=message.hunger,
         ended_seen=message.ended_seen,
         batches=[_decode_batch(batch) for batch in message.batches],
         stops=list(message.stops),
@@ -120,12 +120,14 @@
 
 def encode_announcement(announcement: Announcement) -> pb.Announcement:
     """Encodes an announcement."""
-    return pb.Announcement(agent=announcement.agent, address=announcement.address)
+    return pb.Announcement(
+        agent=announcement.agent, address=announcement.address, service=announcement.service
+    )
 
 
 def decode_announcement(message: pb.Announcement) -> Announcement:
     """Decodes an announcement."""
-    return Announcement(agent=message.agent, address=message.address)
+    return Announcement(agent=message.agent, address=message.address, service=message.service)
 
 
 def _encode_load(load: Load) -> pb.Load:
--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -11,6 +11,7 @@
 )
 from comfreysill.placing.desk import AskRoutes, Desk, SendFrame, TellCaller
 from comfreysill.placing.placement import place_waiting
+from comfreysill.placing.queue import rank_hunger
 from comfreysill.placing.requests import abandon_caller, submit_request
 from comfreysill.request.types import Specification, Step, Verdict
 
@@ -108,6 +109,19 @@
                 told[effect.caller] = effect.verdict
         return sent, told
 
+    def test_agents_hear_of_the_most_urgent_waiting_request(self):
+        self.flush()
+        for priority, rank in ((2, 4), (1, 3), (0, 2)):
+            self.submit(build_request(f"r{priority}", priority=priority))
+            self.assertEqual(rank_hunger(self.desk), rank)
+            collect_frames(self.desk, self.now)
+            effects, self.desk.effects = self.desk.effects, []
+            frames = [effect.frame for effect in effects if isinstance(effect, SendFrame)]
+            self.assertEqual([frame.hunger for frame in frames], [rank, rank])
+        self.desk.queues.clear()
+        collect_frames(self.desk, self.now)
+        self.assertEqual(self.desk.effects, [], "nothing to say is no reason for a frame")
+
     def place(self, specification):
         self.submit(specification)
         sent, _ = self.flush()
--- a/tests/test_running.py
+++ b/tests/test_running.py
@@ -61,7 +61,9 @@
         receive_renewal(self.book, answer, self.now)
         return call
 
-    def frame(self, entry="e@1", tasks=0, session=1, echo=None, stops=(), cpu=1000, key="r"):
+    def frame(
+        self, entry="e@1", tasks=0, session=1, echo=None, stops=(), cpu=1000, key="r", hunger=0
+    ):
         self.frames += 1
         orders = [Order(step=0, index=index, attempt=1) for index in range(tasks)]
         batch = Batch(
@@ -80,7 +82,7 @@
             session=session,
             number=self.frames,
             echo=self.now if echo is None else echo,
-            hungry=False,
+            hunger=hunger,
             ended_seen=0,
             batches=[batch] if tasks else [],
             stops=list(stops),
@@ -101,6 +103,19 @@
     def read_ends(self, entry="e@1"):
         return [(end.task, end.outcome) for end in self.book.sessions[entry].ended]
 
+    def test_free_room_is_told_to_few_entries_the_most_urgent_first(self):
+        for entry, hunger in (("e1@1", 3), ("e2@1", 1), ("e3@1", 0), ("e4@1", 2), ("e5@1", 2)):
+            self.frame(entry=entry, hunger=hunger)
+        collect_frames(self.book, False, self.now)
+        first = [entry for entry, _ in collect_frames(self.book, True, self.now)]
+        self.assertEqual(first, ["e2@1", "e4@1"])
+        self.now += 0.01
+        second = [entry for entry, _ in collect_frames(self.book, True, self.now)]
+        self.assertEqual(second, ["e2@1", "e5@1"], "equally urgent ones take turns")
+        self.now += 0.2
+        later = [entry for entry, _ in collect_frames(self.book, False, self.now)]
+        self.assertIn("e1@1", later)
+
     def test_tasks_beyond_the_room_come_back_at_once(self):
         self.frame(tasks=6)
         self.assertEqual(len(self.take_starts()), 4)
