--- a/src/comfreysill/gateway/program.py
+++ b/src/comfreysill/gateway/program.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+import socket
 
 from comfreysill.clock import measure_unix_offset, read_boot_clock
 from comfreysill.gateway.discovery import follow_members, follow_routes, take_routes_text
@@ -9,6 +10,7 @@
 from comfreysill.gateway.links import RosterService, read_routes
 from comfreysill.gateway.messages import Cancel, EntriesFound, GiveUp, Tick
 from comfreysill.instruments import build_metrics_app, build_observer
+from comfreysill.listeners import Listeners
 from comfreysill.membership import register_member
 from comfreysill.metrics import Metrics
 from comfreysill.placing.desk import Desk
@@ -18,7 +20,7 @@
 from comfreysill.platform.store import StoreClient, move_store, open_store
 from comfreysill.reloading import follow_settings
 from comfreysill.request.types import Verdict
-from comfreysill.servers import HttpServer, build_http, end_http, start_grpc, stop_http
+from comfreysill.servers import HttpServer, adopt_grpc, build_http, end_http, stop_http
 from comfreysill.supervision import await_stop
 
 logger = logging.getLogger(__name__)
@@ -30,11 +32,15 @@
 # What the last verdicts need to reach their callers before the kill.
 FAREWELL_SECONDS = 0.7
 POLL_SECONDS = 0.02
-OPEN_LATEST_SECONDS = 2.0
+OPEN_LATEST_SECONDS = 1.0
 
 
 async def run_gateway(
-    settings: InstanceSettings, lifetime: str, stop: asyncio.Event, reload: asyncio.Event
+    settings: InstanceSettings,
+    listeners: Listeners,
+    lifetime: str,
+    stop: asyncio.Event,
+    reload: asyncio.Event,
 ) -> None:
     """Runs an entry until it is asked to stop and its callers have their answers."""
     name = f"{settings.name}@{lifetime}"
@@ -45,18 +51,18 @@
         unix_offset=measure_unix_offset(),
         observe=build_observer(metrics),
     )
-    desk.entries = [str(settings.link), *settings.entries]
+    desk.entries = [settings.advertised, *settings.entries]
     keeper = Keeper(desk=desk)
     store = open_store(settings.store)
-    callers = build_http(build_callers_app(_build_front(keeper)), settings.callers)
+    callers = build_http(build_callers_app(_build_front(keeper)))
     roster = RosterService(inbox=keeper.inbox, get_routes=lambda: keeper.routes_text)
-    grpc = await start_grpc([roster], settings.link)
-    callers_task = asyncio.create_task(_serve_callers(keeper, callers))
+    grpc = await adopt_grpc([roster], listeners.link)
+    callers_task = asyncio.create_task(_serve_callers(keeper, callers, listeners.outside))
     tasks = [
         *_start_following(keeper, settings, store, reload),
         *_start_servers(keeper, settings, store, metrics, callers),
     ]
-    member = Member(name=settings.name, role="entry", address=str(settings.link))
+    member = Member(name=settings.name, role="entry", address=settings.advertised)
     registering = asyncio.create_task(register_member(store, member))
     logger.info("entry started", extra={"fields": {"name": name}})
     await await_stop(stop, [callers_task, *tasks], [registering])
@@ -117,15 +123,12 @@
     await stop_http(callers, callers_task)
 
 
-async def _serve_callers(keeper: Keeper, callers: HttpServer) -> None:
-    """Takes callers' connections once there are routes.
-
-    Until then connections are refused, which sends callers to another entry at once.
-    """
+async def _serve_callers(keeper: Keeper, callers: HttpServer, listener: socket.socket) -> None:
+    """Takes callers' connections once there are routes; until then they wait, but not for long."""
     open_at = read_boot_clock() + OPEN_LATEST_SECONDS
     while not keeper.desk.routes.version and read_boot_clock() < open_at:
         await asyncio.sleep(POLL_SECONDS)
-    await callers.serve()
+    await callers.serve(sockets=[listener])
 
 
 async def _ask_routes(keeper: Keeper) -> None:
--- a/src/comfreysill/launch.py
+++ b/src/comfreysill/launch.py
@@ -1,16 +1,16 @@
-"""Starts one process of the system on the platform, in the role that its argument names."""
+"""Starts one process of the system on the platform, in the role that its argument names.
+
+Only what opening the ports needs is imported here; the rest is loaded once they are open.
+"""
 
 import comfreysill.early_stop  # noqa: F401, I001
-import asyncio
-import gc
 import os
-import signal
 import sys
-import uuid
 
+from comfreysill.address import Address
 from comfreysill.exceptions import ComfreysillError
+from comfreysill.listeners import Listeners, open_listener
 from comfreysill.platform.settings import InstanceSettings, read_instance_settings
-from comfreysill.structured import configure_structured_logging
 
 ROLES = ("entry", "agent")
 # No connection of these processes uses TLS; loading the certificates of the machine at import
@@ -26,25 +26,19 @@
         sys.exit(2)
     try:
         settings = read_instance_settings()
+        outside = _find_outside(role, settings)
+        listeners = Listeners(outside=open_listener(outside), link=open_listener(settings.link))
     except ComfreysillError as error:
         print(f"Error: {error}", file=sys.stderr)
         sys.exit(error.exit_code)
-    configure_structured_logging(settings.name)
-    asyncio.run(_run(role, settings))
-
-
-async def _run(role: str, settings: InstanceSettings) -> None:
-    stop = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    loop.add_signal_handler(signal.SIGTERM, stop.set)
-    loop.add_signal_handler(signal.SIGINT, stop.set)
-    reload = asyncio.Event()
-    loop.add_signal_handler(signal.SIGHUP, reload.set)
-    lifetime = uuid.uuid4().hex[:8]
-    # A role imports only what it needs, as memory and time of start are paid for.
-    if role == "entry":
-        from comfreysill.gateway.program import run_gateway as run
-    else:
-        from comfreysill.sidecar.program import run_sidecar as run
-    gc.freeze()
-    await run(settings, lifetime, stop, reload)
+    from comfreysill.process import run_process
+
+    run_process(role, settings, listeners)
+
+
+def _find_outside(role: str, settings: InstanceSettings) -> Address:
+    address = settings.callers if role == "entry" else settings.reports
+    if address is None:
+        hint = "the deploy file has to say what the role serves"
+        raise ComfreysillError(message=f"the settings give the {role} no port", hint=hint)
+    return address
--- a/src/comfreysill/platform/settings.py
+++ b/src/comfreysill/platform/settings.py
@@ -23,6 +23,7 @@
         readiness: Where the balancer asks whether to send callers.
         reports: Where the runner beside it sends its reports, None without one.
         link: Where other processes of the system connect.
+        advertised: Address of the link service that others are told, `host:port`.
         metrics: Where metrics are served.
         entries: Link addresses of instances that may run entries; some may be stale.
         runner: Where the runner beside it takes calls, None without one.
@@ -39,6 +40,7 @@
         "readiness",
         "reports",
         "link",
+        "advertised",
         "metrics",
         "entries",
         "runner",
@@ -57,6 +59,7 @@
         readiness: Address | None,
         reports: Address | None,
         link: Address,
+        advertised: str,
         metrics: Address,
         entries: tuple[str, ...],
         runner: Address | None,
@@ -71,6 +74,7 @@
         self.readiness = readiness
         self.reports = reports
         self.link = link
+        self.advertised = advertised
         self.metrics = metrics
         self.entries = entries
         self.runner = runner
@@ -112,6 +116,8 @@
         readiness=_find_address(listen, "ready"),
         reports=_find_address(listen, "control"),
         link=Address(host=ip, port=first_port),
+        # Not a field of the platform: where something stands between the processes, as in the soak.
+        advertised=document.get("advertised") or f"{ip}:{first_port}",
         metrics=Address(host=ip, port=last_port),
         entries=tuple(f"{seed}:{first_port}" for seed in seeds),
         runner=parse_address(document["app"]) if document.get("app") else None,
--- /dev/null
+++ b/src/comfreysill/process.py
@@ -0,0 +1,33 @@
+"""The event loop, the signals and the log of one process of the system on the platform."""
+
+import asyncio
+import gc
+import signal
+import uuid
+
+from comfreysill.listeners import Listeners
+from comfreysill.platform.settings import InstanceSettings
+from comfreysill.structured import configure_structured_logging
+
+
+def run_process(role: str, settings: InstanceSettings, listeners: Listeners) -> None:
+    """Runs an entry or an agent until it is asked to stop."""
+    configure_structured_logging(settings.name)
+    asyncio.run(_run(role, settings, listeners))
+
+
+async def _run(role: str, settings: InstanceSettings, listeners: Listeners) -> None:
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGTERM, stop.set)
+    loop.add_signal_handler(signal.SIGINT, stop.set)
+    reload = asyncio.Event()
+    loop.add_signal_handler(signal.SIGHUP, reload.set)
+    lifetime = uuid.uuid4().hex[:8]
+    # A role imports only what it needs, as memory and time of start are paid for.
+    if role == "entry":
+        from comfreysill.gateway.program import run_gateway as run
+    else:
+        from comfreysill.sidecar.program import run_sidecar as run
+    gc.freeze()
+    await run(settings, listeners, lifetime, stop, reload)
--- a/src/comfreysill/servers.py
+++ b/src/comfreysill/servers.py
@@ -1,6 +1,7 @@
 """HTTP and gRPC servers of a process."""
 
 import asyncio
+import socket
 from typing import Any
 
 import uvicorn
@@ -52,12 +53,17 @@
         return None
 
 
-def build_http(app: Any, address: Address) -> HttpServer:
-    """Builds an HTTP server; `serve()` runs it until `end_http` is called."""
+def build_http(app: Any, address: Address | None = None) -> HttpServer:
+    """Builds an HTTP server; `serve()` runs it until `end_http` is called.
+
+    Args:
+        app: The ASGI application.
+        address: Where it listens, None where `serve()` is given a listening socket.
+    """
     config = uvicorn.Config(
         app,
-        host=address.host,
-        port=address.port,
+        host=address.host if address else "",
+        port=address.port if address else 0,
         http="httptools",
         ws="none",
         lifespan="off",
@@ -75,6 +81,13 @@
     return server
 
 
+async def adopt_grpc(services: list[Any], listener: socket.socket) -> Server:
+    """Starts a gRPC server on a listening socket."""
+    server = Server(services)
+    await server.start(sock=listener)
+    return server
+
+
 def end_http(server: HttpServer) -> None:
     """Has an HTTP server take no more connections, and end once its requests are answered."""
     server.should_exit = True
--- a/src/comfreysill/sidecar/program.py
+++ b/src/comfreysill/sidecar/program.py
@@ -11,6 +11,7 @@
 from comfreysill.clock import read_boot_clock
 from comfreysill.exchange.messages import Announcement
 from comfreysill.instruments import build_metrics_app
+from comfreysill.listeners import Listeners
 from comfreysill.membership import register_member
 from comfreysill.metrics import Metrics
 from comfreysill.platform.members import Member, read_members
@@ -21,7 +22,7 @@
 from comfreysill.reloading import follow_settings
 from comfreysill.running.book import RunBook
 from comfreysill.running.calls import Call, RenewCall
-from comfreysill.servers import build_http, start_grpc, stop_http
+from comfreysill.servers import adopt_grpc, build_http, stop_http
 from comfreysill.sidecar.keeper import Keeper, keep_book
 from comfreysill.sidecar.links import TargetService, announce
 from comfreysill.sidecar.messages import (
@@ -48,7 +49,11 @@
 
 
 async def run_sidecar(
-    settings: InstanceSettings, lifetime: str, stop: asyncio.Event, reload: asyncio.Event
+    settings: InstanceSettings,
+    listeners: Listeners,
+    lifetime: str,
+    stop: asyncio.Event,
+    reload: asyncio.Event,
 ) -> None:
     """Runs an agent until it is asked to stop and its runs have ended."""
     runner = open_runner(settings.runner)
@@ -60,12 +65,12 @@
     keeper = Keeper(book=book, call=lambda call: _start_call(keeper, runner, calls, call))
     calls: set[asyncio.Task] = set()
     store = open_store(settings.store)
-    http = build_http(_build_reports(keeper), settings.reports)
-    grpc = await start_grpc([TargetService(inbox=keeper.inbox)], settings.link)
-    http_task = asyncio.create_task(http.serve())
+    http = build_http(_build_reports(keeper))
+    grpc = await adopt_grpc([TargetService(inbox=keeper.inbox)], listeners.link)
+    http_task = asyncio.create_task(http.serve(sockets=[listeners.outside]))
     tasks = _start_tasks(keeper, settings, store, reload)
     member = Member(
-        name=settings.name, role="agent", address=str(settings.link), service=settings.service
+        name=settings.name, role="agent", address=settings.advertised, service=settings.service
     )
     once = [
         asyncio.create_task(register_member(store, member)),
@@ -178,7 +183,7 @@
 async def _announce(keeper: Keeper, settings: InstanceSettings) -> None:
     """Announces this agent to entries: once, and again after a link to one is lost."""
     announcement = Announcement(
-        agent=settings.name, address=str(settings.link), service=settings.service
+        agent=settings.name, address=settings.advertised, service=settings.service
     )
     due: dict[str, float] = {}
     pauses: dict[str, float] = {}
--- a/tests/test_platform_processes.py
+++ b/tests/test_platform_processes.py
@@ -41,6 +41,7 @@
 class TestPlatformFloor(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
         self.folder = tempfile.TemporaryDirectory()
+        self.numbers = itertools.count()
         network = f"127.{next(NETWORKS)}"
         self.floor = PlatformFloor(
             network=network, folder=pathlib.Path(self.folder.name), entries=2, agents=3
@@ -53,7 +54,8 @@
 
     async def load(self, jobs, pause=0.03):
         calls = []
-        for number in range(jobs):
+        # Two callers never use the same id.
+        for number in itertools.islice(self.numbers, jobs):
             call = call_until_final(self.session, self.floor, f"{number:016x}", number)
             calls.append(asyncio.create_task(call))
             await asyncio.sleep(pause)
