--- a/standins/platform_floor.py
+++ b/standins/platform_floor.py
@@ -31,6 +31,7 @@
         folder: Folder for settings and logs.
         stores: Addresses under which instances see the store, where that is a proxy's.
         runners: Addresses under which agents see their runners, where that is a proxy's.
+        links: Addresses under which processes see one another's links, where that is a proxy's.
         processes: The processes by name.
     """
 
@@ -42,6 +43,7 @@
         "grace",
         "stores",
         "runners",
+        "links",
         "processes",
     )
 
@@ -55,6 +57,7 @@
         self.grace = grace
         self.stores: dict[str, str] = {}
         self.runners: dict[str, str] = {}
+        self.links: dict[str, str] = {}
         self.processes: dict[str, asyncio.subprocess.Process] = {}
 
     def find_ip(self, name: str) -> str:
@@ -105,6 +108,7 @@
         "seeds": [],
         "bounds": {"grace-s": floor.grace},
         "platform": {"address": floor.stores.get(name, floor.store)},
+        "advertised": floor.links.get(name, ""),
     }
     if name.startswith("entry"):
         document["listen"] = {"front": f"{ip}:{CALLERS_PORT}", "ready": f"{ip}:{READY_PORT}"}
--- a/standins/proxy.py
+++ b/standins/proxy.py
@@ -9,12 +9,13 @@
 
 
 class Mode(enum.Enum):
-    """What the proxy does with bytes; SILENT and the one-way modes hold connections open."""
+    """What the proxy does with bytes; SILENT and the one-way cuts hold connections open."""
 
     PASS = "pass"
     DELAY = "delay"
     SILENT = "silent"
-    ONE_WAY = "one-way"
+    CUT_BACK = "cut-back"
+    CUT_FORTH = "cut-forth"
     REFUSE = "refuse"
 
 
@@ -95,8 +96,7 @@
             return
         if proxy.mode == Mode.DELAY:
             await asyncio.sleep(proxy.delay)
-        silent = proxy.mode == Mode.SILENT or (proxy.mode == Mode.ONE_WAY and back)
-        if silent:
+        if proxy.mode in (Mode.SILENT, Mode.CUT_BACK if back else Mode.CUT_FORTH):
             continue
         writer.write(chunk)
         await writer.drain()
--- a/standins/soak.py
+++ b/standins/soak.py
@@ -1,7 +1,8 @@
 """Randomized soak: real entries and agents, faults from outside, promises checked all the while.
 
 Each seed gives a series of faults, some at the same time: signals to processes, faults of the store
-and of runners, and proxies between instances and the store, and between agents and their runners.
+and of runners, and proxies between instances and the store, between agents and their runners, and
+before each process's links.
 Callers use open connections until these break, and send a request again as callers do. A seed fails
 if a task ran twice at a time, a request that was always refused ran, a request has no final answer
 after the floor is calm, or a process ended by itself.
@@ -21,6 +22,7 @@
 import aiohttp
 
 from standins.platform_floor import (
+    FIRST_PORT,
     RUNNER_PORT,
     PlatformFloor,
     note_death,
@@ -108,6 +110,9 @@
         ip = floor.find_ip(name)
         soak.proxies[f"{name} store"] = Proxy(address=f"{ip}:{PROXY_PORT}", target=floor.store)
         floor.stores[name] = f"{ip}:{PROXY_PORT}"
+        link = Proxy(address=f"{ip}:{PROXY_PORT + 2}", target=f"{ip}:{FIRST_PORT}")
+        soak.proxies[f"{name} link"] = link
+        floor.links[name] = link.address
         if name in floor.agents:
             runner = Proxy(address=f"{ip}:{PROXY_PORT + 1}", target=f"{ip}:{RUNNER_PORT}")
             soak.proxies[f"{name} runner"] = runner
@@ -220,7 +225,7 @@
         soak.faults.append(f"reset {name}")
         reset_connections(proxy)
         return
-    mode = soak.random.choice((Mode.DELAY, Mode.SILENT, Mode.ONE_WAY, Mode.REFUSE))
+    mode = soak.random.choice((Mode.DELAY, Mode.SILENT, Mode.CUT_BACK, Mode.CUT_FORTH, Mode.REFUSE))
     soak.faults.append(f"{mode.value} {name} {seconds:.1f}")
     proxy.delay = soak.random.choice((0.02, 0.2, 0.6))
     proxy.mode = mode
