--- a/src/comfreysill/running/book.py
+++ b/src/comfreysill/running/book.py
@@ -95,6 +95,7 @@
         lease_until: Boot-clock time in seconds until which the entry's tasks may run.
         hunger: Rank of the most urgent task that the entry can't place, 0 while there is none.
         told_at: Boot-clock time in seconds at which it was last told of free room.
+        accepting_sent: What the last frame said about taking new work.
         ended: Ends that the entry hasn't confirmed.
         next_end: Number of the next end.
         end_sent: Number of the newest end that was sent on the open link.
@@ -113,6 +114,7 @@
         "lease_until",
         "hunger",
         "told_at",
+        "accepting_sent",
         "ended",
         "next_end",
         "end_sent",
@@ -131,6 +133,7 @@
         self.lease_until = 0.0
         self.hunger = 0
         self.told_at = 0.0
+        self.accepting_sent = False
         self.ended: deque[Ended] = deque()
         self.next_end = 1
         self.end_sent = 0
--- a/src/comfreysill/running/frames.py
+++ b/src/comfreysill/running/frames.py
@@ -59,7 +59,8 @@
     load = measure_load(book, now)
     first = _choose_hungry(book, now) if freed else ()
     for session in book.sessions.values():
-        if session.number and (session in first or _is_due(book, session, now)):
+        turned = session.accepting_sent != load.accepting
+        if session.number and (turned or session in first or _is_due(book, session, now)):
             frames.append((session.entry, _build_frame(book, session, load, now)))
     return frames
 
@@ -113,6 +114,7 @@
         next_seconds=_find_interval(book, session),
     )
     session.opened = True
+    session.accepting_sent = load.accepting
     session.profile_sent = book.profile_version
     session.sent_at = now
     if session.ended:
--- a/tests/test_running.py
+++ b/tests/test_running.py
@@ -14,6 +14,7 @@
     StopCall,
 )
 from comfreysill.running.frames import collect_frames
+from comfreysill.running.health import SUSPEND_SECONDS, suspend_target
 from comfreysill.running.intake import expire_sessions, receive_frame
 from comfreysill.running.renewals import call_renewal, check_lapse, receive_renewal
 from comfreysill.running.runner import begin_stop, receive_report
@@ -116,6 +117,17 @@
         later = [entry for entry, _ in collect_frames(self.book, False, self.now)]
         self.assertIn("e1@1", later)
 
+    def test_entries_hear_at_once_whether_new_work_is_taken(self):
+        collect_frames(self.book, False, self.now)
+        self.assertEqual(collect_frames(self.book, False, self.now), [])
+        suspend_target(self.book, self.now)
+        ((_, frame),) = collect_frames(self.book, False, self.now)
+        self.assertFalse(frame.load.accepting)
+        self.now += SUSPEND_SECONDS + 0.01
+        self.book.answered_at = self.now
+        ((_, frame),) = collect_frames(self.book, False, self.now)
+        self.assertTrue(frame.load.accepting)
+
     def test_tasks_beyond_the_room_come_back_at_once(self):
         self.frame(tasks=6)
         self.assertEqual(len(self.take_starts()), 4)
