--- a/src/comfreysill/early_stop.py
+++ b/src/comfreysill/early_stop.py
@@ -1,6 +1,8 @@
-"""Imported first by programs: a request to end that comes while they load ends them cleanly.
+"""Imported first by programs: signals that come while they load.
 
-Nothing has been taken yet at that time, so that nothing has to be finished.
+A request to end ends them cleanly; nothing has been taken yet that would have to be finished. Word
+of changed settings would kill them by default; it is passed over, as the settings are read again
+now and then once the program runs.
 """
 
 import signal
@@ -13,3 +15,4 @@
 
 
 signal.signal(signal.SIGTERM, _exit)
+signal.signal(signal.SIGHUP, signal.SIG_IGN)
--- a/src/comfreysill/gateway/program.py
+++ b/src/comfreysill/gateway/program.py
@@ -51,7 +51,7 @@
         unix_offset=measure_unix_offset(),
         observe=build_observer(metrics),
     )
-    desk.entries = [settings.advertised, *settings.entries]
+    desk.entries = list(dict.fromkeys((settings.advertised, *settings.entries)))
     keeper = Keeper(desk=desk)
     store = open_store(settings.store)
     callers = build_http(build_callers_app(_build_front(keeper)))
--- a/tests/test_launch.py
+++ b/tests/test_launch.py
@@ -22,6 +22,20 @@
         self.assertEqual(process.wait(20), 0)
         process.stdout.close()
 
+    def test_word_of_changed_settings_during_the_start_is_passed_over(self):
+        code = "import comfreysill.early_stop, sys, os; os.write(1, b'x'); sys.stdin.read()"
+        process = subprocess.Popen(
+            [sys.executable, "-c", code],
+            stdin=subprocess.PIPE,
+            stdout=subprocess.PIPE,
+            env={**os.environ, "PYTHONPATH": str(ROOT / "src")},
+        )
+        process.stdout.read(1)
+        process.send_signal(signal.SIGHUP)
+        process.stdin.close()
+        self.assertEqual(process.wait(20), 0)
+        process.stdout.close()
+
     def test_bad_roles_and_settings_are_named(self):
         for role, expected in (("nobody", "unknown role"), ("entry", "COMFREYSILL_SETTINGS")):
             environment = {**os.environ, "PYTHONPATH": str(ROOT / "src")}
