--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -98,6 +98,18 @@
     return stop
 
 
+def keep_connected(real):
+    def drop(desk, agent):
+        real(desk, agent)
+        agent.connected = True
+
+    return drop
+
+
+def ignore_port(real):
+    return lambda keeper, taking: real(keeper, taking=True)
+
+
 def settle_at_once(book, run, reply, there, now):
     from comfreysill.running.starts import retry_start
 
@@ -120,6 +132,13 @@
     "stops-not-repeated": ("tests.platform_world.repeat_stops", lambda real: lambda *a: None),
     "stalls-unseen": (f"{RUNNING}.progress._stop_stalled", lambda real: lambda *a: None),
     "avoided-for-good": (f"{PLACING}.placement._forget_avoided", lambda real: lambda *a: None),
+    "lost-agents-counted": (f"{PLACING}.panel._is_lost", lambda real: lambda *a: False),
+    "panel-of-one-order": (f"{PLACING}.agents.rank_agent", lambda real: lambda entry, agent: 0),
+    "tasks-left-behind": (f"{PLACING}.panel.drop_link", keep_connected),
+    "all-hungry-told": (f"{RUNNING}.frames.TOLD_AT_ONCE", lambda real: 99),
+    "hunger-unranked": ("tests.test_placing.rank_hunger", lambda real: lambda desk: 1),
+    "acceptance-not-told": (f"{RUNNING}.frames.is_accepting", lambda real: lambda *a: True),
+    "ready-without-port": ("tests.test_gateway.is_ready", lambda real: ignore_port(real)),
     "old-lists": ("tests.test_running.receive_renewal", lambda real: forget_list_time(real)),
 }
 MUTATIONS |= FLOOR_MUTATIONS
@@ -138,9 +157,9 @@
 
     loader = unittest.defaultTestLoader
     if name in FLOOR_MUTATIONS:
-        from tests import test_placing, test_running
+        from tests import test_gateway, test_panel, test_placing, test_running
 
-        modules = [test_running, test_placing, test_platform_floor]
+        modules = [test_running, test_placing, test_panel, test_gateway, test_platform_floor]
         return unittest.TestSuite(loader.loadTestsFromModule(module) for module in modules)
     suite = loader.loadTestsFromModule(test_takeover)
     suite.addTests(loader.loadTestsFromModule(test_ledger))
--- a/tests/platform_world.py
+++ b/tests/platform_world.py
@@ -14,7 +14,8 @@
     open_link,
     receive_agent_frame,
 )
-from comfreysill.placing.desk import CloseLink, Desk, SendFrame
+from comfreysill.placing.desk import CloseLink, Desk, DropLink, OpenLink, SendFrame
+from comfreysill.placing.panel import adjust_panel
 from comfreysill.placing.placement import place_waiting
 from comfreysill.placing.requests import abandon_caller, expire_requests, submit_request
 from comfreysill.request.types import Specification, Step, Verdict
@@ -198,6 +199,7 @@
         process.alive = True
         process.held = []
         process.state = Desk(name=f"{name}@{process.lifetime}", zone="z", unix_offset=0.0)
+        process.state.entries = list(self.entries)
         for agent in self.agents:
             discover_agent(process.state, agent, agent)
 
@@ -246,6 +248,7 @@
 
     def flush_entry(self, process):
         desk = process.state
+        adjust_panel(desk, self.now)
         place_waiting(desk, self.now)
         collect_frames(desk, self.now)
         effects, desk.effects = desk.effects, []
@@ -253,8 +256,10 @@
         for effect in effects:
             if isinstance(effect, SendFrame):
                 self.send(process.name, effect.agent, effect.frame)
-            elif isinstance(effect, CloseLink):
+            elif isinstance(effect, CloseLink | DropLink):
                 self.drop_link(process.name, effect.agent)
+            elif isinstance(effect, OpenLink):
+                self.connect(process.name, effect.agent)
             else:
                 self.take_verdict(process.name, effect)
 
@@ -281,6 +286,8 @@
         frozen = max(source.frozen_until, target.frozen_until) > self.now
         if (entry, agent) in self.links or not source.alive or not target.alive or frozen:
             return
+        if not source.state.agents[agent].wanted_at:
+            return
         if self.is_cut(entry, agent) or self.is_cut(agent, entry):
             return
         session = open_link(source.state, agent, self.now)
--- a/tests/test_platform_floor.py
+++ b/tests/test_platform_floor.py
@@ -1,9 +1,11 @@
 import os
 import unittest
+from unittest import mock
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from comfreysill.placing import panel
 from comfreysill.request.types import Verdict
 from comfreysill.running.calls import Reply, StopCall
 from tests.platform_world import CAPACITY, World
@@ -81,7 +83,15 @@
     @settings(max_examples=EXAMPLES, deadline=None, derandomize=EXAMPLES == 60)
     @given(STEPS, st.integers(0, 1000))
     def test_never_twice_never_beyond_room(self, steps, seed):
-        world = World(seed)
+        self.play(World(seed), steps)
+
+    @settings(max_examples=EXAMPLES // 2, deadline=None, derandomize=EXAMPLES == 60)
+    @given(STEPS, st.integers(0, 1000))
+    def test_the_same_with_panels_that_change(self, steps, seed):
+        with mock.patch.multiple(panel, PANEL_LEAST=2, ENTRIES_PER_AGENT=1, LOST_SECONDS=0.3):
+            self.play(World(seed, entries=3, agents=6), steps)
+
+    def play(self, world, steps):
         world.run(2.0)
         for fault, number, pause in steps:
             apply_fault(world, fault, number, pause)
