--- a/src/comfreysill/gateway/keeper.py
+++ b/src/comfreysill/gateway/keeper.py
@@ -42,7 +42,7 @@
     TellCaller,
 )
 from comfreysill.placing.panel import adjust_panel
-from comfreysill.placing.placement import is_usable, place_waiting
+from comfreysill.placing.placement import is_usable, place_waiting, refuse_hopeless
 from comfreysill.placing.requests import (
     abandon_caller,
     conclude_request,
@@ -187,6 +187,7 @@
 def _receive_tick(keeper: Keeper, message: Tick, now: float) -> None:
     expire_agents(keeper.desk, now)
     expire_requests(keeper.desk, now)
+    refuse_hopeless(keeper.desk, now)
 
 
 def _receive_give_up(keeper: Keeper, message: GiveUp, now: float) -> None:
--- a/src/comfreysill/placing/placement.py
+++ b/src/comfreysill/placing/placement.py
@@ -40,14 +40,38 @@
     for service, queue in desk.queues.items():
         if not queue:
             continue
-        rooms = [
-            Room(agent=agent)
-            for agent in desk.agents.values()
-            if is_usable(agent, now) and agent.profile.service == service
-        ]
-        if not rooms:
+        rooms = [Room(agent=agent) for agent in _find_usable(desk, service, now)]
+        if rooms:
+            _place_queue(desk, queue, rooms, now)
+
+
+def refuse_hopeless(desk: Desk, now: float) -> None:
+    """Refuses waiting requests as soon as they can't end in time any more.
+
+    Without a target nothing is known of its speed: then only the time that is left counts.
+    """
+    for service, queue in desk.queues.items():
+        if not queue:
             continue
-        _place_queue(desk, queue, rooms, now)
+        speeds = [agent.load.slowness for agent in _find_usable(desk, service, now)]
+        fastest = min(speeds, default=0.0)
+        for entry in list(queue):
+            request = entry[4]
+            waits = request.verdict is None and not request.begun
+            if waits and _is_hopeless(request, fastest, now):
+                _refuse(desk, request, now)
+
+
+def _refuse(desk: Desk, request: Request, now: float) -> None:
+    conclude_request(desk, request, Verdict.NOT_RUN, "it can't end in time any more", now)
+
+
+def _find_usable(desk: Desk, service: str, now: float) -> list[Agent]:
+    return [
+        agent
+        for agent in desk.agents.values()
+        if is_usable(agent, now) and agent.profile.service == service
+    ]
 
 
 def is_usable(agent: Agent, now: float) -> bool:
@@ -61,14 +85,14 @@
 
 def _place_queue(desk: Desk, queue: list, rooms: list[Room], now: float) -> None:
     passed: list[Request] = []
+    fastest = min(room.agent.load.slowness for room in rooms)
     while len(passed) < MISFIT_LIMIT:
         entry = pop_request(queue)
         if entry is None:
             break
         band, request = entry[0], entry[4]
-        if not request.begun and _is_hopeless(request, rooms, now):
-            detail = "it can't end in time any more"
-            conclude_request(desk, request, Verdict.NOT_RUN, detail, now)
+        if not request.begun and _is_hopeless(request, fastest, now):
+            _refuse(desk, request, now)
             continue
         for number in list(request.pending):
             _place_step(desk, request, number, rooms, band, now)
@@ -80,9 +104,8 @@
         push_request(desk, request, now)
 
 
-def _is_hopeless(request: Request, rooms: list[Room], now: float) -> bool:
+def _is_hopeless(request: Request, fastest: float, now: float) -> bool:
     """Tells whether a request would end after the last moment at which it is of use."""
-    fastest = min(room.agent.load.slowness for room in rooms)
     objective = request.due_at - request.received_at
     chain = measure_chain(request.specification.steps)
     return now + fastest * chain > request.received_at + LATE_FACTOR * objective
--- a/tests/platform_world.py
+++ b/tests/platform_world.py
@@ -16,7 +16,7 @@
 )
 from comfreysill.placing.desk import CloseLink, Desk, DropLink, OpenLink, SendFrame
 from comfreysill.placing.panel import adjust_panel
-from comfreysill.placing.placement import place_waiting
+from comfreysill.placing.placement import place_waiting, refuse_hopeless
 from comfreysill.placing.requests import abandon_caller, expire_requests, submit_request
 from comfreysill.request.types import Specification, Step, Verdict
 from comfreysill.running.book import RunBook
@@ -238,6 +238,7 @@
     def tick_entry(self, process):
         expire_agents(process.state, self.now)
         expire_requests(process.state, self.now)
+        refuse_hopeless(process.state, self.now)
         self.flush_entry(process)
 
     def tick_agent(self, process):
--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -10,7 +10,7 @@
     receive_agent_frame,
 )
 from comfreysill.placing.desk import AskRoutes, Desk, SendFrame, TellCaller
-from comfreysill.placing.placement import place_waiting
+from comfreysill.placing.placement import place_waiting, refuse_hopeless
 from comfreysill.placing.queue import rank_hunger
 from comfreysill.placing.requests import abandon_caller, submit_request
 from comfreysill.request.types import Specification, Step, Verdict
@@ -109,6 +109,27 @@
                 told[effect.caller] = effect.verdict
         return sent, told
 
+    def test_hopeless_requests_are_refused_while_others_go_first_or_no_target_is_there(self):
+        for targets in (True, False):
+            self.setUp()
+            for name in ("a", "b"):
+                self.report(name, cpu=0, accepting=targets)
+            self.submit(build_request("short", estimate=0.1), caller=1)
+            self.submit(build_request("long", estimate=2.0), caller=2)
+            self.now += 0.6
+            for name in ("a", "b"):
+                self.report(name, cpu=0, accepting=targets)
+            refuse_hopeless(self.desk, self.now)
+            told = {
+                effect.caller: (effect.verdict, effect.retry_at > self.now)
+                for effect in self.desk.effects
+                if isinstance(effect, TellCaller)
+            }
+            self.assertEqual(told, {} if not targets else {1: (Verdict.NOT_RUN, True)}, targets)
+            self.now += 0.1
+            refuse_hopeless(self.desk, self.now)
+            self.assertEqual(list(self.desk.requests), ["long"])
+
     def test_agents_hear_of_the_most_urgent_waiting_request(self):
         self.flush()
         for priority, rank in ((2, 4), (1, 3), (0, 2)):
