--- /dev/null
+++ b/tests/test_story.py
@@ -0,0 +1,86 @@
+import pathlib
+import tempfile
+import unittest
+
+import orjson
+
+from comfreysill.cli.explain import describe_record, describe_story, explain_request
+from comfreysill.exceptions import RefusedError, UsageError
+from comfreysill.story.records import decode_line, read_records
+from comfreysill.story.story import tell_story
+
+
+def line(time, process, event, **fields):
+    return orjson.dumps({"time": time, "process": process, "event": event, **fields})
+
+
+def taken(time=10.0, process="e1"):
+    return line(time, process, "request taken", request="r1", tasks=2)
+
+
+def ended(verdict, time=11.0, why="", **fields):
+    return line(time, "e1", "request ended", request="r1", verdict=verdict, why=why, **fields)
+
+
+class TestStory(unittest.TestCase):
+    def tell(self, *lines):
+        return tell_story([decode_line(text) for text in lines], "r1")
+
+    def test_causes(self):
+        failed = [line(10.4, "e1", "task failed", task="r1/0/0", agent=name) for name in "ab"]
+        moved = line(10.5, "e1", "task returned", task="r1/0/1", agent="a", why="it stood still")
+        cases = (
+            ((taken(), ended("COMPLETED", late=False)), "served in time"),
+            ((taken(), ended("NOT_RUN", why="no room", age=1.0)), "refused before it ran"),
+            ((taken(), *failed, ended("FAILED")), "a, b: the request itself"),
+            ((taken(), failed[0], ended("FAILED")), "a only"),
+            ((taken(), moved, ended("COMPLETED", late=True)), "a (it stood still)"),
+            ((taken(), ended("MAY_HAVE_RUN", why="its caller left")), "its caller left"),
+            ((taken(), line(10.9, "e1", "entry started")), "e1 died with it"),
+            ((taken(), line(10.9, "e2", "entry started")), "e1 took it"),
+            ((ended("COMPLETED", time=9.0), taken()), "e1 took it"),
+            ((taken(time=10.0, process="e2"),), "e2 took it"),
+        )
+        for lines, expected in cases:
+            self.assertIn(expected, self.tell(*lines).cause)
+
+    def test_lines_around_are_those_of_processes_that_took_part(self):
+        story = self.tell(
+            line(1.0, "e1", "entry started"),
+            taken(),
+            line(10.1, "e1", "tasks placed", request="r1", agent="a", waited=0.1),
+            line(10.2, "a", "target suspended", seconds=1.0),
+            line(10.2, "b", "target suspended", seconds=1.0),
+            line(10.3, "e1", "tasks placed", request="r2", agent="b"),
+            ended("COMPLETED", late=False),
+        )
+        self.assertEqual(len(story.own), 3)
+        self.assertEqual([record.process for record in story.around], ["e1", "e1", "a", "e1"])
+        self.assertEqual(len(describe_story(story)["lines"]), 4)
+        self.assertIn("agent=a", describe_record(story.around[1], 10.0))
+
+    def test_a_task_of_another_request_with_the_same_begin_is_not_its_own(self):
+        story = self.tell(taken(), line(10.2, "e1", "task failed", task="r11/0/0", agent="a"))
+        self.assertEqual(len(story.own), 1)
+
+
+class TestFiles(unittest.TestCase):
+    def setUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.path = pathlib.Path(folder.name) / "log"
+
+    def test_lines_of_others_are_passed_over_and_prefixes_too(self):
+        self.path.write_bytes(b"x\n{}\n[1]\n{broken\n 1.0 e1 " + taken() + b"\n")
+        (record,) = read_records([self.path])
+        self.assertEqual((record.process, record.fields["request"]), ("e1", "r1"))
+
+    def test_what_cant_be_told_is_an_error_with_a_hint(self):
+        with self.assertRaises(UsageError):
+            read_records([self.path])
+        self.path.write_bytes(b"nothing\n")
+        with self.assertRaises(UsageError):
+            read_records([self.path])
+        self.path.write_bytes(taken())
+        with self.assertRaises(RefusedError):
+            explain_request("r2", [self.path])
