--- a/src/comfreysill/cli/main.py
+++ b/src/comfreysill/cli/main.py
@@ -176,22 +176,6 @@
         document = floors.find_past(first, version)
         print_accepted(floors.apply_document(first, document, author, None), json)
 
-    @cappa.command(name="explain")
-    def explain(
-        self,
-        request_id: Annotated[str, cappa.Arg(help="Id of the request.")],
-        files: Annotated[list[pathlib.Path], cappa.Arg(help="Logs of entries and agents.")],
-        json: JsonOption = False,
-    ) -> None:
-        """Tell from logs what became of a request, and why."""
-        story = explain_request(request_id, files)
-        if json:
-            print_json(describe_story(story))
-            return
-        for record in story.around:
-            print(describe_record(record, story.own[0].time))
-        print(f"cause: {story.cause}")
-
     @cappa.command(name="status")
     def status(self, entry: EntryOption) -> None:
         """Show the version in force in each process."""
