--- a/tests/test_story.py
+++ b/tests/test_story.py
@@ -6,8 +6,13 @@
 
 from comfreysill.cli.explain import describe_record, describe_story, explain_request
 from comfreysill.exceptions import RefusedError, UsageError
-from comfreysill.story.records import decode_line, read_records
-from comfreysill.story.story import tell_story
+from comfreysill.exchange.messages import Outcome
+from comfreysill.placing.placement import refuse_hopeless
+from comfreysill.story.records import Record, decode_line, read_records
+from comfreysill.story.story import SURROUNDINGS, tell_story
+from tests import test_placing
+
+SOURCES = pathlib.Path(__file__).parent.parent / "src" / "comfreysill"
 
 
 def line(time, process, event, **fields):
@@ -84,3 +89,50 @@
         self.path.write_bytes(taken())
         with self.assertRaises(RefusedError):
             explain_request("r2", [self.path])
+
+
+class TestEventsOfTheEntry(unittest.TestCase):
+    """The lines that a desk really writes lead to the cause."""
+
+    def setUp(self):
+        self.floor = test_placing.TestDesk()
+        self.floor.setUp()
+
+    def tell(self, request_id):
+        events = enumerate(self.floor.desk.events)
+        records = [
+            Record(time=float(number), process="e", event=text, fields=fields)
+            for number, (text, fields) in events
+        ]
+        return tell_story(records, request_id).cause
+
+    def test_a_refused_request(self):
+        self.floor.submit(test_placing.build_request("r1"))
+        self.floor.now += 30.0
+        refuse_hopeless(self.floor.desk, self.floor.now)
+        self.assertIn("refused before it ran, after 30.0 s", self.tell("r1"))
+
+    def test_a_failed_request(self):
+        self.floor.submit(test_placing.build_request("r1", tasks=1))
+        for attempt in (1, 2):
+            (agent,) = self.floor.flush()[0]
+            self.floor.report(agent, ends=[("r1/0/0", attempt, Outcome.FAILED)])
+        self.assertIn("its tasks failed on a, b: the request itself", self.tell("r1"))
+
+    def test_a_request_that_was_late_after_its_agent_was_lost(self):
+        self.floor.submit(test_placing.build_request("r1", tasks=1))
+        (agent,) = self.floor.flush()[0]
+        self.floor.report(agent, ends=[("r1/0/0", 1, Outcome.LOST)])
+        self.floor.now += 5.0
+        for name in "ab":
+            self.floor.report(name)
+        (other,) = self.floor.flush()[0]
+        self.assertNotEqual(other, agent)
+        self.floor.report(other, ends=[("r1/0/0", 2, Outcome.DONE)])
+        self.assertIn(f"late, as tasks were started again: {agent}", self.tell("r1"))
+
+    def test_events_around_are_events_that_processes_write(self):
+        written = "".join(path.read_text() for path in SOURCES.rglob("*.py"))
+        stories = (SOURCES / "story" / "story.py").read_text()
+        for event in SURROUNDINGS:
+            self.assertGreater(written.count(f'"{event}"'), stories.count(f'"{event}"'), event)
