--- a/src/comfreysill/entry/links.py
+++ b/src/comfreysill/entry/links.py
@@ -5,7 +5,7 @@
 import time
 
 from grpclib.client import Channel
-from grpclib.exceptions import GRPCError, StreamTerminatedError
+from grpclib.exceptions import StreamTerminatedError
 from grpclib.server import Stream
 
 from comfreysill.address import Address
@@ -25,6 +25,7 @@
 from comfreysill.target.frames import EntryFrame
 from comfreysill.wire.agents import decode_agent_frame, encode_entry_frame
 from comfreysill.wire.comfreysill_grpc import AgentStub, PeerBase, PeerStub
+from comfreysill.wire.errors import LINK_ERRORS
 from comfreysill.wire.peers import decode_peer_frame, encode_peer_frame
 
 logger = logging.getLogger(__name__)
@@ -33,8 +34,6 @@
 CONNECT_LIMIT_SECONDS = 1.0
 SILENCE_LIMIT_SECONDS = 5.0
 
-_LINK_ERRORS = (GRPCError, StreamTerminatedError, ConnectionError, OSError, TimeoutError)
-
 
 class AgentLink:
     """Link to one agent.
@@ -80,7 +79,7 @@
             await _serve_agent(link, channel)
         except ConnectionRefusedError:
             refused = True
-        except _LINK_ERRORS as error:
+        except LINK_ERRORS as error:
             logger.debug("link to agent %s: %s", link.agent, error)
         finally:
             channel.close()
@@ -123,7 +122,7 @@
             await _serve_peer(link, channel)
         except ConnectionRefusedError:
             link.inbox.post(PeerRefused(name=link.name))
-        except _LINK_ERRORS as error:
+        except LINK_ERRORS as error:
             logger.debug("link to entry %s: %s", link.name, error)
         finally:
             channel.close()
--- a/src/comfreysill/exchange/messages.py
+++ b/src/comfreysill/exchange/messages.py
@@ -223,10 +223,9 @@
         memory_mb: Megabytes left.
         gpus: Accelerators left.
         slowness: Learned ratio of measured to declared run times.
-        samples: How many tasks the slowness was learned from.
     """
 
-    __slots__ = ("accepting", "cpu", "memory_mb", "gpus", "slowness", "samples")
+    __slots__ = ("accepting", "cpu", "memory_mb", "gpus", "slowness")
 
     def __init__(
         self,
@@ -236,14 +235,12 @@
         memory_mb: int,
         gpus: int,
         slowness: float,
-        samples: int,
     ) -> None:
         self.accepting = accepting
         self.cpu = cpu
         self.memory_mb = memory_mb
         self.gpus = gpus
         self.slowness = slowness
-        self.samples = samples
 
 
 class AgentFrame:
--- a/src/comfreysill/gateway/links.py
+++ b/src/comfreysill/gateway/links.py
@@ -5,7 +5,6 @@
 from collections.abc import Callable
 
 from grpclib.client import Channel
-from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
 from grpclib.server import Stream
 
 from comfreysill.address import parse_address
@@ -18,6 +17,7 @@
     LinkOpened,
 )
 from comfreysill.mailbox import Mailbox
+from comfreysill.wire.errors import LINK_ERRORS
 from comfreysill.wire.exchange import decode_agent_frame, decode_announcement, encode_entry_frame
 from comfreysill.wire.exchange_grpc import RosterBase, RosterStub, TargetStub
 from comfreysill.wire.exchange_pb2 import Nothing, RoutesText
@@ -27,7 +27,6 @@
 CONNECT_SECONDS = 0.4
 RECONNECT_SECONDS = 0.05
 RECONNECT_MOST_SECONDS = 1.0
-LINK_ERRORS = (OSError, TimeoutError, GRPCError, ProtocolError, StreamTerminatedError)
 
 
 class Link:
--- a/src/comfreysill/placing/desk.py
+++ b/src/comfreysill/placing/desk.py
@@ -219,7 +219,6 @@
         kept: Verdicts for repetitions, by id.
         waiters: Requests that wait for the end of an abandoned run, by id.
         queues: Requests with startable tasks by service.
-        stopping: True once the process ends.
         effects: What the process has to do; it takes them.
         events: Facts worth a log line; the process takes them.
     """
@@ -239,7 +238,6 @@
         "waiters",
         "callers",
         "queues",
-        "stopping",
         "ticked_at",
         "order",
         "effects",
@@ -263,7 +261,6 @@
         self.waiters: dict[str, list[Waiter]] = {}
         self.callers: dict[int, str] = {}
         self.queues: dict[str, list[tuple[int, int, float, int, Request]]] = {}
-        self.stopping = False
         self.ticked_at = 0.0
         self.order = 0
         self.effects: list[Effect] = []
--- a/src/comfreysill/platform/ingress.py
+++ b/src/comfreysill/platform/ingress.py
@@ -8,6 +8,7 @@
 from result import Err
 
 from comfreysill.gateway.messages import Reply
+from comfreysill.platform.bodies import read_body
 from comfreysill.platform.submission import Rejection, decode_submission
 from comfreysill.request.types import Specification, Verdict
 from comfreysill.routes.table import Route, RouteTable, find_route
@@ -102,7 +103,7 @@
 async def _serve_submission(
     front: Front, table: RouteTable, route: Route, request_id: str, receive: Any, send: Any
 ) -> None:
-    body = await _read_body(receive, table.max_body_bytes)
+    body = await read_body(receive, table.max_body_bytes)
     if body is None:
         await _answer(front, send, 413, {"error": "the body is too large"})
         return
@@ -151,22 +152,6 @@
         await _answer(front, send, 405, {"error": "no such call"})
 
 
-async def _read_body(receive: Any, limit: int) -> bytes | None:
-    chunks = []
-    size = 0
-    while True:
-        message = await receive()
-        if message["type"] == "http.disconnect":
-            return b""
-        chunk = message.get("body", b"")
-        size += len(chunk)
-        if size > limit:
-            return None
-        chunks.append(chunk)
-        if not message.get("more_body"):
-            return b"".join(chunks)
-
-
 async def _await_disconnect(receive: Any) -> None:
     while (await receive())["type"] != "http.disconnect":
         pass
--- a/src/comfreysill/platform/reports.py
+++ b/src/comfreysill/platform/reports.py
@@ -6,6 +6,7 @@
 
 from result import Err
 
+from comfreysill.platform.bodies import read_body
 from comfreysill.platform.runner import decode_report
 from comfreysill.running.calls import RunnerReport
 
@@ -14,6 +15,8 @@
 PREFIX = "/api/instances/"
 REPORT_SUFFIX = "/heartbeat"
 LEAVE_SUFFIX = "/deregister"
+# A report has a few hundred bytes; 4 MiB is the most that a runner may send.
+MOST_BYTES = 4 << 20
 
 TakeReport = Callable[[RunnerReport], None]
 TakeLeaving = Callable[[str], None]
@@ -30,9 +33,9 @@
     async def serve(scope: dict[str, Any], receive: Any, send: Any) -> None:
         if scope["type"] != "http":
             return
-        body = await _read_body(receive)
-        status = 404
-        if scope["method"] == "POST" and scope["path"].startswith(PREFIX):
+        body = await read_body(receive, MOST_BYTES)
+        status = 413 if body is None else 404
+        if body is not None and scope["method"] == "POST" and scope["path"].startswith(PREFIX):
             status = _take_call(scope["path"][len(PREFIX) :], body, report, leave)
         headers = [(b"content-type", b"application/json"), (b"content-length", b"2")]
         await send({"type": "http.response.start", "status": status, "headers": headers})
@@ -54,12 +57,3 @@
         return 400
     report(decoded.ok_value)
     return 200
-
-
-async def _read_body(receive: Any) -> bytes:
-    chunks = []
-    while True:
-        message = await receive()
-        chunks.append(message.get("body", b""))
-        if not message.get("more_body"):
-            return b"".join(chunks)
--- a/src/comfreysill/platform/runner.py
+++ b/src/comfreysill/platform/runner.py
@@ -134,8 +134,7 @@
 
 def _decode_entry(row: list[Any]) -> RunEntry:
     percent = float(row[3]) if len(row) > 3 else 0.0
-    usage = float(row[4]) if len(row) > 4 else 0.0
-    return RunEntry(task=decode_task(row[0]), run=int(row[1]), percent=percent, usage=usage)
+    return RunEntry(task=decode_task(row[0]), run=int(row[1]), percent=percent)
 
 
 def _decode_end(row: list[Any]) -> RunEnd:
--- a/src/comfreysill/platform/settings.py
+++ b/src/comfreysill/platform/settings.py
@@ -18,7 +18,6 @@
     Attributes:
         name: Name of the instance.
         zone: Its availability zone.
-        ip: Its IP number.
         callers: Where callers connect, None where the role doesn't serve them.
         readiness: Where the balancer asks whether to send callers.
         reports: Where the runner beside it sends its reports, None without one.
@@ -35,7 +34,6 @@
     __slots__ = (
         "name",
         "zone",
-        "ip",
         "callers",
         "readiness",
         "reports",
@@ -54,7 +52,6 @@
         *,
         name: str,
         zone: str,
-        ip: str,
         callers: Address | None,
         readiness: Address | None,
         reports: Address | None,
@@ -69,7 +66,6 @@
     ) -> None:
         self.name = name
         self.zone = zone
-        self.ip = ip
         self.callers = callers
         self.readiness = readiness
         self.reports = reports
@@ -111,7 +107,6 @@
     return InstanceSettings(
         name=document["node"],
         zone=document["zone"],
-        ip=ip,
         callers=_find_address(listen, "front"),
         readiness=_find_address(listen, "ready"),
         reports=_find_address(listen, "control"),
--- a/src/comfreysill/running/book.py
+++ b/src/comfreysill/running/book.py
@@ -102,7 +102,6 @@
         opened: True once the first frame of the link was sent.
         profile_sent: Version of the profile that was sent on the link.
         sent_at: Boot-clock time in seconds of the last frame.
-        echoed: Newest time stamp that the entry echoed.
         address: Address of the entry.
     """
 
@@ -121,7 +120,6 @@
         "opened",
         "profile_sent",
         "sent_at",
-        "echoed",
         "address",
     )
 
@@ -140,7 +138,6 @@
         self.opened = False
         self.profile_sent = -1
         self.sent_at = 0.0
-        self.echoed = 0.0
         self.address = ""
 
 
--- a/src/comfreysill/running/calls.py
+++ b/src/comfreysill/running/calls.py
@@ -198,13 +198,12 @@
 class RunEntry:
     """One run that a runner lists as running."""
 
-    __slots__ = ("task", "run", "percent", "usage")
+    __slots__ = ("task", "run", "percent")
 
-    def __init__(self, *, task: str, run: int, percent: float, usage: float) -> None:
+    def __init__(self, *, task: str, run: int, percent: float) -> None:
         self.task = task
         self.run = run
         self.percent = percent
-        self.usage = usage
 
 
 class CallReply:
--- a/src/comfreysill/running/frames.py
+++ b/src/comfreysill/running/frames.py
@@ -25,7 +25,6 @@
         memory_mb=(report.memory_mb if report else 0) - book.memory_used - book.memory_waiting,
         gpus=(report.gpus if report else 0) - book.gpus_used - book.gpus_waiting,
         slowness=max(book.slowness, book.recent_slowness),
-        samples=book.samples,
     )
 
 
--- a/src/comfreysill/running/intake.py
+++ b/src/comfreysill/running/intake.py
@@ -38,7 +38,6 @@
     while session.ended and session.ended[0].number <= frame.ended_seen:
         session.ended.popleft()
     if frame.echo:
-        session.echoed = frame.echo
         session.lease_until = max(session.lease_until, frame.echo + LINK_LEASE_SECONDS)
     if frame.entries:
         session.address = frame.entries[0]
--- a/src/comfreysill/sidecar/links.py
+++ b/src/comfreysill/sidecar/links.py
@@ -5,20 +5,20 @@
 
 from grpclib.client import Channel
 from grpclib.const import Status
-from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
+from grpclib.exceptions import GRPCError, StreamTerminatedError
 from grpclib.server import Stream
 
 from comfreysill.address import parse_address
 from comfreysill.exchange.messages import AgentFrame, Announcement
 from comfreysill.mailbox import Mailbox
 from comfreysill.sidecar.messages import BookMessage, EntryReported, LinkClosed
+from comfreysill.wire.errors import LINK_ERRORS
 from comfreysill.wire.exchange import decode_entry_frame, encode_agent_frame, encode_announcement
 from comfreysill.wire.exchange_grpc import RosterStub, TargetBase
 
 logger = logging.getLogger(__name__)
 
 ANNOUNCE_SECONDS = 0.4
-ERRORS = (OSError, TimeoutError, GRPCError, ProtocolError, StreamTerminatedError)
 
 
 class TargetService(TargetBase):
@@ -71,7 +71,7 @@
     try:
         async with asyncio.timeout(ANNOUNCE_SECONDS):
             await RosterStub(channel).Announce(encode_announcement(announcement))
-    except ERRORS as error:
+    except LINK_ERRORS as error:
         fields = {"address": address, "why": f"{type(error).__name__} {error}"}
         logger.debug("announcement failed", extra={"fields": fields})
         return False
--- a/src/comfreysill/wire/exchange.py
+++ b/src/comfreysill/wire/exchange.py
@@ -137,7 +137,6 @@
         memory_mb=load.memory_mb,
         gpus=load.gpus,
         slowness=load.slowness,
-        samples=load.samples,
     )
 
 
@@ -148,7 +147,6 @@
         memory_mb=message.memory_mb,
         gpus=message.gpus,
         slowness=message.slowness,
-        samples=message.samples,
     )
 
 
--- a/tests/platform_world.py
+++ b/tests/platform_world.py
@@ -358,7 +358,7 @@
             runner.advance(self.now)
             accepted = reply == Reply.ACCEPTED
             rows = [
-                RunEntry(task=task, run=run, percent=int(100 * done / work), usage=0.0)
+                RunEntry(task=task, run=run, percent=int(100 * done / work))
                 for task, (run, done, work) in runner.running.items()
             ]
             answer = RenewReply(
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -19,7 +19,7 @@
     agent.heard_at = now
     agent.next_seconds = 60.0
     agent.profile = Profile(service="s", zone="z", cpu=1, memory_mb=1, gpus=0, labels=())
-    agent.load = Load(accepting=True, cpu=1, memory_mb=1, gpus=0, slowness=1.0, samples=0)
+    agent.load = Load(accepting=True, cpu=1, memory_mb=1, gpus=0, slowness=1.0)
     return Keeper(desk=desk)
 
 
--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -60,9 +60,7 @@
         accepting=True,
     ):
         agent = self.desk.agents[name]
-        load = Load(
-            accepting=accepting, cpu=cpu, memory_mb=900, gpus=0, slowness=slowness, samples=9
-        )
+        load = Load(accepting=accepting, cpu=cpu, memory_mb=900, gpus=0, slowness=slowness)
         profile = Profile(
             service="s", zone="z1", cpu=4000, memory_mb=900, gpus=0, labels=("k", name)
         )
--- a/tests/test_running.py
+++ b/tests/test_running.py
@@ -55,7 +55,7 @@
         call = next(call for call in self.book.calls if isinstance(call, RenewCall))
         self.book.calls.clear()
         self.now += 0.01
-        rows = [RunEntry(task=task, run=run, percent=0, usage=0) for task, run in running]
+        rows = [RunEntry(task=task, run=run, percent=0) for task, run in running]
         answer = RenewReply(
             call=call, reply=reply, clock_ms=clock_ms, born=0, running=rows, ended=list(ended)
         )
