--- a/src/comfreysill/exchange/messages.py
+++ b/src/comfreysill/exchange/messages.py
@@ -164,7 +164,8 @@
     """An ended attempt.
 
     Attributes:
-        number: Sequence number among the ended attempts of the same entry, from 1.
+        number: Sequence number among the ended attempts of the agent's lifetime, from 1; those of
+            one entry are in order, with gaps.
         task: Name of the task.
         attempt: Attempt number.
         outcome: Outcome of the attempt.
--- a/src/comfreysill/execution/calls.py
+++ b/src/comfreysill/execution/calls.py
@@ -258,3 +258,17 @@
         self.started_at_ms = started_at_ms
         self.running = running
         self.ended = ended
+
+
+def build_unanswered_reply(call: Call) -> CallReply | RenewReply:
+    """Returns the reply that stands for a call without an answer."""
+    if isinstance(call, RenewCall):
+        return RenewReply(
+            call=call,
+            status=ReplyStatus.UNANSWERED,
+            clock_ms=-1,
+            started_at_ms=0,
+            running=[],
+            ended=[],
+        )
+    return CallReply(call=call, status=ReplyStatus.UNANSWERED, clock_ms=-1)
--- a/src/comfreysill/execution/frame_handling.py
+++ b/src/comfreysill/execution/frame_handling.py
@@ -6,11 +6,11 @@
     EntryFrame,
     Outcome,
 )
+from comfreysill.execution.run import Run
 from comfreysill.execution.starts import is_accepting, stop_run
 from comfreysill.execution.state import (
     AgentState,
     EntryLink,
-    Run,
     count,
     enqueue_run,
     note_event,
@@ -40,7 +40,7 @@
         link.ended.popleft()
     # The echo is the newest timestamp of this agent that the entry has received.
     if frame.echo:
-        link.lease_until = max(link.lease_until, frame.echo + LINK_LEASE_SECONDS)
+        link.lease_until = max(link.lease_until, min(frame.echo, now) + LINK_LEASE_SECONDS)
     if frame.entries:
         # The sender's address is the first.
         link.address = frame.entries[0]
--- a/src/comfreysill/execution/progress.py
+++ b/src/comfreysill/execution/progress.py
@@ -4,8 +4,13 @@
 
 from comfreysill.execution.calls import ListedRun
 from comfreysill.execution.health import suspend_target
+from comfreysill.execution.run import Run, RunState
 from comfreysill.execution.starts import stop_run
-from comfreysill.execution.state import AgentState, Run, RunState, count, note_event
+from comfreysill.execution.state import (
+    AgentState,
+    count,
+    note_event,
+)
 
 # Time without progress after which a run counts as stalled. The runner lists whole percents, and
 # the longest tasks advance by one percent in 35 ms, a tenth of this time.
--- a/src/comfreysill/execution/renewals.py
+++ b/src/comfreysill/execution/renewals.py
@@ -4,12 +4,11 @@
 from comfreysill.execution.calls import RenewCall, RenewReply, ReplyStatus, RunEnd, StopCall
 from comfreysill.execution.health import record_failure, record_success
 from comfreysill.execution.progress import evaluate_progress
+from comfreysill.execution.run import Run, RunState
 from comfreysill.execution.runner import end_all_runs, end_runner_lifetime
 from comfreysill.execution.starts import STOP_RESEND_SECONDS, mark_running, requeue_start
 from comfreysill.execution.state import (
     AgentState,
-    Run,
-    RunState,
     end_run,
     grant_run_lease,
     note_event,
--- a/src/comfreysill/execution/runner.py
+++ b/src/comfreysill/execution/runner.py
@@ -2,7 +2,13 @@
 
 from comfreysill.exchange.messages import Outcome
 from comfreysill.execution.calls import RunnerReport
-from comfreysill.execution.state import AgentState, RunState, count, end_run, note_event
+from comfreysill.execution.run import RunState
+from comfreysill.execution.state import (
+    AgentState,
+    count,
+    end_run,
+    note_event,
+)
 
 
 def receive_report(agent: AgentState, report: RunnerReport, now: float) -> bool:
@@ -12,6 +18,9 @@
         False if the report was ignored, being from an earlier lifetime or out of order.
     """
     previous = agent.report
+    if report.lifetime == agent.departed_lifetime:
+        count(agent, "reports_stale")
+        return False
     if previous is not None and previous.lifetime == report.lifetime:
         if report.sequence < previous.sequence and report.sequence:
             return False
@@ -51,6 +60,7 @@
         return
     note_event(agent, "runner deregistered", lifetime=str(agent.report.lifetime))
     end_runner_lifetime(agent, now, "the runner left")
+    agent.departed_lifetime = agent.report.lifetime
     agent.report = None
     agent.profile_version += 1
 
--- a/src/comfreysill/execution/starts.py
+++ b/src/comfreysill/execution/starts.py
@@ -5,10 +5,9 @@
 from comfreysill.exchange.messages import Outcome
 from comfreysill.execution.calls import CallReply, ReplyStatus, StartCall, StopCall
 from comfreysill.execution.health import record_failure
+from comfreysill.execution.run import Run, RunState
 from comfreysill.execution.state import (
     AgentState,
-    Run,
-    RunState,
     count,
     end_run,
     enqueue_run,
--- a/src/comfreysill/execution/state.py
+++ b/src/comfreysill/execution/state.py
@@ -1,87 +1,16 @@
 """State of an agent on the platform: its runner, the runs on it, and its links with entries."""
 
-import enum
 import heapq
 from collections import deque
 
 from comfreysill.exchange.messages import (
     LEASE_MARGIN_SECONDS,
     RUN_LEASE_SECONDS,
-    Batch,
     Ended,
-    Order,
     Outcome,
 )
 from comfreysill.execution.calls import Call, RunnerLifetime, RunnerReport
-from comfreysill.request.request import name_task
-
-
-class RunState(enum.IntEnum):
-    """State of a run at its agent.
-
-    UNCONFIRMED is a start whose call got no answer. The run keeps its capacity reserved until a
-    renewal with a higher fencing token shows whether the runner started it.
-    """
-
-    WAITING = 0
-    STARTING = 1
-    UNCONFIRMED = 2
-    RUNNING = 3
-    STOPPING = 4
-
-
-class Run:
-    """One attempt of a task at this agent; each start at the runner gets a new run number.
-
-    Attributes:
-        task: Name of the task.
-        attempt: Attempt number assigned by the entry.
-        entry: Entry that owns the task.
-        batch: Batch that contained the task.
-        state: State of the run.
-        number: Run number of the newest start, 0 before the first.
-        start_calls_sent: Number of start calls sent for all its run numbers.
-        changed_at: Boot-clock time in seconds of the last state change.
-        resolving_token: Lowest token of renewals that resolve an unconfirmed start, 0 before any.
-        stop_wanted: True if the run has to be stopped once it is known to run.
-        stop_sent_at: Boot-clock time in seconds of the last stop call, 0 before the first.
-        reason: Human-readable reason for the stop, empty if none was requested.
-        percent: Progress in percent as last listed by the runner.
-        progress_at: Boot-clock time in seconds at which `percent` last changed.
-    """
-
-    __slots__ = (
-        "task",
-        "attempt",
-        "entry",
-        "batch",
-        "state",
-        "number",
-        "start_calls_sent",
-        "changed_at",
-        "resolving_token",
-        "stop_wanted",
-        "stop_sent_at",
-        "reason",
-        "percent",
-        "progress_at",
-    )
-
-    def __init__(self, *, entry: str, batch: Batch, order: Order, now: float) -> None:
-        self.task = name_task(batch.request_id, order.step, order.index)
-        self.attempt = order.attempt
-        self.entry = entry
-        self.batch = batch
-        self.state = RunState.WAITING
-        self.number = 0
-        self.start_calls_sent = 0
-        self.changed_at = now
-        self.resolving_token = 0
-        self.stop_wanted = False
-        self.stop_sent_at = 0.0
-        self.reason = ""
-        self.percent = 0.0
-        self.progress_at = now
+from comfreysill.execution.run import Run, RunState
 
 
 class EntryLink:
@@ -97,7 +26,6 @@
         notified_at: Boot-clock time in seconds of the last early notification, 0 before the first.
         accepting_sent: Value of `accepting` in the last frame sent.
         ended: Ended attempts that the entry hasn't acknowledged.
-        next_end: Sequence number of the next ended attempt.
         end_sent: Sequence number of the newest end sent in the newest session, 0 before the first.
         opening_sent: True once the first frame of the newest session has been sent.
         profile_sent: Version of the profile sent in the newest session, -1 if none was sent.
@@ -115,7 +43,6 @@
         "notified_at",
         "accepting_sent",
         "ended",
-        "next_end",
         "end_sent",
         "opening_sent",
         "profile_sent",
@@ -133,7 +60,6 @@
         self.notified_at = 0.0
         self.accepting_sent = False
         self.ended: deque[Ended] = deque()
-        self.next_end = 1
         self.end_sent = 0
         self.opening_sent = False
         self.profile_sent = -1
@@ -150,6 +76,8 @@
         zone: Availability zone of the instance.
         report: Newest report of the runner, None if there is none.
         runner_lifetime: Run of the runner's process to call, None if it is unknown or has ended.
+        departed_lifetime: Run of the runner's process that has deregistered last, None before; a
+            report of it that arrives late is ignored.
         profile_version: Incremented whenever the runner's profile changes.
         token: Fencing token of the next call.
         clock_ms: The runner's clock in milliseconds at `clock_at`, -1 while unknown.
@@ -184,6 +112,9 @@
         routes_version: Newest version of the routing document reported by an entry, 0 if none.
         routes_holder: Address of that entry, empty if unknown.
         last_run_number: Run number of the last start at the runner.
+        last_end_number: Sequence number of the newest ended attempt, over all entries. It goes on
+            when a link is removed and opened again, as the entry remembers the newest one it has
+            processed.
         calls: Pending calls to the runner, drained by the process.
         events: Pending log lines as (text, fields), drained by the process.
         counters: Event counts by name.
@@ -195,6 +126,7 @@
         "zone",
         "report",
         "runner_lifetime",
+        "departed_lifetime",
         "profile_version",
         "token",
         "clock_ms",
@@ -229,6 +161,7 @@
         "routes_version",
         "routes_holder",
         "last_run_number",
+        "last_end_number",
         "calls",
         "events",
         "counters",
@@ -240,14 +173,14 @@
         self.zone = zone
         self.report: RunnerReport | None = None
         self.runner_lifetime: RunnerLifetime | None = None
+        self.departed_lifetime: RunnerLifetime | None = None
         self.profile_version = 0
-        self.token = token
         # Run numbers begin at the token, which grows with each lifetime of the agent.
-        self.last_run_number = token
+        self.token = self.last_run_number = token
+        self.last_end_number = 0
         self.clock_ms = -1
         self.clock_at = 0.0
-        self.runner_ends_seen = 0
-        self.listed_at_ms = 0
+        self.runner_ends_seen = self.listed_at_ms = 0
         self.reconciled = False
         self.orphan_stop_sent_at: dict[str, float] = {}
         self.runs: dict[str, Run] = {}
@@ -387,9 +320,10 @@
     link = agent.links.get(entry)
     if link is None:
         return
+    agent.last_end_number += 1
     link.ended.append(
         Ended(
-            number=link.next_end,
+            number=agent.last_end_number,
             task=task,
             attempt=attempt,
             outcome=outcome,
@@ -397,4 +331,3 @@
             detail=detail,
         )
     )
-    link.next_end += 1
--- a/tests/test_execution.py
+++ b/tests/test_execution.py
@@ -1,6 +1,6 @@
 import unittest
 
-from comfreysill.exchange.messages import Batch, EntryFrame, Order, Outcome
+from comfreysill.exchange.messages import LINK_LEASE_SECONDS, Batch, EntryFrame, Order, Outcome
 from comfreysill.execution.calls import (
     CallReply,
     ListedRun,
@@ -12,11 +12,21 @@
     StartCall,
     StopCall,
 )
-from comfreysill.execution.frame_handling import expire_links, receive_frame
+from comfreysill.execution.frame_handling import (
+    CLOSED_LINK_RETENTION_SECONDS,
+    close_session,
+    expire_links,
+    receive_frame,
+)
 from comfreysill.execution.frames import collect_frames
 from comfreysill.execution.health import SUSPEND_SECONDS, suspend_target
 from comfreysill.execution.renewals import check_lease_expiry, queue_renewal, receive_renewal
-from comfreysill.execution.runner import begin_shutdown, receive_report
+from comfreysill.execution.runner import (
+    begin_shutdown,
+    end_all_runs,
+    receive_deregistration,
+    receive_report,
+)
 from comfreysill.execution.starts import receive_call_reply, resend_stops, start_waiting
 from comfreysill.execution.state import AgentState
 
@@ -317,6 +327,36 @@
             self.deliver_frame(session=1), "a frame of an older session has to be refused"
         )
 
+    def test_ends_are_numbered_on_after_a_link_was_removed(self):
+        """An entry ignores ends up to the newest number that it has processed."""
+        self.deliver_frame(tasks=1)
+        first = self.collect_end_numbers()
+        self.now += CLOSED_LINK_RETENTION_SECONDS + 10
+        close_session(self.agent, "e@1", 1)
+        expire_links(self.agent, self.now)
+        self.assertEqual(self.agent.links, {})
+        self.frame_number = 0
+        self.deliver_frame(session=2)
+        self.deliver_frame(session=2, tasks=1, request_id="r2")
+        self.assertGreater(min(self.collect_end_numbers()), max(first))
+
+    def collect_end_numbers(self):
+        """Ends all runs, and returns the numbers of the ends that entries haven't confirmed."""
+        end_all_runs(self.agent, self.now, "test")
+        return [end.number for link in self.agent.links.values() for end in link.ended]
+
+    def test_a_report_that_arrives_after_the_runner_has_left_is_ignored(self):
+        receive_deregistration(self.agent, "i", self.now)
+        self.assertIsNone(self.agent.runner_lifetime)
+        self.assertFalse(self.deliver_report(sequence=9))
+        self.assertIsNone(self.agent.runner_lifetime)
+        self.assertTrue(self.deliver_report(started_at_ms=2))
+        self.assertIsNotNone(self.agent.runner_lifetime)
+
+    def test_an_echo_from_the_future_does_not_extend_the_lease(self):
+        self.deliver_frame(echo=self.now + 1000)
+        self.assertLessEqual(self.agent.links["e@1"].lease_until, self.now + LINK_LEASE_SECONDS)
+
     def test_a_stopping_agent_returns_waiting_runs(self):
         # No run is started while the runner's clock is unknown.
         self.agent.clock_ms = -1
