--- a/src/comfreysill/address.py
+++ b/src/comfreysill/address.py
@@ -1,8 +1,14 @@
 """Network addresses of processes."""
 
+import re
+
+MAX_PORT = 65_535
+_LABEL = "[0-9A-Za-z-]{1,63}"
+_ADDRESS = re.compile(rf"({_LABEL}(?:\.{_LABEL})*):([0-9]{{1,5}})", re.ASCII)
+
 
 class Address:
-    """IP address and port."""
+    """IP address or host name, and port."""
 
     __slots__ = ("host", "port")
 
@@ -18,7 +24,9 @@
     """Parses an address of the form `host:port`.
 
     Raises:
-        ValueError: The port is not a number.
+        ValueError: The text has another form, or the port is out of range.
     """
-    host, _, port = text.rpartition(":")
-    return Address(host=host, port=int(port))
+    match = _ADDRESS.fullmatch(text)
+    if match is None or int(match[2]) > MAX_PORT:
+        raise ValueError(f"expected an address host:port, got {text[:100]!r}")
+    return Address(host=match[1], port=int(match[2]))
--- a/src/comfreysill/platform/ingress.py
+++ b/src/comfreysill/platform/ingress.py
@@ -4,11 +4,11 @@
 from collections.abc import Callable
 from typing import Any
 
-import orjson
 from result import Err
 
 from comfreysill.gateway.messages import Reply
 from comfreysill.platform.bodies import read_body
+from comfreysill.platform.documents import encode_document
 from comfreysill.platform.submission import Rejection, decode_submission
 from comfreysill.request.types import Specification, Verdict
 from comfreysill.routes.table import Route, RouteTable, find_route
@@ -182,7 +182,7 @@
         headers.append((b"retry-after", str(retry_after_seconds).encode()))
     if operations.is_closing():
         headers.append((b"connection", b"close"))
-    await _send_response(send, status, orjson.dumps(document), headers)
+    await _send_response(send, status, encode_document(document), headers)
 
 
 async def _send_response(
--- a/src/comfreysill/platform/members.py
+++ b/src/comfreysill/platform/members.py
@@ -1,8 +1,12 @@
 """Rows of the member table: the entries and agents on the platform, and their addresses."""
 
-import orjson
+from typing import Literal, Required, TypedDict
+
+import msgspec
 from result import Err, Ok, Result
 
+from comfreysill.address import parse_address
+from comfreysill.platform.documents import Name, OptionalName, decode_document, encode_document
 from comfreysill.platform.store import (
     RowSet,
     RowWrite,
@@ -14,6 +18,17 @@
 
 MEMBERS_TABLE = "members"
 
+MemberDocument = TypedDict(
+    "MemberDocument",
+    {
+        "role": Required[Literal["entry", "agent"]],
+        "address": Required[Name],
+        "service": OptionalName,
+    },
+    total=False,
+)
+_DECODER = msgspec.json.Decoder(MemberDocument)
+
 
 class Member:
     """An entry or an agent on the platform.
@@ -38,28 +53,41 @@
     """Members decoded from the rows of the whole table, or from its changed rows.
 
     Attributes:
-        members: The members.
+        members: The members; of several with the same address only the last one registered.
+        removed: Names of members whose rows were removed.
         version: Version of the store at which they were read.
         unreadable: Number of rows that could not be decoded.
     """
 
-    __slots__ = ("members", "version", "unreadable")
+    __slots__ = ("members", "removed", "version", "unreadable")
 
-    def __init__(self, *, members: list[Member], version: int, unreadable: int) -> None:
+    def __init__(
+        self, *, members: list[Member], removed: list[str], version: int, unreadable: int
+    ) -> None:
         self.members = members
+        self.removed = removed
         self.version = version
         self.unreadable = unreadable
 
 
 async def write_member(store: StoreClient, member: Member) -> Result[int, StoreError]:
-    """Writes the row of a member; the call is idempotent."""
-    value = orjson.dumps(
+    """Writes the row of a member and returns its version; the call is idempotent."""
+    value = encode_document(
         {"role": member.role, "address": member.address, "service": member.service}
     )
     write = RowWrite(key=member.name, value=value)
     return await commit_rows(store, MEMBERS_TABLE, (write,))
 
 
+async def remove_member(store: StoreClient, name: str, version: int) -> Result[int, StoreError]:
+    """Removes the row of a member, unless it was written again after `version`.
+
+    A removal that is carried out late thus spares the row of a later process.
+    """
+    write = RowWrite(key=name, value=None, expected_version=version)
+    return await commit_rows(store, MEMBERS_TABLE, (write,))
+
+
 async def read_members(store: StoreClient) -> Result[MemberSet, StoreError]:
     """Reads all members."""
     answer = await read_rows(store, MEMBERS_TABLE)
@@ -67,21 +95,41 @@
 
 
 def decode_members(rows: RowSet) -> MemberSet:
-    """Decodes member rows; removed ones are skipped, invalid ones are skipped and counted."""
-    members, unreadable = [], 0
-    for row in rows.rows:
+    """Decodes member rows; invalid ones are skipped and counted."""
+    by_address: dict[str, Member] = {}
+    removed, unreadable = [], 0
+    for row in sorted(rows.rows, key=lambda row: row.version):
         if row.value is None:
+            removed.append(row.key)
             continue
-        try:
-            document = orjson.loads(row.value)
-            members.append(
-                Member(
-                    name=row.key,
-                    role=document["role"],
-                    address=document["address"],
-                    service=document.get("service") or "",
-                )
-            )
-        except (ValueError, KeyError, TypeError):
+        decoded = _decode_member(row.key, row.value)
+        if isinstance(decoded, Err):
             unreadable += 1
-    return MemberSet(members=members, version=rows.version, unreadable=unreadable)
+            continue
+        # The address of an instance that is gone may belong to another one now.
+        by_address[decoded.ok_value.address] = decoded.ok_value
+    return MemberSet(
+        members=list(by_address.values()),
+        removed=removed,
+        version=rows.version,
+        unreadable=unreadable,
+    )
+
+
+def _decode_member(name: str, value: bytes) -> Result[Member, str]:
+    decoded = decode_document(_DECODER, value)
+    if isinstance(decoded, Err):
+        return decoded
+    document = decoded.ok_value
+    try:
+        parse_address(document["address"])
+    except ValueError as error:
+        return Err(str(error))
+    return Ok(
+        Member(
+            name=name,
+            role=document["role"],
+            address=document["address"],
+            service=document.get("service", ""),
+        )
+    )
--- a/src/comfreysill/platform/runner.py
+++ b/src/comfreysill/platform/runner.py
@@ -1,9 +1,11 @@
 """Client of the runner beside an agent, and the decoding of the runner's reports."""
 
-from typing import Any
+import logging
+from typing import Annotated, Any, Literal, Required, TypedDict
 
 import aiohttp
-import orjson
+import msgspec
+from msgspec import Meta
 from result import Err, Ok, Result
 
 from comfreysill.address import Address
@@ -18,7 +20,18 @@
     RunnerReport,
     StartCall,
     StopCall,
+    build_unanswered_reply,
 )
+from comfreysill.platform.documents import (
+    Amount,
+    Integer,
+    Name,
+    OptionalName,
+    decode_document,
+    encode_document,
+)
+
+logger = logging.getLogger(__name__)
 
 COMMAND_TIMEOUT_SECONDS = 0.1
 RENEWAL_TIMEOUT_MARGIN_SECONDS = 0.1
@@ -40,6 +53,43 @@
     503: ReplyStatus.UNHEALTHY,
     400: ReplyStatus.INVALID,
 }
+MAX_LABELS = 100
+
+# Each row of `running` is [task, run, checkpoint, percent, ...], and each row of `ended` is
+# [number, task, run, outcome, ...].
+ReplyDocument = TypedDict(
+    "ReplyDocument",
+    {
+        "clock-ms": int | float,
+        "born": Integer,
+        "reason": str,
+        "running": list[list[Any]],
+        "ended": list[list[Any]],
+    },
+    total=False,
+)
+REPLY_DECODER = msgspec.json.Decoder(ReplyDocument)
+
+CapacityDocument = TypedDict(
+    "CapacityDocument",
+    {"cpu": Required[Amount], "mem-mb": Required[Amount], "gpus": Amount},
+    total=False,
+)
+ReportDocument = TypedDict(
+    "ReportDocument",
+    {
+        "service": Required[Name],
+        "address": Required[OptionalName],
+        "zone": Required[OptionalName],
+        "state": Required[Literal["ready", "draining"]],
+        "seq": Required[Integer],
+        "born": Integer,
+        "capacity": Required[CapacityDocument],
+        "labels": Annotated[list[OptionalName], Meta(max_length=MAX_LABELS)],
+    },
+    total=False,
+)
+_REPORT_DECODER = msgspec.json.Decoder(ReportDocument)
 
 
 class RunnerClient:
@@ -80,7 +130,7 @@
     return CallReply(call=call, status=status, clock_ms=_read_clock(document))
 
 
-async def send_renewal(runner: RunnerClient, call: RenewCall) -> RenewReply:
+async def send_renewal(runner: RunnerClient, call: RenewCall) -> CallReply | RenewReply:
     """Renews the run leases; the reply lists the active runs and those that have ended.
 
     With `lease_until_ms` 0 the leases stay unchanged. With `wait_ms`, the runner may delay its
@@ -93,24 +143,37 @@
         body["wait-ms"] = call.wait_ms
     timeout_seconds = call.wait_ms / 1000 + RENEWAL_TIMEOUT_MARGIN_SECONDS
     status, document = await _post(runner, "/api/hold", body, call.lifetime, timeout_seconds)
+    decoded = build_renew_reply(call, status, document)
+    if isinstance(decoded, Err):
+        _report_unreadable(runner, decoded.err_value)
+        return build_unanswered_reply(call)
+    return decoded.ok_value
+
+
+def build_renew_reply(
+    call: RenewCall, status: ReplyStatus, document: ReplyDocument
+) -> Result[RenewReply, str]:
+    """Builds the reply to a renewal; the error describes a row that can't be decoded."""
     try:
-        return RenewReply(
+        running = [_decode_listed_run(row) for row in document.get("running", ())]
+        ended = [_decode_run_end(row) for row in document.get("ended", ())]
+    except (ValueError, OverflowError, TypeError, IndexError, AttributeError) as error:
+        return Err(f"{type(error).__name__} {error}")
+    return Ok(
+        RenewReply(
             call=call,
             status=status,
             clock_ms=_read_clock(document),
-            started_at_ms=int(document.get("born") or 0),
-            running=[_decode_listed_run(row) for row in document.get("running", ())],
-            ended=[_decode_run_end(row) for row in document.get("ended", ())],
-        )
-    except (ValueError, TypeError, IndexError):
-        return RenewReply(
-            call=call,
-            status=ReplyStatus.UNANSWERED,
-            clock_ms=-1,
-            started_at_ms=0,
-            running=[],
-            ended=[],
+            started_at_ms=document.get("born", 0),
+            running=running,
+            ended=ended,
         )
+    )
+
+
+def _report_unreadable(runner: RunnerClient, detail: str) -> None:
+    fields = {"runner": runner.base_url, "why": detail}
+    logger.warning("runner reply could not be decoded", extra={"fields": fields})
 
 
 def encode_task(name: str) -> str:
@@ -131,24 +194,26 @@
     body: dict[str, Any],
     lifetime: RunnerLifetime,
     timeout_seconds: float,
-) -> tuple[ReplyStatus, dict[str, Any]]:
+) -> tuple[ReplyStatus, ReplyDocument]:
     timeout = aiohttp.ClientTimeout(total=timeout_seconds, sock_connect=CONNECT_TIMEOUT_SECONDS)
     headers = {"Content-Type": "application/json", "X-Expect-Instance": lifetime.runner_id}
     try:
         async with runner.session.post(
-            runner.base_url + path, data=orjson.dumps(body), headers=headers, timeout=timeout
+            runner.base_url + path, data=encode_document(body), headers=headers, timeout=timeout
         ) as response:
             text = await response.read()
             status = response.status
-        document = orjson.loads(text) if text else {}
     except aiohttp.ClientConnectorError as error:
         # If the connection was refused, nothing listens there: the addressed process has ended.
         refused = isinstance(error.os_error, ConnectionRefusedError)
         return (ReplyStatus.GONE if refused else ReplyStatus.UNANSWERED), {}
     except (TimeoutError, aiohttp.ClientError, OSError, ValueError):
         return ReplyStatus.UNANSWERED, {}
-    if not isinstance(document, dict):
+    decoded = decode_document(REPLY_DECODER, text or b"{}")
+    if isinstance(decoded, Err):
+        _report_unreadable(runner, decoded.err_value)
         return ReplyStatus.UNANSWERED, {}
+    document = decoded.ok_value
     if status == 200:
         return ReplyStatus.ACCEPTED, document
     if status == 409:
@@ -156,9 +221,8 @@
     return STATUS_BY_HTTP_STATUS.get(status, ReplyStatus.UNANSWERED), document
 
 
-def _read_clock(document: dict[str, Any]) -> int:
-    clock = document.get("clock-ms")
-    return int(clock) if isinstance(clock, int | float) else -1
+def _read_clock(document: ReplyDocument) -> int:
+    return int(document.get("clock-ms", -1))
 
 
 def _decode_listed_run(row: list[Any]) -> ListedRun:
@@ -173,35 +237,23 @@
 
 
 def decode_report(runner_id: str, body: bytes) -> Result[RunnerReport, str]:
-    """Decodes a report; the error names the invalid field or value."""
-    try:
-        document = orjson.loads(body)
-        capacity = document["capacity"]
-        state = document["state"]
-        if state not in ("ready", "draining"):
-            raise ValueError(f"unknown state {state!r}")
-        return Ok(
-            RunnerReport(
-                lifetime=RunnerLifetime(
-                    runner_id=runner_id, started_at_ms=int(document.get("born") or 0)
-                ),
-                service=_read_text(document, "service"),
-                address=_read_text(document, "address"),
-                zone=_read_text(document, "zone"),
-                draining=state == "draining",
-                sequence=int(document["seq"]),
-                cpu=int(capacity["cpu"]),
-                memory_mb=int(capacity["mem-mb"]),
-                gpus=int(capacity.get("gpus", 0)),
-                labels=tuple(str(label) for label in document.get("labels") or ()),
-            )
+    """Decodes a report; the error names the invalid field and the bound."""
+    decoded = decode_document(_REPORT_DECODER, body)
+    if isinstance(decoded, Err):
+        return decoded
+    document = decoded.ok_value
+    capacity = document["capacity"]
+    return Ok(
+        RunnerReport(
+            lifetime=RunnerLifetime(runner_id=runner_id, started_at_ms=document.get("born", 0)),
+            service=document["service"],
+            address=document["address"],
+            zone=document["zone"],
+            draining=document["state"] == "draining",
+            sequence=document["seq"],
+            cpu=capacity["cpu"],
+            memory_mb=capacity["mem-mb"],
+            gpus=capacity.get("gpus", 0),
+            labels=tuple(document.get("labels", ())),
         )
-    except (ValueError, KeyError, TypeError, AttributeError) as error:
-        return Err(f"{type(error).__name__} {error}")
-
-
-def _read_text(document: dict[str, Any], name: str) -> str:
-    value = document[name]
-    if not isinstance(value, str):
-        raise TypeError(f"{name} is not a string")
-    return value
+    )
--- a/src/comfreysill/platform/settings.py
+++ b/src/comfreysill/platform/settings.py
@@ -2,14 +2,55 @@
 
 import os
 import pathlib
-from typing import Any
+from typing import Annotated, Required, TypedDict
 
+import msgspec
 import yaml
+from msgspec import Meta
 
-from comfreysill.address import Address, parse_address
+from comfreysill.address import MAX_PORT, Address, parse_address
 from comfreysill.exceptions import UsageError
+from comfreysill.platform.documents import Name, OptionalName
 
 SETTINGS_VARIABLE = "COMFREYSILL_SETTINGS"
+MAX_GRACE_SECONDS = 3_600.0
+MAX_REMOTE_FACTOR = 1_000.0
+DEFAULT_REMOTE_FACTOR = 1.0
+
+Port = Annotated[int, Meta(ge=0, le=MAX_PORT)]
+ListenDocument = TypedDict(
+    "ListenDocument",
+    {"front": OptionalName, "ready": OptionalName, "control": OptionalName},
+    total=False,
+)
+BoundsDocument = TypedDict(
+    "BoundsDocument",
+    {
+        "grace-s": Required[Annotated[float, Meta(gt=0, le=MAX_GRACE_SECONDS)]],
+        "remote-factor": Annotated[float, Meta(ge=1, le=MAX_REMOTE_FACTOR)],
+    },
+    total=False,
+)
+StoreDocument = TypedDict("StoreDocument", {"address": Required[Name]}, total=False)
+SettingsDocument = TypedDict(
+    "SettingsDocument",
+    {
+        "node": Required[Name],
+        "zone": Required[Name],
+        "ip": Required[Name],
+        "listen": Required[ListenDocument],
+        "port-range": Required[tuple[Port, Port]],
+        "seeds": list[Name] | None,
+        "app": Name | None,
+        "service": OptionalName | None,
+        "platform": Required[StoreDocument],
+        "bounds": Required[BoundsDocument],
+        # Not a field of the platform: set if a proxy is in front of the link port, as in the soak
+        # test.
+        "advertised": OptionalName,
+    },
+    total=False,
+)
 
 
 class InstanceSettings:
@@ -30,6 +71,7 @@
         service: Service of the local runner, empty if there is none.
         store: Address of the platform's store.
         grace_seconds: Time between the termination signal and the kill.
+        remote_factor: Factor on the run time of a task outside the rack of its data.
     """
 
     __slots__ = (
@@ -46,6 +88,7 @@
         "service",
         "store",
         "grace_seconds",
+        "remote_factor",
     )
 
     def __init__(
@@ -64,6 +107,7 @@
         service: str,
         store: Address,
         grace_seconds: float,
+        remote_factor: float,
     ) -> None:
         self.name = name
         self.zone = zone
@@ -78,6 +122,7 @@
         self.service = service
         self.store = store
         self.grace_seconds = grace_seconds
+        self.remote_factor = remote_factor
 
 
 def read_instance_settings() -> InstanceSettings:
@@ -93,14 +138,14 @@
     try:
         loader = getattr(yaml, "CSafeLoader", yaml.SafeLoader)
         document = yaml.load(pathlib.Path(path).read_text(), Loader=loader)
-        return _decode_settings(document)
-    except (OSError, yaml.YAMLError, KeyError, TypeError, ValueError, IndexError) as error:
+        return _decode_settings(msgspec.convert(document, SettingsDocument))
+    except (OSError, yaml.YAMLError, RecursionError, ValueError) as error:
         hint = "expected the settings file that the platform writes for the instance"
         detail = f"{path}: {type(error).__name__} {error}"
         raise UsageError(message=detail, hint=hint) from error
 
 
-def _decode_settings(document: dict[str, Any]) -> InstanceSettings:
+def _decode_settings(document: SettingsDocument) -> InstanceSettings:
     listen = document["listen"]
     ip = document["ip"]
     first_port, last_port = document["port-range"]
@@ -112,17 +157,17 @@
         callers=_read_listening_address(listen, "front"),
         readiness=_read_listening_address(listen, "ready"),
         reports=_read_listening_address(listen, "control"),
-        link=Address(host=ip, port=first_port),
-        # Not a field of the platform: set if a proxy is in front of `link`, as in the soak test.
+        link=parse_address(f"{ip}:{first_port}"),
         advertised=document.get("advertised") or f"{ip}:{first_port}",
-        metrics=Address(host=ip, port=last_port),
-        entries=tuple(f"{seed}:{first_port}" for seed in seeds),
+        metrics=parse_address(f"{ip}:{last_port}"),
+        entries=tuple(str(parse_address(f"{seed}:{first_port}")) for seed in seeds),
         runner=parse_address(document["app"]) if document.get("app") else None,
-        service=str(document.get("service") or ""),
+        service=document.get("service") or "",
         store=parse_address(document["platform"]["address"]),
-        grace_seconds=float(document["bounds"]["grace-s"]),
+        grace_seconds=document["bounds"]["grace-s"],
+        remote_factor=document["bounds"].get("remote-factor", DEFAULT_REMOTE_FACTOR),
     )
 
 
-def _read_listening_address(listen: dict[str, str], name: str) -> Address | None:
+def _read_listening_address(listen: ListenDocument, name: str) -> Address | None:
     return parse_address(listen[name]) if listen.get(name) else None
--- a/src/comfreysill/platform/store.py
+++ b/src/comfreysill/platform/store.py
@@ -2,14 +2,15 @@
 
 import base64
 import enum
-from typing import Any
+from typing import Any, Required, TypedDict
 
 import aiohttp
-import orjson
+import msgspec
 from result import Err, Ok, Result
 
 from comfreysill.address import Address
 from comfreysill.job.types import Verdict
+from comfreysill.platform.documents import Integer, decode_document, encode_document
 
 CALL_TIMEOUT_SECONDS = 0.7
 CONNECT_TIMEOUT_SECONDS = 0.4
@@ -34,6 +35,18 @@
 
 FAULT_BY_STATUS = {412: StoreFault.CONFLICT, 410: StoreFault.HISTORY_GONE}
 
+RowDocument = TypedDict(
+    "RowDocument",
+    {"key": Required[str], "value": str | None, "ver": Integer, "tombstone": bool},
+    total=False,
+)
+AnswerDocument = TypedDict(
+    "AnswerDocument",
+    {"rows": list[RowDocument], "ver": Integer, "has-more": bool},
+    total=False,
+)
+_DECODER = msgspec.json.Decoder(AnswerDocument)
+
 
 class StoreError:
     """A failed store call.
@@ -54,7 +67,13 @@
 
 
 class StoredRow:
-    """A row; `version` is that of its last write, `value` is None if it was removed."""
+    """A row.
+
+    Attributes:
+        key: Key of the row.
+        value: Its value, None if the row was removed; empty if the value can't be decoded.
+        version: Version of the store at which it was written or removed last.
+    """
 
     __slots__ = ("key", "value", "version")
 
@@ -173,8 +192,8 @@
     return answer.map(_read_version)
 
 
-def _read_version(document: dict[str, Any]) -> int:
-    return int(document.get("ver", 0))
+def _read_version(document: AnswerDocument) -> int:
+    return document.get("ver", 0)
 
 
 async def _call(
@@ -184,10 +203,10 @@
     query: dict[str, str],
     body: Any,
     timeout_seconds: float,
-) -> Result[dict[str, Any], StoreError]:
+) -> Result[AnswerDocument, StoreError]:
     store.calls += 1
     timeout = aiohttp.ClientTimeout(total=timeout_seconds, sock_connect=CONNECT_TIMEOUT_SECONDS)
-    data = orjson.dumps(body) if body is not None else None
+    data = encode_document(body) if body is not None else None
     headers = {"Content-Type": "application/json"} if data else {}
     try:
         async with store.session.request(
@@ -195,12 +214,20 @@
         ) as response:
             text = await response.read()
             status = response.status
-        document = orjson.loads(text) if status == 200 else {}
     except (TimeoutError, aiohttp.ClientError, OSError, ValueError) as error:
         return Err(_describe_failure(method, error))
-    if status == 200:
-        return Ok(document)
-    return Err(_describe_status(method, status))
+    if status != 200:
+        return Err(_describe_status(method, status))
+    decoded = decode_document(_DECODER, text)
+    return decoded.map_err(lambda detail: _describe_unreadable(method, detail))
+
+
+def _describe_unreadable(method: str, detail: str) -> StoreError:
+    return StoreError(
+        fault=StoreFault.UNREACHABLE,
+        verdict=Verdict.NOT_RUN if method == "GET" else Verdict.MAY_HAVE_RUN,
+        detail=f"the store's answer can't be decoded: {detail}",
+    )
 
 
 def _describe_failure(method: str, error: Exception) -> StoreError:
@@ -223,11 +250,19 @@
     )
 
 
-def _decode_rows(document: dict[str, Any]) -> RowSet:
+def _decode_rows(document: AnswerDocument) -> RowSet:
     rows = []
     for row in document.get("rows", ()):
         # The store marks removed rows with `tombstone`.
         removed = row.get("tombstone") or row.get("value") is None
-        value = None if removed else base64.b64decode(row["value"])
-        rows.append(StoredRow(key=row["key"], value=value, version=int(row.get("ver", 0))))
-    return RowSet(rows=rows, version=int(document.get("ver", 0)))
+        value = None if removed else _decode_value(row["value"])
+        rows.append(StoredRow(key=row["key"], value=value, version=row.get("ver", 0)))
+    return RowSet(rows=rows, version=document.get("ver", 0))
+
+
+def _decode_value(text: str) -> bytes:
+    """Decodes the value of a row; an invalid one counts as empty, which no reader accepts."""
+    try:
+        return base64.b64decode(text)
+    except ValueError:
+        return b""
--- a/src/comfreysill/wire/exchange.py
+++ b/src/comfreysill/wire/exchange.py
@@ -1,8 +1,10 @@
 """Conversion of the frames in `comfreysill.exchange` to and from their protobuf form.
 
-The frames go between entries and agents on the platform.
+The frames go between entries and agents on the platform. The decoders accept only values that the
+decisions can work with, and raise `FrameError` for all others.
 """
 
+from comfreysill.address import parse_address
 from comfreysill.exchange.messages import (
     AgentFrame,
     Announcement,
@@ -15,6 +17,14 @@
     Profile,
 )
 from comfreysill.wire import exchange_pb2 as pb
+from comfreysill.wire.errors import FrameError
+
+MAX_NAME_CHARS = 200
+MAX_AMOUNT = 2**31 - 1
+# Upper bound of times, in seconds, and of ratios.
+MAX_NUMBER = 1e12
+MAX_ORDERS = 10_000
+_OUTCOMES = frozenset(Outcome)
 
 
 def encode_entry_frame(frame: EntryFrame) -> pb.ToAgent:
@@ -35,17 +45,21 @@
 
 
 def decode_entry_frame(message: pb.ToAgent) -> EntryFrame:
-    """Decodes a frame from an entry to an agent."""
+    """Decodes a frame from an entry to an agent.
+
+    Raises:
+        FrameError: A field is out of range.
+    """
     return EntryFrame(
-        entry=message.entry,
+        entry=_check_name(message.entry, "entry"),
         session=message.session,
         number=message.number,
-        echo=message.echo,
+        echo=_check_number(message.echo, "echo"),
         demand_rank=message.hunger,
         ended_seen=message.ended_seen,
         batches=[_decode_batch(batch) for batch in message.batches],
         stops=list(message.stops),
-        entries=list(message.entries),
+        entries=[_check_address(address, "entries") for address in message.entries],
         routes_version=message.routes_version,
     )
 
@@ -68,15 +82,17 @@
 
 
 def _decode_batch(message: pb.Batch) -> Batch:
+    if len(message.orders) > MAX_ORDERS:
+        raise FrameError(f"batches.orders: {len(message.orders)} orders")
     return Batch(
-        request_id=message.request_id,
+        request_id=_check_name(message.request_id, "batches.request_id"),
         payload=message.payload,
         priority=message.priority,
-        due=message.due,
-        cpu=message.cpu,
-        memory_mb=message.memory_mb,
-        gpus=message.gpus,
-        estimate=message.estimate,
+        due=_check_number(message.due, "batches.due"),
+        cpu=_check_amount(message.cpu, "batches.cpu"),
+        memory_mb=_check_amount(message.memory_mb, "batches.memory_mb"),
+        gpus=_check_amount(message.gpus, "batches.gpus"),
+        estimate=_check_number(message.estimate, "batches.estimate"),
         orders=[
             Order(step=order.step, index=order.index, attempt=order.attempt)
             for order in message.orders
@@ -104,21 +120,27 @@
 
 
 def decode_agent_frame(message: pb.ToEntry) -> AgentFrame:
-    """Decodes a frame from an agent to an entry."""
+    """Decodes a frame from an agent to an entry.
+
+    Raises:
+        FrameError: A field is missing, unknown or out of range.
+    """
+    if message.opening and not message.HasField("profile"):
+        raise FrameError("profile: the first frame of a session has none")
     return AgentFrame(
-        agent=message.agent,
-        lifetime=message.lifetime,
+        agent=_check_name(message.agent, "agent"),
+        lifetime=_check_name(message.lifetime, "lifetime"),
         session=message.session,
         seen=message.seen,
-        stamp=message.stamp,
+        stamp=_check_number(message.stamp, "stamp"),
         load=_decode_load(message.load),
         profile=_decode_profile(message.profile) if message.HasField("profile") else None,
         ended=[_decode_end(end) for end in message.ended],
         active=list(message.active),
         opening=message.opening,
         routes_version=message.routes_version,
-        routes_holder=message.routes_holder,
-        next_seconds=message.next_seconds,
+        routes_holder=_check_optional_address(message.routes_holder, "routes_holder"),
+        next_seconds=_check_number(message.next_seconds, "next_seconds"),
     )
 
 
@@ -130,8 +152,47 @@
 
 
 def decode_announcement(message: pb.Announcement) -> Announcement:
-    """Decodes an announcement."""
-    return Announcement(agent=message.agent, address=message.address, service=message.service)
+    """Decodes an announcement.
+
+    Raises:
+        FrameError: The name or the address is invalid.
+    """
+    return Announcement(
+        agent=_check_name(message.agent, "agent"),
+        address=_check_address(message.address, "address"),
+        service=message.service[:MAX_NAME_CHARS],
+    )
+
+
+def _check_name(text: str, field: str) -> str:
+    if not 0 < len(text) <= MAX_NAME_CHARS:
+        raise FrameError(f"{field}: a name of {len(text)} characters")
+    return text
+
+
+def _check_address(text: str, field: str) -> str:
+    try:
+        parse_address(text)
+    except ValueError as error:
+        raise FrameError(f"{field}: {error}") from error
+    return text
+
+
+def _check_optional_address(text: str, field: str) -> str:
+    return _check_address(text, field) if text else text
+
+
+def _check_number(value: float, field: str) -> float:
+    """Returns a number that is neither negative nor too large; NaN fails as well."""
+    if not 0 <= value <= MAX_NUMBER:
+        raise FrameError(f"{field}: {value}")
+    return value
+
+
+def _check_amount(value: int, field: str) -> int:
+    if value > MAX_AMOUNT:
+        raise FrameError(f"{field}: {value}")
+    return value
 
 
 def _encode_load(load: Load) -> pb.Load:
@@ -150,7 +211,7 @@
         cpu=message.cpu,
         memory_mb=message.memory_mb,
         gpus=message.gpus,
-        slowness=message.slowness,
+        slowness=_check_number(message.slowness, "load.slowness"),
     )
 
 
@@ -169,9 +230,9 @@
     return Profile(
         service=message.service,
         zone=message.zone,
-        cpu=message.cpu,
-        memory_mb=message.memory_mb,
-        gpus=message.gpus,
+        cpu=_check_amount(message.cpu, "profile.cpu"),
+        memory_mb=_check_amount(message.memory_mb, "profile.memory_mb"),
+        gpus=_check_amount(message.gpus, "profile.gpus"),
         labels=tuple(message.labels),
     )
 
@@ -188,11 +249,13 @@
 
 
 def _decode_end(message: pb.Ended) -> Ended:
+    if message.outcome not in _OUTCOMES:
+        raise FrameError(f"ended.outcome: {message.outcome}")
     return Ended(
         number=message.number,
         task=message.task,
         attempt=message.attempt,
         outcome=Outcome(message.outcome),
-        seconds=message.seconds,
+        seconds=_check_number(message.seconds, "ended.seconds"),
         detail=message.detail,
     )
--- a/tests/test_platform_decode.py
+++ b/tests/test_platform_decode.py
@@ -14,7 +14,13 @@
 from comfreysill.platform.runner import decode_report, decode_task, encode_task
 from comfreysill.platform.settings import SETTINGS_VARIABLE, read_instance_settings
 from comfreysill.platform.store import RowSet, StoredRow
-from comfreysill.platform.submission import Rejection, decode_submission
+from comfreysill.platform.submission import (
+    MAX_PAYLOAD_CHARS,
+    MAX_STEPS_PER_REQUEST,
+    MAX_TASKS_PER_REQUEST,
+    Rejection,
+    decode_submission,
+)
 from comfreysill.routes.table import choose_newer, find_route
 
 SOURCES = pathlib.Path(__file__).parent.parent / "src" / "comfreysill"
@@ -90,8 +96,18 @@
         self.assertIs(choose_newer(older, newer), newer)
 
     def test_invalid_documents_are_rejected(self):
-        for text in (b"", b"[]", b"{}", b'{"version": "x"}', b'{"version":1,"routes":[{}]}'):
-            self.assertIsInstance(decode_configuration(text), Err)
+        for text in (
+            b"",
+            b"[]",
+            b"{}",
+            b'{"version": "x"}',
+            b'{"version":1,"routes":[{}]}',
+            # Without routes every queue would be gone.
+            b'{"version":9}',
+            encode_configuration(stretch="nan"),
+            encode_configuration(priority=-1),
+        ):
+            self.assertIsInstance(decode_configuration(text), Err, text)
 
 
 class TestSubmission(unittest.TestCase):
@@ -129,6 +145,48 @@
             self.assertEqual(error.rejection, Rejection.INVALID, changes)
         self.assertIsInstance(decode_submission("id", self.route, b"\xff"), Err)
 
+    def test_values_out_of_range_are_rejected_with_the_path_of_the_field(self):
+        """Such values have ended entries, or kept them busy for seconds."""
+        for field, values in (
+            ("estimate-ms", ("nan", "inf", -1, 1e300, None)),
+            ("cpu", (-1, 1 << 64, 1.5, "5", True)),
+            ("mem-mb", (-1, 1 << 31)),
+            ("gpus", (-1,)),
+            ("anti-affinity", (-1,)),
+            ("count", (0, -1, 20_000_000, "8")),
+            ("requires", (5, "x" * 1000)),
+            ("data-rack", ([],)),
+            ("after", ([-1], [1], ["0"], [0] * 5000)),
+        ):
+            for value in values:
+                step = {"count": 1, field: value}
+                error = self.decode(steps=[step]).err_value
+                self.assertEqual(error.rejection, Rejection.INVALID, step)
+                self.assertIn(f"$.steps[0].{field}", error.detail.replace("[...]", ""), step)
+
+    def test_oversized_requests_are_rejected(self):
+        step = {"count": 1}
+        for changes, path in (
+            ({"steps": [step] * (MAX_STEPS_PER_REQUEST + 1)}, "$.steps"),
+            ({"steps": [{"count": MAX_TASKS_PER_REQUEST // 2 + 1}] * 2}, "$.steps"),
+            ({"spec": "x" * (MAX_PAYLOAD_CHARS + 1)}, "$.spec"),
+        ):
+            self.assertIn(path, self.decode(**changes).err_value.detail)
+        self.assertIsInstance(self.decode(steps=[{"count": MAX_TASKS_PER_REQUEST}]), Ok)
+
+    def test_numbers_without_a_value_and_deep_nesting_are_rejected(self):
+        for body in (
+            b'{"best-effort":true,"steps":[{"count":1,"estimate-ms":NaN}]}',
+            b'{"best-effort":true,"steps":[{"count":1,"estimate-ms":1e999}]}',
+            b'{"x":' + b"[" * 100_000 + b"]" * 100_000 + b"}",
+        ):
+            self.assertIsInstance(decode_submission("id", self.route, body), Err)
+
+    def test_request_ids_that_tasks_can_not_be_named_after_are_rejected(self):
+        for request_id in ("a/b", "a.b", "", "x" * 65, "\ud800", "a\n"):
+            body = b'{"best-effort":true,"steps":[{"count":1}]}'
+            self.assertIsInstance(decode_submission(request_id, self.route, body), Err, request_id)
+
 
 class TestReports(unittest.TestCase):
     def decode(self, **changes):
@@ -176,7 +234,32 @@
         ]
         found = decode_members(RowSet(rows=rows, version=3))
         self.assertEqual([member.name for member in found.members], ["a"])
-        self.assertEqual(found.unreadable, 1)
+        self.assertEqual((found.unreadable, found.removed), (1, ["c"]))
+
+    def test_member_rows_that_name_no_usable_address_are_skipped(self):
+        documents = (
+            {"role": "agent", "address": "h:1", "service": ["s"]},
+            {"role": "agent", "address": "h"},
+            {"role": "agent", "address": "h:99999"},
+            {"role": "agent", "address": "h" * 100 + ":1"},
+            {"role": "agent", "address": 5},
+            {"role": "other", "address": "h:1"},
+            [],
+        )
+        rows = [
+            StoredRow(key=str(number), value=json.dumps(document).encode(), version=number + 1)
+            for number, document in enumerate(documents)
+        ]
+        found = decode_members(RowSet(rows=rows, version=9))
+        self.assertEqual((found.members, found.unreadable), ([], len(documents)))
+
+    def test_an_address_belongs_to_the_member_that_registered_last(self):
+        rows = [
+            StoredRow(key="new", value=b'{"role":"agent","address":"h:1"}', version=7),
+            StoredRow(key="old", value=b'{"role":"agent","address":"h:1"}', version=2),
+        ]
+        found = decode_members(RowSet(rows=rows, version=7))
+        self.assertEqual([member.name for member in found.members], ["new"])
 
     def test_platform_names_occur_only_in_the_adapter(self):
         """Hyphenated fields, call paths and header names of the platform occur nowhere else."""
