--- a/src/comfreysill/gateway/actor.py
+++ b/src/comfreysill/gateway/actor.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 
 from comfreysill.clock import read_boot_clock
+from comfreysill.containment import MessageFailures, record_failure, record_handled
 from comfreysill.gateway.links import Link, run_link
 from comfreysill.gateway.messages import (
     AgentDiscovered,
@@ -15,6 +16,7 @@
     ConcludeRequests,
     EntriesDiscovered,
     EntryStateMessage,
+    MemberRemoved,
     Reply,
     RoutesRead,
     SessionClosed,
@@ -26,10 +28,12 @@
 from comfreysill.placement.agents import (
     begin_session,
     collect_frames,
+    contain_failed_frame,
     discover_agent,
     end_session,
     expire_agents,
     receive_agent_frame,
+    release_agent,
 )
 from comfreysill.placement.placement import is_usable, place_waiting, refuse_unmeetable
 from comfreysill.placement.requests import (
@@ -69,6 +73,7 @@
         routes_text: Undecoded routing document in use, empty if there is none.
         routes_sources: Addresses of entries to fetch the routing document from.
         stopping: True once the shutdown has begun.
+        failures: Messages whose handling has failed.
     """
 
     __slots__ = (
@@ -80,6 +85,7 @@
         "routes_text",
         "routes_sources",
         "stopping",
+        "failures",
     )
 
     def __init__(self, *, state: EntryState) -> None:
@@ -91,6 +97,7 @@
         self.routes_text = b""
         self.routes_sources: Mailbox[str] = Mailbox()
         self.stopping = False
+        self.failures = MessageFailures()
 
 
 def submit(actor: Actor, specification: Specification) -> tuple[int, asyncio.Future[Reply]]:
@@ -129,10 +136,28 @@
         messages = await actor.inbox.get_batch()
         now = read_boot_clock()
         for message in messages:
-            HANDLERS[type(message)](actor, message, now)
+            handle_message(actor, message, now)
         _flush(actor, now)
 
 
+def handle_message(actor: Actor, message: EntryStateMessage, now: float) -> None:
+    """Processes a message; an error costs the request or session that the message belongs to.
+
+    Raises:
+        Exception: The message belongs to none, or too many messages have failed in a row.
+    """
+    try:
+        HANDLERS[type(message)](actor, message, now)
+    except Exception as error:
+        record_failure(actor.failures, message, error)
+        contain = CONTAINMENT.get(type(message))
+        if contain is None:
+            raise
+        contain(actor, message, now)
+    else:
+        record_handled(actor.failures)
+
+
 def _receive_submit(actor: Actor, message: Submit, now: float) -> None:
     submit_request(actor.state, message.caller, message.specification, now)
 
@@ -151,7 +176,8 @@
 
 def _receive_session_opened(actor: Actor, message: SessionOpened, now: float) -> None:
     link = actor.links.get(message.agent)
-    if link is not None:
+    # The link may have been replaced by one to another address.
+    if link is not None and link.address == message.address:
         link.session = begin_session(actor.state, message.agent, now)
 
 
@@ -160,6 +186,10 @@
 
 
 def _receive_frame(actor: Actor, message: AgentFrameReceived, now: float) -> None:
+    if message.frame.agent != message.agent:
+        reason = f"{message.frame.agent} answers at its address"
+        release_agent(actor.state, message.agent, reason)
+        return
     receive_agent_frame(actor.state, message.frame, now)
 
 
@@ -171,6 +201,10 @@
         link.reconnect_now.set()
 
 
+def _receive_member_removed(actor: Actor, message: MemberRemoved, now: float) -> None:
+    release_agent(actor.state, message.name, "its row was removed")
+
+
 def _receive_entries(actor: Actor, message: EntriesDiscovered, now: float) -> None:
     addresses = actor.state.entries
     addresses.extend(address for address in message.addresses if address not in addresses)
@@ -207,6 +241,7 @@
     SessionClosed: _receive_session_closed,
     AgentFrameReceived: _receive_frame,
     AgentDiscovered: _receive_discovered_agent,
+    MemberRemoved: _receive_member_removed,
     EntriesDiscovered: _receive_entries,
     RoutesRead: _receive_routes,
     Tick: _receive_tick,
@@ -214,6 +249,35 @@
 }
 
 
+def _contain_submit(actor: Actor, message: Submit, now: float) -> None:
+    request = actor.state.requests.get(message.specification.request_id)
+    if request is not None:
+        conclude_request(actor.state, request, Verdict.MAY_HAVE_RUN, "internal error", now)
+    actor.state.callers.pop(message.caller, None)
+    verdict = SendVerdict(
+        caller=message.caller, verdict=Verdict.MAY_HAVE_RUN, detail="internal error"
+    )
+    actor.state.effects.append(verdict)
+
+
+def _contain_frame(actor: Actor, message: AgentFrameReceived, now: float) -> None:
+    contain_failed_frame(actor.state, message.agent, now)
+
+
+def _contain_nothing(actor: Actor, message: EntryStateMessage, now: float) -> None:
+    """The message has changed nothing that could be left half changed."""
+
+
+CONTAINMENT: dict[type, Callable[[Actor, EntryStateMessage, float], None]] = {
+    Submit: _contain_submit,
+    AgentFrameReceived: _contain_frame,
+    AgentDiscovered: _contain_nothing,
+    MemberRemoved: _contain_nothing,
+    EntriesDiscovered: _contain_nothing,
+    RoutesRead: _contain_nothing,
+}
+
+
 def _flush(actor: Actor, now: float) -> None:
     state = actor.state
     update_subset(state, now)
--- a/src/comfreysill/gateway/discovery.py
+++ b/src/comfreysill/gateway/discovery.py
@@ -14,6 +14,7 @@
     AgentDiscovered,
     EntriesDiscovered,
     EntryStateMessage,
+    MemberRemoved,
     RoutesRead,
 )
 from comfreysill.mailbox import Mailbox
@@ -93,6 +94,8 @@
         logger.warning(
             "member rows can't be decoded", extra={"fields": {"count": member_set.unreadable}}
         )
+    for name in member_set.removed:
+        inbox.post(MemberRemoved(name=name))
     for member in member_set.members:
         if member.role == "agent":
             announcement = Announcement(
--- a/src/comfreysill/gateway/links.py
+++ b/src/comfreysill/gateway/links.py
@@ -5,6 +5,8 @@
 from collections.abc import Callable
 
 from grpclib.client import Channel
+from grpclib.const import Status
+from grpclib.exceptions import GRPCError
 from grpclib.server import Stream
 
 from comfreysill.address import parse_address
@@ -17,7 +19,7 @@
     SessionOpened,
 )
 from comfreysill.mailbox import Mailbox
-from comfreysill.wire.errors import LINK_ERRORS
+from comfreysill.wire.errors import LINK_ERRORS, UNREADABLE_ERRORS
 from comfreysill.wire.exchange import decode_agent_frame, decode_announcement, encode_entry_frame
 from comfreysill.wire.exchange_grpc import RosterBase, RosterStub, TargetStub
 from comfreysill.wire.exchange_pb2 import Nothing, RoutesText
@@ -57,23 +59,9 @@
 async def run_link(link: Link) -> None:
     """Connects a link to its agent, and reconnects it after failures, until cancelled."""
     delay = INITIAL_RECONNECT_SECONDS
-    address = parse_address(link.address)
     while True:
-        channel = Channel(address.host, address.port)
-        connected = False
-        try:
-            async with asyncio.timeout(CONNECT_TIMEOUT_SECONDS):
-                await channel.__connect__()
-            connected = True
-            await _serve_link(link, channel)
-        except LINK_ERRORS as error:
-            fields = {"agent": link.agent, "why": f"{type(error).__name__} {error}"}
-            logger.debug("link failed", extra={"fields": fields})
-        finally:
-            channel.close()
-            if connected:
-                link.inbox.post(SessionClosed(agent=link.agent, session=link.session))
-        delay = INITIAL_RECONNECT_SECONDS if connected else min(delay * 2, MAX_RECONNECT_SECONDS)
+        healthy = await _run_connection(link)
+        delay = INITIAL_RECONNECT_SECONDS if healthy else min(delay * 2, MAX_RECONNECT_SECONDS)
         link.reconnect_now.clear()
         try:
             async with asyncio.timeout(delay):
@@ -82,17 +70,53 @@
             continue
 
 
+async def _run_connection(link: Link) -> bool:
+    """Connects a link once, and serves the session until it ends.
+
+    Returns:
+        True if the connection was opened, and did not end with a message that can't be decoded or
+        with an unexpected error.
+    """
+    address = parse_address(link.address)
+    channel = Channel(address.host, address.port)
+    connected = healthy = False
+    try:
+        async with asyncio.timeout(CONNECT_TIMEOUT_SECONDS):
+            await channel.__connect__()
+        connected = healthy = True
+        await _serve_link(link, channel)
+    except UNREADABLE_ERRORS as error:
+        healthy = False
+        logger.warning("unreadable frame; link closed", extra={"fields": _describe(link, error)})
+    except LINK_ERRORS as error:
+        logger.debug("link failed", extra={"fields": _describe(link, error)})
+    except Exception as error:
+        healthy = False
+        logger.exception("link failed unexpectedly", extra={"fields": _describe(link, error)})
+    finally:
+        channel.close()
+        if connected:
+            link.inbox.post(SessionClosed(agent=link.agent, session=link.session))
+    return healthy
+
+
+def _describe(link: Link, error: Exception) -> dict[str, str]:
+    return {"agent": link.agent, "why": f"{type(error).__name__} {error}"}
+
+
 async def _serve_link(link: Link, channel: Channel) -> None:
     # Frames queued in an earlier session are discarded.
     while not link.outbox.is_empty():
         await link.outbox.get_batch()
     async with TargetStub(channel).Serve.open() as stream:
         await stream.send_request()
-        link.inbox.post(SessionOpened(agent=link.agent))
+        link.inbox.post(SessionOpened(agent=link.agent, address=link.address))
         reader = asyncio.create_task(_read_frames(link, stream))
         writer = asyncio.create_task(_write_frames(link, stream))
         try:
-            await asyncio.wait((reader, writer), return_when=asyncio.FIRST_COMPLETED)
+            done, _ = await asyncio.wait((reader, writer), return_when=asyncio.FIRST_COMPLETED)
+            for task in done:
+                task.result()
         finally:
             for task in (reader, writer):
                 task.cancel()
@@ -106,7 +130,8 @@
         message = await stream.recv_message()
         if message is None:
             return
-        link.inbox.post(AgentFrameReceived(frame=decode_agent_frame(message)))
+        frame = decode_agent_frame(message)
+        link.inbox.post(AgentFrameReceived(agent=link.agent, frame=frame))
 
 
 async def _write_frames(link: Link, stream) -> None:
@@ -136,9 +161,14 @@
 
     async def Announce(self, stream: Stream) -> None:  # noqa: N802
         """Queues the announcement of an agent for the state task."""
-        message = await stream.recv_message()
-        if message is not None:
-            self.inbox.post(AgentDiscovered(announcement=decode_announcement(message)))
+        try:
+            message = await stream.recv_message()
+            if message is not None:
+                self.inbox.post(AgentDiscovered(announcement=decode_announcement(message)))
+        except UNREADABLE_ERRORS as error:
+            fields = {"why": f"{type(error).__name__} {error}"}
+            logger.warning("unreadable announcement rejected", extra={"fields": fields})
+            raise GRPCError(Status.INVALID_ARGUMENT, str(error)) from error
         await stream.send_message(Nothing())
 
     async def ReadRoutes(self, stream: Stream) -> None:  # noqa: N802
--- a/src/comfreysill/gateway/messages.py
+++ b/src/comfreysill/gateway/messages.py
@@ -52,12 +52,13 @@
 
 
 class SessionOpened:
-    """A session of the link to an agent was opened; the state task numbers it."""
+    """A session of the link to an agent at an address was opened; the state task numbers it."""
 
-    __slots__ = ("agent",)
+    __slots__ = ("agent", "address")
 
-    def __init__(self, *, agent: str) -> None:
+    def __init__(self, *, agent: str, address: str) -> None:
         self.agent = agent
+        self.address = address
 
 
 class SessionClosed:
@@ -74,11 +75,12 @@
 
 
 class AgentFrameReceived:
-    """A frame from an agent was received."""
+    """A frame was received on the link to `agent`; the frame names its sender itself."""
 
-    __slots__ = ("frame",)
+    __slots__ = ("agent", "frame")
 
-    def __init__(self, *, frame: AgentFrame) -> None:
+    def __init__(self, *, agent: str, frame: AgentFrame) -> None:
+        self.agent = agent
         self.frame = frame
 
 
@@ -91,6 +93,15 @@
         self.announcement = announcement
 
 
+class MemberRemoved:
+    """The row of an agent or entry was removed from the store."""
+
+    __slots__ = ("name",)
+
+    def __init__(self, *, name: str) -> None:
+        self.name = name
+
+
 class EntriesDiscovered:
     """Addresses of entries were read from the store or the settings."""
 
@@ -130,6 +141,7 @@
     | SessionClosed
     | AgentFrameReceived
     | AgentDiscovered
+    | MemberRemoved
     | EntriesDiscovered
     | RoutesRead
     | Tick
--- a/src/comfreysill/gateway/program.py
+++ b/src/comfreysill/gateway/program.py
@@ -57,13 +57,7 @@
     """
     name = f"{settings.name}@{lifetime}"
     metrics = Metrics(role="entry")
-    state = EntryState(
-        name=name,
-        zone=settings.zone,
-        unix_offset=measure_unix_offset(),
-        observe=build_observer(metrics),
-    )
-    state.entries = list(dict.fromkeys((settings.advertised, *settings.entries)))
+    state = _build_state(name, settings, metrics)
     actor = Actor(state=state)
     store = open_store(settings.store)
     callers_server = build_http(build_callers_app(_build_operations(actor)))
@@ -86,6 +80,18 @@
     logger.info("entry stopped", extra={"fields": {"name": name, **state.counters}})
 
 
+def _build_state(name: str, settings: InstanceSettings, metrics: Metrics) -> EntryState:
+    state = EntryState(
+        name=name,
+        zone=settings.zone,
+        unix_offset=measure_unix_offset(),
+        remote_factor=settings.remote_factor,
+        observe=build_observer(metrics),
+    )
+    state.entries = list(dict.fromkeys((settings.advertised, *settings.entries)))
+    return state
+
+
 def _start_tasks(
     actor: Actor, settings: InstanceSettings, store: StoreClient, reload: asyncio.Event
 ) -> list[asyncio.Task]:
--- a/src/comfreysill/placement/agents.py
+++ b/src/comfreysill/placement/agents.py
@@ -11,7 +11,7 @@
     Outcome,
 )
 from comfreysill.placement.queue import rank_demand
-from comfreysill.placement.requests import end_task
+from comfreysill.placement.requests import conclude_request, end_task
 from comfreysill.placement.state import (
     Agent,
     CloseSession,
@@ -22,6 +22,8 @@
     note_event,
 )
 from comfreysill.placement.subset import rank_agent, remove_link
+from comfreysill.request.request import reschedule_task
+from comfreysill.request.types import Verdict
 
 # A session whose next frame is overdue by more than this is closed, and the link reconnected.
 LINK_TIMEOUT_MARGIN_SECONDS = 0.2
@@ -35,33 +37,53 @@
 # it fetches it from another entry.
 ROUTES_STORE_WAIT_SECONDS = 0.5
 ROUTES_RETRY_SECONDS = 0.5
+# An agent that this entry could not reach for so long is no longer tried. If it is alive, it
+# announces itself.
+FORGET_AGENT_SECONDS = 300.0
 ECHO_INTERVAL_SECONDS = FRAME_INTERVAL_SECONDS
 
 
 def discover_agent(state: EntryState, name: str, address: str, service: str = "") -> None:
     """Records the address and service of an agent; `update_subset` decides on a link to it.
 
-    An empty service leaves the known one unchanged. A link to an earlier address is removed.
+    An empty service leaves the known one unchanged. A link to an earlier address is removed. An
+    agent that had the address before is gone.
     """
     agent = state.agents.get(name)
     if agent is None:
         subset_rank = rank_agent(state.name, name)
-        state.agents[name] = Agent(
-            name=name, address=address, service=service, subset_rank=subset_rank
+        agent = state.agents[name] = Agent(
+            name=name, address="", service=service, subset_rank=subset_rank
         )
-        state.subset_due_at = 0.0
-        note_event(state, "agent discovered", agent=name, address=address)
-        return
     agent.service = service or agent.service
     if agent.address == address:
         return
-    note_event(state, "agent address changed", agent=name, address=address)
+    text = "agent address changed" if agent.address else "agent discovered"
+    note_event(state, text, agent=name, address=address)
+    owner = state.address_owners.get(address)
+    if owner is not None:
+        release_agent(state, owner, "its address belongs to another agent")
+    state.address_owners.pop(agent.address, None)
+    state.address_owners[address] = name
     agent.address = address
     state.subset_due_at = 0.0
     if agent.link_requested_at:
         remove_link(state, agent)
 
 
+def release_agent(state: EntryState, name: str, reason: str) -> None:
+    """Removes the link to an agent that is gone; it is forgotten once no task is placed on it."""
+    agent = state.agents.get(name)
+    if agent is None or not agent.address:
+        return
+    note_event(state, "agent is gone", agent=name, address=agent.address, why=reason)
+    state.address_owners.pop(agent.address, None)
+    agent.address = ""
+    state.subset_due_at = 0.0
+    if agent.link_requested_at:
+        remove_link(state, agent)
+
+
 def begin_session(state: EntryState, name: str, now: float) -> int:
     """Records that a session of the link to an agent was opened, and resets what belongs to one.
 
@@ -197,6 +219,41 @@
             agent.abandoned = set(agent.tasks)
             note_event(state, "agent leases expired", agent=agent.name, tasks=len(agent.tasks))
             _end_abandoned_tasks(state, agent, "no frames from its agent", now)
+    _forget_agents(state, now)
+
+
+def _forget_agents(state: EntryState, now: float) -> None:
+    """Releases agents out of reach for long, and forgets released ones without tasks."""
+    for agent in list(state.agents.values()):
+        is_sought = agent.link_requested_at and not agent.connected
+        silent_since = max(agent.link_requested_at, agent.last_frame_at)
+        if is_sought and now - silent_since > FORGET_AGENT_SECONDS:
+            release_agent(state, agent.name, "it was out of reach for long")
+        if not agent.address and not agent.tasks:
+            del state.agents[agent.name]
+
+
+def contain_failed_frame(state: EntryState, name: str, now: float) -> None:
+    """Restores a consistent state after an error in a frame of an agent.
+
+    The session is closed; the first frame of the next one tells what the agent has. Requests whose
+    tasks are no longer recorded at the agent are concluded.
+    """
+    agent = state.agents.get(name)
+    if agent is None:
+        return
+    agent.connected = False
+    state.effects.append(CloseSession(agent=name, session=agent.session))
+    for request in list(state.requests.values()):
+        lost = [
+            task
+            for task in request.placed.values()
+            if task.agent == name and task.name not in agent.tasks
+        ]
+        for task in lost:
+            reschedule_task(task)
+        if lost:
+            conclude_request(state, request, Verdict.MAY_HAVE_RUN, "internal error", now)
 
 
 def collect_frames(state: EntryState, now: float) -> None:
--- a/src/comfreysill/placement/placement.py
+++ b/src/comfreysill/placement/placement.py
@@ -14,8 +14,6 @@
 FRAME_DELAY_LIMIT_SECONDS = 0.2
 # Added to the estimated run time of a task in another availability zone.
 CROSS_ZONE_SECONDS = 0.004
-# Factor on the estimated run time of a task that runs outside the rack of its data.
-REMOTE_RACK_FACTOR = 1.5
 # A pass over a queue ends after this many requests that could not be placed completely.
 MAX_UNPLACED_REQUESTS = 24
 # Run times within one speed band count as equal; a band spans this factor.
@@ -196,7 +194,7 @@
 def _estimate_run_time(state: EntryState, step: Step, agent: Agent) -> float:
     seconds = step.estimate * agent.load.slowness
     if step.rack and step.rack not in agent.profile.labels:
-        seconds *= REMOTE_RACK_FACTOR
+        seconds *= state.remote_factor
     if agent.profile.zone != state.zone:
         seconds += CROSS_ZONE_SECONDS
     return seconds
--- a/src/comfreysill/placement/state.py
+++ b/src/comfreysill/placement/state.py
@@ -35,7 +35,7 @@
 
     Attributes:
         name: Name of its instance.
-        address: Address of its link service, `host:port`.
+        address: Address of its link service, `host:port`; empty once the agent is gone.
         service: Announced service of its target, empty if unknown.
         subset_rank: Rank in the choice of the entry's subset; the lowest is chosen first.
         link_requested_at: Boot-clock time in seconds at which a link was requested, 0 while the
@@ -244,6 +244,8 @@
         routes_due_at: Boot-clock time in seconds from which a newer routing document may be fetched
             from another entry, 0 while no newer one is known.
         agents: Agents by name.
+        address_owners: Names of agents by address; an address belongs to one agent at a time.
+        remote_factor: Factor on the run time of a task outside the rack of its data.
         subset_due_at: Boot-clock time in seconds at which the subset is chosen again.
         entries: Addresses of entries, its own first; sent to agents for their announcements.
         requests: Requests without a verdict or with tasks still placed, by request id.
@@ -268,6 +270,8 @@
         "routes",
         "routes_due_at",
         "agents",
+        "address_owners",
+        "remote_factor",
         "subset_due_at",
         "entries",
         "requests",
@@ -284,13 +288,23 @@
         "observe",
     )
 
-    def __init__(self, *, name: str, zone: str, unix_offset: float, observe=None) -> None:
+    def __init__(
+        self,
+        *,
+        name: str,
+        zone: str,
+        unix_offset: float,
+        remote_factor: float = 1.0,
+        observe=None,
+    ) -> None:
         self.name = name
         self.zone = zone
         self.unix_offset = unix_offset
         self.routes = NO_ROUTES
         self.routes_due_at = 0.0
         self.agents: dict[str, Agent] = {}
+        self.address_owners: dict[str, str] = {}
+        self.remote_factor = remote_factor
         self.subset_due_at = 0.0
         self.entries: list[str] = []
         self.requests: dict[str, Request] = {}
--- a/src/comfreysill/placement/subset.py
+++ b/src/comfreysill/placement/subset.py
@@ -61,7 +61,8 @@
 def _choose_subset(state: EntryState, now: float) -> set[str]:
     services: dict[str, list[Agent]] = {}
     for agent in state.agents.values():
-        services.setdefault(agent.service, []).append(agent)
+        if agent.address:
+            services.setdefault(agent.service, []).append(agent)
     subset = set()
     for agents in services.values():
         needed_count = compute_subset_size(len(agents), len(state.entries))
@@ -79,7 +80,7 @@
     An agent to which no link was requested counts as available.
     """
     if agent.connected and agent.handshake_done:
-        return not agent.profile.service
+        return agent.profile is None or not agent.profile.service
     return (
         bool(agent.link_requested_at)
         and now - max(agent.link_requested_at, agent.last_frame_at) > AGENT_REPLACEMENT_SECONDS
--- a/src/comfreysill/sidecar/links.py
+++ b/src/comfreysill/sidecar/links.py
@@ -12,7 +12,7 @@
 from comfreysill.exchange.messages import AgentFrame, Announcement
 from comfreysill.mailbox import Mailbox
 from comfreysill.sidecar.messages import AgentStateMessage, EntryFrameReceived, SessionClosed
-from comfreysill.wire.errors import LINK_ERRORS
+from comfreysill.wire.errors import LINK_ERRORS, UNREADABLE_ERRORS
 from comfreysill.wire.exchange import decode_entry_frame, encode_agent_frame, encode_announcement
 from comfreysill.wire.exchange_grpc import RosterStub, TargetBase
 
@@ -48,6 +48,11 @@
                 self.inbox.post(EntryFrameReceived(frame=frame, outbox=outbox))
         except (StreamTerminatedError, ConnectionError):
             return
+        except UNREADABLE_ERRORS as error:
+            fields = {"why": f"{type(error).__name__} {error}"}
+            logger.warning("unreadable frame; link closed", extra={"fields": fields})
+        except Exception:
+            logger.exception("reading frames failed unexpectedly; link closed")
         finally:
             outbox.post(None)
 
--- a/src/comfreysill/sidecar/program.py
+++ b/src/comfreysill/sidecar/program.py
@@ -13,10 +13,10 @@
 
 from comfreysill.clock import read_boot_clock
 from comfreysill.exchange.messages import Announcement
-from comfreysill.execution.calls import Call, RenewCall
+from comfreysill.execution.calls import Call, RenewCall, build_unanswered_reply
 from comfreysill.execution.state import AgentState
 from comfreysill.listeners import Listeners
-from comfreysill.membership import register_member
+from comfreysill.membership import deregister_member, register_member
 from comfreysill.metrics import Metrics
 from comfreysill.metrics_app import build_metrics_app
 from comfreysill.platform.members import Member, read_members
@@ -77,13 +77,14 @@
     member = Member(
         name=settings.name, role="agent", address=settings.advertised, service=settings.service
     )
-    startup_tasks = [
-        asyncio.create_task(register_member(store, member)),
-        asyncio.create_task(_discover_entries(actor, store)),
-    ]
+    registration = asyncio.create_task(register_member(store, member))
+    startup_tasks = [registration, asyncio.create_task(_discover_entries(actor, store))]
     logger.info("agent started", extra={"fields": {"name": settings.name, "token": token}})
     await await_stop(stop, [http_task, *tasks], startup_tasks)
     await _shut_down(actor, settings)
+    if agent.departed_lifetime is not None and agent.report is None:
+        # The runner has left for good, and its instance with it.
+        await deregister_member(store, settings.name, registration)
     for task in [*startup_tasks, *tasks, *calls]:
         task.cancel()
     grpc.close()
@@ -145,10 +146,13 @@
 
 
 async def _make_call(actor: Actor, runner: RunnerClient, call: Call) -> None:
-    if isinstance(call, RenewCall):
-        reply = await send_renewal(runner, call)
-    else:
-        reply = await send_command(runner, call)
+    """Makes a call and posts its reply; after an unexpected error the call counts as unanswered."""
+    send = send_renewal if isinstance(call, RenewCall) else send_command
+    try:
+        reply = await send(runner, call)
+    except Exception:
+        logger.exception("call to the runner failed unexpectedly")
+        reply = build_unanswered_reply(call)
     actor.inbox.post(RunnerCallFinished(reply=reply))
 
 
--- a/standins/platform_deployment.py
+++ b/standins/platform_deployment.py
@@ -196,8 +196,13 @@
         "services": [{"name": SERVICE}],
         "limits": {},
     }
-    value = base64.b64encode(json.dumps(document).encode()).decode()
-    row = {"table": "op", "part": "", "key": "config", "value": value}
+    await put_row(deployment, "op", "config", json.dumps(document).encode())
+
+
+async def put_row(deployment: PlatformDeployment, table: str, key: str, value: bytes) -> None:
+    """Writes a row to the store."""
+    encoded = base64.b64encode(value).decode()
+    row = {"table": table, "part": "", "key": key, "value": encoded}
     body = {"expected-rev": [], "put": [row], "remove": []}
     async with (
         aiohttp.ClientSession() as session,
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -2,6 +2,8 @@
 
 from comfreysill.exchange.messages import AgentFrame, Ended, Load, Outcome, Profile
 from comfreysill.placement.agents import (
+    AGENT_EXPIRY_SECONDS,
+    FORGET_AGENT_SECONDS,
     begin_session,
     collect_frames,
     discover_agent,
@@ -262,6 +264,29 @@
         self.assertEqual(self.flush()[0], {})
         self.assertTrue(self.state.agents["a"].connected)
 
+    def test_an_agent_whose_address_belongs_to_another_one_is_forgotten(self):
+        self.submit(build_request(tasks=8))
+        self.flush()
+        self.assertTrue(self.state.agents["a"].tasks)
+        discover_agent(self.state, "c", "a:1")
+        self.assertEqual(self.state.agents["a"].address, "")
+        self.now += AGENT_EXPIRY_SECONDS + 0.1
+        for _ in range(2):
+            self.state.ticked_at = self.now
+            expire_agents(self.state, self.now)
+        self.assertEqual(sorted(self.state.agents), ["b", "c"])
+        discover_agent(self.state, "a", "a:2")
+        self.assertEqual(self.state.agents["a"].address, "a:2")
+
+    def test_an_agent_out_of_reach_for_long_is_no_longer_tried(self):
+        end_session(self.state, "a", self.state.agents["a"].session)
+        self.state.agents["a"].link_requested_at = self.now
+        self.now += FORGET_AGENT_SECONDS + 1
+        self.state.ticked_at = self.now
+        expire_agents(self.state, self.now)
+        self.assertEqual(list(self.state.agents), ["b"])
+        self.assertIn("RemoveLink", [type(effect).__name__ for effect in self.state.effects])
+
     def test_a_newer_routing_document_is_fetched(self):
         self.deliver_frame("a", routes=(7, "e2:1"))
         (effect,) = [e for e in self.state.effects if isinstance(e, FetchRoutes)]
--- a/tests/test_platform_processes.py
+++ b/tests/test_platform_processes.py
@@ -8,16 +8,24 @@
 import pathlib
 import signal
 import tempfile
+import time
 import unittest
 
 import aiohttp
+from grpclib.client import Channel
+from grpclib.exceptions import GRPCError, StreamTerminatedError
 
+from comfreysill.wire.exchange_grpc import TargetStub
+from comfreysill.wire.exchange_pb2 import ToAgent
 from standins.platform_deployment import (
     CALLERS_PORT,
+    CONTROL_PORT,
+    LINK_PORT,
     ROUTE_HOST,
     ROUTE_PREFIX,
     PlatformDeployment,
     put_configuration,
+    put_row,
     read_overlaps,
     set_faults,
     start_instance,
@@ -27,6 +35,23 @@
 )
 
 RESEND_DELAY_SECONDS = 1.3
+MALFORMED_STEPS = (
+    [{"count": 1, "estimate-ms": "nan"}],
+    [{"count": 1, "estimate-ms": "inf"}],
+    [{"count": 1, "estimate-ms": -5}],
+    [{"count": 20_000_000}],
+    [{"count": 1}] * 5_000,
+    [{"count": 1, "cpu": -1}],
+    [{"count": 1, "cpu": 1 << 64}],
+    [{"count": 1, "mem-mb": -1}],
+    [{"count": 1, "anti-affinity": -1}],
+)
+MALFORMED_MEMBERS = (
+    b'{"role": "agent", "address": "127.0.0.1:1", "service": ["s"]}',
+    b'{"role": "agent", "address": "nowhere"}',
+    b'{"role": "agent", "address": "127.0.0.1:99999", "service": "s1"}',
+    b"\xff",
+)
 # Second octets: each test has a loopback network 127.N of its own.
 LOOPBACK_NETWORKS = itertools.count(40)
 
@@ -90,6 +115,41 @@
             self.assertEqual(answer.status, 503, "a job that is not best-effort is refused")
             self.assertTrue(answer.headers["Retry-After"])
 
+    async def test_malformed_input_ends_no_process(self):
+        """Each way in: callers' bodies, rows of the store, the configuration, frames, reports."""
+        await put_row(self.deployment, "op", "config", b'{"version": 9}')
+        for number, value in enumerate(MALFORMED_MEMBERS):
+            await put_row(self.deployment, "members", f"bad-{number}", value)
+        for entry in self.deployment.entries:
+            for steps in MALFORMED_STEPS:
+                url = f"http://{self.deployment.find_ip(entry)}:{CALLERS_PORT}{ROUTE_PREFIX}bad"
+                body = {"best-effort": True, "steps": steps}
+                started_at = time.monotonic()
+                async with self.session.post(
+                    url, json=body, headers={"Host": ROUTE_HOST}
+                ) as answer:
+                    self.assertEqual(answer.status, 400, await answer.text())
+                self.assertLess(time.monotonic() - started_at, 1.0)
+        for agent in self.deployment.agents:
+            await self.send_malformed_to_agent(self.deployment.find_ip(agent))
+        await self.check_guarantees(await self.start_jobs(20))
+        running = [process.returncode for process in self.deployment.processes.values()]
+        self.assertEqual(set(running), {None}, "a process has ended")
+
+    async def send_malformed_to_agent(self, ip):
+        for body in (b"", b"[]", b'{"seq": "x"}', b"\xff" * 100):
+            url = f"http://{ip}:{CONTROL_PORT}/api/instances/i/heartbeat"
+            async with self.session.post(url, data=body) as answer:
+                self.assertEqual(answer.status, 400)
+        channel = Channel(ip, LINK_PORT)
+        self.addCleanup(channel.close)
+        for frame in (ToAgent(), ToAgent(entry="x@1", session=1, echo=float("nan"))):
+            with self.assertRaises((GRPCError, StreamTerminatedError)):
+                async with TargetStub(channel).Serve.open() as stream:
+                    await stream.send_message(frame)
+                    while await stream.recv_message() is not None:
+                        pass
+
     async def test_killed_members(self):
         calls = await self.start_jobs(20)
         for name in ("entry-0", "agent-1"):
