--- a/Makefile
+++ b/Makefile
@@ -28,7 +28,8 @@
 fuzz: $(VENV)/ready
 	PYTHONHASHSEED=0 FUZZ_SEED=$${FUZZ_SEED:-$$(date +%s)} FUZZ_EXAMPLES=$${FUZZ_EXAMPLES:-2000} \
 		FUZZ_STEPS=$${FUZZ_STEPS:-80} FLOOR_EXAMPLES=$${FLOOR_EXAMPLES:-5000} \
-		$(BIN)/python -m tests.run tests.test_fuzz tests.test_platform_floor
+		INPUT_EXAMPLES=$${INPUT_EXAMPLES:-3000} \
+		$(BIN)/python -m tests.run tests.test_fuzz tests.test_platform_floor tests.test_input_fuzz
 
 soak: $(VENV)/ready
 	$(BIN)/python -m standins.soak --seeds $${SOAK_SEEDS:-50} --seconds $${SOAK_SECONDS:-20}
--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -1,17 +1,17 @@
 import os
 import unittest
 
-from hypothesis import HealthCheck, Phase, seed, settings
+from hypothesis import HealthCheck, Phase, settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
 from comfreysill.dispatch.messages import MarkLedgerLost
 from comfreysill.target.messages import Outcome
+from tests.fuzzing import SEED, apply_seed
 from tests.world import World, build_submission, make_key
 
 EXAMPLES = int(os.environ.get("FUZZ_EXAMPLES", "60"))
 STEPS = int(os.environ.get("FUZZ_STEPS", "60"))
-SEED = os.environ.get("FUZZ_SEED")
 SHRINK = "FUZZ_SHRINK" in os.environ
 
 indexes = st.integers(min_value=0, max_value=1_000)
@@ -307,9 +307,8 @@
     suppress_health_check=list(HealthCheck),
     phases=(Phase.generate, Phase.shrink) if SHRINK else (Phase.generate,),
 )
-if SEED is not None:
-    print(f"FUZZ_SEED={SEED} FUZZ_EXAMPLES={EXAMPLES} FUZZ_STEPS={STEPS}")
-    FloorTest = seed(int(SEED))(FloorTest)
+# Hypothesis reads the seed from the machine, not from its test case.
+apply_seed(FloorMachine)
 
 if __name__ == "__main__":
     unittest.main()
--- /dev/null
+++ b/tests/test_input_fuzz.py
@@ -0,0 +1,452 @@
+"""Malformed and hostile input at each way in, against the real decoders and decisions.
+
+Whatever comes in is rejected with a declared error, or the decisions can work with it: no exception
+leaves them, and what they send can be encoded again. CI plays the same examples in each run.
+`make fuzz` plays more of them, with a seed that is printed.
+"""
+
+import itertools
+import json
+import math
+import os
+import pathlib
+import tempfile
+import unittest
+from unittest import mock
+
+import yaml
+from google.protobuf.message import DecodeError
+from hypothesis import strategies as st
+from result import Err, Ok
+
+from comfreysill.exceptions import UsageError
+from comfreysill.execution.calls import RenewCall, ReplyStatus, RunnerLifetime
+from comfreysill.execution.frame_handling import expire_links, receive_frame
+from comfreysill.execution.frames import collect_frames as collect_agent_frames
+from comfreysill.execution.renewals import queue_renewal, receive_renewal
+from comfreysill.execution.runner import receive_report
+from comfreysill.execution.starts import resend_stops, start_waiting
+from comfreysill.execution.state import AgentState
+from comfreysill.placement.agents import (
+    begin_session,
+    collect_frames,
+    discover_agent,
+    expire_agents,
+    receive_agent_frame,
+)
+from comfreysill.placement.placement import place_waiting, refuse_unmeetable
+from comfreysill.placement.requests import submit_request
+from comfreysill.placement.state import EntryState, SendFrame
+from comfreysill.placement.subset import update_subset
+from comfreysill.platform.configuration import decode_configuration
+from comfreysill.platform.documents import decode_document
+from comfreysill.platform.members import decode_members
+from comfreysill.platform.runner import REPLY_DECODER, build_renew_reply, decode_report
+from comfreysill.platform.settings import SETTINGS_VARIABLE, read_instance_settings
+from comfreysill.platform.store import RowSet, StoredRow
+from comfreysill.platform.submission import decode_submission
+from comfreysill.routes.table import find_route
+from comfreysill.wire import exchange_pb2 as pb
+from comfreysill.wire.errors import FrameError
+from comfreysill.wire.exchange import (
+    decode_agent_frame,
+    decode_announcement,
+    decode_entry_frame,
+    encode_agent_frame,
+    encode_entry_frame,
+)
+from tests.fuzzing import fuzz
+from tests.test_platform_decode import SETTINGS, encode_configuration
+
+EXAMPLES = int(os.environ.get("INPUT_EXAMPLES", "60"))
+NOW = 100.0
+
+ODD_NUMBERS = st.sampled_from([0, -1, 1, 2**31 - 1, 2**31, 2**63, 2**64, 1e308, math.inf, math.nan])
+ODD_TEXTS = st.sampled_from(["", "nan", "x" * 5000, "é\x00", "a/b.c", "10.0.0.1:99999", "h:1"])
+ODD_VALUES = st.one_of(
+    st.none(),
+    st.booleans(),
+    ODD_NUMBERS,
+    st.integers(),
+    st.floats(),
+    ODD_TEXTS,
+    st.text(max_size=8),
+    st.lists(st.one_of(ODD_NUMBERS, ODD_TEXTS), max_size=3),
+    st.dictionaries(st.text(max_size=4), ODD_NUMBERS, max_size=2),
+)
+
+SUBMISSION = {
+    "spec": "t",
+    "best-effort": True,
+    "steps": [
+        {
+            "count": 3,
+            "cpu": 500,
+            "mem-mb": 8,
+            "gpus": 0,
+            "estimate-ms": 250,
+            "requires": "k",
+            "data-rack": "r",
+            "anti-affinity": 2,
+        },
+        {"count": 1, "after": [0], "estimate-ms": 0},
+    ],
+}
+REPORT = {
+    "service": "s",
+    "address": "10.0.0.1:80",
+    "zone": "z",
+    "state": "ready",
+    "seq": 4,
+    "born": 17,
+    "capacity": {"cpu": 16000, "mem-mb": 32768, "gpus": 1},
+    "labels": ["k", "r"],
+}
+REPLY = {
+    "clock-ms": 5000,
+    "born": 17,
+    "running": [["r.0.0.0", 2, "", 41, 7]],
+    "ended": [[1, "r.0.0.1", 2, "done", ""]],
+}
+MEMBER = {"role": "agent", "address": "10.0.0.1:80", "service": "s"}
+
+
+def list_paths(document, prefix=()):
+    """Returns the paths of all values in a document."""
+    paths = [prefix] if prefix else []
+    if isinstance(document, dict):
+        items = document.items()
+    elif isinstance(document, list):
+        items = enumerate(document)
+    else:
+        return paths
+    for key, value in items:
+        paths += list_paths(value, (*prefix, key))
+    return paths
+
+
+@st.composite
+def changed_documents(draw, document):
+    """Draws the bytes of a document in which up to three values are replaced or removed."""
+    changed = json.loads(json.dumps(document))
+    for path in draw(st.lists(st.sampled_from(list_paths(document)), max_size=3)):
+        container = changed
+        try:
+            for key in path[:-1]:
+                container = container[key]
+            if draw(st.booleans()):
+                container[path[-1]] = draw(ODD_VALUES)
+            else:
+                del container[path[-1]]
+        except (KeyError, IndexError, TypeError):
+            continue
+    text = json.dumps(changed).encode()
+    cut = draw(st.one_of(st.none(), st.integers(0, len(text))))
+    return text if cut is None else text[:cut] + draw(st.binary(max_size=4))
+
+
+RUNNER_DOCUMENTS = st.tuples(changed_documents(REPORT), changed_documents(REPLY))
+
+
+@st.composite
+def messages(draw, message_type, fields):
+    """Draws a protobuf message with odd values in some fields."""
+    message = message_type()
+    for name, strategy in fields.items():
+        if draw(st.booleans()):
+            continue
+        value = draw(strategy)
+        if isinstance(value, list):
+            getattr(message, name).extend(value)
+        elif hasattr(value, "DESCRIPTOR"):
+            getattr(message, name).CopyFrom(value)
+        else:
+            setattr(message, name, value)
+    return message
+
+
+U32 = st.sampled_from([0, 1, 500, 2**31 - 1, 2**32 - 1])
+U64 = st.sampled_from([0, 1, 2, 2**63, 2**64 - 1])
+S32 = st.sampled_from([0, 1, -1, 4000, -(2**31), 2**31 - 1])
+FLOATS = st.sampled_from([0.0, 0.1, 1.0, 99.9, 100.0, 1e9, -1.0, math.inf, -math.inf, math.nan])
+NAMES = st.sampled_from(["", "a", "b", "e@1", "r", "r/0/0", "10.0.0.1:80", "x:1", "x" * 300])
+ORDERS = messages(pb.Order, {"step": U32, "index": U32, "attempt": U32})
+BATCHES = messages(
+    pb.Batch,
+    {
+        "request_id": NAMES,
+        "payload": NAMES,
+        "priority": U32,
+        "due": FLOATS,
+        "cpu": U32,
+        "memory_mb": U32,
+        "gpus": U32,
+        "estimate": FLOATS,
+        "orders": st.lists(ORDERS, max_size=3),
+    },
+)
+ENTRY_FRAMES = messages(
+    pb.ToAgent,
+    {
+        "entry": st.sampled_from(["e@1", "e@2", "f@1", ""]),
+        "session": U64,
+        "number": U64,
+        "echo": FLOATS,
+        "hunger": U32,
+        "ended_seen": U64,
+        "batches": st.lists(BATCHES, max_size=2),
+        "stops": st.lists(NAMES, max_size=2),
+        "entries": st.lists(NAMES, max_size=2),
+        "routes_version": U64,
+    },
+)
+ENDS = messages(
+    pb.Ended,
+    {
+        "number": U64,
+        "task": NAMES,
+        "attempt": U32,
+        "outcome": st.sampled_from([0, 1, 2, 3, 4, 5, 99]),
+        "seconds": FLOATS,
+        "detail": NAMES,
+    },
+)
+AGENT_FRAMES = messages(
+    pb.ToEntry,
+    {
+        "agent": st.sampled_from(["a", "b", ""]),
+        "lifetime": st.sampled_from(["1", "2", ""]),
+        "session": st.sampled_from([0, 1, 2]),
+        "seen": U64,
+        "stamp": FLOATS,
+        "load": messages(
+            pb.Load,
+            {
+                "accepting": st.booleans(),
+                "cpu": S32,
+                "memory_mb": S32,
+                "gpus": S32,
+                "slowness": FLOATS,
+            },
+        ),
+        "profile": messages(
+            pb.Profile,
+            {
+                "service": st.sampled_from(["s", ""]),
+                "zone": NAMES,
+                "cpu": U32,
+                "memory_mb": U32,
+                "gpus": U32,
+                "labels": st.lists(NAMES, max_size=2),
+            },
+        ),
+        "ended": st.lists(ENDS, max_size=2),
+        "active": st.lists(NAMES, max_size=2),
+        "opening": st.booleans(),
+        "routes_version": U64,
+        "routes_holder": NAMES,
+        "next_seconds": FLOATS,
+    },
+)
+
+ANNOUNCEMENTS = messages(pb.Announcement, {"agent": NAMES, "address": NAMES, "service": NAMES})
+
+
+def encode_odd_bytes(frames):
+    """Returns a strategy of the bytes of frames, some of them cut or with bytes added."""
+    return st.tuples(frames, st.integers(0, 400), st.binary(max_size=6)).map(
+        lambda drawn: drawn[0].SerializeToString()[: drawn[1]] + drawn[2]
+    )
+
+
+class Entry:
+    """An entry with two agents, one of which is linked, and a request."""
+
+    def __init__(self):
+        self.state = EntryState(name="e@1", zone="z", unix_offset=0.0)
+        self.table = decode_configuration(encode_configuration()).ok_value
+        for name in ("a", "b"):
+            discover_agent(self.state, name, f"{name}:1", "s")
+            begin_session(self.state, name, NOW)
+        self.receive(
+            pb.ToEntry(
+                agent="a",
+                lifetime="1",
+                session=1,
+                opening=True,
+                stamp=1.0,
+                next_seconds=0.1,
+                load=pb.Load(accepting=True, cpu=4000, memory_mb=4000, gpus=2, slowness=1.0),
+                profile=pb.Profile(service="s", cpu=4000, memory_mb=4000, gpus=2, labels=["k"]),
+            ).SerializeToString()
+        )
+
+    def submit(self, body, request_id="r", caller=1):
+        route = find_route(self.table, "h.example", "/a/1")
+        decoded = decode_submission(request_id, route, body)
+        if isinstance(decoded, Ok):
+            submit_request(self.state, caller, decoded.ok_value, NOW)
+        return self.flush()
+
+    def receive(self, data):
+        try:
+            frame = decode_agent_frame(pb.ToEntry.FromString(data))
+        except (FrameError, DecodeError):
+            return []
+        receive_agent_frame(self.state, frame, NOW)
+        return self.flush()
+
+    def flush(self):
+        """Runs the decisions that follow each message, and returns the encoded frames."""
+        for now in (NOW, NOW + 0.2):
+            self.state.ticked_at = now
+            expire_agents(self.state, now)
+            refuse_unmeetable(self.state, now)
+            update_subset(self.state, now)
+            place_waiting(self.state, now)
+            collect_frames(self.state, now)
+        effects, self.state.effects = self.state.effects, []
+        json.dumps(self.state.events, allow_nan=False)
+        self.state.events.clear()
+        return [
+            encode_entry_frame(effect.frame).SerializeToString()
+            for effect in effects
+            if isinstance(effect, SendFrame)
+        ]
+
+
+class Agent:
+    """An agent with a runner."""
+
+    def __init__(self):
+        self.agent = AgentState(agent="a", lifetime="1", zone="z", token=1)
+        self.report(json.dumps(REPORT).encode())
+        self.renew(b'{"clock-ms": 1000}')
+
+    def report(self, body):
+        decoded = decode_report("i", body)
+        if isinstance(decoded, Ok):
+            receive_report(self.agent, decoded.ok_value, NOW)
+        return self.flush()
+
+    def renew(self, body):
+        self.agent.renewals_in_flight += 1
+        call = RenewCall(
+            lifetime=self.agent.runner_lifetime or RunnerLifetime(runner_id="i", started_at_ms=0),
+            token=self.agent.token,
+            ended_seen=0,
+            lease_until_ms=0,
+            wait_ms=0,
+            sent_at=NOW,
+        )
+        decoded = decode_document(REPLY_DECODER, body).and_then(
+            lambda document: build_renew_reply(call, ReplyStatus.ACCEPTED, document)
+        )
+        if isinstance(decoded, Ok):
+            receive_renewal(self.agent, decoded.ok_value, NOW)
+        return self.flush()
+
+    def receive(self, data):
+        try:
+            frame = decode_entry_frame(pb.ToAgent.FromString(data))
+        except (FrameError, DecodeError):
+            return []
+        receive_frame(self.agent, frame, NOW)
+        return self.flush()
+
+    def flush(self):
+        """Runs the decisions that follow each message, and returns the encoded frames."""
+        frames = []
+        for now in (NOW, NOW + 0.2):
+            expire_links(self.agent, now)
+            resend_stops(self.agent, now)
+            start_waiting(self.agent, now)
+            queue_renewal(self.agent, now)
+            frames += collect_agent_frames(self.agent, True, now)
+        self.agent.calls.clear()
+        json.dumps(self.agent.events, allow_nan=False)
+        self.agent.events.clear()
+        return [encode_agent_frame(frame).SerializeToString() for _, frame in frames]
+
+    def check(self, case):
+        used = sum(run.batch.cpu for run in self.agent.runs.values())
+        case.assertEqual(used, self.agent.cpu_used + self.agent.cpu_waiting)
+        for link in self.agent.links.values():
+            case.assertLessEqual(link.lease_until, NOW + 1.0)
+
+
+class TestInput(unittest.TestCase):
+    @fuzz(EXAMPLES, changed_documents(SUBMISSION))
+    def test_submissions(self, body):
+        entry, agent = Entry(), Agent()
+        for frame in entry.submit(body):
+            for answer in agent.receive(frame):
+                entry.receive(answer)
+        agent.check(self)
+
+    @fuzz(EXAMPLES, st.lists(encode_odd_bytes(AGENT_FRAMES), max_size=4))
+    def test_frames_to_an_entry(self, frames):
+        entry = Entry()
+        entry.submit(json.dumps(SUBMISSION).encode())
+        for data in frames:
+            entry.receive(data)
+        for request in entry.state.requests.values():
+            for task in request.placed.values():
+                self.assertIs(entry.state.agents[task.agent].tasks[task.name], task)
+
+    @fuzz(EXAMPLES, st.lists(encode_odd_bytes(ENTRY_FRAMES), max_size=4))
+    def test_frames_to_an_agent(self, frames):
+        agent = Agent()
+        for data in frames:
+            agent.receive(data)
+        agent.check(self)
+
+    @fuzz(
+        EXAMPLES,
+        st.lists(st.tuples(changed_documents(REPORT), changed_documents(REPLY)), max_size=3),
+    )
+    def test_reports_and_replies_of_a_runner(self, documents):
+        agent = Agent()
+        agent.receive(pb.ToAgent(entry="e@1", session=1, number=1, echo=NOW).SerializeToString())
+        for report, reply in documents:
+            agent.report(report)
+            agent.renew(reply)
+        agent.check(self)
+
+    @fuzz(EXAMPLES, changed_documents(json.loads(encode_configuration())), st.binary(max_size=30))
+    def test_configurations(self, text, other):
+        for body in (text, other):
+            decoded = decode_configuration(body)
+            if isinstance(decoded, Err):
+                continue
+            entry = Entry()
+            for route in itertools.chain.from_iterable(decoded.ok_value.by_host.values()):
+                specification = decode_submission("r", route, json.dumps(SUBMISSION).encode())
+                if isinstance(specification, Ok):
+                    submit_request(entry.state, 1, specification.ok_value, NOW)
+                    entry.flush()
+
+    @fuzz(EXAMPLES, changed_documents(MEMBER), encode_odd_bytes(ANNOUNCEMENTS))
+    def test_member_rows_and_announcements(self, value, data):
+        found = decode_members(RowSet(rows=[StoredRow(key="n", value=value, version=1)], version=1))
+        self.assertEqual(len(found.members) + found.unreadable, 1)
+        entry = Entry()
+        for member in found.members:
+            discover_agent(entry.state, member.name, member.address, member.service)
+        try:
+            announcement = decode_announcement(pb.Announcement.FromString(data))
+        except (FrameError, DecodeError):
+            return
+        discover_agent(entry.state, announcement.agent, announcement.address, announcement.service)
+        entry.flush()
+
+    @fuzz(EXAMPLES, changed_documents(yaml.safe_load(SETTINGS)))
+    def test_settings(self, text):
+        with tempfile.TemporaryDirectory() as folder:
+            path = pathlib.Path(folder) / "boot.yaml"
+            path.write_bytes(text)
+            with mock.patch.dict(os.environ, {SETTINGS_VARIABLE: str(path)}):
+                try:
+                    read_instance_settings()
+                except UsageError as error:
+                    self.assertIn("boot.yaml", str(error))
--- a/tests/test_platform_floor.py
+++ b/tests/test_platform_floor.py
@@ -2,12 +2,12 @@
 import unittest
 from unittest import mock
 
-from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from comfreysill.execution.calls import ReplyStatus, StopCall
 from comfreysill.placement import subset
 from comfreysill.request.types import Verdict
+from tests.fuzzing import fuzz
 from tests.platform_world import CPU_CAPACITY, World
 
 EXAMPLES = int(os.environ.get("FLOOR_EXAMPLES", "60"))
@@ -80,13 +80,11 @@
 
 
 class TestFloorUnderFaults(unittest.TestCase):
-    @settings(max_examples=EXAMPLES, deadline=None, derandomize=EXAMPLES == 60)
-    @given(STEPS, st.integers(0, 1000))
+    @fuzz(EXAMPLES, STEPS, st.integers(0, 1000))
     def test_no_task_runs_twice_or_beyond_capacity(self, steps, seed):
         self.run_steps(World(seed), steps)
 
-    @settings(max_examples=EXAMPLES // 2, deadline=None, derandomize=EXAMPLES == 60)
-    @given(STEPS, st.integers(0, 1000))
+    @fuzz(EXAMPLES // 2, STEPS, st.integers(0, 1000))
     def test_no_task_runs_twice_or_beyond_capacity_while_subsets_change(self, steps, seed):
         with mock.patch.multiple(
             subset, MIN_SUBSET_SIZE=2, ENTRIES_PER_AGENT=1, AGENT_REPLACEMENT_SECONDS=0.3
