--- a/src/comfreysill/exchange/messages.py
+++ b/src/comfreysill/exchange/messages.py
@@ -40,14 +40,16 @@
         step: Index of the task's step in the request.
         index: Index of the task in the step.
         attempt: Attempt number, from 1.
+        moves: Number of earlier attempts that were lost or stopped after they may have begun.
     """
 
-    __slots__ = ("step", "index", "attempt")
+    __slots__ = ("step", "index", "attempt", "moves")
 
-    def __init__(self, *, step: int, index: int, attempt: int) -> None:
+    def __init__(self, *, step: int, index: int, attempt: int, moves: int = 0) -> None:
         self.step = step
         self.index = index
         self.attempt = attempt
+        self.moves = moves
 
 
 class Batch:
--- a/src/comfreysill/execution/progress.py
+++ b/src/comfreysill/execution/progress.py
@@ -80,14 +80,13 @@
 def _stop_stragglers(agent: AgentState, now: float) -> None:
     """Stops runs of a slowed target whose projected remaining time is too long.
 
-    A new start on another target would probably end sooner. Only first attempts are stopped, so
-    that a task is moved at most once.
+    A new start on another target would probably end sooner. A task is moved at most once.
     """
     if not agent.recent_slowness:
         return
     for run in list(agent.runs.values()):
         is_young = now - run.changed_at < MIN_EVALUATED_AGE_SECONDS
-        if run.state != RunState.RUNNING or run.attempt > 1 or is_young:
+        if run.state != RunState.RUNNING or run.moves or is_young:
             continue
         remaining_ratio = _project_ratio(run, now) * (1 - run.percent / 100)
         if remaining_ratio > STRAGGLER_FACTOR * agent.slowness:
--- a/src/comfreysill/execution/run.py
+++ b/src/comfreysill/execution/run.py
@@ -26,6 +26,7 @@
     Attributes:
         task: Name of the task.
         attempt: Attempt number assigned by the entry.
+        moves: Number of earlier attempts that may have begun and didn't end by themselves.
         entry: Entry that owns the task.
         batch: Batch that contained the task.
         state: State of the run.
@@ -43,6 +44,7 @@
     __slots__ = (
         "task",
         "attempt",
+        "moves",
         "entry",
         "batch",
         "state",
@@ -60,6 +62,7 @@
     def __init__(self, *, entry: str, batch: Batch, order: Order, now: float) -> None:
         self.task = name_task(batch.request_id, order.step, order.index)
         self.attempt = order.attempt
+        self.moves = order.moves
         self.entry = entry
         self.batch = batch
         self.state = RunState.WAITING
--- a/src/comfreysill/placement/placement.py
+++ b/src/comfreysill/placement/placement.py
@@ -8,7 +8,7 @@
 from comfreysill.placement.requests import conclude_request
 from comfreysill.placement.state import Agent, EntryState, Reservation, count, note_event
 from comfreysill.request.request import Request, Task, place_task
-from comfreysill.request.types import Step, Verdict, compute_critical_path
+from comfreysill.request.types import Step, Verdict
 
 # No tasks are placed on an agent whose next frame is overdue by more than this.
 FRAME_DELAY_LIMIT_SECONDS = 0.2
@@ -119,9 +119,8 @@
 def _is_unmeetable(request: Request, lowest_slowness: float, now: float) -> bool:
     """Returns whether a request would end too late to be of use even on the fastest target."""
     objective = request.due_at - request.received_at
-    critical_path = compute_critical_path(request.specification.steps)
     return (
-        now + lowest_slowness * critical_path
+        now + lowest_slowness * request.critical_path
         > request.received_at + MAX_OBJECTIVE_FACTOR * objective
     )
 
@@ -258,7 +257,10 @@
         memory_mb=step.memory_mb,
         gpus=step.gpus,
         estimate=step.estimate,
-        orders=[Order(step=task.step, index=task.index, attempt=task.attempt) for task in tasks],
+        orders=[
+            Order(step=task.step, index=task.index, attempt=task.attempt, moves=task.moves)
+            for task in tasks
+        ],
     )
 
 
--- a/src/comfreysill/placement/queue.py
+++ b/src/comfreysill/placement/queue.py
@@ -4,7 +4,6 @@
 
 from comfreysill.placement.state import EntryState
 from comfreysill.request.request import Request, has_pending
-from comfreysill.request.types import compute_critical_path
 
 # Bands of a queue: requests that can still meet their latency objective precede late ones.
 ON_TIME = 0
@@ -27,8 +26,8 @@
         return
     request.queued = True
     specification = request.specification
-    critical_path = compute_critical_path(specification.steps)
-    band = ON_TIME if request.begun or now + critical_path <= request.due_at else LATE
+    can_be_on_time = now + request.critical_path <= request.due_at
+    band = ON_TIME if request.begun or can_be_on_time else LATE
     priority = BEGUN_PRIORITY if request.begun else specification.priority
     state.enqueue_count += 1
     queue = state.queues.setdefault(specification.service, [])
--- a/src/comfreysill/placement/requests.py
+++ b/src/comfreysill/placement/requests.py
@@ -165,6 +165,7 @@
         count(state, "tasks_bounced")
         reschedule_task(task)
     else:
+        task.moves += outcome == Outcome.LOST
         # At most the last three agents are avoided.
         task.avoided_agents = (*task.avoided_agents[-2:], agent)
         reschedule_task(task)
--- a/src/comfreysill/request/request.py
+++ b/src/comfreysill/request/request.py
@@ -28,6 +28,7 @@
         state: See `TaskState`.
         attempt: Number of the newest attempt, 0 before the first.
         failures: Number of failed attempts.
+        moves: Number of attempts that were lost.
         agent: Name of the agent that has the current attempt, empty if none has.
         avoided_agents: Names of agents where an attempt failed, was lost or was returned; no
             attempt is placed there. A lost or returned attempt shortens them to the last three;
@@ -42,6 +43,7 @@
         "state",
         "attempt",
         "failures",
+        "moves",
         "agent",
         "avoided_agents",
     )
@@ -54,6 +56,7 @@
         self.state = TaskState.PENDING
         self.attempt = 0
         self.failures = 0
+        self.moves = 0
         self.agent = ""
         self.avoided_agents: tuple[str, ...] = ()
 
@@ -64,6 +67,7 @@
     Attributes:
         specification: What the caller requested.
         received_at: Boot-clock time in seconds at which it was received.
+        critical_path: Declared run time in seconds of its longest chain of dependent steps.
         due_at: Boot-clock time in seconds of its latency objective.
         due_unix: `due_at` as Unix time in seconds, for other processes.
         callers: Numbers of the callers waiting for the verdict.
@@ -78,6 +82,7 @@
     __slots__ = (
         "specification",
         "received_at",
+        "critical_path",
         "due_at",
         "due_unix",
         "callers",
@@ -94,9 +99,9 @@
     ) -> None:
         self.specification = specification
         self.received_at = received_at
-        critical_path = compute_critical_path(specification.steps)
+        self.critical_path = compute_critical_path(specification.steps)
         self.due_at = (
-            received_at + specification.stretch * critical_path + specification.slack_seconds
+            received_at + specification.stretch * self.critical_path + specification.slack_seconds
         )
         self.due_unix = self.due_at + unix_offset
         self.callers: set[int] = set()
--- a/src/comfreysill/wire/exchange.py
+++ b/src/comfreysill/wire/exchange.py
@@ -75,7 +75,7 @@
         gpus=batch.gpus,
         estimate=batch.estimate,
         orders=[
-            pb.Order(step=order.step, index=order.index, attempt=order.attempt)
+            pb.Order(step=order.step, index=order.index, attempt=order.attempt, moves=order.moves)
             for order in batch.orders
         ],
     )
@@ -94,7 +94,7 @@
         gpus=_check_amount(message.gpus, "batches.gpus"),
         estimate=_check_number(message.estimate, "batches.estimate"),
         orders=[
-            Order(step=order.step, index=order.index, attempt=order.attempt)
+            Order(step=order.step, index=order.index, attempt=order.attempt, moves=order.moves)
             for order in message.orders
         ],
     )
--- a/tests/platform_world.py
+++ b/tests/platform_world.py
@@ -70,6 +70,23 @@
         self.fails_tasks = False
         self.speed = 1.0
         self.advanced_at = 0.0
+        # Renewals that wait for a run to end, as (process, its lifetime, call).
+        self.waiting_calls = []
+
+    def answer_waiting_calls(self):
+        """Answers the waiting renewals if a run has ended."""
+        self.advance(self.world.now)
+        if self.ended:
+            calls, self.waiting_calls = self.waiting_calls, []
+            for process, lifetime, call in calls:
+                self.world.schedule(
+                    HOP_SECONDS, self.world.reply, process, lifetime, call, ReplyStatus.ACCEPTED
+                )
+
+    def give_up_waiting(self, process, lifetime, call):
+        if (process, lifetime, call) in self.waiting_calls:
+            self.waiting_calls.remove((process, lifetime, call))
+            self.world.reply(process, lifetime, call, ReplyStatus.ACCEPTED)
 
     def advance(self, now):
         elapsed, self.advanced_at = (now - self.advanced_at) * self.speed, now
@@ -117,6 +134,8 @@
             return ReplyStatus.LATE
         seconds = float(call.payload)
         self.running[call.task] = [call.run, 0.0, seconds]
+        if self.speed:
+            self.world.schedule(seconds / self.speed + 1e-6, self.answer_waiting_calls)
         self.world.check_start(self, call.task)
         return ReplyStatus.ACCEPTED
 
@@ -374,8 +393,11 @@
     def serve_call(self, process, lifetime, runner, call):
         reply = runner.handle_call(call, self.now)
         wait = getattr(call, "wait_ms", 0) / 1000
-        ready = not wait or runner.ended
-        self.schedule(HOP_SECONDS if ready else wait, self.reply, process, lifetime, call, reply)
+        if reply != ReplyStatus.ACCEPTED or not wait or runner.ended:
+            self.schedule(HOP_SECONDS, self.reply, process, lifetime, call, reply)
+            return
+        runner.waiting_calls.append((process, lifetime, call))
+        self.schedule(wait, runner.give_up_waiting, process, lifetime, call)
 
     def reply(self, process, lifetime, call, reply):
         if process.lifetime == lifetime:
