--- a/src/comfreysill/exchange/messages.py
+++ b/src/comfreysill/exchange/messages.py
@@ -9,12 +9,15 @@
 RUN_LEASE_SECONDS = 0.6
 # Allows for a runner's clock that is 2% slow, and for the time that a stop takes.
 LEASE_MARGIN_SECONDS = 0.07
-# Interval between frames on a link whose entry has tasks at the agent or tasks to place.
-FRAME_INTERVAL_SECONDS = 0.15
-# With more open links than this, the interval on idle links grows in proportion, so that the
-# agent sends no more frames over them than with this number of links. The interval stops growing
-# at MAX_IDLE_INTERVAL_SECONDS.
-FULL_RATE_LINKS = 3
+# Intervals between frames on a link: while its entry has tasks to place, while it has tasks at the
+# agent, and while it has neither.
+DEMAND_INTERVAL_SECONDS = 0.15
+BUSY_INTERVAL_SECONDS = 0.2
+IDLE_INTERVAL_SECONDS = 0.3
+# With more open links than this, the interval on idle links grows in proportion, so that the agent
+# sends no more frames over them than with this number of links. It stops growing at
+# MAX_IDLE_INTERVAL_SECONDS.
+FULL_RATE_LINKS = 6
 # Must stay below LINK_LEASE_SECONDS: an order that echoes an older timestamp is refused.
 MAX_IDLE_INTERVAL_SECONDS = 0.4
 
--- a/src/comfreysill/execution/frames.py
+++ b/src/comfreysill/execution/frames.py
@@ -1,8 +1,10 @@
 """Builds the frames from an agent to entries."""
 
 from comfreysill.exchange.messages import (
-    FRAME_INTERVAL_SECONDS,
+    BUSY_INTERVAL_SECONDS,
+    DEMAND_INTERVAL_SECONDS,
     FULL_RATE_LINKS,
+    IDLE_INTERVAL_SECONDS,
     MAX_IDLE_INTERVAL_SECONDS,
     AgentFrame,
     Load,
@@ -91,15 +93,16 @@
 def _compute_frame_interval(agent: AgentState, link: EntryLink) -> float:
     """Returns the seconds between frames to an entry.
 
-    The interval is short while the entry has tasks at this agent or tasks to place. For idle
-    links it grows with the number of open sessions above FULL_RATE_LINKS, up to
-    MAX_IDLE_INTERVAL_SECONDS.
+    The interval depends on whether the entry has tasks to place, or tasks at this agent. For idle
+    links it grows with the number of open sessions above FULL_RATE_LINKS.
     """
-    if link.demand_rank or any(run.entry == link.entry for run in agent.runs.values()):
-        return FRAME_INTERVAL_SECONDS
+    if link.demand_rank:
+        return DEMAND_INTERVAL_SECONDS
+    if any(run.entry == link.entry for run in agent.runs.values()):
+        return BUSY_INTERVAL_SECONDS
     open_links = sum(other.open_session > 0 for other in agent.links.values())
     interval_factor = max(1.0, open_links / FULL_RATE_LINKS)
-    return min(FRAME_INTERVAL_SECONDS * interval_factor, MAX_IDLE_INTERVAL_SECONDS)
+    return min(IDLE_INTERVAL_SECONDS * interval_factor, MAX_IDLE_INTERVAL_SECONDS)
 
 
 def _build_frame(agent: AgentState, link: EntryLink, load: Load, now: float) -> AgentFrame:
--- a/src/comfreysill/execution/renewals.py
+++ b/src/comfreysill/execution/renewals.py
@@ -16,6 +16,8 @@
 )
 
 RENEWAL_WAIT_MS = 150
+# Without runs there is no lease to extend; the renewals show that the runner answers.
+IDLE_RENEWAL_WAIT_MS = 400
 # After this time without an answer the run leases are no longer renewed, so that they expire.
 RENEWAL_GIVE_UP_SECONDS = 0.55
 # A reply with this many ended runs may leave out others.
@@ -41,7 +43,7 @@
             token=agent.token,
             ended_seen=agent.runner_ends_seen,
             lease_until_ms=0 if silent or not agent.runs else grant_run_lease(agent, now),
-            wait_ms=0 if agent.renew_now or not agent.reconciled else RENEWAL_WAIT_MS,
+            wait_ms=_choose_wait_ms(agent),
             sent_at=now,
         )
     )
@@ -49,6 +51,12 @@
     agent.renew_now = False
 
 
+def _choose_wait_ms(agent: AgentState) -> int:
+    if agent.renew_now or not agent.reconciled:
+        return 0
+    return RENEWAL_WAIT_MS if agent.runs else IDLE_RENEWAL_WAIT_MS
+
+
 def receive_renewal(agent: AgentState, reply: RenewReply, now: float) -> None:
     """Processes the reply to a renewal."""
     agent.renewals_in_flight -= 1
--- a/src/comfreysill/execution/starts.py
+++ b/src/comfreysill/execution/starts.py
@@ -21,8 +21,9 @@
 
 STOP_RESEND_SECONDS = 0.12
 MAX_START_CALLS = 3
-# A runner that has answered no renewal for this long is given no new work.
+# A runner that has answered no call for this long is given no new work.
 MAX_RUNNER_SILENCE_SECONDS = 0.3
+MAX_IDLE_RUNNER_SILENCE_SECONDS = 0.55
 # Added to the run number after the runner has rejected it as too low.
 RUN_NUMBER_JUMP = 10_000_000
 
@@ -33,7 +34,8 @@
         return False
     if agent.report is None or agent.report.draining or now < agent.suspended_until:
         return False
-    if now - agent.answered_at > MAX_RUNNER_SILENCE_SECONDS:
+    max_silence = MAX_RUNNER_SILENCE_SECONDS if agent.runs else MAX_IDLE_RUNNER_SILENCE_SECONDS
+    if now - agent.answered_at > max_silence:
         return False
     return not (agent.probing and agent.runs)
 
@@ -123,6 +125,8 @@
     if call.lifetime != agent.runner_lifetime:
         return
     record_clock(agent, reply.clock_ms, now)
+    if reply.status != ReplyStatus.UNANSWERED:
+        agent.answered_at = now
     if isinstance(call, StopCall):
         return
     run = agent.runs.get(call.task)
--- a/src/comfreysill/execution/state.py
+++ b/src/comfreysill/execution/state.py
@@ -97,7 +97,7 @@
         gpus_waiting: GPUs that waiting runs need.
         renewals_in_flight: Number of renewals without a reply.
         renew_now: True if a renewal has to be sent at once.
-        answered_at: Boot-clock time in seconds of the last answered renewal.
+        answered_at: Boot-clock time in seconds of the last answer of the runner to any call.
         leases_expire_at: Boot-clock time in seconds by which all run leases have expired.
         stopping: True once the process is shutting down.
         failed_requests: Requests with a failed task since the last successful task.
--- a/src/comfreysill/placement/agents.py
+++ b/src/comfreysill/placement/agents.py
@@ -1,7 +1,7 @@
 """Agents as an entry on the platform sees them: links, frames, and the tasks placed on each."""
 
 from comfreysill.exchange.messages import (
-    FRAME_INTERVAL_SECONDS,
+    DEMAND_INTERVAL_SECONDS,
     LEASE_MARGIN_SECONDS,
     LINK_LEASE_SECONDS,
     RUN_LEASE_SECONDS,
@@ -40,7 +40,8 @@
 # An agent that this entry could not reach for so long is no longer tried. If it is alive, it
 # announces itself.
 FORGET_AGENT_SECONDS = 300.0
-ECHO_INTERVAL_SECONDS = FRAME_INTERVAL_SECONDS
+# An echo extends the lease by the time between the timestamps; smaller steps wait for other frames.
+MIN_ECHO_ADVANCE_SECONDS = 0.1
 
 
 def discover_agent(state: EntryState, name: str, address: str, service: str = "") -> None:
@@ -210,7 +211,7 @@
         return
     for agent in state.agents.values():
         silence = now - max(agent.last_frame_at, agent.opened_at)
-        announced_interval = agent.next_seconds if agent.handshake_done else FRAME_INTERVAL_SECONDS
+        announced_interval = agent.next_seconds if agent.handshake_done else DEMAND_INTERVAL_SECONDS
         if agent.connected and silence > announced_interval + LINK_TIMEOUT_MARGIN_SECONDS:
             agent.connected = False
             note_event(state, "link timed out", agent=agent.name, seconds=round(silence, 3))
@@ -260,20 +261,18 @@
     """Queues the frames that are due."""
     demand_rank = rank_demand(state)
     for agent in state.agents.values():
-        if agent.connected and _is_due(agent, demand_rank, now):
+        if agent.connected and _is_due(agent, demand_rank):
             frame = _build_frame(state, agent, demand_rank, now)
             state.effects.append(SendFrame(agent=agent.name, frame=frame))
 
 
-def _is_due(agent: Agent, demand_rank: int, now: float) -> bool:
+def _is_due(agent: Agent, demand_rank: int) -> bool:
     if not agent.sent_at or agent.batches or agent.stops:
         return True
     if demand_rank and (not agent.demand_rank_sent or demand_rank < agent.demand_rank_sent):
         return True
-    return (
-        agent.newest_timestamp > agent.echoed_timestamp
-        and now - agent.sent_at >= ECHO_INTERVAL_SECONDS
-    )
+    advance = agent.newest_timestamp - agent.echoed_timestamp
+    return agent.handshake_done and advance >= MIN_ECHO_ADVANCE_SECONDS
 
 
 def _build_frame(state: EntryState, agent: Agent, demand_rank: int, now: float) -> EntryFrame:
--- a/src/comfreysill/platform/runner.py
+++ b/src/comfreysill/platform/runner.py
@@ -36,9 +36,9 @@
 COMMAND_TIMEOUT_SECONDS = 0.1
 RENEWAL_TIMEOUT_MARGIN_SECONDS = 0.1
 CONNECT_TIMEOUT_SECONDS = 0.1
-MAX_CONNECTIONS = 16
+MAX_CONNECTIONS = 8
 # Shorter than the idle timeout of the runner, so that no call uses a connection being closed.
-KEEPALIVE_SECONDS = 1.0
+KEEPALIVE_SECONDS = 1.25
 # The platform numbers the occurrences of a repeated job; a single job has this number.
 FIRST_OCCURRENCE = "0"
 STATUS_BY_REASON = {
--- a/tests/test_execution.py
+++ b/tests/test_execution.py
@@ -1,6 +1,13 @@
 import unittest
 
-from comfreysill.exchange.messages import LINK_LEASE_SECONDS, Batch, EntryFrame, Order, Outcome
+from comfreysill.exchange.messages import (
+    LINK_LEASE_SECONDS,
+    RUN_LEASE_SECONDS,
+    Batch,
+    EntryFrame,
+    Order,
+    Outcome,
+)
 from comfreysill.execution.calls import (
     CallReply,
     ListedRun,
@@ -20,7 +27,13 @@
 )
 from comfreysill.execution.frames import collect_frames
 from comfreysill.execution.health import SUSPEND_SECONDS, suspend_target
-from comfreysill.execution.renewals import check_lease_expiry, queue_renewal, receive_renewal
+from comfreysill.execution.renewals import (
+    IDLE_RENEWAL_WAIT_MS,
+    RENEWAL_WAIT_MS,
+    check_lease_expiry,
+    queue_renewal,
+    receive_renewal,
+)
 from comfreysill.execution.runner import (
     begin_shutdown,
     end_all_runs,
@@ -138,7 +151,7 @@
         self.now += 0.01
         second = [entry for entry, _ in collect_frames(self.agent, True, self.now)]
         self.assertEqual(second, ["e2@1", "e5@1"], "entries with equally urgent tasks take turns")
-        # Longer than FRAME_INTERVAL_SECONDS.
+        # Longer than any interval between frames.
         self.now += 0.2
         later = [entry for entry, _ in collect_frames(self.agent, False, self.now)]
         self.assertIn("e1@1", later)
@@ -357,6 +370,20 @@
         self.deliver_frame(echo=self.now + 1000)
         self.assertLessEqual(self.agent.links["e@1"].lease_until, self.now + LINK_LEASE_SECONDS)
 
+    def test_renewals_wait_longer_while_there_is_no_lease_to_extend(self):
+        self.assertEqual(self.queue_renewal().wait_ms, IDLE_RENEWAL_WAIT_MS)
+        self.deliver_frame(tasks=1)
+        self.assertEqual(self.queue_renewal().wait_ms, RENEWAL_WAIT_MS)
+        # The lease outlasts a renewal that was sent just before the first start.
+        self.assertGreater(RUN_LEASE_SECONDS - IDLE_RENEWAL_WAIT_MS / 1000, 0.15)
+
+    def queue_renewal(self):
+        self.agent.calls.clear()
+        self.agent.renewals_in_flight = 0
+        self.agent.renew_now = False
+        queue_renewal(self.agent, self.now)
+        return self.agent.calls[0]
+
     def test_a_stopping_agent_returns_waiting_runs(self):
         # No run is started while the runner's clock is unknown.
         self.agent.clock_ms = -1
@@ -369,9 +396,9 @@
             self.deliver_frame(entry=f"e{number}@1")
         self.deliver_frame(entry="e0@1", tasks=1, request_id="busy")
         frames_by_entry = dict(collect_frames(self.agent, False, self.now))
-        # The busy link has FRAME_INTERVAL_SECONDS. With this many open links, the idle ones have
+        # The busy link has BUSY_INTERVAL_SECONDS. With this many open links, the idle ones have
         # MAX_IDLE_INTERVAL_SECONDS.
-        self.assertAlmostEqual(frames_by_entry["e0@1"].next_seconds, 0.15)
+        self.assertAlmostEqual(frames_by_entry["e0@1"].next_seconds, 0.2)
         self.assertGreater(frames_by_entry["e1@1"].next_seconds, 0.35)
         self.now += 0.2
         self.assertEqual(
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -287,6 +287,17 @@
         self.assertEqual(list(self.state.agents), ["b"])
         self.assertIn("RemoveLink", [type(effect).__name__ for effect in self.state.effects])
 
+    def test_a_timestamp_is_echoed_at_once_if_it_extends_the_lease(self):
+        """A late echo would leave less time until the agent stops the tasks of a silent entry."""
+        collect_frames(self.state, self.now)
+        for seconds, expected in ((0.01, 0), (0.2, 1), (0.01, 0), (0.3, 1)):
+            self.now += seconds
+            self.deliver_frame("a")
+            self.state.effects.clear()
+            collect_frames(self.state, self.now)
+            frames = [effect for effect in self.state.effects if isinstance(effect, SendFrame)]
+            self.assertEqual(len(frames), expected, seconds)
+
     def test_a_newer_routing_document_is_fetched(self):
         self.deliver_frame("a", routes=(7, "e2:1"))
         (effect,) = [e for e in self.state.effects if isinstance(e, FetchRoutes)]
