--- a/src/comfreysill/exchange/messages.py
+++ b/src/comfreysill/exchange/messages.py
@@ -330,18 +330,27 @@
         self.next_seconds = next_seconds
 
 
-class Announcement:
-    """Announces an agent to an entry.
+class Role(enum.StrEnum):
+    """Role of a process on the platform."""
+
+    ENTRY = "entry"
+    AGENT = "agent"
+
+
+class Member:
+    """An entry or an agent on the platform.
 
     Attributes:
-        agent: Name of the agent's instance.
-        address: Address of its link service, `host:port`.
-        service: Service of its target, empty if the agent doesn't know it.
+        name: Name of the instance.
+        role: Role of the process.
+        address: Address of its gRPC service, `host:port`.
+        service: Service of the target beside an agent, empty for an entry or if unknown.
     """
 
-    __slots__ = ("agent", "address", "service")
+    __slots__ = ("name", "role", "address", "service")
 
-    def __init__(self, *, agent: str, address: str, service: str = "") -> None:
-        self.agent = agent
+    def __init__(self, *, name: str, role: Role, address: str, service: str = "") -> None:
+        self.name = name
+        self.role = role
         self.address = address
         self.service = service
--- a/src/comfreysill/gateway/actor.py
+++ b/src/comfreysill/gateway/actor.py
@@ -7,9 +7,9 @@
 
 from comfreysill.clock import read_boot_clock
 from comfreysill.containment import MessageFailures, record_failure, record_handled
+from comfreysill.exchange.messages import Member, Role
 from comfreysill.gateway.links import Link, run_link
 from comfreysill.gateway.messages import (
-    AgentDiscovered,
     AgentFrameReceived,
     CallerDisconnected,
     Cancel,
@@ -17,6 +17,7 @@
     EntriesDiscovered,
     EntryStateMessage,
     MemberRemoved,
+    MembersDiscovered,
     Reply,
     RoutesRead,
     SessionClosed,
@@ -116,6 +117,18 @@
     actor.inbox.post(CallerDisconnected(caller=caller))
 
 
+def list_members(actor: Actor) -> list[Member]:
+    """Returns the entries and agents that this entry knows."""
+    state = actor.state
+    entries = [Member(name=address, role=Role.ENTRY, address=address) for address in state.entries]
+    agents = [
+        Member(name=agent.name, role=Role.AGENT, address=agent.address, service=agent.service)
+        for agent in state.agents.values()
+        if agent.address
+    ]
+    return entries + agents
+
+
 def is_ready(actor: Actor, listening: bool) -> bool:
     """Returns whether the load balancer should send callers here.
 
@@ -193,12 +206,15 @@
     receive_agent_frame(actor.state, message.frame, now)
 
 
-def _receive_discovered_agent(actor: Actor, message: AgentDiscovered, now: float) -> None:
-    announcement = message.announcement
-    discover_agent(actor.state, announcement.agent, announcement.address, announcement.service)
-    link = actor.links.get(announcement.agent)
-    if link is not None:
-        link.reconnect_now.set()
+def _receive_members(actor: Actor, message: MembersDiscovered, now: float) -> None:
+    for member in message.members:
+        if member.role == Role.ENTRY:
+            _add_entries(actor, [member.address])
+            continue
+        discover_agent(actor.state, member.name, member.address, member.service)
+        link = actor.links.get(member.name)
+        if link is not None:
+            link.reconnect_now.set()
 
 
 def _receive_member_removed(actor: Actor, message: MemberRemoved, now: float) -> None:
@@ -206,8 +222,12 @@
 
 
 def _receive_entries(actor: Actor, message: EntriesDiscovered, now: float) -> None:
-    addresses = actor.state.entries
-    addresses.extend(address for address in message.addresses if address not in addresses)
+    _add_entries(actor, message.addresses)
+
+
+def _add_entries(actor: Actor, addresses: list[str]) -> None:
+    known = actor.state.entries
+    known.extend(address for address in addresses if address not in known)
 
 
 def _receive_routes(actor: Actor, message: RoutesRead, now: float) -> None:
@@ -240,7 +260,7 @@
     SessionOpened: _receive_session_opened,
     SessionClosed: _receive_session_closed,
     AgentFrameReceived: _receive_frame,
-    AgentDiscovered: _receive_discovered_agent,
+    MembersDiscovered: _receive_members,
     MemberRemoved: _receive_member_removed,
     EntriesDiscovered: _receive_entries,
     RoutesRead: _receive_routes,
@@ -271,7 +291,7 @@
 CONTAINMENT: dict[type, Callable[[Actor, EntryStateMessage, float], None]] = {
     Submit: _contain_submit,
     AgentFrameReceived: _contain_frame,
-    AgentDiscovered: _contain_nothing,
+    MembersDiscovered: _contain_nothing,
     MemberRemoved: _contain_nothing,
     EntriesDiscovered: _contain_nothing,
     RoutesRead: _contain_nothing,
--- a/src/comfreysill/gateway/discovery.py
+++ b/src/comfreysill/gateway/discovery.py
@@ -1,22 +1,24 @@
 """Asyncio tasks of an entry on the platform that watch the store for members and routes.
 
-The routing document is the row with CONFIGURATION_KEY in the configuration table.
+The routing document is the row with CONFIGURATION_KEY in the configuration table. While the store
+can't be read, the members are exchanged with other entries.
 """
 
 import asyncio
 import logging
-from collections.abc import Callable
+import random
+from collections.abc import Awaitable, Callable
 
 from result import Err, Ok
 
-from comfreysill.exchange.messages import Announcement
+from comfreysill.exchange.messages import Member
 from comfreysill.gateway.messages import (
-    AgentDiscovered,
-    EntriesDiscovered,
     EntryStateMessage,
     MemberRemoved,
+    MembersDiscovered,
     RoutesRead,
 )
+from comfreysill.gateway.roster import exchange_members
 from comfreysill.mailbox import Mailbox
 from comfreysill.platform.configuration import (
     CONFIGURATION_KEY,
@@ -33,10 +35,55 @@
 MEMBERS_LONG_POLL_SECONDS = 10.0
 # Delays before the next call after a failed one.
 INITIAL_RETRY_SECONDS = 0.25
-MAX_RETRY_SECONDS = 1.0
-
+MAX_ROUTES_RETRY_SECONDS = 0.5
+# A successful read of the routes ends this delay.
+MAX_MEMBERS_RETRY_SECONDS = 2.0
+# Number of other entries that are asked for members after each failed read.
+ASKED_ENTRIES = 2
+
+
+class TableWatch:
+    """Parameters of the watch of one table.
+
+    Attributes:
+        table: Name of the table.
+        wait_seconds: Timeout of the long polls.
+        max_retry_seconds: Maximum delay after a failed call.
+        handle_rows: Called with the rows of the whole table, then with changed ones.
+        handle_failure: Awaited after each failed call.
+        store_answers: Set when a call of any watch has succeeded; ends the delay of the others.
+    """
+
+    __slots__ = (
+        "table",
+        "wait_seconds",
+        "max_retry_seconds",
+        "handle_rows",
+        "handle_failure",
+        "store_answers",
+    )
 
-async def watch_routes(store: StoreClient, inbox: Mailbox[EntryStateMessage]) -> None:
+    def __init__(
+        self,
+        *,
+        table: str,
+        wait_seconds: float,
+        max_retry_seconds: float,
+        handle_rows: Callable[[RowSet], None],
+        handle_failure: Callable[[], Awaitable[None]],
+        store_answers: asyncio.Event,
+    ) -> None:
+        self.table = table
+        self.wait_seconds = wait_seconds
+        self.max_retry_seconds = max_retry_seconds
+        self.handle_rows = handle_rows
+        self.handle_failure = handle_failure
+        self.store_answers = store_answers
+
+
+async def watch_routes(
+    store: StoreClient, inbox: Mailbox[EntryStateMessage], store_answers: asyncio.Event
+) -> None:
     """Reads the routing document at the start and after each change."""
 
     def handle_rows(rows: RowSet) -> None:
@@ -44,14 +91,53 @@
             if row.key == CONFIGURATION_KEY and row.value is not None:
                 receive_routes_text(row.value, inbox)
 
-    await _watch_table(store, CONFIGURATION_TABLE, ROUTES_LONG_POLL_SECONDS, handle_rows)
+    async def handle_failure() -> None:
+        """The state task fetches the routes from an entry that has newer ones."""
+
+    watch = TableWatch(
+        table=CONFIGURATION_TABLE,
+        wait_seconds=ROUTES_LONG_POLL_SECONDS,
+        max_retry_seconds=MAX_ROUTES_RETRY_SECONDS,
+        handle_rows=handle_rows,
+        handle_failure=handle_failure,
+        store_answers=store_answers,
+    )
+    await _watch_table(store, watch)
 
 
-async def watch_members(store: StoreClient, inbox: Mailbox[EntryStateMessage]) -> None:
-    """Reads the addresses of agents and entries at the start and after each change."""
-    await _watch_table(
-        store, MEMBERS_TABLE, MEMBERS_LONG_POLL_SECONDS, lambda rows: _receive_members(rows, inbox)
+async def watch_members(
+    store: StoreClient,
+    inbox: Mailbox[EntryStateMessage],
+    store_answers: asyncio.Event,
+    own: Member,
+    get_entries: Callable[[], list[str]],
+) -> None:
+    """Reads the members at the start and after each change.
+
+    Args:
+        store: Client of the store.
+        inbox: Mailbox of the state task.
+        store_answers: See `TableWatch`.
+        own: This entry.
+        get_entries: Returns the addresses of the known entries.
+    """
+
+    async def ask_other_entries() -> None:
+        others = [address for address in get_entries() if address != own.address]
+        chosen = random.sample(others, min(ASKED_ENTRIES, len(others)))
+        for members in await asyncio.gather(*(exchange_members(other, own) for other in chosen)):
+            if members:
+                inbox.post(MembersDiscovered(members=members))
+
+    watch = TableWatch(
+        table=MEMBERS_TABLE,
+        wait_seconds=MEMBERS_LONG_POLL_SECONDS,
+        max_retry_seconds=MAX_MEMBERS_RETRY_SECONDS,
+        handle_rows=lambda rows: _receive_members(rows, inbox),
+        handle_failure=ask_other_entries,
+        store_answers=store_answers,
     )
+    await _watch_table(store, watch)
 
 
 def receive_routes_text(text: bytes, inbox: Mailbox[EntryStateMessage]) -> None:
@@ -64,28 +150,40 @@
         logger.error("configuration can't be decoded", extra={"fields": fields})
 
 
-async def _watch_table(
-    store: StoreClient, table: str, wait_seconds: float, handle_rows: Callable[[RowSet], None]
-) -> None:
+async def _watch_table(store: StoreClient, watch: TableWatch) -> None:
     version = 0
     retry_seconds = INITIAL_RETRY_SECONDS
     while True:
         if version:
-            answer = await await_changes(store, table, version, wait_seconds)
+            answer = await await_changes(store, watch.table, version, watch.wait_seconds)
         else:
-            answer = await read_rows(store, table)
+            answer = await read_rows(store, watch.table)
         if isinstance(answer, Err):
             error = answer.err_value
-            fields = {"table": table, "why": error.detail, "fault": error.fault.name}
+            fields = {"table": watch.table, "why": error.detail, "fault": error.fault.name}
             logger.warning("reading from the store failed", extra={"fields": fields})
             # The next call reads the whole table, as changes may have been missed.
             version = 0
-            await asyncio.sleep(retry_seconds)
-            retry_seconds = min(retry_seconds * 2, MAX_RETRY_SECONDS)
+            watch.store_answers.clear()
+            await watch.handle_failure()
+            await _await_retry(watch, retry_seconds)
+            retry_seconds = min(retry_seconds * 2, watch.max_retry_seconds)
             continue
+        watch.store_answers.set()
         retry_seconds = INITIAL_RETRY_SECONDS
         version = answer.ok_value.version
-        handle_rows(answer.ok_value)
+        watch.handle_rows(answer.ok_value)
+
+
+async def _await_retry(watch: TableWatch, seconds: float) -> None:
+    """Waits for the delay or until another watch has read from the store."""
+    # Entries that failed at the same moment don't call again at the same moment.
+    await asyncio.sleep(INITIAL_RETRY_SECONDS * random.uniform(0.5, 1.0))
+    try:
+        async with asyncio.timeout(max(0.0, seconds - INITIAL_RETRY_SECONDS)):
+            await watch.store_answers.wait()
+    except TimeoutError:
+        return
 
 
 def _receive_members(rows: RowSet, inbox: Mailbox[EntryStateMessage]) -> None:
@@ -96,11 +194,4 @@
         )
     for name in member_set.removed:
         inbox.post(MemberRemoved(name=name))
-    for member in member_set.members:
-        if member.role == "agent":
-            announcement = Announcement(
-                agent=member.name, address=member.address, service=member.service
-            )
-            inbox.post(AgentDiscovered(announcement=announcement))
-    entries = [member.address for member in member_set.members if member.role == "entry"]
-    inbox.post(EntriesDiscovered(addresses=entries))
+    inbox.post(MembersDiscovered(members=member_set.members))
--- a/src/comfreysill/gateway/links.py
+++ b/src/comfreysill/gateway/links.py
@@ -2,17 +2,12 @@
 
 import asyncio
 import logging
-from collections.abc import Callable
 
 from grpclib.client import Channel
-from grpclib.const import Status
-from grpclib.exceptions import GRPCError
-from grpclib.server import Stream
 
 from comfreysill.address import parse_address
 from comfreysill.exchange.messages import EntryFrame
 from comfreysill.gateway.messages import (
-    AgentDiscovered,
     AgentFrameReceived,
     EntryStateMessage,
     SessionClosed,
@@ -20,9 +15,8 @@
 )
 from comfreysill.mailbox import Mailbox
 from comfreysill.wire.errors import LINK_ERRORS, UNREADABLE_ERRORS
-from comfreysill.wire.exchange import decode_agent_frame, decode_announcement, encode_entry_frame
-from comfreysill.wire.exchange_grpc import RosterBase, RosterStub, TargetStub
-from comfreysill.wire.exchange_pb2 import Nothing, RoutesText
+from comfreysill.wire.exchange import decode_agent_frame, encode_entry_frame
+from comfreysill.wire.exchange_grpc import TargetStub
 
 logger = logging.getLogger(__name__)
 
@@ -141,52 +135,3 @@
                 return
             if frame.session == link.session:
                 await stream.send_message(encode_entry_frame(frame))
-
-
-class RosterService(RosterBase):
-    """gRPC service for announcements by agents and for other entries that fetch the routes.
-
-    Attributes:
-        inbox: Mailbox of the state task.
-        get_routes: Returns the undecoded routing document in use, empty if there is none.
-    """
-
-    __slots__ = ("inbox", "get_routes")
-
-    def __init__(
-        self, *, inbox: Mailbox[EntryStateMessage], get_routes: Callable[[], bytes]
-    ) -> None:
-        self.inbox = inbox
-        self.get_routes = get_routes
-
-    async def Announce(self, stream: Stream) -> None:  # noqa: N802
-        """Queues the announcement of an agent for the state task."""
-        try:
-            message = await stream.recv_message()
-            if message is not None:
-                self.inbox.post(AgentDiscovered(announcement=decode_announcement(message)))
-        except UNREADABLE_ERRORS as error:
-            fields = {"why": f"{type(error).__name__} {error}"}
-            logger.warning("unreadable announcement rejected", extra={"fields": fields})
-            raise GRPCError(Status.INVALID_ARGUMENT, str(error)) from error
-        await stream.send_message(Nothing())
-
-    async def ReadRoutes(self, stream: Stream) -> None:  # noqa: N802
-        """Sends the routing document in use, empty if there is none."""
-        await stream.recv_message()
-        await stream.send_message(RoutesText(text=self.get_routes()))
-
-
-async def fetch_routes(address: str) -> bytes:
-    """Fetches the routing document from another entry; empty if the call fails or it has none."""
-    endpoint = parse_address(address)
-    channel = Channel(endpoint.host, endpoint.port)
-    try:
-        async with asyncio.timeout(CONNECT_TIMEOUT_SECONDS):
-            return (await RosterStub(channel).ReadRoutes(Nothing())).text
-    except LINK_ERRORS as error:
-        fields = {"address": address, "why": f"{type(error).__name__} {error}"}
-        logger.warning("fetching routes from another entry failed", extra={"fields": fields})
-        return b""
-    finally:
-        channel.close()
--- a/src/comfreysill/gateway/messages.py
+++ b/src/comfreysill/gateway/messages.py
@@ -1,6 +1,6 @@
 """Messages to the state task of an entry on the platform, and its replies to callers."""
 
-from comfreysill.exchange.messages import AgentFrame, Announcement
+from comfreysill.exchange.messages import AgentFrame, Member
 from comfreysill.request.types import Specification, Verdict
 from comfreysill.routes.table import RouteTable
 
@@ -84,13 +84,13 @@
         self.frame = frame
 
 
-class AgentDiscovered:
-    """An agent was announced, or found in the store."""
+class MembersDiscovered:
+    """Members were read from the store, announced, or named by another entry."""
 
-    __slots__ = ("announcement",)
+    __slots__ = ("members",)
 
-    def __init__(self, *, announcement: Announcement) -> None:
-        self.announcement = announcement
+    def __init__(self, *, members: list[Member]) -> None:
+        self.members = members
 
 
 class MemberRemoved:
@@ -103,7 +103,7 @@
 
 
 class EntriesDiscovered:
-    """Addresses of entries were read from the store or the settings."""
+    """Addresses of entries were read from the settings."""
 
     __slots__ = ("addresses",)
 
@@ -140,7 +140,7 @@
     | SessionOpened
     | SessionClosed
     | AgentFrameReceived
-    | AgentDiscovered
+    | MembersDiscovered
     | MemberRemoved
     | EntriesDiscovered
     | RoutesRead
--- a/src/comfreysill/gateway/program.py
+++ b/src/comfreysill/gateway/program.py
@@ -8,17 +8,24 @@
 import socket
 
 from comfreysill.clock import measure_unix_offset, read_boot_clock
-from comfreysill.gateway.actor import Actor, is_ready, report_disconnect, run_state_task, submit
+from comfreysill.exchange.messages import Member, Role
+from comfreysill.gateway.actor import (
+    Actor,
+    is_ready,
+    list_members,
+    report_disconnect,
+    run_state_task,
+    submit,
+)
 from comfreysill.gateway.discovery import receive_routes_text, watch_members, watch_routes
-from comfreysill.gateway.links import RosterService, fetch_routes
 from comfreysill.gateway.messages import Cancel, ConcludeRequests, EntriesDiscovered, Tick
+from comfreysill.gateway.roster import RosterService, fetch_routes
 from comfreysill.listeners import Listeners
 from comfreysill.membership import register_member
 from comfreysill.metrics import Metrics
 from comfreysill.metrics_app import build_metrics_app, build_observer
 from comfreysill.placement.state import EntryState
 from comfreysill.platform.ingress import EntryOperations, build_callers_app, build_readiness_app
-from comfreysill.platform.members import Member
 from comfreysill.platform.settings import InstanceSettings
 from comfreysill.platform.store import StoreClient, open_store, set_store_address
 from comfreysill.reloading import watch_settings
@@ -61,14 +68,18 @@
     actor = Actor(state=state)
     store = open_store(settings.store)
     callers_server = build_http(build_callers_app(_build_operations(actor)))
-    roster_service = RosterService(inbox=actor.inbox, get_routes=lambda: actor.routes_text)
+    roster_service = RosterService(
+        inbox=actor.inbox,
+        get_routes=lambda: actor.routes_text,
+        get_members=lambda: list_members(actor),
+    )
     grpc_server = await start_grpc_on_socket([roster_service], listeners.link)
     callers_task = asyncio.create_task(_serve_callers(actor, callers_server, listeners.http))
+    member = Member(name=settings.name, role=Role.ENTRY, address=settings.advertised)
     tasks = [
-        *_start_tasks(actor, settings, store, reload),
+        *_start_tasks(actor, member, store, reload),
         *_start_servers(actor, settings, store, metrics, callers_server),
     ]
-    member = Member(name=settings.name, role="entry", address=settings.advertised)
     registration = asyncio.create_task(register_member(store, member))
     logger.info("entry started", extra={"fields": {"name": name}})
     await await_stop(stop, [callers_task, *tasks], [registration])
@@ -93,15 +104,16 @@
 
 
 def _start_tasks(
-    actor: Actor, settings: InstanceSettings, store: StoreClient, reload: asyncio.Event
+    actor: Actor, member: Member, store: StoreClient, reload: asyncio.Event
 ) -> list[asyncio.Task]:
+    store_answers = asyncio.Event()
     coroutines = (
         run_state_task(actor),
         _post_ticks(actor),
         _fetch_requested_routes(actor),
         watch_settings(reload, lambda new: _apply_settings(actor, store, new)),
-        watch_routes(store, actor.inbox),
-        watch_members(store, actor.inbox),
+        watch_routes(store, actor.inbox, store_answers),
+        watch_members(store, actor.inbox, store_answers, member, lambda: actor.state.entries),
     )
     return [asyncio.create_task(coroutine) for coroutine in coroutines]
 
@@ -117,10 +129,13 @@
         metrics, lambda: actor.state.counters, lambda: _collect_gauges(actor, store)
     )
     readiness_app = build_readiness_app(lambda: is_ready(actor, listening=callers_server.started))
-    servers = (
+    servers = [
         build_http(readiness_app, settings.readiness),
         build_http(metrics_app, settings.metrics),
-    )
+    ]
+    if settings.reports is not None:
+        # Runners report to the agent beside them; one without an agent can't be used.
+        servers.append(build_http(build_readiness_app(lambda: False), settings.reports))
     return [asyncio.create_task(server.serve()) for server in servers]
 
 
--- a/src/comfreysill/membership.py
+++ b/src/comfreysill/membership.py
@@ -9,13 +9,14 @@
 
 from result import Err
 
-from comfreysill.platform.members import Member, remove_member, write_member
+from comfreysill.exchange.messages import Member
+from comfreysill.platform.members import remove_member, write_member
 from comfreysill.platform.store import StoreClient
 
 logger = logging.getLogger(__name__)
 
 INITIAL_RETRY_DELAY_SECONDS = 0.5
-MAX_RETRY_DELAY_SECONDS = 4.0
+MAX_RETRY_DELAY_SECONDS = 1.5
 
 
 async def register_member(store: StoreClient, member: Member) -> int:
--- a/src/comfreysill/platform/members.py
+++ b/src/comfreysill/platform/members.py
@@ -6,6 +6,7 @@
 from result import Err, Ok, Result
 
 from comfreysill.address import parse_address
+from comfreysill.exchange.messages import Member, Role
 from comfreysill.platform.documents import Name, OptionalName, decode_document, encode_document
 from comfreysill.platform.store import (
     RowSet,
@@ -13,7 +14,6 @@
     StoreClient,
     StoreError,
     commit_rows,
-    read_rows,
 )
 
 MEMBERS_TABLE = "members"
@@ -30,25 +30,6 @@
 _DECODER = msgspec.json.Decoder(MemberDocument)
 
 
-class Member:
-    """An entry or an agent on the platform.
-
-    Attributes:
-        name: Instance name.
-        role: `entry` or `agent`.
-        address: Address of its gRPC service, `host:port`.
-        service: Service of the target beside an agent, empty for an entry or if unknown.
-    """
-
-    __slots__ = ("name", "role", "address", "service")
-
-    def __init__(self, *, name: str, role: str, address: str, service: str = "") -> None:
-        self.name = name
-        self.role = role
-        self.address = address
-        self.service = service
-
-
 class MemberSet:
     """Members decoded from the rows of the whole table, or from its changed rows.
 
@@ -88,12 +69,6 @@
     return await commit_rows(store, MEMBERS_TABLE, (write,))
 
 
-async def read_members(store: StoreClient) -> Result[MemberSet, StoreError]:
-    """Reads all members."""
-    answer = await read_rows(store, MEMBERS_TABLE)
-    return answer if isinstance(answer, Err) else Ok(decode_members(answer.ok_value))
-
-
 def decode_members(rows: RowSet) -> MemberSet:
     """Decodes member rows; invalid ones are skipped and counted."""
     by_address: dict[str, Member] = {}
@@ -128,7 +103,7 @@
     return Ok(
         Member(
             name=name,
-            role=document["role"],
+            role=Role(document["role"]),
             address=document["address"],
             service=document.get("service", ""),
         )
--- a/src/comfreysill/sidecar/links.py
+++ b/src/comfreysill/sidecar/links.py
@@ -9,7 +9,7 @@
 from grpclib.server import Stream
 
 from comfreysill.address import parse_address
-from comfreysill.exchange.messages import AgentFrame, Announcement
+from comfreysill.exchange.messages import AgentFrame, Member
 from comfreysill.mailbox import Mailbox
 from comfreysill.sidecar.messages import AgentStateMessage, EntryFrameReceived, SessionClosed
 from comfreysill.wire.errors import LINK_ERRORS, UNREADABLE_ERRORS
@@ -65,7 +65,7 @@
             await stream.send_message(encode_agent_frame(frame))
 
 
-async def announce(address: str, announcement: Announcement) -> bool:
+async def announce(address: str, agent: Member) -> bool:
     """Announces this agent to the entry at an address.
 
     Returns:
@@ -75,7 +75,7 @@
     channel = Channel(parsed.host, parsed.port)
     try:
         async with asyncio.timeout(ANNOUNCE_TIMEOUT_SECONDS):
-            await RosterStub(channel).Announce(encode_announcement(announcement))
+            await RosterStub(channel).Announce(encode_announcement(agent))
     except LINK_ERRORS as error:
         fields = {"address": address, "why": f"{type(error).__name__} {error}"}
         logger.debug("announcement failed", extra={"fields": fields})
--- a/src/comfreysill/sidecar/messages.py
+++ b/src/comfreysill/sidecar/messages.py
@@ -52,7 +52,7 @@
 
 
 class EntriesDiscovered:
-    """Addresses of entries were read from the store or the settings."""
+    """Addresses of entries were read from the settings."""
 
     __slots__ = ("addresses",)
 
--- a/src/comfreysill/sidecar/program.py
+++ b/src/comfreysill/sidecar/program.py
@@ -9,17 +9,14 @@
 from collections.abc import Callable
 from typing import Any
 
-from result import Err
-
 from comfreysill.clock import read_boot_clock
-from comfreysill.exchange.messages import Announcement
+from comfreysill.exchange.messages import Member, Role
 from comfreysill.execution.calls import Call, RenewCall, build_unanswered_reply
 from comfreysill.execution.state import AgentState
 from comfreysill.listeners import Listeners
 from comfreysill.membership import deregister_member, register_member
 from comfreysill.metrics import Metrics
 from comfreysill.metrics_app import build_metrics_app
-from comfreysill.platform.members import Member, read_members
 from comfreysill.platform.reports import build_reports_app
 from comfreysill.platform.runner import RunnerClient, open_runner, send_command, send_renewal
 from comfreysill.platform.settings import InstanceSettings
@@ -27,7 +24,8 @@
 from comfreysill.reloading import watch_settings
 from comfreysill.servers import build_http, start_grpc_on_socket, stop_http
 from comfreysill.sidecar.actor import Actor, run_state_task
-from comfreysill.sidecar.links import TargetService, announce
+from comfreysill.sidecar.announcements import announce_to_entries
+from comfreysill.sidecar.links import TargetService
 from comfreysill.sidecar.messages import (
     EntriesDiscovered,
     RunnerCallFinished,
@@ -42,10 +40,6 @@
 
 TICK_SECONDS = 0.05
 IDLE_TICK_SECONDS = 0.1
-ANNOUNCE_INTERVAL_SECONDS = 0.3
-MAX_ANNOUNCE_RETRY_DELAY_SECONDS = 1.0
-INITIAL_DISCOVERY_RETRY_DELAY_SECONDS = 0.5
-MAX_DISCOVERY_RETRY_DELAY_SECONDS = 4.0
 # Time reserved at the end of the grace period for stopping runs and notifying their entries.
 SHUTDOWN_RESERVE_SECONDS = 0.6
 # Time to handle a stop and to send the resulting frames.
@@ -61,31 +55,28 @@
 ) -> None:
     """Runs an agent until `stop` is set, then until its runs have ended or have been stopped."""
     runner = open_runner(settings.runner)
-    # A fencing token from the wall clock exceeds the tokens of earlier lifetimes, which increase by
-    # one per unanswered start. If the clock was set back, the runner refuses the token, and it is
-    # raised.
-    token = int(time.time() * 1000)
-    agent = AgentState(agent=settings.name, lifetime=lifetime, zone=settings.zone, token=token)
-    agent.entries.update(settings.entries)
+    agent = _build_state(settings, lifetime)
     actor = Actor(agent=agent, submit_call=lambda call: _start_call(actor, runner, calls, call))
     calls: set[asyncio.Task] = set()
     store = open_store(settings.store)
     http = build_http(_build_reports_app(actor))
     grpc = await start_grpc_on_socket([TargetService(inbox=actor.inbox)], listeners.link)
     http_task = asyncio.create_task(http.serve(sockets=[listeners.http]))
-    tasks = _start_tasks(actor, settings, store, reload)
     member = Member(
-        name=settings.name, role="agent", address=settings.advertised, service=settings.service
+        name=settings.name, role=Role.AGENT, address=settings.advertised, service=settings.service
     )
     registration = asyncio.create_task(register_member(store, member))
-    startup_tasks = [registration, asyncio.create_task(_discover_entries(actor, store))]
-    logger.info("agent started", extra={"fields": {"name": settings.name, "token": token}})
-    await await_stop(stop, [http_task, *tasks], startup_tasks)
+    tasks = [
+        *_start_tasks(actor, settings, store, reload),
+        asyncio.create_task(announce_to_entries(actor, member, registration.done)),
+    ]
+    logger.info("agent started", extra={"fields": {"name": settings.name, "token": agent.token}})
+    await await_stop(stop, [http_task, *tasks], [registration])
     await _shut_down(actor, settings)
     if agent.departed_lifetime is not None and agent.report is None:
         # The runner has left for good, and its instance with it.
         await deregister_member(store, settings.name, registration)
-    for task in [*startup_tasks, *tasks, *calls]:
+    for task in [registration, *tasks, *calls]:
         task.cancel()
     grpc.close()
     await stop_http(http, http_task)
@@ -94,6 +85,16 @@
     logger.info("agent stopped", extra={"fields": {"name": settings.name, **agent.counters}})
 
 
+def _build_state(settings: InstanceSettings, lifetime: str) -> AgentState:
+    # A fencing token from the wall clock exceeds the tokens of earlier lifetimes, which increase by
+    # one per unanswered start. If the clock was set back, the runner refuses the token, and it is
+    # raised.
+    token = int(time.time() * 1000)
+    agent = AgentState(agent=settings.name, lifetime=lifetime, zone=settings.zone, token=token)
+    agent.entries.update(settings.entries)
+    return agent
+
+
 def _build_reports_app(actor: Actor) -> Callable[..., Any]:
     inbox = actor.inbox
     return build_reports_app(
@@ -113,7 +114,6 @@
         run_state_task(actor),
         _post_ticks(actor),
         watch_settings(reload, lambda new: _apply_settings(actor, store, new)),
-        _announce_to_entries(actor, settings),
     )
     return [asyncio.create_task(coroutine) for coroutine in coroutines]
 
@@ -177,48 +177,3 @@
     while True:
         await asyncio.sleep(TICK_SECONDS if actor.agent.runs else IDLE_TICK_SECONDS)
         actor.inbox.post(Tick())
-
-
-async def _discover_entries(actor: Actor, store: StoreClient) -> None:
-    """Reads the addresses of entries from the store, with retries until it succeeds.
-
-    Frames from the entries found name those that start later.
-    """
-    retry_delay = INITIAL_DISCOVERY_RETRY_DELAY_SECONDS
-    while isinstance(answer := await read_members(store), Err):
-        await asyncio.sleep(retry_delay)
-        retry_delay = min(retry_delay * 2, MAX_DISCOVERY_RETRY_DELAY_SECONDS)
-    members = answer.ok_value.members
-    entries = [member.address for member in members if member.role == "entry"]
-    actor.inbox.post(EntriesDiscovered(addresses=entries))
-
-
-async def _announce_to_entries(actor: Actor, settings: InstanceSettings) -> None:
-    """Announces this agent to each entry without a session, and again after a session has closed.
-
-    An announcement that was not accepted is repeated, with increasing delay.
-    """
-    announcement = Announcement(
-        agent=settings.name, address=settings.advertised, service=settings.service
-    )
-    retry_at: dict[str, float] = {}
-    retry_delays: dict[str, float] = {}
-    linked: set[str] = set()
-    announced: set[str] = set()
-    while True:
-        await asyncio.sleep(ANNOUNCE_INTERVAL_SECONDS)
-        previously_linked, linked = linked, {session.address for session in actor.sessions.values()}
-        announced -= previously_linked - linked
-        for address in actor.agent.entries - linked - announced:
-            now = read_boot_clock()
-            if now < retry_at.get(address, 0.0):
-                continue
-            if await announce(address, announcement):
-                announced.add(address)
-                retry_delays.pop(address, None)
-                continue
-            retry_delays[address] = min(
-                retry_delays.get(address, ANNOUNCE_INTERVAL_SECONDS) * 2,
-                MAX_ANNOUNCE_RETRY_DELAY_SECONDS,
-            )
-            retry_at[address] = now + retry_delays[address]
--- a/src/comfreysill/wire/exchange.py
+++ b/src/comfreysill/wire/exchange.py
@@ -7,14 +7,15 @@
 from comfreysill.address import parse_address
 from comfreysill.exchange.messages import (
     AgentFrame,
-    Announcement,
     Batch,
     Ended,
     EntryFrame,
     Load,
+    Member,
     Order,
     Outcome,
     Profile,
+    Role,
 )
 from comfreysill.wire import exchange_pb2 as pb
 from comfreysill.wire.errors import FrameError
@@ -25,6 +26,7 @@
 MAX_NUMBER = 1e12
 MAX_ORDERS = 10_000
 _OUTCOMES = frozenset(Outcome)
+_ROLES = frozenset(Role)
 
 
 def encode_entry_frame(frame: EntryFrame) -> pb.ToAgent:
@@ -144,26 +146,58 @@
     )
 
 
-def encode_announcement(announcement: Announcement) -> pb.Announcement:
-    """Encodes an announcement, which an agent sends to entries without a link to it."""
-    return pb.Announcement(
-        agent=announcement.agent, address=announcement.address, service=announcement.service
-    )
+def encode_announcement(agent: Member) -> pb.Announcement:
+    """Encodes the announcement of an agent to an entry without a link to it."""
+    return pb.Announcement(agent=agent.name, address=agent.address, service=agent.service)
 
 
-def decode_announcement(message: pb.Announcement) -> Announcement:
+def decode_announcement(message: pb.Announcement) -> Member:
     """Decodes an announcement.
 
     Raises:
         FrameError: The name or the address is invalid.
     """
-    return Announcement(
-        agent=_check_name(message.agent, "agent"),
+    return Member(
+        name=_check_name(message.agent, "agent"),
+        role=Role.AGENT,
         address=_check_address(message.address, "address"),
         service=message.service[:MAX_NAME_CHARS],
     )
 
 
+def encode_members(members: list[Member]) -> pb.Members:
+    """Encodes members, which entries exchange while the store can't be read."""
+    return pb.Members(
+        members=[
+            pb.Member(
+                name=member.name,
+                role=member.role,
+                address=member.address,
+                service=member.service,
+            )
+            for member in members
+        ]
+    )
+
+
+def decode_members(message: pb.Members) -> list[Member]:
+    """Decodes members; those with a role that this version doesn't know are skipped.
+
+    Raises:
+        FrameError: A name or an address is invalid.
+    """
+    return [
+        Member(
+            name=_check_name(member.name, "members.name"),
+            role=Role(member.role),
+            address=_check_address(member.address, "members.address"),
+            service=member.service[:MAX_NAME_CHARS],
+        )
+        for member in message.members
+        if member.role in _ROLES
+    ]
+
+
 def _check_name(text: str, field: str) -> str:
     if not 0 < len(text) <= MAX_NAME_CHARS:
         raise FrameError(f"{field}: a name of {len(text)} characters")
--- a/src/comfreysill/wire/exchange_grpc.py
+++ b/src/comfreysill/wire/exchange_grpc.py
@@ -50,6 +50,10 @@
     async def ReadRoutes(self, stream: 'grpclib.server.Stream[comfreysill.wire.exchange_pb2.Nothing, comfreysill.wire.exchange_pb2.RoutesText]') -> None:
         pass
 
+    @abc.abstractmethod
+    async def ExchangeMembers(self, stream: 'grpclib.server.Stream[comfreysill.wire.exchange_pb2.Members, comfreysill.wire.exchange_pb2.Members]') -> None:
+        pass
+
     def __mapping__(self) -> typing.Dict[str, grpclib.const.Handler]:
         return {
             '/comfreysill.Roster/Announce': grpclib.const.Handler(
@@ -64,6 +68,12 @@
                 comfreysill.wire.exchange_pb2.Nothing,
                 comfreysill.wire.exchange_pb2.RoutesText,
             ),
+            '/comfreysill.Roster/ExchangeMembers': grpclib.const.Handler(
+                self.ExchangeMembers,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                comfreysill.wire.exchange_pb2.Members,
+                comfreysill.wire.exchange_pb2.Members,
+            ),
         }
 
 
@@ -82,3 +92,9 @@
             comfreysill.wire.exchange_pb2.Nothing,
             comfreysill.wire.exchange_pb2.RoutesText,
         )
+        self.ExchangeMembers = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/comfreysill.Roster/ExchangeMembers',
+            comfreysill.wire.exchange_pb2.Members,
+            comfreysill.wire.exchange_pb2.Members,
+        )
--- a/standins/platform_deployment.py
+++ b/standins/platform_deployment.py
@@ -120,7 +120,9 @@
         "zone": "z1",
         "ip": ip,
         "port-range": [LINK_PORT, METRICS_PORT],
-        "seeds": [],
+        "seeds": [
+            f"{deployment.find_ip(entry)}:{CONTROL_PORT}" for entry in deployment.entries[:3]
+        ],
         "bounds": {"grace-s": deployment.grace_seconds},
         "platform": {"address": deployment.store_addresses.get(name, deployment.store_address)},
         "advertised": deployment.advertised_addresses.get(name, ""),
--- a/tests/test_input_fuzz.py
+++ b/tests/test_input_fuzz.py
@@ -55,6 +55,7 @@
     encode_agent_frame,
     encode_entry_frame,
 )
+from comfreysill.wire.exchange import decode_members as decode_exchanged_members
 from tests.fuzzing import fuzz
 from tests.test_platform_decode import SETTINGS, encode_configuration
 
@@ -434,10 +435,11 @@
         for member in found.members:
             discover_agent(entry.state, member.name, member.address, member.service)
         try:
-            announcement = decode_announcement(pb.Announcement.FromString(data))
+            agent = decode_announcement(pb.Announcement.FromString(data))
+            discover_agent(entry.state, agent.name, agent.address, agent.service)
+            decode_exchanged_members(pb.Members.FromString(data))
         except (FrameError, DecodeError):
             return
-        discover_agent(entry.state, announcement.agent, announcement.address, announcement.service)
         entry.flush()
 
     @fuzz(EXAMPLES, changed_documents(yaml.safe_load(SETTINGS)))
--- a/tests/test_platform_processes.py
+++ b/tests/test_platform_processes.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import contextlib
 import itertools
 import pathlib
 import signal
@@ -21,6 +22,7 @@
     CALLERS_PORT,
     CONTROL_PORT,
     LINK_PORT,
+    METRICS_PORT,
     ROUTE_HOST,
     ROUTE_PREFIX,
     PlatformDeployment,
@@ -190,6 +192,32 @@
             await asyncio.sleep(0.1)
         self.assertEqual(status, 200, "the entry gets its routes from the other entry")
 
+    async def test_processes_find_each_other_while_the_store_is_away(self):
+        """All power is lost; the links are open again before the store answers."""
+        members = self.deployment.entries + self.deployment.agents
+        for name in members:
+            self.deployment.processes[name].kill()
+            await self.deployment.processes[name].wait()
+        await set_faults(self.deployment.store_address, outage=True)
+        for name in members:
+            await start_instance(self.deployment, name)
+        for entry in self.deployment.entries:
+            await self.await_links(entry, len(self.deployment.agents))
+        await set_faults(self.deployment.store_address, outage=False)
+        await self.check_guarantees(await self.start_jobs(10))
+
+    async def await_links(self, entry, expected):
+        url = f"http://{self.deployment.find_ip(entry)}:{METRICS_PORT}/metrics"
+        line = f'comfreysill_state{{name="agents",role="entry"}} {expected}'
+        deadline = time.monotonic() + 10
+        text = ""
+        while line not in text and time.monotonic() < deadline:
+            await asyncio.sleep(0.1)
+            with contextlib.suppress(aiohttp.ClientError):
+                async with self.session.get(url) as answer:
+                    text = await answer.text()
+        self.assertIn(line, text)
+
     async def test_jobs_complete_after_configuration_change_and_during_store_outage(self):
         await set_faults(self.deployment.store_address, forget=True)
         await put_configuration(self.deployment, version=9)
