--- a/src/comfreysill/placement/placement.py
+++ b/src/comfreysill/placement/placement.py
@@ -20,6 +20,9 @@
 SPEED_BAND_FACTOR = 1.3
 # A result later than this multiple of the latency objective is of no use to the caller.
 MAX_OBJECTIVE_FACTOR = 3.0
+# Requests that are late already are placed only while more than this share of the capacity is free.
+# With less, they would make the next ones late that can still be on time.
+RESERVED_CAPACITY_SHARE = 0.2
 
 
 class Candidate:
@@ -106,6 +109,10 @@
         if not request.begun and _is_unmeetable(request, lowest_slowness, now):
             _refuse(state, request, now)
             continue
+        if queue_band == LATE and not _has_spare_capacity(candidates):
+            unplaced.append(request)
+            # All that follow in the queue are late as well.
+            break
         for step_number in list(request.pending):
             _place_step(state, request, step_number, candidates, queue_band, now)
         if any(request.pending.values()):
@@ -116,6 +123,13 @@
         push_request(state, request, now)
 
 
+def _has_spare_capacity(candidates: list[Candidate]) -> bool:
+    """Returns whether enough capacity is free to place a request that is late."""
+    capacity = sum(candidate.agent.profile.cpu for candidate in candidates)
+    free = sum(max(0, candidate.cpu) for candidate in candidates)
+    return free > RESERVED_CAPACITY_SHARE * capacity
+
+
 def _is_unmeetable(request: Request, lowest_slowness: float, now: float) -> bool:
     """Returns whether a request would end too late to be of use even on the fastest target."""
     objective = request.due_at - request.received_at
@@ -138,9 +152,11 @@
         return
     step = request.specification.steps[step_number]
     eligible = [
-        candidate for candidate in candidates if step.label in ("", *candidate.agent.profile.labels)
+        candidate
+        for candidate in candidates
+        if not step.label or step.label in candidate.agent.profile.labels
     ]
-    if not eligible:
+    if not any(candidate.cpu >= step.cpu for candidate in eligible):
         return
     run_times = {
         candidate.agent.name: _estimate_run_time(state, step, candidate.agent)
