--- a/src/comfreysill/placement/placement.py
+++ b/src/comfreysill/placement/placement.py
@@ -101,6 +101,7 @@
 def _place_queue(state: EntryState, queue: list, candidates: list[Candidate], now: float) -> None:
     unplaced: list[Request] = []
     lowest_slowness = min(candidate.agent.load.slowness for candidate in candidates)
+    largest_room = max(candidate.cpu for candidate in candidates)
     while len(unplaced) < MAX_UNPLACED_REQUESTS:
         item = pop_request(queue)
         if item is None:
@@ -113,16 +114,27 @@
             unplaced.append(request)
             # All that follow in the queue are late as well.
             break
-        for step_number in list(request.pending):
+        for step_number in _list_fitting_steps(request, largest_room):
             _place_step(state, request, step_number, candidates, queue_band, now)
+            largest_room = max(candidate.cpu for candidate in candidates)
         if any(request.pending.values()):
             unplaced.append(request)
-            if max(candidate.cpu for candidate in candidates) <= 0:
+            if largest_room <= 0:
                 break
     for request in unplaced:
         push_request(state, request, now)
 
 
+def _list_fitting_steps(request: Request, largest_room: int) -> list[int]:
+    """Returns the numbers of the steps with pending tasks for which some target has enough CPU."""
+    steps = request.specification.steps
+    return [
+        number
+        for number, tasks in request.pending.items()
+        if tasks and steps[number].cpu <= largest_room
+    ]
+
+
 def _has_spare_capacity(candidates: list[Candidate]) -> bool:
     """Returns whether enough capacity is free to place a request that is late."""
     capacity = sum(candidate.agent.profile.cpu for candidate in candidates)
@@ -148,15 +160,13 @@
     now: float,
 ) -> None:
     tasks = request.pending[step_number]
-    if not tasks:
-        return
     step = request.specification.steps[step_number]
     eligible = [
         candidate
         for candidate in candidates
         if not step.label or step.label in candidate.agent.profile.labels
     ]
-    if not any(candidate.cpu >= step.cpu for candidate in eligible):
+    if not eligible:
         return
     run_times = {
         candidate.agent.name: _estimate_run_time(state, step, candidate.agent)
--- a/src/comfreysill/platform/runner.py
+++ b/src/comfreysill/platform/runner.py
@@ -110,7 +110,12 @@
 def open_runner(address: Address) -> RunnerClient:
     """Opens a client; its `session` has to be closed."""
     connector = aiohttp.TCPConnector(limit=MAX_CONNECTIONS, keepalive_timeout=KEEPALIVE_SECONDS)
-    session = aiohttp.ClientSession(connector=connector)
+    session = aiohttp.ClientSession(
+        connector=connector,
+        cookie_jar=aiohttp.DummyCookieJar(),
+        auto_decompress=False,
+        skip_auto_headers=("Accept", "Accept-Encoding", "User-Agent"),
+    )
     return RunnerClient(base_url=f"http://{address}", session=session)
 
 
