--- a/src/comfreysill/launch.py
+++ b/src/comfreysill/launch.py
@@ -8,10 +8,9 @@
 import os
 import sys
 
-from comfreysill.address import Address
 from comfreysill.exceptions import ComfreysillError
 from comfreysill.listeners import Listeners, open_listener
-from comfreysill.platform.settings import InstanceSettings, read_instance_settings
+from comfreysill.platform.settings_file import find_listening_addresses, read_settings_file
 
 ROLES = ("entry", "agent")
 # Entries and agents make no TLS connections. Loading the system's certificates at import would
@@ -26,22 +25,15 @@
         print(f"Error: unknown role {role!r}; try one of {', '.join(ROLES)}", file=sys.stderr)
         sys.exit(2)
     try:
-        settings = read_instance_settings()
-        http_address = _choose_http_address(role, settings)
-        listeners = Listeners(http=open_listener(http_address), link=open_listener(settings.link))
+        document = read_settings_file()
+        http_address, link_address = find_listening_addresses(document, role)
+        listeners = Listeners(http=open_listener(http_address), link=open_listener(link_address))
+        from comfreysill.platform.settings import decode_settings
+
+        settings = decode_settings(document)
     except ComfreysillError as error:
         print(f"Error: {error}", file=sys.stderr)
         sys.exit(error.exit_code)
     from comfreysill.process import run_process
 
     run_process(role, settings, listeners)
-
-
-def _choose_http_address(role: str, settings: InstanceSettings) -> Address:
-    address = settings.callers if role == "entry" else settings.reports
-    if address is None:
-        hint = "declare what the role serves in the deploy file"
-        raise ComfreysillError(
-            message=f"the settings define no listening port for the {role} role", hint=hint
-        )
-    return address
--- a/src/comfreysill/platform/settings.py
+++ b/src/comfreysill/platform/settings.py
@@ -1,18 +1,14 @@
-"""Instance settings, read from the file that the platform writes."""
+"""Instance settings: the checked content of the settings file."""
 
-import os
-import pathlib
-from typing import Annotated, Required, TypedDict
+from typing import Annotated, Any, Required, TypedDict
 
 import msgspec
-import yaml
 from msgspec import Meta
 
 from comfreysill.address import MAX_PORT, Address, parse_address
-from comfreysill.exceptions import UsageError
 from comfreysill.platform.documents import Name, OptionalName
+from comfreysill.platform.settings_file import build_settings_error, read_settings_file
 
-SETTINGS_VARIABLE = "COMFREYSILL_SETTINGS"
 MAX_GRACE_SECONDS = 3_600.0
 MAX_REMOTE_FACTOR = 1_000.0
 DEFAULT_REMOTE_FACTOR = 1.0
@@ -132,20 +128,22 @@
         UsageError: The variable is not set, the file can't be read, or a required field is
             missing or invalid.
     """
-    path = os.environ.get(SETTINGS_VARIABLE)
-    if not path:
-        raise UsageError(message=f"the environment variable {SETTINGS_VARIABLE} is not set")
+    return decode_settings(read_settings_file())
+
+
+def decode_settings(document: Any) -> InstanceSettings:
+    """Checks and decodes the document of a settings file.
+
+    Raises:
+        UsageError: A required field is missing or invalid.
+    """
     try:
-        loader = getattr(yaml, "CSafeLoader", yaml.SafeLoader)
-        document = yaml.load(pathlib.Path(path).read_text(), Loader=loader)
-        return _decode_settings(msgspec.convert(document, SettingsDocument))
-    except (OSError, yaml.YAMLError, RecursionError, ValueError) as error:
-        hint = "expected the settings file that the platform writes for the instance"
-        detail = f"{path}: {type(error).__name__} {error}"
-        raise UsageError(message=detail, hint=hint) from error
+        return _build_settings(msgspec.convert(document, SettingsDocument))
+    except (RecursionError, ValueError) as error:
+        raise build_settings_error(error) from error
 
 
-def _decode_settings(document: SettingsDocument) -> InstanceSettings:
+def _build_settings(document: SettingsDocument) -> InstanceSettings:
     listen = document["listen"]
     ip = document["ip"]
     first_port, last_port = document["port-range"]
--- a/tests/test_input_fuzz.py
+++ b/tests/test_input_fuzz.py
@@ -42,7 +42,8 @@
 from comfreysill.platform.documents import decode_document
 from comfreysill.platform.members import decode_members
 from comfreysill.platform.runner import REPLY_DECODER, build_renew_reply, decode_report
-from comfreysill.platform.settings import SETTINGS_VARIABLE, read_instance_settings
+from comfreysill.platform.settings import read_instance_settings
+from comfreysill.platform.settings_file import SETTINGS_VARIABLE
 from comfreysill.platform.store import RowSet, StoredRow
 from comfreysill.platform.submission import decode_submission
 from comfreysill.routes.table import find_route
--- a/tests/test_platform_decode.py
+++ b/tests/test_platform_decode.py
@@ -6,13 +6,15 @@
 import unittest
 from unittest import mock
 
+import yaml
 from result import Err, Ok
 
 from comfreysill.exceptions import UsageError
 from comfreysill.platform.configuration import decode_configuration
 from comfreysill.platform.members import decode_members
 from comfreysill.platform.runner import decode_report, decode_task, encode_task
-from comfreysill.platform.settings import SETTINGS_VARIABLE, read_instance_settings
+from comfreysill.platform.settings import read_instance_settings
+from comfreysill.platform.settings_file import SETTINGS_VARIABLE
 from comfreysill.platform.store import RowSet, StoredRow
 from comfreysill.platform.submission import (
     MAX_PAYLOAD_CHARS,
@@ -73,8 +75,19 @@
         self.assertEqual(settings.entries, ("10.0.0.2:7720",))
         self.assertIsNone(settings.runner)
 
+    def test_yaml_and_json_are_read_alike(self):
+        settings = self.read(json.dumps(yaml.safe_load(SETTINGS)))
+        self.assertEqual((settings.name, str(settings.link)), ("e1", "10.0.0.1:7720"))
+
     def test_invalid_files_are_reported(self):
-        for text in ("a: [", "node: e1", "[]", SETTINGS.replace("ip: 10.0.0.1", "")):
+        for text in (
+            "a: [",
+            "node: e1",
+            "[]",
+            "{",
+            '{"node": 5}',
+            SETTINGS.replace("ip: 10.0.0.1", ""),
+        ):
             with self.assertRaises(UsageError) as caught:
                 self.read(text)
             self.assertIn("boot.yaml", str(caught.exception))
