--- a/src/comfreysill/placement/placement.py
+++ b/src/comfreysill/placement/placement.py
@@ -23,6 +23,7 @@
 # Requests that are late already are placed only while more than this share of the capacity is free.
 # With less, they would make the next ones late that can still be on time.
 RESERVED_CAPACITY_SHARE = 0.2
+UNMEETABLE_REASON = "it can't end in time any more"
 
 
 class Candidate:
@@ -68,16 +69,22 @@
             continue
         slownesses = [agent.load.slowness for agent in _find_usable(state, service, now)]
         lowest_slowness = min(slownesses, default=0.0)
+        reason = UNMEETABLE_REASON if slownesses else _describe_missing_targets(state, service)
         for item in list(queue):
             # Items are described at `EntryState.queues`; the last field is the request.
             request = item[4]
             is_waiting = request.verdict is None and not request.begun
             if is_waiting and _is_unmeetable(request, lowest_slowness, now):
-                _refuse(state, request, now)
+                conclude_request(state, request, Verdict.NOT_RUN, reason, now)
 
 
-def _refuse(state: EntryState, request: Request, now: float) -> None:
-    conclude_request(state, request, Verdict.NOT_RUN, "it can't end in time any more", now)
+def _describe_missing_targets(state: EntryState, service: str) -> str:
+    """Returns why there is no usable target of a service."""
+    agents = [agent for agent in state.agents.values() if agent.service in ("", service)]
+    if not agents:
+        return "no target of the service is known"
+    connected = sum(agent.connected for agent in agents)
+    return f"no target is usable: {len(agents)} known, {connected} linked"
 
 
 def _find_usable(state: EntryState, service: str, now: float) -> list[Agent]:
@@ -108,7 +115,7 @@
             break
         queue_band, request = item[0], item[4]
         if not request.begun and _is_unmeetable(request, lowest_slowness, now):
-            _refuse(state, request, now)
+            conclude_request(state, request, Verdict.NOT_RUN, UNMEETABLE_REASON, now)
             continue
         if queue_band == LATE and not _has_spare_capacity(candidates):
             unplaced.append(request)
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -264,6 +264,16 @@
         self.assertEqual(self.flush()[0], {})
         self.assertTrue(self.state.agents["a"].connected)
 
+    def test_a_refusal_without_targets_says_so(self):
+        for name in ("a", "b"):
+            self.deliver_frame(name, accepting=False)
+        self.submit(build_request())
+        self.now += 5
+        refuse_unmeetable(self.state, self.now)
+        verdicts = [effect for effect in self.state.effects if isinstance(effect, SendVerdict)]
+        details = [effect.detail for effect in verdicts]
+        self.assertEqual(details, ["no target is usable: 2 known, 2 linked"])
+
     def test_an_agent_whose_address_belongs_to_another_one_is_forgotten(self):
         self.submit(build_request(tasks=8))
         self.flush()
