--- a/src/comfreysill/containment.py
+++ b/src/comfreysill/containment.py
@@ -6,9 +6,13 @@
 """
 
 import logging
+from collections.abc import Callable, Mapping
+from typing import Any
 
 logger = logging.getLogger(__name__)
 
+Handler = Callable[[Any, Any, float], None]
+
 # Consecutive messages that may fail before the error is passed on.
 MAX_CONSECUTIVE_FAILURES = 20
 
@@ -28,17 +32,42 @@
         self.consecutive = 0
 
 
-def record_handled(failures: MessageFailures) -> None:
-    """Records that a message was handled without an error."""
-    failures.consecutive = 0
-
+def handle_contained(
+    actor: Any,
+    message: object,
+    now: float,
+    handlers: Mapping[type, Handler],
+    containment: Mapping[type, Handler],
+) -> None:
+    """Processes a message; an error costs the request or session that the message belongs to.
 
-def record_failure(failures: MessageFailures, message: object, error: Exception) -> None:
-    """Logs a failed message with the traceback of the error.
+    Args:
+        actor: Owner of the state, which has `failures`.
+        message: The message.
+        now: Boot-clock time in seconds.
+        handlers: Functions that process messages, by type of message.
+        containment: Functions that restore the state after a failed message, by its type.
 
     Raises:
-        Exception: The error, if too many messages have failed in a row.
+        Exception: The message has no containment, or too many messages have failed in a row.
     """
+    try:
+        handlers[type(message)](actor, message, now)
+    except Exception as error:
+        _record_failure(actor.failures, message, error)
+        contain = containment.get(type(message))
+        if contain is None:
+            raise
+        contain(actor, message, now)
+    else:
+        actor.failures.consecutive = 0
+
+
+def contain_nothing(actor: Any, message: object, now: float) -> None:
+    """Containment of messages that change nothing that could be left half changed."""
+
+
+def _record_failure(failures: MessageFailures, message: object, error: Exception) -> None:
     failures.total += 1
     failures.consecutive += 1
     fields = {"message": type(message).__name__, "consecutive": failures.consecutive}
--- a/src/comfreysill/gateway/actor.py
+++ b/src/comfreysill/gateway/actor.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 
 from comfreysill.clock import read_boot_clock
-from comfreysill.containment import MessageFailures, record_failure, record_handled
+from comfreysill.containment import MessageFailures, contain_nothing, handle_contained
 from comfreysill.exchange.messages import Member, Role
 from comfreysill.gateway.links import Link, run_link
 from comfreysill.gateway.messages import (
@@ -33,6 +33,7 @@
     discover_agent,
     end_session,
     expire_agents,
+    is_unknown,
     receive_agent_frame,
     release_agent,
 )
@@ -149,28 +150,10 @@
         messages = await actor.inbox.get_batch()
         now = read_boot_clock()
         for message in messages:
-            handle_message(actor, message, now)
+            handle_contained(actor, message, now, HANDLERS, CONTAINMENT)
         _flush(actor, now)
 
 
-def handle_message(actor: Actor, message: EntryStateMessage, now: float) -> None:
-    """Processes a message; an error costs the request or session that the message belongs to.
-
-    Raises:
-        Exception: The message belongs to none, or too many messages have failed in a row.
-    """
-    try:
-        HANDLERS[type(message)](actor, message, now)
-    except Exception as error:
-        record_failure(actor.failures, message, error)
-        contain = CONTAINMENT.get(type(message))
-        if contain is None:
-            raise
-        contain(actor, message, now)
-    else:
-        record_handled(actor.failures)
-
-
 def _receive_submit(actor: Actor, message: Submit, now: float) -> None:
     submit_request(actor.state, message.caller, message.specification, now)
 
@@ -211,6 +194,8 @@
         if member.role == Role.ENTRY:
             _add_entries(actor, [member.address])
             continue
+        if message.second_hand and not is_unknown(actor.state, member.name, member.address):
+            continue
         discover_agent(actor.state, member.name, member.address, member.service)
         link = actor.links.get(member.name)
         if link is not None:
@@ -284,17 +269,13 @@
     contain_failed_frame(actor.state, message.agent, now)
 
 
-def _contain_nothing(actor: Actor, message: EntryStateMessage, now: float) -> None:
-    """The message has changed nothing that could be left half changed."""
-
-
 CONTAINMENT: dict[type, Callable[[Actor, EntryStateMessage, float], None]] = {
     Submit: _contain_submit,
     AgentFrameReceived: _contain_frame,
-    MembersDiscovered: _contain_nothing,
-    MemberRemoved: _contain_nothing,
-    EntriesDiscovered: _contain_nothing,
-    RoutesRead: _contain_nothing,
+    MembersDiscovered: contain_nothing,
+    MemberRemoved: contain_nothing,
+    EntriesDiscovered: contain_nothing,
+    RoutesRead: contain_nothing,
 }
 
 
--- a/src/comfreysill/gateway/discovery.py
+++ b/src/comfreysill/gateway/discovery.py
@@ -127,7 +127,7 @@
         chosen = random.sample(others, min(ASKED_ENTRIES, len(others)))
         for members in await asyncio.gather(*(exchange_members(other, own) for other in chosen)):
             if members:
-                inbox.post(MembersDiscovered(members=members))
+                inbox.post(MembersDiscovered(members=members, second_hand=True))
 
     watch = TableWatch(
         table=MEMBERS_TABLE,
--- a/src/comfreysill/gateway/messages.py
+++ b/src/comfreysill/gateway/messages.py
@@ -85,12 +85,18 @@
 
 
 class MembersDiscovered:
-    """Members were read from the store, announced, or named by another entry."""
+    """Members were read from the store, announced, or named by another entry.
 
-    __slots__ = ("members",)
+    Attributes:
+        members: The members.
+        second_hand: True if another entry named them; they may be out of date.
+    """
+
+    __slots__ = ("members", "second_hand")
 
-    def __init__(self, *, members: list[Member]) -> None:
+    def __init__(self, *, members: list[Member], second_hand: bool = False) -> None:
         self.members = members
+        self.second_hand = second_hand
 
 
 class MemberRemoved:
--- a/src/comfreysill/gateway/roster.py
+++ b/src/comfreysill/gateway/roster.py
@@ -3,31 +3,24 @@
 While an entry can't read the store, it learns both from the others.
 """
 
-import asyncio
 import logging
-from collections.abc import Awaitable, Callable
-from typing import TypeVar
+from collections.abc import Callable
 
-from grpclib.client import Channel
 from grpclib.const import Status
 from grpclib.exceptions import GRPCError
 from grpclib.server import Stream
 
-from comfreysill.address import parse_address
 from comfreysill.exchange.messages import Member
 from comfreysill.gateway.messages import EntryStateMessage, MembersDiscovered
 from comfreysill.mailbox import Mailbox
-from comfreysill.wire.errors import LINK_ERRORS, UNREADABLE_ERRORS
+from comfreysill.roster_client import call_roster
+from comfreysill.wire.errors import UNREADABLE_ERRORS
 from comfreysill.wire.exchange import decode_announcement, decode_members, encode_members
 from comfreysill.wire.exchange_grpc import RosterBase, RosterStub
 from comfreysill.wire.exchange_pb2 import Members, Nothing, RoutesText
 
 logger = logging.getLogger(__name__)
 
-CALL_TIMEOUT_SECONDS = 0.4
-
-T = TypeVar("T")
-
 
 class RosterService(RosterBase):
     """gRPC service for announcements by agents and for other entries.
@@ -92,7 +85,7 @@
     async def read(roster: RosterStub) -> bytes:
         return (await roster.ReadRoutes(Nothing())).text
 
-    return await _call(address, read, b"")
+    return await call_roster(address, read, b"")
 
 
 async def exchange_members(address: str, own: Member) -> list[Member]:
@@ -102,18 +95,4 @@
         answer: Members = await roster.ExchangeMembers(encode_members([own]))
         return decode_members(answer)
 
-    return await _call(address, exchange, [])
-
-
-async def _call(address: str, call: Callable[[RosterStub], Awaitable[T]], otherwise: T) -> T:
-    endpoint = parse_address(address)
-    channel = Channel(endpoint.host, endpoint.port)
-    try:
-        async with asyncio.timeout(CALL_TIMEOUT_SECONDS):
-            return await call(RosterStub(channel))
-    except LINK_ERRORS as error:
-        fields = {"address": address, "why": f"{type(error).__name__} {error}"}
-        logger.warning("call to another entry failed", extra={"fields": fields})
-        return otherwise
-    finally:
-        channel.close()
+    return await call_roster(address, exchange, [])
--- a/src/comfreysill/placement/agents.py
+++ b/src/comfreysill/placement/agents.py
@@ -72,6 +72,12 @@
         remove_link(state, agent)
 
 
+def is_unknown(state: EntryState, name: str, address: str) -> bool:
+    """Returns whether neither an agent's address nor another owner of the address is known."""
+    agent = state.agents.get(name)
+    return (agent is None or not agent.address) and address not in state.address_owners
+
+
 def release_agent(state: EntryState, name: str, reason: str) -> None:
     """Removes the link to an agent that is gone; it is forgotten once no task is placed on it."""
     agent = state.agents.get(name)
--- a/src/comfreysill/placement/requests.py
+++ b/src/comfreysill/placement/requests.py
@@ -1,5 +1,7 @@
 """Life cycle of requests at their entry on the platform: acceptance, cancellation, verdict."""
 
+import zlib
+
 from comfreysill.exchange.messages import Outcome
 from comfreysill.placement.queue import push_request
 from comfreysill.placement.state import (
@@ -23,6 +25,8 @@
 # A final verdict is cached this long to answer repetitions of the request.
 VERDICT_CACHE_SECONDS = 10.0
 RETRY_AFTER_SECONDS = 1.0
+# Callers that are refused at the same moment are told to come back at different seconds.
+RETRY_SPREAD_SECONDS = 3
 
 
 def submit_request(
@@ -120,7 +124,9 @@
         age=round(now - request.received_at, 3),
         late=now > request.due_at,
     )
-    retry_at = 0.0 if verdict in (Verdict.COMPLETED, Verdict.FAILED) else now + RETRY_AFTER_SECONDS
+    retry_at = 0.0
+    if verdict not in (Verdict.COMPLETED, Verdict.FAILED):
+        retry_at = now + RETRY_AFTER_SECONDS + _spread_retry(request_id)
     for caller in request.callers:
         state.callers.pop(caller, None)
         state.effects.append(
@@ -133,6 +139,11 @@
     _release_request(state, request, now)
 
 
+def _spread_retry(request_id: str) -> int:
+    """Returns seconds that differ between requests and are the same for each try of one."""
+    return zlib.crc32(request_id.encode()) % RETRY_SPREAD_SECONDS
+
+
 def _release_request(state: EntryState, request: Request, now: float) -> None:
     """Removes an ended request once none of its tasks is placed; answers or submits its waiters."""
     if request.verdict is None or request.placed:
--- a/src/comfreysill/sidecar/actor.py
+++ b/src/comfreysill/sidecar/actor.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 
 from comfreysill.clock import read_boot_clock
-from comfreysill.containment import MessageFailures, record_failure, record_handled
+from comfreysill.containment import MessageFailures, contain_nothing, handle_contained
 from comfreysill.exchange.messages import AgentFrame
 from comfreysill.execution.calls import Call, RenewReply
 from comfreysill.execution.frame_handling import close_session, expire_links, receive_frame
@@ -90,28 +90,10 @@
         expire_links(actor.agent, now)
         load_before = compute_load(actor.agent, now)
         for message in messages:
-            handle_message(actor, message, now)
+            handle_contained(actor, message, now, HANDLERS, CONTAINMENT)
         _flush(actor, load_before.cpu, now)
 
 
-def handle_message(actor: Actor, message: AgentStateMessage, now: float) -> None:
-    """Processes a message; an error costs the session or call that the message belongs to.
-
-    Raises:
-        Exception: The message belongs to none, or too many messages have failed in a row.
-    """
-    try:
-        HANDLERS[type(message)](actor, message, now)
-    except Exception as error:
-        record_failure(actor.failures, message, error)
-        contain = CONTAINMENT.get(type(message))
-        if contain is None:
-            raise
-        contain(actor, message)
-    else:
-        record_handled(actor.failures)
-
-
 def _receive_frame(actor: Actor, message: EntryFrameReceived, now: float) -> None:
     frame = message.frame
     session = actor.sessions.get(frame.entry)
@@ -177,25 +159,21 @@
 }
 
 
-def _contain_frame(actor: Actor, message: EntryFrameReceived) -> None:
+def _contain_frame(actor: Actor, message: EntryFrameReceived, now: float) -> None:
     # The first frame of the next session tells the entry which of its tasks are here.
     message.outbox.post(None)
 
 
-def _contain_reply(actor: Actor, message: RunnerCallFinished) -> None:
+def _contain_reply(actor: Actor, message: RunnerCallFinished, now: float) -> None:
     # The lists in the reply to a renewal settle what the reply would have.
     actor.agent.renew_now = True
 
 
-def _contain_nothing(actor: Actor, message: AgentStateMessage) -> None:
-    """The message has changed nothing that could be left half changed."""
-
-
-CONTAINMENT: dict[type, Callable[[Actor, AgentStateMessage], None]] = {
+CONTAINMENT: dict[type, Callable[[Actor, AgentStateMessage, float], None]] = {
     EntryFrameReceived: _contain_frame,
     RunnerCallFinished: _contain_reply,
-    RunnerReportReceived: _contain_nothing,
-    EntriesDiscovered: _contain_nothing,
+    RunnerReportReceived: contain_nothing,
+    EntriesDiscovered: contain_nothing,
 }
 
 
--- a/src/comfreysill/sidecar/links.py
+++ b/src/comfreysill/sidecar/links.py
@@ -3,23 +3,20 @@
 import asyncio
 import logging
 
-from grpclib.client import Channel
 from grpclib.const import Status
 from grpclib.exceptions import GRPCError, StreamTerminatedError
 from grpclib.server import Stream
 
-from comfreysill.address import parse_address
 from comfreysill.exchange.messages import AgentFrame, Member
 from comfreysill.mailbox import Mailbox
+from comfreysill.roster_client import call_roster
 from comfreysill.sidecar.messages import AgentStateMessage, EntryFrameReceived, SessionClosed
-from comfreysill.wire.errors import LINK_ERRORS, UNREADABLE_ERRORS
+from comfreysill.wire.errors import UNREADABLE_ERRORS
 from comfreysill.wire.exchange import decode_entry_frame, encode_agent_frame, encode_announcement
 from comfreysill.wire.exchange_grpc import RosterStub, TargetBase
 
 logger = logging.getLogger(__name__)
 
-ANNOUNCE_TIMEOUT_SECONDS = 0.4
-
 
 class TargetService(TargetBase):
     """gRPC service that entries connect to; `inbox` is the mailbox of the state task."""
@@ -71,15 +68,9 @@
     Returns:
         False if the announcement was not accepted.
     """
-    parsed = parse_address(address)
-    channel = Channel(parsed.host, parsed.port)
-    try:
-        async with asyncio.timeout(ANNOUNCE_TIMEOUT_SECONDS):
-            await RosterStub(channel).Announce(encode_announcement(agent))
-    except LINK_ERRORS as error:
-        fields = {"address": address, "why": f"{type(error).__name__} {error}"}
-        logger.debug("announcement failed", extra={"fields": fields})
-        return False
-    finally:
-        channel.close()
-    return True
+
+    async def call(roster: RosterStub) -> bool:
+        await roster.Announce(encode_announcement(agent))
+        return True
+
+    return await call_roster(address, call, False)
--- a/tests/test_containment.py
+++ b/tests/test_containment.py
@@ -3,8 +3,8 @@
 import unittest
 from unittest import mock
 
-from comfreysill.containment import MAX_CONSECUTIVE_FAILURES
-from comfreysill.exchange.messages import Outcome
+from comfreysill.containment import MAX_CONSECUTIVE_FAILURES, handle_contained
+from comfreysill.exchange.messages import Member, Outcome, Role
 from comfreysill.execution.state import AgentState
 from comfreysill.gateway import actor as gateway
 from comfreysill.gateway import messages as gateway_messages
@@ -31,9 +31,12 @@
         self.actor = gateway.Actor(state=self.state)
         self.state.effects.clear()
 
+    def pass_message(self, message):
+        handle_contained(self.actor, message, self.now, gateway.HANDLERS, gateway.CONTAINMENT)
+
     def handle(self, message):
         with self.assertLogs("comfreysill.containment", "ERROR"):
-            gateway.handle_message(self.actor, message, self.now)
+            self.pass_message(message)
 
     def test_a_failed_submission_is_answered_as_one_that_may_have_run(self):
         message = gateway_messages.Submit(caller=7, specification=build_request())
@@ -43,7 +46,7 @@
         self.assertEqual({effect.caller for effect in verdicts}, {7})
         self.assertEqual({effect.verdict for effect in verdicts}, {Verdict.MAY_HAVE_RUN})
         self.assertEqual((self.state.requests, self.state.callers), ({}, {}))
-        gateway.handle_message(self.actor, message, self.now)
+        self.pass_message(message)
         self.assertIn("r", self.state.requests)
 
     def test_a_failed_frame_closes_its_session_and_ends_the_requests_it_left_half_changed(self):
@@ -65,12 +68,23 @@
 
     def test_a_frame_of_another_agent_releases_the_address(self):
         frame = mock.Mock(agent="b")
-        gateway.handle_message(
-            self.actor, gateway_messages.AgentFrameReceived(agent="a", frame=frame), self.now
-        )
+        self.pass_message(gateway_messages.AgentFrameReceived(agent="a", frame=frame))
         self.assertEqual(self.state.agents["a"].address, "")
         self.assertEqual(self.state.agents["b"].address, "b:1")
 
+    def test_members_named_by_another_entry_dont_override_what_is_known(self):
+        """Another entry may know an address of an agent that is gone."""
+        members = [
+            Member(name="gone", role=Role.AGENT, address="a:1"),
+            Member(name="b", role=Role.AGENT, address="old:1"),
+            Member(name="c", role=Role.AGENT, address="c:1"),
+        ]
+        self.pass_message(gateway_messages.MembersDiscovered(members=members, second_hand=True))
+        known = {name: agent.address for name, agent in self.state.agents.items()}
+        self.assertEqual(known, {"a": "a:1", "b": "b:1", "c": "c:1"})
+        self.pass_message(gateway_messages.MembersDiscovered(members=members[:1]))
+        self.assertEqual(self.state.agents["a"].address, "")
+
     def test_an_error_in_a_tick_is_passed_on(self):
         with mock.patch.object(gateway, "expire_agents", fail), self.assertRaises(KeyError):
             self.handle(gateway_messages.Tick())
@@ -80,7 +94,7 @@
         with mock.patch.object(gateway, "release_agent", fail):
             for _ in range(MAX_CONSECUTIVE_FAILURES - 1):
                 self.handle(message)
-            gateway.handle_message(self.actor, gateway_messages.Tick(), self.now)
+            self.pass_message(gateway_messages.Tick())
             for _ in range(MAX_CONSECUTIVE_FAILURES - 1):
                 self.handle(message)
             with self.assertRaises(KeyError):
@@ -112,7 +126,7 @@
 
     def handle(self, message):
         with self.assertLogs("comfreysill.containment", "ERROR"):
-            sidecar.handle_message(self.actor, message, 1.0)
+            handle_contained(self.actor, message, 1.0, sidecar.HANDLERS, sidecar.CONTAINMENT)
 
     async def test_a_failed_frame_closes_its_session(self):
         outbox = Mailbox()
--- a/tests/test_load_patterns.py
+++ b/tests/test_load_patterns.py
@@ -3,6 +3,7 @@
 Each test names its pattern and states what callers should get.
 """
 
+import math
 import random
 import unittest
 
@@ -84,6 +85,26 @@
 
 
 class TestLoadPatterns(unittest.TestCase):
+    def test_retry_storm(self):
+        """Callers that are refused together must not all come back in the same second."""
+        load = Load()
+        for agent in load.world.agents:
+            load.world.set_speed(agent, 0.0)
+        delays = []
+        send_verdict = load.world.handle_verdict
+
+        def record(entry, effect):
+            if effect.verdict == Verdict.NOT_RUN:
+                delays.append(math.ceil(effect.retry_at - load.world.now))
+            send_verdict(entry, effect)
+
+        load.world.handle_verdict = record
+        load.play(300, 1.0)
+        load.world.run(8.0)
+        self.assertGreater(len(delays), 100)
+        largest_share = max(map(delays.count, set(delays))) / len(delays)
+        self.assertLess(largest_share, 0.5)
+
     def test_targets_lost_in_a_burst(self):
         """Load shedding: late requests must not make those late that come after them.
 
