--- a/src/comfreysill/execution/renewals.py
+++ b/src/comfreysill/execution/renewals.py
@@ -18,6 +18,9 @@
 RENEWAL_WAIT_MS = 150
 # Without runs there is no lease to extend; the renewals show that the runner answers.
 IDLE_RENEWAL_WAIT_MS = 400
+# Delay after a renewal that failed. A runner that resets connections fails a call at once; without
+# the delay the agent would call it without a pause.
+RENEWAL_RETRY_SECONDS = 0.05
 # After this time without an answer the run leases are no longer renewed, so that they expire.
 RENEWAL_GIVE_UP_SECONDS = 0.55
 # A reply with this many ended runs may leave out others.
@@ -36,6 +39,8 @@
         return
     if agent.renewals_in_flight and not agent.renew_now:
         return
+    if now < agent.renewal_due_at:
+        return
     silent = agent.answered_at and now - agent.answered_at > RENEWAL_GIVE_UP_SECONDS
     agent.calls.append(
         RenewCall(
@@ -66,6 +71,8 @@
     if reply.status == ReplyStatus.GONE:
         end_runner_lifetime(agent, now, "another lifetime answered")
         return
+    if reply.status not in (ReplyStatus.ACCEPTED, ReplyStatus.FENCED):
+        agent.renewal_due_at = now + RENEWAL_RETRY_SECONDS
     if reply.status == ReplyStatus.UNANSWERED:
         agent.renew_now = True
         check_lease_expiry(agent, now)
--- a/src/comfreysill/execution/state.py
+++ b/src/comfreysill/execution/state.py
@@ -97,6 +97,8 @@
         gpus_waiting: GPUs that waiting runs need.
         renewals_in_flight: Number of renewals without a reply.
         renew_now: True if a renewal has to be sent at once.
+        renewal_due_at: Boot-clock time in seconds before which no renewal is sent, 0 before the
+            first one that failed.
         answered_at: Boot-clock time in seconds of the last answer of the runner to any call.
         leases_expire_at: Boot-clock time in seconds by which all run leases have expired.
         stopping: True once the process is shutting down.
@@ -146,6 +148,7 @@
         "gpus_waiting",
         "renewals_in_flight",
         "renew_now",
+        "renewal_due_at",
         "answered_at",
         "leases_expire_at",
         "stopping",
@@ -190,7 +193,7 @@
         self.cpu_waiting = self.memory_waiting = self.gpus_waiting = 0
         self.renewals_in_flight = 0
         self.renew_now = False
-        self.answered_at = 0.0
+        self.renewal_due_at = self.answered_at = 0.0
         self.leases_expire_at = 0.0
         self.stopping = False
         self.failed_requests: set[str] = set()
--- a/tests/test_execution.py
+++ b/tests/test_execution.py
@@ -29,6 +29,7 @@
 from comfreysill.execution.health import SUSPEND_SECONDS, suspend_target
 from comfreysill.execution.renewals import (
     IDLE_RENEWAL_WAIT_MS,
+    RENEWAL_RETRY_SECONDS,
     RENEWAL_WAIT_MS,
     check_lease_expiry,
     queue_renewal,
@@ -370,6 +371,27 @@
         self.deliver_frame(echo=self.now + 1000)
         self.assertLessEqual(self.agent.links["e@1"].lease_until, self.now + LINK_LEASE_SECONDS)
 
+    def test_a_runner_that_fails_calls_at_once_is_not_called_without_a_pause(self):
+        """A runner that goes down and up resets connections: each call fails immediately."""
+        for status in (ReplyStatus.UNANSWERED, ReplyStatus.UNHEALTHY, ReplyStatus.INVALID):
+            calls = 0
+            for _ in range(1000):
+                self.now += 0.001
+                calls += self.fail_renewal(status)
+            self.assertLessEqual(calls, 1 / RENEWAL_RETRY_SECONDS + 1, status)
+            self.assertGreater(calls, 10, status)
+
+    def fail_renewal(self, status):
+        """Lets the queued renewals fail; returns their number."""
+        queue_renewal(self.agent, self.now)
+        calls, self.agent.calls = self.agent.calls, []
+        for call in calls:
+            reply = RenewReply(
+                call=call, status=status, clock_ms=-1, started_at_ms=0, running=[], ended=[]
+            )
+            receive_renewal(self.agent, reply, self.now)
+        return len(calls)
+
     def test_renewals_wait_longer_while_there_is_no_lease_to_extend(self):
         self.assertEqual(self.queue_renewal().wait_ms, IDLE_RENEWAL_WAIT_MS)
         self.deliver_frame(tasks=1)
