--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -191,10 +191,40 @@
         "tests.test_execution.receive_renewal",
         lambda original: accept_old_lists(original),
     ),
+    "failed-renewals-unpaused": (
+        f"{EXECUTION}.renewals.RENEWAL_RETRY_SECONDS",
+        lambda original: 0.0,
+    ),
+    "departed-runner-adopted": (
+        "tests.test_execution.receive_deregistration",
+        lambda original: forget_departure(original),
+    ),
+    "capacity-not-reserved": (f"{PLACEMENT}.placement.RESERVED_CAPACITY_SHARE", lambda o: -1.0),
+    "retries-not-spread": (f"{PLACEMENT}.requests.RETRY_SPREAD_SECONDS", lambda original: 1),
+    "hearsay-believed": (
+        "comfreysill.gateway.actor.is_unknown",
+        lambda original: lambda state, name, address: True,
+    ),
+    "address-owner-kept": (
+        f"{PLACEMENT}.agents.release_agent",
+        lambda original: lambda state, name, reason: None,
+    ),
+    "failed-frame-not-contained": (
+        "comfreysill.gateway.actor.contain_failed_frame",
+        lambda original: lambda state, name, now: None,
+    ),
 }
 MUTATIONS |= PLATFORM_MUTATIONS
 
 
+def forget_departure(original):
+    def receive(agent, runner_id, now):
+        original(agent, runner_id, now)
+        agent.departed_lifetime = None
+
+    return receive
+
+
 def accept_old_lists(original):
     def receive(agent, reply, now):
         agent.listed_at_ms = 0
@@ -208,9 +238,24 @@
 
     loader = unittest.defaultTestLoader
     if name in PLATFORM_MUTATIONS:
-        from tests import test_execution, test_gateway, test_placement, test_subset
+        from tests import (
+            test_containment,
+            test_execution,
+            test_gateway,
+            test_load_patterns,
+            test_placement,
+            test_subset,
+        )
 
-        modules = [test_execution, test_placement, test_subset, test_gateway, test_platform_floor]
+        modules = [
+            test_execution,
+            test_placement,
+            test_subset,
+            test_gateway,
+            test_containment,
+            test_load_patterns,
+            test_platform_floor,
+        ]
         return unittest.TestSuite(loader.loadTestsFromModule(module) for module in modules)
     suite = loader.loadTestsFromModule(test_takeover)
     suite.addTests(loader.loadTestsFromModule(test_ledger))
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -264,6 +264,16 @@
         self.assertEqual(self.flush()[0], {})
         self.assertTrue(self.state.agents["a"].connected)
 
+    def test_the_factor_of_remote_tasks_decides_between_a_near_and_a_fast_target(self):
+        for factor, expected in ((1.5, "a"), (2.5, "b")):
+            self.setUp()
+            self.state.remote_factor = factor
+            self.deliver_frame("b", slowness=2.0)
+            request = build_request(tasks=1, estimate=0.05)
+            request.steps[0].rack = "b"
+            self.submit(request)
+            self.assertEqual(list(self.flush()[0]), [expected])
+
     def test_a_refusal_without_targets_says_so(self):
         for name in ("a", "b"):
             self.deliver_frame(name, accepting=False)
--- a/tests/test_platform_decode.py
+++ b/tests/test_platform_decode.py
@@ -74,6 +74,9 @@
         self.assertEqual(str(settings.link), "10.0.0.1:7720")
         self.assertEqual(settings.entries, ("10.0.0.2:7720",))
         self.assertIsNone(settings.runner)
+        self.assertEqual(settings.remote_factor, 1.0)
+        with_factor = SETTINGS.replace("grace-s: 6", "grace-s: 6, remote-factor: 2")
+        self.assertEqual(self.read(with_factor).remote_factor, 2.0)
 
     def test_yaml_and_json_are_read_alike(self):
         settings = self.read(json.dumps(yaml.safe_load(SETTINGS)))
