Oracle: calls without an answer are carried out late, also by a later lifetime of the runner

The simulated deployment let no run show up that a runner starts from a call of before: a late call went to the lifetime that it was sent to, calls named that lifetime, all runners shared one clock, a stop took no time, and a reply listed the runs at its arrival. Now, as on the published protocol: a call names the runner's id alone, each lifetime has its own clock and counts, a call that gets no answer is carried out up to 12 s later (4 s before) at whatever lifetime is up, a stop takes 50 ms and its run counts meanwhile, a reply holds the lists of the moment in which it was made, a runner reports as soon as it is up, and a runner that is up can refuse connections.

tests/test_late_calls.py: nine named sequences, each without drawn faults. No older check or bound was changed.

--- a/tests/platform_world.py
+++ b/tests/platform_world.py
@@ -2,6 +2,9 @@
 
 Guarantees are checked only at the runners: a task that runs on two runners at the same time and a
 runner whose runs need more than its capacity are listed in `World.violations`.
+
+A call that gets no answer may be carried out up to MAX_CALL_DELAY_SECONDS later, also by a later
+lifetime of the runner: a call names the runner's id alone.
 """
 
 import heapq
@@ -18,12 +21,13 @@
     RunnerLifetime,
     RunnerReport,
     StartCall,
+    build_unanswered_reply,
 )
 from comfreysill.execution.frame_handling import close_session, expire_links, receive_frame
 from comfreysill.execution.frames import collect_frames as collect_agent_frames
 from comfreysill.execution.frames import compute_load
 from comfreysill.execution.renewals import check_lease_expiry, queue_renewal, receive_renewal
-from comfreysill.execution.runner import receive_report
+from comfreysill.execution.runner import receive_deregistration, receive_report
 from comfreysill.execution.starts import receive_call_reply, resend_stops, start_waiting
 from comfreysill.execution.state import AgentState
 from comfreysill.placement.agents import (
@@ -50,6 +54,14 @@
 REPORT_INTERVAL_SECONDS = 1.5
 RESEND_DELAY_SECONDS = 1.3
 CALL_TIMEOUT_SECONDS = 0.25
+MAX_CALL_DELAY_SECONDS = 12.0
+# Seconds late that never come.
+NEVER = float("inf")
+# What the client of the runner reports of a connection that is refused.
+REFUSED = ReplyStatus.GONE
+# A run that is stopped goes on for this long.
+STOP_SECONDS = 0.05
+MAX_LEASE_SECONDS = 1.0
 CPU_CAPACITY = 8000
 CRASH_DOWN_SECONDS = 3.0
 # After so many crashes under one task, so many more starts of it are a violation.
@@ -58,34 +70,43 @@
 
 
 class ModelRunner:
-    """A runner as specified by the platform: leases, fencing tokens and a list of ended runs.
+    """One lifetime of a runner as specified by the platform: leases, tokens and ended runs.
 
-    It does not enforce its own capacity, so that an excess is detected.
+    Its clock starts in the lifetime, and all lease times are on it. It does not enforce its own
+    capacity, so that an excess is detected.
     """
 
-    def __init__(self, world, name, started_at_ms):
+    def __init__(self, world, name, lifetime, clock_started_at):
         self.world = world
         self.name = name
-        self.lifetime = RunnerLifetime(runner_id=name, started_at_ms=started_at_ms)
+        self.lifetime = lifetime
+        self.clock_started_at = clock_started_at
         self.token = 0
-        # [run, completed seconds, seconds of work] by task.
+        # [run, completed seconds, seconds of work, time at which a stop ends it] by task.
         self.running = {}
         self.ended = []
         # Highest stopped or ended run by task.
         self.stopped = {}
+        # On the runner's clock in seconds.
         self.lease = 0.0
         self.next_end = 1
         self.sequence = 0
         self.alive = True
+        # Until then it refuses connections, while its runs go on.
+        self.refuses_until = 0.0
         self.fails_tasks = False
         self.cpu = CPU_CAPACITY
         # Earlier capacities as (time of the change, capacity before it).
         self.capacity_changes = []
         self.speed = 1.0
-        self.advanced_at = 0.0
+        self.advanced_at = world.now
         # Renewals that wait for a run to end, as (process, its lifetime, call).
         self.waiting_calls = []
 
+    def read_clock(self, now):
+        """Returns the runner's clock in seconds."""
+        return now - self.clock_started_at
+
     def set_cpu(self, cpu):
         """Changes the capacity; a smaller one binds agents after CAPACITY_CHANGE_SECONDS."""
         self.capacity_changes.append((self.world.now, self.cpu))
@@ -101,23 +122,60 @@
         if self.ended:
             calls, self.waiting_calls = self.waiting_calls, []
             for process, lifetime, call in calls:
-                self.world.schedule(
-                    HOP_SECONDS, self.world.reply, process, lifetime, call, ReplyStatus.ACCEPTED
-                )
+                reply = self.build_reply(call, ReplyStatus.ACCEPTED)
+                self.world.schedule(HOP_SECONDS, self.world.reply, process, lifetime, reply)
 
     def give_up_waiting(self, process, lifetime, call):
         if (process, lifetime, call) in self.waiting_calls:
             self.waiting_calls.remove((process, lifetime, call))
-            self.world.reply(process, lifetime, call, ReplyStatus.ACCEPTED)
+            self.advance(self.world.now)
+            reply = self.build_reply(call, ReplyStatus.ACCEPTED)
+            self.world.schedule(HOP_SECONDS, self.world.reply, process, lifetime, reply)
+
+    def break_connections(self):
+        """Breaks the connections of the waiting renewals."""
+        calls, self.waiting_calls = self.waiting_calls, []
+        for process, lifetime, call in calls:
+            reply = build_unanswered_reply(call)
+            self.world.schedule(HOP_SECONDS, self.world.reply, process, lifetime, reply)
+
+    def build_reply(self, call, status):
+        """Builds the reply to a call, with the runner's clock, birth and lists of now."""
+        if status == ReplyStatus.UNANSWERED:
+            return build_unanswered_reply(call)
+        clock_ms, started_at_ms = -1, 0
+        if self.accepts_connections():
+            clock_ms = int(self.read_clock(self.world.now) * 1000)
+            started_at_ms = self.lifetime.started_at_ms
+        if not isinstance(call, RenewCall):
+            return CallReply(call=call, status=status, clock_ms=clock_ms)
+        accepted = status == ReplyStatus.ACCEPTED
+        rows = [
+            ListedRun(task=task, run=run, percent=int(100 * done / work))
+            for task, (run, done, work, _) in self.running.items()
+        ]
+        return RenewReply(
+            call=call,
+            status=status,
+            clock_ms=clock_ms,
+            started_at_ms=started_at_ms,
+            running=rows if accepted else [],
+            ended=list(self.ended) if accepted else [],
+        )
+
+    def accepts_connections(self):
+        return self.alive and self.world.now >= self.refuses_until
 
     def advance(self, now):
         elapsed, self.advanced_at = (now - self.advanced_at) * self.speed, now
         for task, row in list(self.running.items()):
             row[1] += elapsed
-            if now > self.lease:
+            if self.read_clock(now) > self.lease:
                 self.end(task, row[0], "lapsed")
             elif row[1] >= row[2]:
                 self.end(task, row[0], "failed" if self.fails_tasks else "done")
+            elif now >= row[3]:
+                self.end(task, row[0], "stopped")
 
     def end(self, task, run, outcome):
         del self.running[task]
@@ -126,15 +184,19 @@
         self.next_end += 1
 
     def handle_call(self, call, now):
+        """Carries out a call; it is addressed to the runner's id, not to the lifetime."""
         self.advance(now)
-        if call.lifetime != self.lifetime or not self.alive:
+        if not self.alive:
+            return REFUSED
+        if call.lifetime.runner_id != self.lifetime.runner_id:
             return ReplyStatus.GONE
         if call.token < self.token:
             return ReplyStatus.FENCED
         self.token = call.token
         lease_until_ms = getattr(call, "lease_until_ms", 0)
         if lease_until_ms:
-            self.lease = max(self.lease, min(lease_until_ms / 1000, now + 1.0))
+            longest = self.read_clock(now) + MAX_LEASE_SECONDS
+            self.lease = max(self.lease, min(lease_until_ms / 1000, longest))
         if isinstance(call, StartCall):
             return self.start(call, now)
         if isinstance(call, RenewCall):
@@ -142,7 +204,8 @@
             return ReplyStatus.ACCEPTED
         known = self.running.get(call.task)
         if known is not None and known[0] <= call.run:
-            self.end(call.task, known[0], "stopped")
+            known[3] = min(known[3], now + STOP_SECONDS)
+            self.world.schedule(STOP_SECONDS, self.answer_waiting_calls)
         self.stopped[call.task] = max(self.stopped.get(call.task, 0), call.run)
         return ReplyStatus.ACCEPTED
 
@@ -152,10 +215,10 @@
             return ReplyStatus.ACCEPTED if known[0] == call.run else ReplyStatus.OLD_RUN
         if call.run <= self.stopped.get(call.task, 0):
             return ReplyStatus.OLD_RUN
-        if call.lease_until_ms / 1000 < now:
+        if call.lease_until_ms / 1000 < self.read_clock(now):
             return ReplyStatus.LATE
         seconds = float(call.payload)
-        self.running[call.task] = [call.run, 0.0, seconds]
+        self.running[call.task] = [call.run, 0.0, seconds, NEVER]
         if call.task in self.world.crash_delays:
             delay = self.world.crash_delays[call.task]
             self.world.schedule(delay, self.world.crash_under_task, self, call.task)
@@ -188,11 +251,16 @@
         self.violations = []
         self.entries = {f"e{n}": Process(f"e{n}") for n in range(entries)}
         self.agents = {f"a{n}": Process(f"a{n}") for n in range(agents)}
-        self.runners = {name: ModelRunner(self, name, 1) for name in self.agents}
+        self.runners = {}
+        for name in self.agents:
+            lifetime = RunnerLifetime(runner_id=name, started_at_ms=1)
+            self.runners[name] = ModelRunner(self, name, lifetime, clock_started_at=0.0)
         self.links = {}
         self.cut_until = {}
-        # Probability that a call arrives up to 4 s late and its reply is lost.
+        # Probability that a call gets no answer and is carried out late; see `delay_call`.
         self.call_loss_probability = 0.0
+        # Tests replace it: seconds that a call is late without an answer, None for a normal call.
+        self.delay_call = self.draw_call_delay
         # Seconds from the start of a task until it crashes its runner, by task.
         self.crash_delays = {}
         # Names of the runners that crashed under a task, in order, by task.
@@ -281,6 +349,9 @@
 
     def send_report(self, name):
         self.schedule(REPORT_INTERVAL_SECONDS, self.send_report, name)
+        self.report_now(name)
+
+    def report_now(self, name):
         runner, process = self.runners[name], self.agents[name]
         if not runner.alive:
             return
@@ -420,63 +491,59 @@
         self.flush_entry(process)
 
     # --- the runner -------------------------------------------------------------------------
-    def call_runner(self, process, call):
-        runner = self.runners[process.name]
-        lifetime = process.lifetime
+    def draw_call_delay(self, process, call):
+        """Returns how many seconds late a call is carried out without an answer, None if it isn't.
+
+        Half of the late calls come within 1.5 s.
+        """
         if self.random.random() < self.call_loss_probability:
-            # The call arrives up to 4 s late, and its reply is lost.
-            extra_delay = self.random.choice([0.0, 0.1, 0.5, 2.0, 4.0])
-            self.schedule(
-                extra_delay + HOP_SECONDS,
-                runner.handle_call,
-                call,
-                self.now + extra_delay + HOP_SECONDS,
-            )
-            self.schedule(
-                CALL_TIMEOUT_SECONDS, self.reply, process, lifetime, call, ReplyStatus.UNANSWERED
-            )
+            return MAX_CALL_DELAY_SECONDS * self.random.random() ** 3
+        return None
+
+    def call_runner(self, process, call):
+        delay = self.delay_call(process, call)
+        if delay is None:
+            self.schedule(HOP_SECONDS, self.serve_call, process, process.lifetime, call)
             return
-        self.schedule(HOP_SECONDS, self.serve_call, process, lifetime, runner, call)
+        if delay != NEVER:
+            self.schedule(delay + HOP_SECONDS, self.carry_out_late, process.name, call)
+        reply = build_unanswered_reply(call)
+        self.schedule(CALL_TIMEOUT_SECONDS, self.reply, process, process.lifetime, reply)
 
-    def serve_call(self, process, lifetime, runner, call):
-        reply = runner.handle_call(call, self.now)
+    def carry_out_late(self, name, call):
+        """Carries out a call at whatever lifetime of the runner is up by now."""
+        runner = self.runners[name]
+        if runner.alive:
+            runner.handle_call(call, self.now)
+
+    def serve_call(self, process, lifetime, call):
+        runner = self.runners[process.name]
+        connected = runner.accepts_connections()
+        status = runner.handle_call(call, self.now) if connected else REFUSED
         wait = getattr(call, "wait_ms", 0) / 1000
-        if reply != ReplyStatus.ACCEPTED or not wait or runner.ended:
-            self.schedule(HOP_SECONDS, self.reply, process, lifetime, call, reply)
+        if status != ReplyStatus.ACCEPTED or not wait or runner.ended:
+            reply = runner.build_reply(call, status)
+            self.schedule(HOP_SECONDS, self.reply, process, lifetime, reply)
             return
         runner.waiting_calls.append((process, lifetime, call))
         self.schedule(wait, runner.give_up_waiting, process, lifetime, call)
 
-    def reply(self, process, lifetime, call, reply):
+    def reply(self, process, lifetime, reply):
         if process.lifetime == lifetime:
-            self.run_or_defer(process, self.handle_reply, process, call, reply)
+            self.run_or_defer(process, self.handle_reply, process, reply)
 
-    def handle_reply(self, process, call, reply):
-        runner, agent = self.runners[process.name], process.state
-        clock_ms = int(self.now * 1000) if reply != ReplyStatus.UNANSWERED else -1
-        if isinstance(call, RenewCall):
-            runner.advance(self.now)
-            accepted = reply == ReplyStatus.ACCEPTED
-            rows = [
-                ListedRun(task=task, run=run, percent=int(100 * done / work))
-                for task, (run, done, work) in runner.running.items()
-            ]
-            answer = RenewReply(
-                call=call,
-                status=reply,
-                clock_ms=clock_ms,
-                started_at_ms=runner.lifetime.started_at_ms,
-                running=rows if accepted else [],
-                ended=list(runner.ended) if accepted else [],
-            )
-            receive_renewal(agent, answer, self.now)
+    def handle_reply(self, process, reply):
+        if isinstance(reply, RenewReply):
+            receive_renewal(process.state, reply, self.now)
         else:
-            receive_call_reply(
-                agent, CallReply(call=call, status=reply, clock_ms=clock_ms), self.now
-            )
+            receive_call_reply(process.state, reply, self.now)
         self.flush_agent(process)
 
     def check_start(self, runner, task):
+        """Lists a start of a task that another runner runs, or that exceeds the capacity.
+
+        A run that is being stopped counts. Overlaps begin with a start, so that none is missed.
+        """
         self.starts += 1
         for other in self.runners.values():
             other.advance(self.now)
@@ -593,17 +660,39 @@
             self.cut_until.get((sender, receiver), 0.0), self.now + seconds
         )
 
-    def crash_runner(self, name, down_seconds=1.0):
-        """Crashes a runner: its connections break, and calls to it are refused until it is back."""
+    def crash_runner(self, name, down_seconds=1.0, runner_id=""):
+        """Crashes a runner: its connections break, and calls to it are refused until it is back.
+
+        It is born again under the id that it had, or under another one if `runner_id` is given.
+        """
         old = self.runners[name]
         if not old.alive:
             return
         old.alive = False
-        for process, lifetime, call in old.waiting_calls:
-            self.schedule(HOP_SECONDS, self.reply, process, lifetime, call, ReplyStatus.UNANSWERED)
-        old.waiting_calls = []
-        fresh = ModelRunner(self, name, old.lifetime.started_at_ms + 1)
-        self.schedule(down_seconds, self.runners.__setitem__, name, fresh)
+        old.break_connections()
+        self.schedule(down_seconds, self.start_runner, name, runner_id or old.lifetime.runner_id)
+
+    def start_runner(self, name, runner_id):
+        """Starts the next lifetime of a runner: its clock and all of its counts start anew."""
+        started_at_ms = self.runners[name].lifetime.started_at_ms + 1
+        lifetime = RunnerLifetime(runner_id=runner_id, started_at_ms=started_at_ms)
+        self.runners[name] = ModelRunner(self, name, lifetime, clock_started_at=self.now)
+        self.schedule(HOP_SECONDS, self.report_now, name)
+
+    def refuse_connections(self, name, seconds):
+        """Lets a runner that is up refuse connections; its open connections break."""
+        runner = self.runners[name]
+        runner.refuses_until = max(runner.refuses_until, self.now + seconds)
+        runner.break_connections()
+
+    def deregister(self, name, lifetime):
+        """Delivers the deregistration that a lifetime of a runner has sent, perhaps long ago."""
+        process = self.agents[name]
+        self.run_or_defer(process, self.handle_deregistration, process, lifetime)
+
+    def handle_deregistration(self, process, lifetime):
+        receive_deregistration(process.state, lifetime.runner_id, self.now)
+        self.flush_agent(process)
 
     def crash_under_task(self, runner, task):
         """Crashes a runner if the task still runs on it."""
--- /dev/null
+++ b/tests/test_late_calls.py
@@ -0,0 +1,198 @@
+"""Calls that are carried out late or never, while their runner is born again, cut off or stays."""
+
+import unittest
+
+from comfreysill.execution.calls import StartCall, StopCall
+from comfreysill.request.types import Verdict
+from tests.platform_world import NEVER, RESEND_DELAY_SECONDS, World
+
+TASK = "r/0/0"
+SEEDS = range(4)
+LONG_RUN_SECONDS = 4.0
+SETTLING_SECONDS = 30.0
+# A runner that is born again at once.
+DOWN_SECONDS = 0.02
+
+
+class HeldCall:
+    """The first call of a kind about the task: it gets no answer, and is kept from its runner."""
+
+    def __init__(self, world, kind):
+        self.world = world
+        self.kind = kind
+        self.agent = ""
+        self.call = None
+        self.sent_at = 0.0
+        world.delay_call = self.delay_call
+
+    def delay_call(self, process, call):
+        if isinstance(call, self.kind) and call.task == TASK and self.call is None:
+            self.agent, self.call, self.sent_at = process.name, call, self.world.now
+            return NEVER
+        return None
+
+    def deliver(self):
+        """Lets the call be carried out."""
+        self.world.carry_out_late(self.agent, self.call)
+
+
+def find_runners(world):
+    """Returns the names of the runners that run the task."""
+    for runner in world.runners.values():
+        runner.advance(world.now)
+    return [
+        name for name, runner in world.runners.items() if runner.alive and TASK in runner.running
+    ]
+
+
+class LateCallCase(unittest.TestCase):
+    def build_world(self, seed, **counts):
+        world = World(seed, **counts)
+        world.run(2.0)
+        return world
+
+    def submit(self, world, seconds=LONG_RUN_SECONDS):
+        world.submit("r", "e0", tasks=1, seconds=seconds)
+
+    def run_until(self, world, condition, seconds=5.0):
+        ends_at = world.now + seconds
+        while not condition():
+            self.assertLess(world.now, ends_at, "the condition was never met")
+            world.run(0.002)
+
+    def check(self, world, seed):
+        world.run(SETTLING_SECONDS)
+        self.assertEqual(world.violations, [], seed)
+        self.assertIn(Verdict.COMPLETED, world.verdicts["r"], seed)
+
+
+class TestLateStarts(LateCallCase):
+    """The first start gets no answer, and is carried out by a later lifetime of its runner."""
+
+    def hold_start(self, seed):
+        world = self.build_world(seed)
+        held = HeldCall(world, StartCall)
+        self.submit(world)
+        self.run_until(world, lambda: held.call)
+        world.run(0.02)
+        return world, held
+
+    def deliver_at_birth(self, world, held):
+        """Lets the runner be born again, and carry out the start before it gets another call."""
+        world.crash_runner(held.agent, down_seconds=DOWN_SECONDS)
+        world.schedule(DOWN_SECONDS, held.deliver)
+
+    # Guards against a start of an earlier lifetime that its runner carries out when born again,
+    # while the task runs elsewhere.
+    def test_a_late_start_at_a_runner_that_was_born_again(self):
+        for seed in SEEDS:
+            for late_seconds in (0.4, 1.0, 3.0):
+                world, held = self.hold_start(seed)
+                world.crash_runner(held.agent, down_seconds=DOWN_SECONDS)
+                world.schedule(late_seconds, held.deliver)
+                self.check(world, seed)
+
+    # Guards against the same in the first moment of the new lifetime, when the start was known to
+    # be without effect in the lifetime before, and was made again there with an answer.
+    def test_a_late_start_that_was_made_again_in_the_first_moment_of_a_later_lifetime(self):
+        for seed in SEEDS:
+            world, held = self.hold_start(seed)
+            self.run_until(world, lambda world=world: find_runners(world))
+            world.run(0.3)
+            self.deliver_at_birth(world, held)
+            self.check(world, seed)
+
+    # Guards against the same when the agent that sent the start was killed and is back by then.
+    def test_a_late_start_of_an_agent_that_was_killed(self):
+        for seed in SEEDS:
+            for down_seconds in (0.1, 0.4):
+                for late_seconds in (0.6, 1.0, 3.0):
+                    world, held = self.hold_start(seed)
+                    world.kill_agent(held.agent, down_seconds=down_seconds)
+                    world.crash_runner(held.agent, down_seconds=DOWN_SECONDS)
+                    world.schedule(late_seconds, held.deliver)
+                    self.check(world, seed)
+
+    # Guards against the same when the agent is back before its runner is born again.
+    def test_a_late_start_of_an_earlier_agent_in_the_first_moment_of_a_later_lifetime(self):
+        for seed in SEEDS:
+            world, held = self.hold_start(seed)
+            world.kill_agent(held.agent, down_seconds=0.1)
+            self.run_until(world, lambda world=world: find_runners(world))
+            world.run(0.3)
+            self.deliver_at_birth(world, held)
+            self.check(world, seed)
+
+    # Guards against the same when the agent is back only after the start was carried out.
+    def test_a_late_start_while_no_agent_is_there(self):
+        for seed in SEEDS:
+            for late_seconds in (0.4, 2.0, 3.0):
+                world, held = self.hold_start(seed)
+                world.kill_agent(held.agent, down_seconds=4.0)
+                world.crash_runner(held.agent, down_seconds=DOWN_SECONDS)
+                world.schedule(late_seconds, held.deliver)
+                self.check(world, seed)
+
+
+class TestRefusedConnections(LateCallCase):
+    # Guards against tasks started elsewhere as a cut refuses connections to a runner that is up.
+    def test_a_cut_that_refuses_connections_to_a_runner_that_is_up(self):
+        for seed in SEEDS:
+            for seconds in (0.1, 0.4, 2.0):
+                world = self.build_world(seed)
+                self.submit(world)
+                self.run_until(world, lambda world=world: find_runners(world))
+                world.run(0.3)
+                world.refuse_connections(find_runners(world)[0], seconds)
+                self.check(world, seed)
+
+
+class TestUnansweredStops(LateCallCase):
+    def lose_stops(self, world):
+        world.delay_call = lambda process, call: NEVER if isinstance(call, StopCall) else None
+        world.schedule(1.6, setattr, world, "delay_call", world.draw_call_delay)
+
+    # Guards against a run that is to end with its entry, but is kept as its stop is unanswered
+    # while the lease of all runs is renewed; its caller has another entry start it.
+    def test_a_stop_without_effect_of_an_entry_that_is_gone(self):
+        for seed in SEEDS:
+            for silent in (False, True):
+                world = self.build_world(seed)
+                self.submit(world)
+                self.run_until(world, lambda world=world: find_runners(world))
+                self.lose_stops(world)
+                world.kill_entry("e0", down_seconds=6.0, silent=silent)
+                self.check(world, seed)
+
+    # Guards against the same for a caller that leaves its entry and sends its request to another.
+    def test_a_stop_without_effect_of_a_caller_that_leaves(self):
+        for seed in SEEDS:
+            world = self.build_world(seed)
+            self.submit(world)
+            self.run_until(world, lambda world=world: find_runners(world))
+            self.lose_stops(world)
+            world.drop_caller(next(iter(world.callers)))
+            world.schedule(RESEND_DELAY_SECONDS, world.send_request, "r", "e1")
+            self.check(world, seed)
+
+
+class TestLateDeregistrations(LateCallCase):
+    # Guards against a late deregistration, which names an id alone, that ends the runs of the
+    # lifetime that has the id by now.
+    def test_a_late_deregistration_of_an_earlier_lifetime(self):
+        for seed in SEEDS:
+            world = self.build_world(seed)
+            earlier = {name: runner.lifetime for name, runner in world.runners.items()}
+            for name in world.agents:
+                world.crash_runner(name, down_seconds=0.05)
+            world.run(3.0)
+            self.submit(world)
+            self.run_until(world, lambda world=world: find_runners(world))
+            world.run(0.3)
+            name = find_runners(world)[0]
+            world.deregister(name, earlier[name])
+            self.check(world, seed)
+
+
+if __name__ == "__main__":
+    unittest.main()
