Oracle: late calls in the first moment of a lifetime, faults of runners for the fuzzer, more sequences

The simulated deployment now carries out a late call as soon as its runner is born again with a probability of 0.3, which is one of the times that the protocol allows. New faults, in a third fuzzing test beside the two of before (whose faults, checks and bounds stay as they were): more calls late, starts late, starts late and their runner born again at once, born again within 50 ms or under another id, connections refused by a runner that is up, an agent killed while its runner is born again, a runner that deregisters and runs on (its ack was lost), late deregistrations and reports, replies that overtake each other.

Five more named sequences. Run: python -m tests.run tests.test_late_calls tests.test_platform_floor tests.test_crashes tests.test_load_patterns.

--- a/tests/platform_world.py
+++ b/tests/platform_world.py
@@ -55,6 +55,8 @@
 RESEND_DELAY_SECONDS = 1.3
 CALL_TIMEOUT_SECONDS = 0.25
 MAX_CALL_DELAY_SECONDS = 12.0
+# Probability that a late call is carried out as soon as its runner is born again.
+FIRST_MOMENT_PROBABILITY = 0.3
 # Seconds late that never come.
 NEVER = float("inf")
 # What the client of the runner reports of a connection that is refused.
@@ -92,6 +94,7 @@
         self.next_end = 1
         self.sequence = 0
         self.alive = True
+        self.draining = False
         # Until then it refuses connections, while its runs go on.
         self.refuses_until = 0.0
         self.fails_tasks = False
@@ -123,14 +126,13 @@
             calls, self.waiting_calls = self.waiting_calls, []
             for process, lifetime, call in calls:
                 reply = self.build_reply(call, ReplyStatus.ACCEPTED)
-                self.world.schedule(HOP_SECONDS, self.world.reply, process, lifetime, reply)
+                self.world.send_reply(process, lifetime, reply)
 
     def give_up_waiting(self, process, lifetime, call):
         if (process, lifetime, call) in self.waiting_calls:
             self.waiting_calls.remove((process, lifetime, call))
             self.advance(self.world.now)
-            reply = self.build_reply(call, ReplyStatus.ACCEPTED)
-            self.world.schedule(HOP_SECONDS, self.world.reply, process, lifetime, reply)
+            self.world.send_reply(process, lifetime, self.build_reply(call, ReplyStatus.ACCEPTED))
 
     def break_connections(self):
         """Breaks the connections of the waiting renewals."""
@@ -255,10 +257,18 @@
         for name in self.agents:
             lifetime = RunnerLifetime(runner_id=name, started_at_ms=1)
             self.runners[name] = ModelRunner(self, name, lifetime, clock_started_at=0.0)
+        # Newest report of each lifetime of a runner, the earliest lifetime first.
+        self.reports = {name: [] for name in self.agents}
         self.links = {}
         self.cut_until = {}
         # Probability that a call gets no answer and is carried out late; see `delay_call`.
         self.call_loss_probability = 0.0
+        # Until then all starts get no answer.
+        self.starts_lost_until = 0.0
+        # Calls that are still to be carried out late, by the runner's name.
+        self.late_calls = {name: [] for name in self.agents}
+        # Replies come up to so many seconds late, so that they overtake each other.
+        self.max_reply_delay = 0.0
         # Tests replace it: seconds that a call is late without an answer, None for a normal call.
         self.delay_call = self.draw_call_delay
         # Seconds from the start of a task until it crashes its runner, by task.
@@ -361,13 +371,17 @@
             service="s",
             address="",
             zone="z",
-            draining=False,
+            draining=runner.draining,
             sequence=runner.sequence,
             cpu=runner.cpu,
             memory_mb=100000,
             gpus=0,
             labels=(),
         )
+        reports = self.reports[name]
+        if reports and reports[-1].lifetime == runner.lifetime:
+            reports.pop()
+        reports.append(report)
         self.run_or_defer(process, self.handle_report, process, report)
 
     def handle_report(self, process, report):
@@ -496,7 +510,8 @@
 
         Half of the late calls come within 1.5 s.
         """
-        if self.random.random() < self.call_loss_probability:
+        is_lost_start = isinstance(call, StartCall) and self.now < self.starts_lost_until
+        if is_lost_start or self.random.random() < self.call_loss_probability:
             return MAX_CALL_DELAY_SECONDS * self.random.random() ** 3
         return None
 
@@ -506,14 +521,18 @@
             self.schedule(HOP_SECONDS, self.serve_call, process, process.lifetime, call)
             return
         if delay != NEVER:
+            self.late_calls[process.name].append(call)
             self.schedule(delay + HOP_SECONDS, self.carry_out_late, process.name, call)
         reply = build_unanswered_reply(call)
         self.schedule(CALL_TIMEOUT_SECONDS, self.reply, process, process.lifetime, reply)
 
     def carry_out_late(self, name, call):
-        """Carries out a call at whatever lifetime of the runner is up by now."""
-        runner = self.runners[name]
-        if runner.alive:
+        """Carries out a call, unless it was before, at whatever lifetime of the runner is up."""
+        runner, late_calls = self.runners[name], self.late_calls[name]
+        is_due = call in late_calls
+        if is_due:
+            late_calls.remove(call)
+        if is_due and runner.alive:
             runner.handle_call(call, self.now)
 
     def serve_call(self, process, lifetime, call):
@@ -522,12 +541,17 @@
         status = runner.handle_call(call, self.now) if connected else REFUSED
         wait = getattr(call, "wait_ms", 0) / 1000
         if status != ReplyStatus.ACCEPTED or not wait or runner.ended:
-            reply = runner.build_reply(call, status)
-            self.schedule(HOP_SECONDS, self.reply, process, lifetime, reply)
+            self.send_reply(process, lifetime, runner.build_reply(call, status))
             return
         runner.waiting_calls.append((process, lifetime, call))
         self.schedule(wait, runner.give_up_waiting, process, lifetime, call)
 
+    def send_reply(self, process, lifetime, reply):
+        delay = HOP_SECONDS
+        if self.max_reply_delay:
+            delay += self.random.random() * self.max_reply_delay
+        self.schedule(delay, self.reply, process, lifetime, reply)
+
     def reply(self, process, lifetime, reply):
         if process.lifetime == lifetime:
             self.run_or_defer(process, self.handle_reply, process, reply)
@@ -678,6 +702,9 @@
         lifetime = RunnerLifetime(runner_id=runner_id, started_at_ms=started_at_ms)
         self.runners[name] = ModelRunner(self, name, lifetime, clock_started_at=self.now)
         self.schedule(HOP_SECONDS, self.report_now, name)
+        for call in list(self.late_calls[name]):
+            if self.random.random() < FIRST_MOMENT_PROBABILITY:
+                self.carry_out_late(name, call)
 
     def refuse_connections(self, name, seconds):
         """Lets a runner that is up refuse connections; its open connections break."""
@@ -694,6 +721,37 @@
         receive_deregistration(process.state, lifetime.runner_id, self.now)
         self.flush_agent(process)
 
+    def leave_runner(self, name, seconds, drain_seconds=0.0, born_again=True):
+        """Lets a runner drain and deregister; it ends `seconds` later, its ack having been lost.
+
+        It is then born again under its id, or under another one.
+        """
+        runner = self.runners[name]
+        if not runner.alive or runner.draining:
+            return
+        runner.draining = True
+        self.report_now(name)
+        runner_id = "" if born_again else f"{name}-{runner.lifetime.started_at_ms + 1}"
+        self.schedule(drain_seconds, self.deregister, name, runner.lifetime)
+        self.schedule(drain_seconds + seconds, self.end_runner, runner, runner_id)
+
+    def end_runner(self, runner, runner_id):
+        if self.runners[runner.name] is runner:
+            self.crash_runner(runner.name, down_seconds=0.5, runner_id=runner_id)
+
+    def repeat_report(self, name, number):
+        """Delivers a report of the runner again, perhaps of an earlier lifetime."""
+        reports, process = self.reports[name], self.agents[name]
+        if reports:
+            report = reports[number % len(reports)]
+            self.run_or_defer(process, self.handle_report, process, report)
+
+    def repeat_deregistration(self, name, number):
+        """Delivers the deregistration of an earlier lifetime of the runner, if there was one."""
+        earlier = self.reports[name][:-1]
+        if earlier:
+            self.deregister(name, earlier[number % len(earlier)].lifetime)
+
     def crash_under_task(self, runner, task):
         """Crashes a runner if the task still runs on it."""
         if runner.alive and task in runner.running:
--- a/tests/test_late_calls.py
+++ b/tests/test_late_calls.py
@@ -3,6 +3,7 @@
 import unittest
 
 from comfreysill.execution.calls import StartCall, StopCall
+from comfreysill.placement.agents import end_session
 from comfreysill.request.types import Verdict
 from tests.platform_world import NEVER, RESEND_DELAY_SECONDS, World
 
@@ -33,6 +34,7 @@
 
     def deliver(self):
         """Lets the call be carried out."""
+        self.world.late_calls[self.agent].append(self.call)
         self.world.carry_out_late(self.agent, self.call)
 
 
@@ -69,10 +71,10 @@
 class TestLateStarts(LateCallCase):
     """The first start gets no answer, and is carried out by a later lifetime of its runner."""
 
-    def hold_start(self, seed):
+    def hold_start(self, seed, seconds=LONG_RUN_SECONDS):
         world = self.build_world(seed)
         held = HeldCall(world, StartCall)
-        self.submit(world)
+        self.submit(world, seconds)
         self.run_until(world, lambda: held.call)
         world.run(0.02)
         return world, held
@@ -133,6 +135,32 @@
                 world.schedule(late_seconds, held.deliver)
                 self.check(world, seed)
 
+    # Guards against the same when all of the runs had been given up, as the runner was silent.
+    def test_a_late_start_after_its_runner_was_given_up(self):
+        for seed in SEEDS:
+            world, held = self.hold_start(seed)
+            world.delay_call = lambda process, call, name=held.agent: (
+                NEVER if process.name == name else None
+            )
+            self.run_until(world, lambda world=world: find_runners(world))
+            world.run(0.3)
+            self.deliver_at_birth(world, held)
+            self.check(world, seed)
+
+    # Guards against a start of an earlier lifetime beside runs that fill the runner; its task has
+    # ended elsewhere.
+    def test_a_late_start_at_a_runner_that_is_full(self):
+        for seed in SEEDS:
+            world, held = self.hold_start(seed, seconds=0.1)
+            world.crash_runner(held.agent, down_seconds=DOWN_SECONDS)
+            world.run(1.5)
+            self.assertEqual(world.verdicts["r"], [Verdict.COMPLETED], seed)
+            for number in range(len(world.agents)):
+                world.submit(f"w{number}", "e0", tasks=8, seconds=2.0, cpu=1000)
+            world.run(0.3)
+            held.deliver()
+            self.check(world, seed)
+
 
 class TestRefusedConnections(LateCallCase):
     # Guards against tasks started elsewhere as a cut refuses connections to a runner that is up.
@@ -193,6 +221,61 @@
             world.deregister(name, earlier[name])
             self.check(world, seed)
 
+    # Guards against tasks started elsewhere while a runner that deregistered, and got no ack, runs
+    # on for some seconds.
+    def test_a_deregistration_of_a_runner_that_runs_on(self):
+        for seed in SEEDS:
+            for seconds in (0.05, 0.5, 3.0):
+                world = self.build_world(seed)
+                self.submit(world)
+                self.run_until(world, lambda world=world: find_runners(world))
+                world.run(0.3)
+                world.leave_runner(find_runners(world)[0], seconds)
+                self.check(world, seed)
+
+
+class TestLateOrders(LateCallCase):
+    """The order of the task is kept back on its link, while its entry opens another session."""
+
+    def hold_order(self, seed):
+        """Submits the request; returns the world and the arguments of the frame with its order."""
+        world = self.build_world(seed)
+        held = []
+        send = world.send
+
+        def hold(entry, agent, frame):
+            if frame.batches and not held:
+                held.append((entry, agent, world.agents[agent].lifetime, frame))
+            else:
+                send(entry, agent, frame)
+
+        world.send = hold
+        self.submit(world)
+        self.run_until(world, lambda: held)
+        entry, agent, _, _ = held[0]
+        session, _, _ = world.links.pop((entry, agent))
+        process = world.entries[entry]
+        world.run_or_defer(process, end_session, process.state, agent, session)
+        return world, held[0]
+
+    # Guards against a task that was placed elsewhere, as its agent had no record of it, while the
+    # order was still on its way to that agent.
+    def test_a_late_order_of_an_earlier_session(self):
+        for seed in SEEDS:
+            for late_seconds in (0.0, 0.001, 0.052, 0.053, 0.1, 0.3, 1.0):
+                world, arguments = self.hold_order(seed)
+                world.schedule(late_seconds, world.deliver, *arguments)
+                self.check(world, seed)
+
+    # Guards against the same when the agent was killed, so that it knows no earlier session.
+    def test_a_late_order_to_an_agent_that_was_killed(self):
+        for seed in SEEDS:
+            for late_seconds in (0.0, 0.2, 0.7, 1.0, 2.0):
+                world, arguments = self.hold_order(seed)
+                world.kill_agent(arguments[1], down_seconds=0.1)
+                world.schedule(late_seconds, world.deliver, *arguments)
+                self.check(world, seed)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_platform_floor.py
+++ b/tests/test_platform_floor.py
@@ -36,16 +36,41 @@
     "submit",
     "submit",
 )
-SPEEDS = {"hang": 0.0, "slow": 0.15, "normal_speed": 1.0}
-STEPS = st.lists(
-    st.tuples(
-        st.sampled_from(FAULTS),
-        st.integers(0, 5),
-        st.sampled_from([0.0, 0.02, 0.1, 0.3, 0.6, 1.0, 1.3, 2.0]),
-    ),
-    min_size=4,
-    max_size=40,
+LATE_FAULTS = (
+    *FAULTS,
+    "submit",
+    "submit",
+    "lose_more_calls",
+    "lose_starts",
+    "lose_starts_and_crash",
+    "delay_replies",
+    "crash_at_once",
+    "crash_at_once",
+    "crash_new_id",
+    "refuse",
+    "refuse",
+    "kill_agent_and_crash",
+    "leave",
+    "late_deregistration",
+    "late_report",
 )
+SPEEDS = {"hang": 0.0, "slow": 0.15, "normal_speed": 1.0}
+
+
+def draw_steps(faults):
+    return st.lists(
+        st.tuples(
+            st.sampled_from(faults),
+            st.integers(0, 5),
+            st.sampled_from([0.0, 0.02, 0.1, 0.3, 0.6, 1.0, 1.3, 2.0]),
+        ),
+        min_size=4,
+        max_size=40,
+    )
+
+
+STEPS = draw_steps(FAULTS)
+LATE_STEPS = draw_steps(LATE_FAULTS)
 
 
 def apply_fault(world, fault, number, seconds):
@@ -83,13 +108,45 @@
     elif fault == "drop_caller":
         if world.callers:
             world.drop_caller(sorted(world.callers)[number % len(world.callers)])
-    else:
+    elif not apply_runner_fault(world, fault, agent, number, seconds):
         if fault in ("cut_both", "cut_to_agent"):
             world.cut(entry, agent, seconds)
         if fault in ("cut_both", "cut_to_entry"):
             world.cut(agent, entry, seconds)
 
 
+def apply_runner_fault(world, fault, agent, number, seconds):
+    """Applies a fault of a runner or of the calls to it; returns False for any other fault."""
+    if fault == "lose_more_calls":
+        world.call_loss_probability = 0.3
+    elif fault.startswith("lose_starts"):
+        key = f"r{len(world.requests)}"
+        world.submit(key, world.choose_entry(), tasks=1 + number, seconds=0.1 + seconds, cpu=800)
+        world.starts_lost_until = world.now + 0.1
+        if fault.endswith("crash"):
+            world.schedule(0.02 + seconds / 10, world.crash_runner, agent, number / 100)
+    elif fault == "delay_replies":
+        world.max_reply_delay = 0.08 if seconds else 0.0
+    elif fault == "crash_at_once":
+        world.crash_runner(agent, down_seconds=seconds / 40)
+    elif fault == "crash_new_id":
+        world.crash_runner(agent, down_seconds=seconds, runner_id=f"{agent}-{world.event_count}")
+    elif fault == "refuse":
+        world.refuse_connections(agent, seconds)
+    elif fault == "kill_agent_and_crash":
+        world.kill_agent(agent, down_seconds=0.05 + seconds, silent=number % 2 == 0)
+        world.crash_runner(agent, down_seconds=number / 100)
+    elif fault == "leave":
+        world.leave_runner(agent, seconds, drain_seconds=number / 10, born_again=number % 2 == 0)
+    elif fault == "late_deregistration":
+        world.repeat_deregistration(agent, number)
+    elif fault == "late_report":
+        world.repeat_report(agent, number)
+    else:
+        return False
+    return True
+
+
 class TestFloorUnderFaults(unittest.TestCase):
     @fuzz(EXAMPLES, STEPS, st.integers(0, 1000))
     def test_no_task_runs_twice_or_beyond_capacity(self, steps, seed):
@@ -102,12 +159,16 @@
         ):
             self.run_steps(World(seed, entries=3, agents=6), steps)
 
+    @fuzz(EXAMPLES, LATE_STEPS, st.integers(0, 1000))
+    def test_no_task_runs_twice_or_beyond_capacity_with_late_calls(self, steps, seed):
+        self.run_steps(World(seed), steps)
+
     def run_steps(self, world, steps):
         world.run(2.0)
         for fault, number, pause in steps:
             apply_fault(world, fault, number, pause)
             world.run(0.05 + pause / 2)
-        world.call_loss_probability = 0.0
+        world.call_loss_probability = world.max_reply_delay = 0.0
         for agent in world.agents:
             world.set_speed(agent, 1.0)
             world.runners[agent].set_cpu(CPU_CAPACITY)
