--- a/tests/platform_world.py
+++ b/tests/platform_world.py
@@ -58,7 +58,7 @@
 # Seconds late that never come.
 NEVER = float("inf")
 # What the client of the runner reports of a connection that is refused.
-REFUSED = ReplyStatus.GONE
+REFUSED = ReplyStatus.REFUSED
 # A run that is stopped goes on for this long.
 STOP_SECONDS = 0.05
 MAX_LEASE_SECONDS = 1.0
