--- a/src/comfreysill/request_trace/trace.py
+++ b/src/comfreysill/request_trace/trace.py
@@ -31,6 +31,8 @@
         "target slowdown detected",
         "run stalled",
         "start unanswered; token raised",
+        "start accepted on another clock; token raised",
+        "start held until it is final",
     }
 )
 # Events after which a target takes no work for a time.
