Blame a task for isolated crashes of three targets, or of six, not for three of one

What callers could see: an innocent request shown as failed.

Change: without a conclusive crash, isolated crashes of three different targets are needed, or six in all.

--- a/src/comfreysill/crashes/ledger.py
+++ b/src/comfreysill/crashes/ledger.py
@@ -7,7 +7,7 @@
 and up by themselves.
 """
 
-from collections import deque
+from collections import Counter, deque
 
 from comfreysill.crashes.report import (
     CRASH_RETENTION_SECONDS,
@@ -19,8 +19,10 @@
 
 # A request is given up after this many crashes under one of its tasks, one of them conclusive.
 MIN_CRASHES = 2
-# The same without a conclusive crash: this many isolated ones.
-MIN_INCONCLUSIVE_CRASHES = 3
+# The same without a conclusive crash: isolated ones of this many targets, or this many of any. One
+# target that goes down and up by itself proves nothing, even to a task that is bound to it.
+MIN_INCONCLUSIVE_TARGETS = 3
+MIN_INCONCLUSIVE_CRASHES = 6
 # A crash mostly follows the start that causes it, so that the requests that were started last are
 # suspects after one crash. The other tasks become suspects after MIN_CRASHES.
 SUSPECT_REQUESTS_PER_CRASH = 2
@@ -33,7 +35,7 @@
 
     Attributes:
         total: Number of crashes.
-        isolated: Number of crashes with no task of another request on the runner.
+        isolated: Number of crashes with no task of another request on the runner, by target.
         conclusive: Number of isolated crashes of targets that had no unexplained crash before.
         among_last: Number of crashes with the request among those started last on the runner.
     """
@@ -42,7 +44,7 @@
 
     def __init__(self) -> None:
         self.total = 0
-        self.isolated = 0
+        self.isolated: Counter[str] = Counter()
         self.conclusive = 0
         self.among_last = 0
 
@@ -137,7 +139,10 @@
     """Returns the name of a task of a request that is proved to crash runners, empty if none is."""
     for task, crashes in ledger.requests.get(request_id, {}).items():
         is_proved = crashes.total >= MIN_CRASHES and crashes.conclusive > 0
-        if is_proved or crashes.isolated >= MIN_INCONCLUSIVE_CRASHES:
+        isolated = [number for number in crashes.isolated.values() if number]
+        if is_proved or len(isolated) >= MIN_INCONCLUSIVE_TARGETS:
+            return task
+        if sum(isolated) >= MIN_INCONCLUSIVE_CRASHES:
             return task
     return ""
 
@@ -170,6 +175,6 @@
         request_id = get_request_id(task)
         crashes = ledger.requests.setdefault(request_id, {}).setdefault(task, TaskCrashes())
         crashes.total += amount
-        crashes.isolated += amount * (len(request_ids) == 1)
+        crashes.isolated[get_agent_name(report)] += amount * (len(request_ids) == 1)
         crashes.conclusive += amount * crash.conclusive
         crashes.among_last += amount * (request_id in started_last)
