Ask a new lifetime of a runner for its runs at once

What callers could see: a target that is idle for 50 ms after its runner's return, in which the new lifetime carries out starts of before. The delay after a failed renewal of the old lifetime held up the first one of the new.

--- a/src/comfreysill/execution/runner.py
+++ b/src/comfreysill/execution/runner.py
@@ -85,6 +85,7 @@
     agent.answered_at = now
     agent.leases_expire_at = now
     agent.renew_now = True
+    agent.renewal_due_at = 0.0
     note_event(agent, "runner adopted", lifetime=str(report.lifetime), cpu=report.cpu)
 
 
--- a/tests/test_execution.py
+++ b/tests/test_execution.py
@@ -724,6 +724,15 @@
             self.assertLessEqual(calls, 1 / RENEWAL_RETRY_SECONDS + 1, status)
             self.assertGreater(calls, 10, status)
 
+    # Guards against the delay after a failed renewal of the lifetime before, in which a new lifetime
+    # carries out late starts.
+    def test_a_new_lifetime_is_asked_for_its_runs_at_once(self):
+        self.fail_renewal(ReplyStatus.UNANSWERED)
+        self.deliver_report(started_at_ms=2)
+        self.agent.calls.clear()
+        queue_renewal(self.agent, self.now)
+        self.assertEqual(len(self.agent.calls), 1)
+
     def fail_renewal(self, status):
         """Lets the queued renewals fail; returns their number."""
         queue_renewal(self.agent, self.now)
