Keep the logs of a failed deployment of the process tests

The failures of two process tests that KNOWN-RED.txt lists were not traced, as their folder of logs was removed with the test. The folder is printed and noted in the failure.

--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import json
 import pathlib
 import signal
 import tempfile
@@ -15,6 +16,7 @@
 import aiohttp
 
 from standins.callers import build_job, call_until_answered
+from standins.kept_logs import keep_logs, save_metrics
 from standins.processes import (
     DeploymentPlan,
     kill_process,
@@ -58,6 +60,24 @@
             self.calls.append(asyncio.create_task(call))
             await asyncio.sleep(0.02)
 
+    def write_jobs(self):
+        """Writes the calls of each job that didn't complete to `jobs.log`, a line each."""
+        lines = [
+            json.dumps(
+                {
+                    "job": job.job_id,
+                    "first_entry": number % self.plan.entries,
+                    "submissions": job.submissions,
+                    "status": job.status,
+                    "response_seconds": job.response_seconds,
+                    "answer": job.answer,
+                }
+            )
+            for number, job in enumerate(self.jobs)
+            if job.status != 200
+        ]
+        (self.plan.folder / "jobs.log").write_text("\n".join(lines) + "\n")
+
     def check_all_completed(self, test):
         failed = [job.answer for job in self.jobs if job.status != 200]
         test.assertEqual(failed, [])
@@ -84,27 +104,40 @@
         print(f"\n{len(self.jobs)} jobs: {verdicts}, {sum(map(len, starts.values()))} starts")
 
 
-# `faults` disturbs the deployment: it injects faults or replaces processes gracefully.
+# `faults` disturbs the deployment: it injects faults or replaces processes gracefully. If the trial
+# fails, its logs are kept, and the folder is printed and noted in the failure.
 async def run_trial(test, port, faults, graceful=False):
     with tempfile.TemporaryDirectory() as folder:
         trial = Trial(pathlib.Path(folder), port)
-        deployment = await start_deployment(trial.plan)
-        connector = aiohttp.TCPConnector(limit=0)
         try:
-            async with aiohttp.ClientSession(connector=connector) as session:
-                entries = [deployment.entry_url(index) for index in range(3)]
-                submitter = asyncio.create_task(trial.submit_jobs(session, entries, 12))
-                await asyncio.sleep(2)
-                await faults(deployment)
-                await submitter
-                await asyncio.gather(*trial.calls)
-        finally:
-            statuses = await stop_deployment(deployment)
-        trial.check_guarantees(test)
-        if graceful:
-            trial.check_all_completed(test)
-        statuses.pop("store")
-        test.assertEqual(statuses, dict.fromkeys(statuses, 0))
+            await play_and_check(test, trial, faults, graceful)
+        except BaseException as error:
+            trial.write_jobs()
+            kept = keep_logs(trial.plan.folder, test.id())
+            print(f"\nlogs of the failed deployment: {kept}")
+            error.add_note(f"logs of the failed deployment: {kept}")
+            raise
+
+
+async def play_and_check(test, trial, faults, graceful):
+    deployment = await start_deployment(trial.plan)
+    connector = aiohttp.TCPConnector(limit=0)
+    try:
+        async with aiohttp.ClientSession(connector=connector) as session:
+            entries = [deployment.entry_url(index) for index in range(3)]
+            submitter = asyncio.create_task(trial.submit_jobs(session, entries, 12))
+            await asyncio.sleep(2)
+            await faults(deployment)
+            await submitter
+            await asyncio.gather(*trial.calls)
+    finally:
+        await save_metrics(deployment)
+        statuses = await stop_deployment(deployment)
+    trial.check_guarantees(test)
+    if graceful:
+        trial.check_all_completed(test)
+    statuses.pop("store")
+    test.assertEqual(statuses, dict.fromkeys(statuses, 0))
 
 
 class ProcessTest(unittest.TestCase):
