Count agents that register during a takeover among its unread ledgers

What callers saw: a task that isn't idempotent could be started by two entries, once by each. Entry 1 owns its partition; entry 2 can't reach it nor most agents, but reads the table, and begins a takeover. An agent registers (or restarts, after it refused entry 2's connection) and entry 1, whose ownership a majority still confirms, starts a job there. Entry 2 then reaches the other agents and opens the partition; a repeated submission of the job counts as certainly new and is started a second time.

Cause: the agents whose ledgers a takeover has to read were listed from the first read of the roster after its beginning. Until a majority of agents has granted the new epoch, an earlier owner can still claim an agent that is new since (_may_claim asks a majority, and only entries known to live).

Fix: once a majority has granted the epoch, the roster is read again, and each agent in it that hasn't granted is unread; its jobs are held back as may-have-run. Any agent that an earlier owner could claim was registered before that majority, so that this read shows it. If the read shows so many agents that the majority is none any more, it is required again. As before, a read that fails lets the takeover go on with the agents known.

--- a/src/comfreysill/dispatch/links.py
+++ b/src/comfreysill/dispatch/links.py
@@ -228,7 +228,7 @@
         if owned_partition is not None and claim.epoch != owned_partition.epoch:
             owned_partition.former_epoch = max(owned_partition.former_epoch, claim.epoch)
     for owned_partition in granted.values():
-        record_grant(owned_partition, target, message.lost_at)
+        record_grant(dispatcher, owned_partition, target, message.lost_at, now)
 
 
 def _requeue_undelivered(
--- a/src/comfreysill/dispatch/ownership.py
+++ b/src/comfreysill/dispatch/ownership.py
@@ -92,7 +92,7 @@
     number = dispatcher.epoch_numbers.get(owned_partition.partition, 0) + 1
     dispatcher.epoch_numbers[owned_partition.partition] = number
     owned_partition.epoch = Epoch(number=number, owner=dispatcher.name)
-    owned_partition.claimed_at = now
+    owned_partition.claimed_at = owned_partition.roster_needed_since = now
     owned_partition.open = False
     owned_partition.granted_in_session.clear()
     owned_partition.unread_ledgers = {STALE_ROSTER, *dispatcher.targets}
@@ -166,14 +166,22 @@
         target.outbox.append(Claim(claims=tuple(claims)))
 
 
-def record_grant(owned_partition: OwnedPartition, target: Target, lost_at: float) -> None:
+def record_grant(
+    dispatcher: Dispatcher,
+    owned_partition: OwnedPartition,
+    target: Target,
+    lost_at: float,
+    now: float,
+) -> None:
     """Records that an agent granted the epoch of a partition and sent its ledger records.
 
     Args:
+        dispatcher: The entry.
         owned_partition: The partition.
         target: The target whose agent granted the epoch.
         lost_at: Unix time in seconds at which the ledger of an earlier incarnation of the agent
             was lost, 0 for never.
+        now: Unix time in seconds.
     """
     # Once the partition is open, the loss matters only if that ledger had not been read: the jobs
     # in the others are known.
@@ -182,6 +190,21 @@
     owned_partition.granted_in_session.add(target.name)
     owned_partition.granted_ever.add(_format_incarnation(target))
     owned_partition.unread_ledgers.discard(target.name)
+    if not owned_partition.open:
+        _require_roster(dispatcher, owned_partition, now)
+
+
+def _require_roster(dispatcher: Dispatcher, owned_partition: OwnedPartition, now: float) -> None:
+    """Requests a read of the roster once a majority of agents has granted the epoch.
+
+    Until then an earlier owner may claim and use agents that registered during the takeover.
+    """
+    required = owned_partition.roster_needed_since > owned_partition.claimed_at
+    if required or not _is_granted_by_majority(dispatcher, owned_partition):
+        return
+    owned_partition.roster_needed_since = now
+    owned_partition.unread_ledgers.add(STALE_ROSTER)
+    dispatcher.effects.append(ReadRoster())
 
 
 def open_partitions(dispatcher: Dispatcher, now: float) -> list[OwnedPartition]:
@@ -254,8 +277,10 @@
         return True
     if not wait_elapsed:
         return False
-    if not dispatcher.targets:
-        return False
+    return _is_granted_by_majority(dispatcher, owned_partition)
+
+
+def _is_granted_by_majority(dispatcher: Dispatcher, owned_partition: OwnedPartition) -> bool:
     return len(owned_partition.granted_in_session) >= len(dispatcher.targets) // 2 + 1
 
 
@@ -271,16 +296,21 @@
 def _replace_roster_marker(dispatcher: Dispatcher, owned_partition: OwnedPartition) -> None:
     """Replaces `STALE_ROSTER` by the agents that haven't granted the epoch.
 
-    This needs a read of the roster that began after the takeover. If it fails, the takeover goes on
-    with the agents that are known.
+    This needs a read of the roster that began at `roster_needed_since` or later. If it fails, the
+    takeover goes on with the agents that are known.
     """
+    if STALE_ROSTER not in owned_partition.unread_ledgers:
+        return
     tried_at = max(dispatcher.roster_read_at, dispatcher.roster_failed_at)
-    if STALE_ROSTER not in owned_partition.unread_ledgers or tried_at < owned_partition.claimed_at:
+    if tried_at < owned_partition.roster_needed_since:
         return
     owned_partition.unread_ledgers.discard(STALE_ROSTER)
     owned_partition.unread_ledgers.update(
         set(dispatcher.targets) - owned_partition.granted_in_session
     )
+    if not _is_granted_by_majority(dispatcher, owned_partition):
+        # No majority yet, or none any more as the roster has grown.
+        owned_partition.roster_needed_since = owned_partition.claimed_at
 
 
 def _format_incarnation(target: Target) -> str:
--- a/src/comfreysill/partition/owned.py
+++ b/src/comfreysill/partition/owned.py
@@ -54,6 +54,9 @@
         partition: Number of the partition.
         epoch: Epoch under which this entry claims it.
         claimed_at: Unix time in seconds at which the takeover began.
+        roster_needed_since: Unix time in seconds from which a read of the roster shows all agents
+            that earlier owners can have used: when a majority of agents had granted the epoch;
+            until then `claimed_at`.
         open: True while tasks may be started, False during a takeover.
         former_epoch: Highest epoch that agents had in force before the takeover, `NO_EPOCH` for
             none.
@@ -82,6 +85,7 @@
         "partition",
         "epoch",
         "claimed_at",
+        "roster_needed_since",
         "open",
         "former_epoch",
         "handover_epoch",
@@ -102,6 +106,7 @@
         self.partition = partition
         self.epoch: Epoch = NO_EPOCH
         self.claimed_at = claimed_at
+        self.roster_needed_since = claimed_at
         self.open = False
         self.former_epoch: Epoch = NO_EPOCH
         self.handover_epoch: Epoch = NO_EPOCH
--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -90,6 +90,10 @@
         lambda original: lambda *a: False,
     ),
     "unvalidated-claim": (f"{DISPATCH}.ownership._may_claim", lambda original: lambda *a: True),
+    "roster-read-once": (
+        f"{DISPATCH}.ownership._require_roster",
+        lambda original: lambda *a: None,
+    ),
     "listeners-not-notified": (
         f"{DISPATCH}.links._notify_listeners",
         lambda original: lambda *a: None,
@@ -304,7 +308,13 @@
 
 
 def build_suite(name):
-    from tests import test_fuzz, test_ledger, test_platform_floor, test_takeover
+    from tests import (
+        test_fuzz,
+        test_ledger,
+        test_platform_floor,
+        test_starts_in_doubt,
+        test_takeover,
+    )
 
     loader = unittest.defaultTestLoader
     if name in PLATFORM_MUTATIONS:
@@ -334,6 +344,7 @@
         ]
         return unittest.TestSuite(loader.loadTestsFromModule(module) for module in modules)
     suite = loader.loadTestsFromModule(test_takeover)
+    suite.addTests(loader.loadTestsFromModule(test_starts_in_doubt))
     suite.addTests(loader.loadTestsFromModule(test_ledger))
     suite.addTests(loader.loadTestsFromTestCase(test_fuzz.FloorTest))
     return suite
--- /dev/null
+++ b/tests/test_starts_in_doubt.py
@@ -0,0 +1,75 @@
+"""A task that may have started isn't started again, whichever processes can't see one another."""
+
+import unittest
+
+from tests.test_takeover import advance_world, count_starts, find_key, make_job, submit
+from tests.world import World
+
+
+def find_agent_of(world, key):
+    for name, agent in world.agents.items():
+        if any(record.batch.key == key for record in agent.running):
+            return name
+    raise AssertionError("the job runs nowhere")
+
+
+class UnknownLedgerTest(unittest.TestCase):
+    """An entry takes over from one it can't see, whose last starts are at an agent new to both."""
+
+    def setUp(self):
+        self.world = World(entries=2, agents=3)
+        advance_world(self.world)
+        self.key = find_key(self.world, "e1")
+
+    def separate_entries(self, *agents):
+        """Cuts e2 off from e1 and some agents; e2 then takes over, but can't finish."""
+        self.world.block("e2", "e1")
+        for name in agents:
+            self.world.block("e2", name)
+
+    def join_agents(self, *agents):
+        for name in agents:
+            self.world.blocked -= {("e2", name), (name, "e2")}
+
+    def start_job_at(self, agent):
+        """Starts a job of e1's partitions at an agent that e2 can't reach."""
+        world = self.world
+        others = [world.agents[name] for name in set(world.agents) - {agent}]
+        for other in others:
+            world.drain(other.name)
+        advance_world(world, 0.5)
+        job = make_job(world, self.key, seconds_to_deadline=60.0)
+        submit(world, "e1", job)
+        world.deliver_all()
+        self.assertEqual(find_agent_of(world, job.key), agent)
+        for other in others:
+            other.ledger.draining = False
+        return job
+
+    # The takeover counted just the agents of its first read of the roster.
+    def test_ledger_of_an_agent_registered_during_a_takeover_is_read(self):
+        world = self.world
+        self.separate_entries("a0", "a1", "a2", "a3")
+        advance_world(world, 4.0)
+        world.start_agent("a3")
+        advance_world(world, 2.0)
+        job = self.start_job_at("a3")
+        self.join_agents("a0", "a1", "a2")
+        submit(world, "e2", job)
+        advance_world(world, 4.0)
+        self.assertEqual(count_starts(world, job.key), 1)
+
+    # A refused connection to the ended process was held for the reading of the next one's ledger.
+    def test_ledger_of_an_agent_restarted_during_a_takeover_is_read(self):
+        world = self.world
+        self.separate_entries("a1", "a2")
+        world.kill_agent("a0")
+        advance_world(world, 4.0)
+        world.block("e2", "a0")
+        world.start_agent("a0")
+        advance_world(world, 2.0)
+        job = self.start_job_at("a0")
+        self.join_agents("a1", "a2")
+        submit(world, "e2", job)
+        advance_world(world, 4.0)
+        self.assertEqual(count_starts(world, job.key), 1)
