Ignore a refused connection tried before the agent's registration was known

What callers saw: a task that isn't idempotent could be started a second time. An agent moves or restarts and registers while an entry's connection to the address of before is still tried; the refusal (up to 1 s later, the time limit of a connection) arrives after the entry read the new registration.

Cause: handle_refused_connection knows the agent by name only. The refusal by the ended process was taken as proof that the ledger of the process registered since is gone: it was no longer unread, with the time of the attempt as the time of its loss, and a job that an earlier owner had started there after that time counted as certainly new.

Fix: a target keeps the time at which this entry learned of the registered incarnation. A connection tried before it proves nothing and is counted (refusals_stale); the next attempt, 0.2 s later, goes to the registered address. Links take a new address in the same step in which the registration is learned, so that any later attempt is one to that address. Cost: a clock set back by n s at an entry makes it wait up to n s more for a proof of death of agents that registered before.

--- a/src/comfreysill/dispatch/links.py
+++ b/src/comfreysill/dispatch/links.py
@@ -75,6 +75,8 @@
             target = Target(registration=registration, now=now, cycle=dispatcher.cycle)
             dispatcher.targets[name] = target
             count(dispatcher, "targets_added")
+        if target.registration.incarnation != registration.incarnation:
+            target.registration_known_at = now
         target.registration = registration
     if revision > dispatcher.roster_revision:
         dispatcher.takeovers_pending = True
@@ -255,7 +257,8 @@
     """Treats a refused connection as proof that an agent's process has ended.
 
     The ledger is lost with the process: attempts at the agent are abandoned, and takeovers don't
-    wait for the ledger.
+    wait for the ledger. A connection tried before this entry learned of the registered incarnation
+    proves nothing, as it may have been refused by the address of an earlier one.
 
     Args:
         dispatcher: The entry.
@@ -266,6 +269,9 @@
     target = dispatcher.targets.get(agent)
     if target is None or target.connected:
         return
+    if tried_at < target.registration_known_at:
+        count(dispatcher, "refusals_stale")
+        return
     if target.incarnation:
         count(dispatcher, "agents_refused")
         target.incarnation = ""
--- a/src/comfreysill/target/view.py
+++ b/src/comfreysill/target/view.py
@@ -78,6 +78,8 @@
 
     Attributes:
         registration: Latest registration of the target.
+        registration_known_at: Unix time in seconds at which this entry learned of the registered
+            incarnation.
         incarnation: Incarnation of the agent in the last received frame; empty before the first
             and once its process is known to have ended.
         session: Number of the current or last session, 0 before the first.
@@ -110,6 +112,7 @@
 
     __slots__ = (
         "registration",
+        "registration_known_at",
         "incarnation",
         "session",
         "connected",
@@ -138,6 +141,7 @@
 
     def __init__(self, *, registration: Registration, now: float, cycle: int) -> None:
         self.registration = registration
+        self.registration_known_at = now
         self.incarnation = ""
         self.session = 0
         self.connected = False
--- a/tests/test_starts_in_doubt.py
+++ b/tests/test_starts_in_doubt.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+from comfreysill.dispatch import links
 from tests.test_takeover import advance_world, count_starts, find_key, make_job, submit
 from tests.world import World
 
@@ -73,3 +74,23 @@
         submit(world, "e2", job)
         advance_world(world, 4.0)
         self.assertEqual(count_starts(world, job.key), 1)
+
+    # A refusal by the address of an ended process counted as one by the process registered since.
+    def test_late_refusal_of_an_earlier_address_is_no_proof_of_death(self):
+        world = self.world
+        self.separate_entries("a0", "a1", "a2")
+        advance_world(world, 4.0)
+        tried_at = world.now
+        world.kill_agent("a0")
+        world.start_agent("a0")
+        advance_world(world, 2.0)
+        job = self.start_job_at("a0")
+        self.join_agents("a1", "a2")
+        world.block("e1", "a1")
+        world.block("e1", "a2")
+        submit(world, "e2", job)
+        advance_world(world, 2.0)
+        state = world.entries["e2"].state
+        links.handle_refused_connection(state, "a0", tried_at, world.now)
+        advance_world(world, 2.0)
+        self.assertEqual(count_starts(world, job.key), 1)
