A redirected task whose next address refuses the connection may have run

What callers saw: a task that isn't idempotent could be started again after its runner had taken it and answered with a redirection (302 or 303 after the run, say) to an address that refused the connection.

Cause: the HTTP client follows redirections, and ClientConnectorError of the connection to the next address was taken for 'no connection to the runner was opened, the task certainly did not run'.

Fix: the session traces redirections; once a call was redirected, an error without an answer leaves the task in doubt. Redirections are followed as before, so that runners that rely on them go on working. Cost: none without a redirection.

That a call without an answer isn't made twice on a reused connection held before.

--- a/src/comfreysill/agent/runner.py
+++ b/src/comfreysill/agent/runner.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import time
+from types import SimpleNamespace
 
 import aiohttp
 
@@ -40,13 +41,28 @@
 def start_call(client: RunnerClient, runner: RunnerAnnounced, record: Record) -> None:
     """Calls the runner for a record in a new asyncio task, which posts the outcome."""
     if client.session is None:
-        connector = aiohttp.TCPConnector(limit=runner.connections)
-        client.session = aiohttp.ClientSession(connector=connector)
+        client.session = open_session(runner.connections)
     call = asyncio.get_running_loop().create_task(_call(client, runner, record))
     client.calls.add(call)
     call.add_done_callback(client.calls.discard)
 
 
+def open_session(connections: int) -> aiohttp.ClientSession:
+    """Opens an HTTP session with a maximum number of connections, which traces redirections."""
+    trace = aiohttp.TraceConfig()
+    trace.on_request_redirect.append(_trace_redirect)
+    connector = aiohttp.TCPConnector(limit=connections)
+    return aiohttp.ClientSession(connector=connector, trace_configs=[trace])
+
+
+async def _trace_redirect(
+    session: aiohttp.ClientSession,
+    context: SimpleNamespace,
+    params: aiohttp.TraceRequestRedirectParams,
+) -> None:
+    context.trace_request_ctx.append(params.url)
+
+
 async def close_client(client: RunnerClient) -> None:
     """Closes the connections to the runner."""
     if client.session is not None:
@@ -75,18 +91,24 @@
 ) -> tuple[Outcome | None, bytes]:
     """Posts a task to the runner.
 
-    If the connection breaks or times out after the request was sent, the task may have run.
+    If the connection breaks or times out after the request was sent, the task may have run; so may
+    one that was redirected to an address to which no connection was opened.
 
     Returns:
         The outcome, or None if the task certainly did not run; and the response body. Without a
         response, the body is the name of the error, or empty if no connection was opened.
     """
     timeout = aiohttp.ClientTimeout(total=RUN_TIMEOUT_SECONDS, sock_connect=CONNECT_TIMEOUT_SECONDS)
+    redirects: list[object] = []
     try:
-        async with session.post(url, data=payload, headers=headers, timeout=timeout) as response:
+        async with session.post(
+            url, data=payload, headers=headers, timeout=timeout, trace_request_ctx=redirects
+        ) as response:
             body = await response.read()
             status, verdict = response.status, response.headers.get(REFUSAL_HEADER)
-    except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
+    except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
+        if redirects:
+            return Outcome.LOST, type(error).__name__.encode()
         return None, b""
     except (aiohttp.ClientError, TimeoutError, OSError) as error:
         return Outcome.LOST, type(error).__name__.encode()
