--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -106,11 +106,11 @@
 
 # `faults` disturbs the deployment: it injects faults or replaces processes gracefully. If the trial
 # fails, its logs are kept, and the folder is printed and noted in the failure.
-async def run_trial(test, port, faults, graceful=False):
+async def run_trial(test, port, faults, graceful=False, seconds=12):
     with tempfile.TemporaryDirectory() as folder:
         trial = Trial(pathlib.Path(folder), port)
         try:
-            await play_and_check(test, trial, faults, graceful)
+            await play_and_check(test, trial, faults, graceful, seconds)
         except BaseException as error:
             trial.write_jobs()
             kept = keep_logs(trial.plan.folder, test.id())
@@ -119,13 +119,13 @@
             raise
 
 
-async def play_and_check(test, trial, faults, graceful):
+async def play_and_check(test, trial, faults, graceful, seconds):
     deployment = await start_deployment(trial.plan)
     connector = aiohttp.TCPConnector(limit=0)
     try:
         async with aiohttp.ClientSession(connector=connector) as session:
             entries = [deployment.entry_url(index) for index in range(3)]
-            submitter = asyncio.create_task(trial.submit_jobs(session, entries, 12))
+            submitter = asyncio.create_task(trial.submit_jobs(session, entries, seconds))
             await asyncio.sleep(2)
             await faults(deployment)
             await submitter
@@ -193,3 +193,19 @@
                 await asyncio.sleep(2)
 
         asyncio.run(run_trial(self, 23500, faults, graceful=True))
+
+    # A job taken after the entry's last look for waiting callers got no answer till its deadline.
+    def test_job_sent_to_an_entry_that_is_about_to_stop_is_answered(self):
+        async def faults(deployment):
+            # Calls of the store take longer, among them the removal of the registration.
+            await set_faults(deployment, delay=0.4)
+            send_signal(deployment, "entry-0", signal.SIGTERM)
+            await asyncio.sleep(0.2)
+            job = build_job("s", [3.0], 9.0)
+            entries = [deployment.entry_url(index) for index in (0, 1, 2)]
+            async with aiohttp.ClientSession() as session:
+                await call_until_answered(session, entries, job, 0)
+            self.assertEqual((job.status, job.answer.get("detail")), (200, None))
+            self.assertEqual(await deployment.processes.pop("entry-0").wait(), 0)
+
+        asyncio.run(run_trial(self, 31000, faults, seconds=0))
