Keep a peer of which an entry learned after the read of the roster began

What callers saw: a job taken by an entry that had just started could be answered with 504 'the owner of the job gave no answer' at its deadline, although it had run.

Cause: an entry learns of a new one by its first frame, often before it has read the roster again. A read that had begun before the new entry's registration then removed it from the peers, and with it the answers queued for it; answers until the next read were dropped, as their listener was no peer. The new entry kept waiting for this owner, which went on living.

Fix: a read of the roster removes only peers known when it began. The first frame requests a read at once, which decides.

--- a/src/comfreysill/dispatch/core.py
+++ b/src/comfreysill/dispatch/core.py
@@ -56,16 +56,26 @@
 from comfreysill.target.view import SentFrame, Target
 
 
-def update_peers(dispatcher: Dispatcher, names: Iterable[str], now: float) -> None:
-    """Updates the peers from the list of registered entries."""
+def update_peers(dispatcher: Dispatcher, names: Iterable[str], read_at: float, now: float) -> None:
+    """Updates the peers from the list of registered entries.
+
+    A peer of which this entry learned after the read of the list had begun is kept: it may have
+    registered since.
+
+    Args:
+        dispatcher: The entry.
+        names: Names of all registered entries.
+        read_at: Unix time in seconds at which the read began.
+        now: Unix time in seconds.
+    """
     registered = set(names) - {dispatcher.name}
-    for name in list(dispatcher.peers):
-        if name not in registered:
+    for name, peer in list(dispatcher.peers.items()):
+        if name not in registered and peer.added_at <= read_at:
             del dispatcher.peers[name]
             unassign_from_entry(dispatcher, name, now)
     for name in registered:
         if name not in dispatcher.peers:
-            dispatcher.peers[name] = Peer(name=name, last_received_at=now)
+            dispatcher.peers[name] = Peer(name=name, added_at=now)
 
 
 def connect_peer(dispatcher: Dispatcher, name: str) -> None:
@@ -107,7 +117,7 @@
         return
     peer = dispatcher.peers.get(frame.entry)
     if peer is None:
-        peer = dispatcher.peers[frame.entry] = Peer(name=frame.entry, last_received_at=now)
+        peer = dispatcher.peers[frame.entry] = Peer(name=frame.entry, added_at=now)
         dispatcher.effects.append(ReadRoster())
     if frame.session < peer.last_received_session:
         count(dispatcher, "peer_frames_stale")
--- a/src/comfreysill/dispatch/state.py
+++ b/src/comfreysill/dispatch/state.py
@@ -45,13 +45,13 @@
 
     Attributes:
         name: Name of the entry and id of the run of its process, `<name>@<id>`.
+        added_at: Unix time in seconds at which this entry learned of it.
         connected: True while this entry's session to it is open.
         dead: True once a refused connection proved that its process has ended.
         session: Number of this entry's newest session to it, 0 before the first.
         last_received_session: Number of its newest session to this entry that delivered a frame, 0
             before the first.
-        last_received_at: Unix time in seconds of its last frame; before the first, the time at
-            which it was added.
+        last_received_at: Unix time in seconds of its last frame; before the first, `added_at`.
         leaving: True when it is releasing its partitions.
         floor_version: Version of the floor document that it applies, 0 if unknown or none.
         roster_revision: Revision of the registration table that its targets reflect, 0 if unknown.
@@ -62,6 +62,7 @@
 
     __slots__ = (
         "name",
+        "added_at",
         "connected",
         "dead",
         "session",
@@ -75,13 +76,14 @@
         "last_sent_at",
     )
 
-    def __init__(self, *, name: str, last_received_at: float) -> None:
+    def __init__(self, *, name: str, added_at: float) -> None:
         self.name = name
+        self.added_at = added_at
         self.connected = False
         self.dead = False
         self.session = 0
         self.last_received_session = 0
-        self.last_received_at = last_received_at
+        self.last_received_at = added_at
         self.leaving = False
         self.floor_version = 0
         self.roster_revision = 0
--- a/src/comfreysill/entry/actor.py
+++ b/src/comfreysill/entry/actor.py
@@ -223,7 +223,8 @@
     update_roster(
         dispatcher, roster.agents, roster.revision, roster.lost_at, message.started_at, now
     )
-    update_peers(dispatcher, [entry.name for entry in roster.entries], now)
+    entry_names = [entry.name for entry in roster.entries]
+    update_peers(dispatcher, entry_names, message.started_at, now)
     _update_links(actor, roster)
 
 
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -1,5 +1,6 @@
 import unittest
 
+from comfreysill.dispatch import core
 from comfreysill.dispatch.ownership import find_assigned_entry
 from comfreysill.job.types import Verdict
 from comfreysill.partition.hashing import find_partition
@@ -204,6 +205,26 @@
             finish_all(world)
         self.assertTrue(world.oracle.answers[caller].complete)
 
+    # A roster read before the registration of an entry that had sent a job removed it as a peer.
+    def test_answer_reaches_an_entry_that_the_roster_of_before_does_not_show(self):
+        world = self.world
+        read_at = world.now
+        world.now += 0.1
+        world.start_entry(0.0)
+        world._tick(world.entries["e3"])
+        world.store_up = False
+        job = make_job(world, find_key(world, "e1"))
+        caller = submit(world, "e3", job)
+        world.deliver_all()
+        self.assertEqual(count_starts(world, job.key), 1)
+        self.assertNotIn("e3", world.entries["e1"].peer_links)
+        core.update_peers(world.entries["e1"].state, ["e1", "e2"], read_at, world.now)
+        finish_all(world)
+        world.deliver_all()
+        world.store_up = True
+        advance_world(world, 3.0)
+        self.assertTrue(world.oracle.answers[caller].complete)
+
     def test_graceful_leave_hands_over_jobs_without_restarting_tasks(self):
         world = self.world
         self.occupy_all_slots()
--- a/tests/world.py
+++ b/tests/world.py
@@ -346,7 +346,7 @@
         names = [value for key, value in self.rows.items() if key.startswith("entry/")]
         lost_at = max(self.lost_at.values(), default=0.0)
         links.update_roster(entry.state, agents, self.revision, lost_at, now, now)
-        core.update_peers(entry.state, names, now)
+        core.update_peers(entry.state, names, now, now)
         entry.peer_links &= set(names)
 
     def _mark_lost(self, effect):
