Read the roster before a partition is taken over again for want of a majority

What callers saw: while agents were replaced one after another, gracefully, all jobs of about a second got 502 'an agent that may have run tasks is gone', verdict 'may have run', though every task ran once or not at all.

Cause: an agent that leaves ends its sessions at once, but is among an entry's targets until its next read of the roster, up to 1 s later. If the agent replaced before hadn't granted yet (it is claimed once all entries know it, up to 1.5 s after its registration), fewer than a majority of the targets had granted, and each entry took its partitions over again. That takes the newest loss of a ledger, that of the agent that had just left, as time before which jobs are in doubt, with a margin of 1 s: new jobs of that second failed.

Fix: when a majority is first found missing, the roster is read; only if the agents that it shows then still make no majority is the partition taken over again. Until then nothing is started, as before: without a majority there is no authority. Cost: one read of the table, some ms, where a takeover is due.

--- a/src/comfreysill/dispatch/ownership.py
+++ b/src/comfreysill/dispatch/ownership.py
@@ -94,6 +94,7 @@
     owned_partition.epoch = Epoch(number=number, owner=dispatcher.name)
     owned_partition.claimed_at = owned_partition.roster_needed_since = now
     owned_partition.open = False
+    owned_partition.majority_lost_at = 0.0
     owned_partition.granted_in_session.clear()
     owned_partition.unread_ledgers = {STALE_ROSTER, *dispatcher.targets}
     dispatcher.takeovers_pending = True
@@ -104,7 +105,8 @@
 def renew_takeovers(dispatcher: Dispatcher, now: float) -> bool:
     """Restarts the takeover of open partitions that no majority has granted in open sessions.
 
-    This happens when most agents were replaced: the fences that protected the epoch are lost.
+    This happens when most agents were replaced: the fences that protected the epoch are lost. An
+    agent that left is still among the targets until the roster is read again; this is done first.
 
     Returns:
         True if a takeover began.
@@ -113,7 +115,7 @@
     reachable = {target.name for target in dispatcher.targets.values() if target.handshake_done}
     began = False
     for owned_partition in dispatcher.owned_partitions.values():
-        if not owned_partition.open or len(owned_partition.granted_in_session) >= majority:
+        if not owned_partition.open or not _is_majority_lost(dispatcher, owned_partition, now):
             continue
         wait_elapsed = now - owned_partition.claimed_at >= 2 * CLAIM_TIMEOUT_SECONDS
         if (
@@ -126,6 +128,18 @@
     return began
 
 
+def _is_majority_lost(dispatcher: Dispatcher, owned_partition: OwnedPartition, now: float) -> bool:
+    """Returns whether no majority has granted, by a roster read after that was first found."""
+    if _is_granted_by_majority(dispatcher, owned_partition):
+        owned_partition.majority_lost_at = 0.0
+        return False
+    if not owned_partition.majority_lost_at:
+        owned_partition.majority_lost_at = now
+        dispatcher.effects.append(ReadRoster())
+        return False
+    return _find_roster_tried_at(dispatcher) >= owned_partition.majority_lost_at
+
+
 def claim_at_all_agents(dispatcher: Dispatcher, now: float) -> None:
     """Claims the partitions at each agent that hasn't granted them."""
     for target in dispatcher.targets.values():
@@ -280,6 +294,10 @@
     return _is_granted_by_majority(dispatcher, owned_partition)
 
 
+def _find_roster_tried_at(dispatcher: Dispatcher) -> float:
+    return max(dispatcher.roster_read_at, dispatcher.roster_failed_at)
+
+
 def _is_granted_by_majority(dispatcher: Dispatcher, owned_partition: OwnedPartition) -> bool:
     return len(owned_partition.granted_in_session) >= len(dispatcher.targets) // 2 + 1
 
@@ -301,8 +319,7 @@
     """
     if STALE_ROSTER not in owned_partition.unread_ledgers:
         return
-    tried_at = max(dispatcher.roster_read_at, dispatcher.roster_failed_at)
-    if tried_at < owned_partition.roster_needed_since:
+    if _find_roster_tried_at(dispatcher) < owned_partition.roster_needed_since:
         return
     owned_partition.unread_ledgers.discard(STALE_ROSTER)
     owned_partition.unread_ledgers.update(
--- a/src/comfreysill/partition/owned.py
+++ b/src/comfreysill/partition/owned.py
@@ -57,6 +57,8 @@
         roster_needed_since: Unix time in seconds from which a read of the roster shows all agents
             that earlier owners can have used: when a majority of agents had granted the epoch;
             until then `claimed_at`.
+        majority_lost_at: Unix time in seconds at which no majority of agents was found to have
+            granted the open partition in their open sessions; 0 while one has, and before a check.
         open: True while tasks may be started, False during a takeover.
         former_epoch: Highest epoch that agents had in force before the takeover, `NO_EPOCH` for
             none.
@@ -86,6 +88,7 @@
         "epoch",
         "claimed_at",
         "roster_needed_since",
+        "majority_lost_at",
         "open",
         "former_epoch",
         "handover_epoch",
@@ -107,6 +110,7 @@
         self.epoch: Epoch = NO_EPOCH
         self.claimed_at = claimed_at
         self.roster_needed_since = claimed_at
+        self.majority_lost_at = 0.0
         self.open = False
         self.former_epoch: Epoch = NO_EPOCH
         self.handover_epoch: Epoch = NO_EPOCH
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -1,6 +1,7 @@
 import unittest
 
 from comfreysill.dispatch import core
+from comfreysill.dispatch.messages import MarkLedgerLost
 from comfreysill.dispatch.ownership import find_assigned_entry
 from comfreysill.job.types import Verdict
 from comfreysill.partition.hashing import find_partition
@@ -43,6 +44,13 @@
     return world.next_caller
 
 
+def leave_agent(world, name):
+    """Ends an agent that runs nothing gracefully: it marks its ledger as lost before."""
+    incarnation = world.agents[name].ledger.incarnation
+    world._mark_lost(MarkLedgerLost(agent=name, incarnation=incarnation, lost_at=world.now))
+    world.kill_agent(name)
+
+
 def finish_all(world, outcome=Outcome.DONE):
     for name, agent in world.agents.items():
         while agent.running:
@@ -238,6 +246,31 @@
         self.assertTrue(world.oracle.answers[caller].complete)
         self.assertEqual(count_starts(world, job.key), 2)
 
+    # An owner took its partitions over again for a majority of agents that were there before.
+    def test_graceful_replacement_of_one_agent_after_another_fails_no_job(self):
+        world = World(entries=2, agents=4)
+        advance_world(world)
+        leave_agent(world, "a0")
+        advance_world(world)
+        world.start_agent("a0")
+        # The other entry reads the roster up to its interval of 1 s later.
+        world.entries["e2"].roster_read_at = world.now + 0.9
+        state = world.entries["e1"].state
+        while "a0" not in state.targets or not state.targets["a0"].handshake_done:
+            world.advance(0.05)
+            world.deliver_all()
+        key = find_key(world, "e1")
+        partition = state.owned_partitions[find_partition(key)]
+        self.assertNotIn("a0", partition.granted_in_session)
+        leave_agent(world, "a2")
+        advance_world(world, 0.5)
+        caller = submit(world, "e1", make_job(world, key))
+        for _ in range(4):
+            advance_world(world, 0.5)
+            finish_all(world)
+        answer = world.oracle.answers[caller]
+        self.assertTrue(answer.complete, answer.detail)
+
     def test_reused_job_id_with_different_content_is_refused(self):
         world = self.world
         key = find_key(world, "e1")
