Take a partition over again if it was opened before there were agents

What callers saw: a task that isn't idempotent could be started by two entries, if the entries came up before any agent, couldn't see each other, and the second reached a majority, but not the agent that the first had used.

Cause: a partition opened without agents has no unread ledgers, and the first agents were asked to grant its epoch without a takeover ('no agent ever granted the partition to this entry: it can't have started anything'). But another entry may have: the records of the agents that granted were read, while the agent that didn't answer wasn't counted as unread, and the job was started again.

Fix: such a partition isn't claimed as it is; once a majority of agents can be reached it is taken over, as one without a majority is, without the wait of 2 s after the last takeover. Cost: at the first start of a deployment, one takeover (a claim, and two reads of the table) more, during which submissions are held back.

--- a/src/comfreysill/dispatch/ownership.py
+++ b/src/comfreysill/dispatch/ownership.py
@@ -105,8 +105,9 @@
 def renew_takeovers(dispatcher: Dispatcher, now: float) -> bool:
     """Restarts the takeover of open partitions that no majority has granted in open sessions.
 
-    This happens when most agents were replaced: the fences that protected the epoch are lost. An
-    agent that left is still among the targets until the roster is read again; this is done first.
+    This happens when most agents were replaced, since the fences that protected the epoch are lost,
+    and when a partition was opened without agents, since another entry may have used them first.
+    An agent that left is among the targets until the next read of the roster, which is done first.
 
     Returns:
         True if a takeover began.
@@ -119,7 +120,7 @@
             continue
         wait_elapsed = now - owned_partition.claimed_at >= 2 * CLAIM_TIMEOUT_SECONDS
         if (
-            wait_elapsed
+            (wait_elapsed or not owned_partition.granted_ever)
             and len(reachable) >= majority
             and reachable - owned_partition.granted_in_session
         ):
@@ -155,8 +156,9 @@
     - The other live entries have the agent in their roster, so that a takeover by one of them
       reads its ledger.
     - A majority of agents, all of which granted the epoch, has acknowledged a frame sent since the
-      incarnation was discovered, so that the epoch was not outdated then. This is not needed if
-      no agent ever granted the partition to this entry.
+      incarnation was discovered, so that the epoch was not outdated then.
+
+    A partition that was opened without agents is taken over again once there are some.
     """
     if not target.handshake_done:
         return
@@ -269,9 +271,6 @@
         return True
     if not _is_known_to_peers(dispatcher, target, now):
         return False
-    # No agent ever granted the partition to this entry: it can't have started anything.
-    if not owned_partition.granted_ever:
-        return True
     return find_validated_cycle(dispatcher, owned_partition) >= target.discovered_cycle
 
 
--- a/tests/test_starts_in_doubt.py
+++ b/tests/test_starts_in_doubt.py
@@ -94,3 +94,19 @@
         links.handle_refused_connection(state, "a0", tried_at, world.now)
         advance_world(world, 2.0)
         self.assertEqual(count_starts(world, job.key), 1)
+
+    # A partition opened without any agent was claimed at the first ones as if nothing had started.
+    def test_partition_opened_without_agents_is_taken_over_when_they_come(self):
+        self.world = world = World(entries=2, agents=0)
+        advance_world(world)
+        self.key = find_key(world, "e1")
+        self.separate_entries("a0", "a1", "a2")
+        advance_world(world)
+        for name in ("a0", "a1", "a2"):
+            world.start_agent(name)
+        advance_world(world)
+        job = self.start_job_at("a0")
+        self.join_agents("a1", "a2")
+        submit(world, "e2", job)
+        advance_world(world, 4.0)
+        self.assertEqual(count_starts(world, job.key), 1)
