A task whose start was refused after a handover is started by the next owner

What callers saw: a job of an entry that left, or was fenced, while its last start was under way could wait until its deadline and get 504 'the deadline passed', 'may have run', though its task never ran.

Cause: the former owner hands over the task as placed at the agent. The agent grants the next owner's claim before the start arrives, refuses the start to the former owner, which has the job no more; the next owner waited for the end of a task that nobody runs.

Fix: an agent that granted the present epoch refuses every start of earlier ones, so an attempt handed over that isn't in the ledger sent with the grant never ran and never will. Such attempts are dropped, from the jobs known when the ledger comes and from handovers that come after it; the task is pending. An attempt at another incarnation, or at an agent whose ledger isn't read, stays in doubt.

The test delays the former owner's frames to the agents in the simulated deployment.

--- a/src/comfreysill/dispatch/handovers.py
+++ b/src/comfreysill/dispatch/handovers.py
@@ -88,14 +88,15 @@
     highest = dispatcher.epoch_numbers.get(owned_partition.partition, 0)
     dispatcher.epoch_numbers[owned_partition.partition] = max(highest, handover.epoch.number)
     for handed_job in handover.jobs:
+        tasks = _list_delivered(owned_partition, handed_job)
         job = owned_partition.jobs.get(handed_job.key)
         if job is not None and job.submission.digest == handed_job.digest:
-            _merge_job(dispatcher, job, handed_job, now)
+            _merge_job(dispatcher, job, tasks, now)
             continue
         recovered = owned_partition.recovered.setdefault(
             handed_job.key, RecoveredJob(digest=handed_job.digest)
         )
-        for task in handed_job.tasks:
+        for task in tasks:
             merge_recovered_attempt(recovered, task.index, task.task)
     if not handover.last:
         return
@@ -105,8 +106,21 @@
     recheck_prior_runs(dispatcher, owned_partition, now)
 
 
-def _merge_job(dispatcher: Dispatcher, job: Job, handed_job: HandedJob, now: float) -> None:
-    for task in handed_job.tasks:
+def _list_delivered(owned_partition: OwnedPartition, handed_job: HandedJob) -> list[HandedTask]:
+    """Returns the tasks of a job without those placed at agents whose ledgers are read.
+
+    The ledger shows whether the start arrived; if it didn't, the agent refuses it.
+    """
+    return [
+        item
+        for item in handed_job.tasks
+        if item.task.outcome != Outcome.QUEUED
+        or f"{item.task.agent}|{item.task.incarnation}" not in owned_partition.read_ledgers
+    ]
+
+
+def _merge_job(dispatcher: Dispatcher, job: Job, tasks: list[HandedTask], now: float) -> None:
+    for task in tasks:
         restore_task(dispatcher, job, task.index, task.task, now)
     complete_and_answer(dispatcher, job, now)
 
--- a/src/comfreysill/dispatch/links.py
+++ b/src/comfreysill/dispatch/links.py
@@ -24,7 +24,7 @@
 from comfreysill.dispatch.state import Dispatcher, Fencing, count
 from comfreysill.job.job import TaskState
 from comfreysill.job.types import JobKey
-from comfreysill.partition.owned import OwnedPartition
+from comfreysill.partition.owned import OwnedPartition, drop_undelivered
 from comfreysill.target.frames import AgentFrame
 from comfreysill.target.messages import (
     AgentMessage,
@@ -238,8 +238,9 @@
 ) -> None:
     """Requeues tasks sent to the agent's current incarnation that aren't in its ledger.
 
-    Their start was lost with an earlier session.
+    Their start was lost with an earlier session, or is refused as one of an earlier owner.
     """
+    drop_undelivered(owned_partition, target.name, target.incarnation, recorded)
     for job in owned_partition.jobs.values():
         if job.answer is not None:
             continue
--- a/src/comfreysill/dispatch/ownership.py
+++ b/src/comfreysill/dispatch/ownership.py
@@ -96,6 +96,7 @@
     owned_partition.open = False
     owned_partition.majority_lost_at = 0.0
     owned_partition.granted_in_session.clear()
+    owned_partition.read_ledgers.clear()
     owned_partition.unread_ledgers = {STALE_ROSTER, *dispatcher.targets}
     dispatcher.takeovers_pending = True
     dispatcher.effects.append(ReadRoster())
@@ -205,6 +206,7 @@
         owned_partition.lost_at = max(owned_partition.lost_at, lost_at)
     owned_partition.granted_in_session.add(target.name)
     owned_partition.granted_ever.add(_format_incarnation(target))
+    owned_partition.read_ledgers.add(_format_incarnation(target))
     owned_partition.unread_ledgers.discard(target.name)
     if not owned_partition.open:
         _require_roster(dispatcher, owned_partition, now)
--- a/src/comfreysill/partition/owned.py
+++ b/src/comfreysill/partition/owned.py
@@ -69,6 +69,8 @@
         granted_in_session: Agents that granted the epoch in their open session.
         granted_ever: Agents that granted this or an earlier epoch of this entry in any session, as
             `<agent>|<incarnation>`.
+        read_ledgers: Agents that granted the present epoch and so sent their records, as
+            `<agent>|<incarnation>`.
         unread_ledgers: Agents whose ledgers may hold unread records of earlier owners; includes
             `STALE_ROSTER` while the roster of agents may be out of date.
         had_unread_ledgers: Whether `unread_ledgers` was non-empty at the last check.
@@ -95,6 +97,7 @@
         "handover_covers_from",
         "granted_in_session",
         "granted_ever",
+        "read_ledgers",
         "unread_ledgers",
         "had_unread_ledgers",
         "lost_at",
@@ -117,6 +120,7 @@
         self.handover_covers_from = 0.0
         self.granted_in_session: set[str] = set()
         self.granted_ever: set[str] = set()
+        self.read_ledgers: set[str] = set()
         self.unread_ledgers: set[str] = {STALE_ROSTER}
         self.had_unread_ledgers = False
         self.lost_at = 0.0
@@ -158,6 +162,28 @@
     known_attempts.append(attempt)
 
 
+def drop_undelivered(
+    owned_partition: OwnedPartition, agent: str, incarnation: str, recorded: set[tuple[JobKey, int]]
+) -> None:
+    """Drops handed-over attempts that were sent to an agent and aren't in its ledger.
+
+    Args:
+        owned_partition: A partition whose epoch the agent has granted: it refuses their starts.
+        agent: Name of the agent.
+        incarnation: Incarnation of its process.
+        recorded: Key and task index of each record in its ledger.
+    """
+    for key, recovered in owned_partition.recovered.items():
+        for index, attempts in recovered.tasks.items():
+            attempts[:] = [
+                attempt
+                for attempt in attempts
+                if attempt.outcome != Outcome.QUEUED
+                or (attempt.agent, attempt.incarnation) != (agent, incarnation)
+                or (key, index) in recorded
+            ]
+
+
 def is_handed_over(owned_partition: OwnedPartition) -> bool:
     """Returns whether the handover of the immediately preceding owner was received completely."""
     return (
--- a/tests/test_starts_in_doubt.py
+++ b/tests/test_starts_in_doubt.py
@@ -3,7 +3,7 @@
 import unittest
 
 from comfreysill.dispatch import links
-from tests.test_takeover import advance_world, count_starts, find_key, make_job, submit
+from tests.test_takeover import advance_world, count_starts, find_key, finish_all, make_job, submit
 from tests.world import World
 
 
@@ -110,3 +110,25 @@
         submit(world, "e2", job)
         advance_world(world, 4.0)
         self.assertEqual(count_starts(world, job.key), 1)
+
+
+class HandoverTest(unittest.TestCase):
+    """An entry leaves while its last orders are under way."""
+
+    # The next owner waited for a task whose start the agent refused to the former one.
+    def test_start_refused_after_the_handover_is_made_by_the_next_owner(self):
+        world = World(entries=2, agents=3)
+        advance_world(world)
+        job = make_job(world, find_key(world, "e1"))
+        world.delayed = {("e1", name) for name in world.agents}
+        caller = submit(world, "e2", job)
+        world.deliver_all()
+        world.leave_entry("e1")
+        advance_world(world)
+        self.assertEqual(count_starts(world, job.key), 1)
+        world.delayed.clear()
+        world.deliver_all()
+        self.assertEqual(count_starts(world, job.key), 1)
+        finish_all(world)
+        advance_world(world)
+        self.assertTrue(world.oracle.answers[caller].complete)
--- a/tests/world.py
+++ b/tests/world.py
@@ -106,6 +106,8 @@
         # Name of the entry that a caller submitted to, by caller number.
         self.submissions = {}
         self.blocked = set()
+        # Channels whose frames are under way until they are taken out of this set.
+        self.delayed = set()
         self.floor_version = 1
         self.seen_versions = {}
         for number in range(agents):
@@ -252,7 +254,7 @@
 
     def deliver_all(self):
         for _ in range(400):
-            nonempty = [c for c, queue in self.channels.items() if queue]
+            nonempty = [c for c, queue in self.channels.items() if queue and c not in self.delayed]
             if not nonempty:
                 return
             for channel in nonempty:
@@ -262,6 +264,7 @@
         """Ends all faults and advances the time while every started task runs to completion."""
         self.store_up = True
         self.blocked.clear()
+        self.delayed.clear()
         self.end_unregistered_agents()
         for name in list(self.entries):
             if self.entries[name].frozen:
