Forget a queued attempt of a former owner's job once its agent refuses it

What callers saw: a job sent again after its owner had ended could wait until its deadline and get 504 'the deadline passed', 'may have run', for a task that its agent had refused.

Cause: the next owner read from the ledger that the task was queued. The agent then drained (or its runner refused the task) and told the owner, which dropped the refusal, as the job hadn't been submitted again yet. With the submission the task was restored as placed at that agent, whose end never came.

Fix: a refusal drops the attempt, by agent, incarnation and number, from the jobs recovered of former owners.

--- a/src/comfreysill/dispatch/jobs.py
+++ b/src/comfreysill/dispatch/jobs.py
@@ -140,6 +140,7 @@
         count(dispatcher, "targets_ejected")
     job = find_job(dispatcher, refused.key)
     if job is None:
+        _drop_recovered_attempts(dispatcher, target, refused)
         return
     for index, attempt in refused.attempts:
         if _is_placed_at(job, target, index, attempt):
@@ -272,6 +273,21 @@
             task.payload = done.payload
 
 
+def _drop_recovered_attempts(dispatcher: Dispatcher, target: Target, refused: Refused) -> None:
+    owned_partition = dispatcher.owned_partitions.get(find_partition(refused.key))
+    recovered = owned_partition.recovered.get(refused.key) if owned_partition is not None else None
+    if recovered is None:
+        return
+    process = (target.name, target.incarnation)
+    for index, number in refused.attempts:
+        attempts = recovered.tasks.get(index, [])
+        attempts[:] = [
+            attempt
+            for attempt in attempts
+            if (attempt.agent, attempt.incarnation) != process or attempt.attempt != number
+        ]
+
+
 def _handle_superseded_result(dispatcher: Dispatcher, job: Job, done: TaskDone, now: float) -> None:
     count(dispatcher, "results_unawaited")
     if job.answer is not None or done.outcome != Outcome.DONE:
--- a/tests/test_starts_in_doubt.py
+++ b/tests/test_starts_in_doubt.py
@@ -132,3 +132,21 @@
         finish_all(world)
         advance_world(world)
         self.assertTrue(world.oracle.answers[caller].complete)
+
+    # A record of a queued task, read from a ledger, stayed after its agent had refused the task.
+    def test_task_refused_before_its_job_is_submitted_again_is_started(self):
+        world = World(entries=2, agents=2)
+        advance_world(world)
+        job = make_job(world, find_key(world, "e1"), size=6, task_class=2)
+        submit(world, "e1", job)
+        world.deliver_all()
+        self.assertTrue(all(agent.ledger.queued for agent in world.agents.values()))
+        world.kill_entry("e1")
+        advance_world(world)
+        world.drain("a0")
+        world.deliver_all()
+        caller = submit(world, "e2", job)
+        for _ in range(8):
+            advance_world(world, 0.5)
+            finish_all(world)
+        self.assertTrue(world.oracle.answers[caller].complete)
