Simulated job API: calls that a runner refuses, channels that are delayed, starts after 'not run'

The oracle counts a call to a runner as a start from the moment it is made, also after its agent has ended. So a call without an answer that is carried out later, at a later start of the runner too, can't be missed; this is now said where it is decided. It couldn't represent a runner's refusal, which takes the call back, nor did it notice a start after all callers of the job had been told that it didn't run. Both are added, and the fuzzer refuses calls and delays whole channels besides. An entry can be cut off from the table alone.

--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -110,6 +110,25 @@
         if name is not None:
             self.world.finish(name, position, Outcome(outcome))
 
+    @rule(agent=indexes, position=indexes)
+    def refuse_call(self, agent, position):
+        """A runner answers that it won't run a task."""
+        nonempty = [name for name, a in self.world.agents.items() if a.running]
+        name = self.choose(nonempty, agent)
+        if name is not None:
+            self.world.refuse_call(name, position)
+
+    @rule(channel=indexes)
+    def delay_channel(self, channel):
+        """Frames of a channel stay under way until `end_delays`; single ones are delivered."""
+        chosen = self.choose(self.world.channels, channel)
+        if chosen is not None:
+            self.world.delayed.add(chosen)
+
+    @rule()
+    def end_delays(self):
+        self.world.delayed.clear()
+
     @rule(seconds=st.sampled_from([0.05, 0.3, 1.0, 2.5, 6.0]))
     def advance(self, seconds):
         self.world.advance(seconds)
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -5,7 +5,6 @@
 from comfreysill.dispatch.ownership import find_assigned_entry
 from comfreysill.job.types import Verdict
 from comfreysill.partition.hashing import find_partition
-from comfreysill.target import results
 from comfreysill.target.messages import Outcome
 from tests.world import World, build_submission, make_key
 
@@ -349,10 +348,8 @@
         caller = submit(self.world, "e1", job)
         self.world.deliver_all()
         running_agent = next(name for name, agent in self.world.agents.items() if agent.running)
-        agent = self.world.agents[running_agent]
-        self.world.oracle.starts.clear()
-        results.reject_record(agent.ledger, agent.running.pop(), self.world.now)
-        self.world._collect(agent)
+        self.world.refuse_call(running_agent, 0)
+        self.assertEqual(count_starts(self.world, job.key), 0)
         self.world.deliver_all()
         finish_all(self.world)
         advance_world(self.world, 1.0)
--- a/tests/world.py
+++ b/tests/world.py
@@ -33,7 +33,12 @@
 
 
 class Oracle:
-    """Records the starts of each task and checks the answer to each caller against them."""
+    """Records the starts of each task and checks the answer to each caller against them.
+
+    A call to a runner counts as a start from the moment it is made until the runner refuses it,
+    also after its agent has ended: without an answer, it may be carried out at any later time, by
+    the same process of the runner or a later one.
+    """
 
     def __init__(self):
         self.starts = {}
@@ -46,11 +51,26 @@
         self.starts[key, index] = self.starts.get((key, index), 0) + 1
         if not idempotent:
             self.non_idempotent.add((key, index))
+        assert not self.is_told_not_run(key), f"{key} starts after all answers said it did not"
         count = self.starts[key, index]
         assert count == 1 or (key, index) not in self.non_idempotent, (
             f"{key} task {index} started twice"
         )
 
+    def record_refusal(self, key, index):
+        """The runner refused a call: it certainly doesn't run the task."""
+        self.starts[key, index] -= 1
+        if not self.starts[key, index]:
+            del self.starts[key, index]
+
+    def is_told_not_run(self, key):
+        """Whether all submissions of a job are answered, each as not run."""
+        callers = [caller for caller, (known, _) in self.callers.items() if known == key]
+        answers = [self.answers.get(caller) for caller in callers]
+        return bool(answers) and all(
+            answer is not None and answer.verdict == Verdict.NOT_RUN for answer in answers
+        )
+
     def record_answer(self, caller, answer):
         key, size = self.callers[caller]
         assert caller not in self.answers, f"caller {caller} was answered twice"
@@ -76,6 +96,7 @@
         self.sessions = {}
         self.peer_links = set()
         self.roster_read_at = 0.0
+        self.reaches_table = True
 
 
 class Agent:
@@ -209,6 +230,10 @@
         else:
             self.cut_agent_link(entry_name, name)
 
+    def cut_off_table(self, entry_name):
+        """Lets every call of one entry to the store fail; the others still reach it."""
+        self.entries[entry_name].reaches_table = False
+
     def cut_peer_link(self, sender, receiver):
         entry = self.entries.get(sender)
         self.channels.pop((sender, receiver), None)
@@ -226,6 +251,16 @@
         results.finish_record(agent.ledger, record, outcome, payload, 0.1, now)
         self._collect(agent)
 
+    def refuse_call(self, agent_name, position):
+        """A runner refuses to run a task that its agent passed to it."""
+        agent = self.agents[agent_name]
+        if not agent.running:
+            return
+        record = agent.running.pop(position % len(agent.running))
+        self.oracle.record_refusal(record.batch.key, record.task.index)
+        results.reject_record(agent.ledger, record, self.now + agent.skew)
+        self._collect(agent)
+
     def drain(self, agent_name):
         ledgers.drain(self.agents[agent_name].ledger)
         self._collect(self.agents[agent_name], to_all_entries=True)
@@ -299,7 +334,8 @@
 
     def _tick(self, entry):
         now = self._clock(entry)
-        if f"entry/{entry.name}" not in self.rows and not entry.state.leaving:
+        registered = f"entry/{entry.name}" in self.rows
+        if entry.reaches_table and not registered and not entry.state.leaving:
             self._register(f"entry/{entry.name}", entry.name)
         if now - entry.roster_read_at >= 1.0:
             self._read_roster(entry)
@@ -322,9 +358,10 @@
                     if effect.entry in entry.peer_links:
                         self._post((entry.name, effect.entry), effect.frame)
                 elif isinstance(effect, MarkLedgerLost):
-                    self._mark_lost(effect)
+                    if entry.reaches_table:
+                        self._mark_lost(effect)
                 elif isinstance(effect, RemoveEntry):
-                    if self.store_up:
+                    if self.store_up and entry.reaches_table:
                         self.rows.pop(f"entry/{effect.name}", None)
                 elif isinstance(effect, AdoptFloorUpdate):
                     floor = build_test_floor(effect.update.version)
@@ -341,7 +378,7 @@
     def _read_roster(self, entry):
         now = self._clock(entry)
         entry.roster_read_at = now
-        if not self.store_up:
+        if not self.store_up or not entry.reaches_table:
             entry.state.roster_failed_at = now
             return
         self._read_floor(entry)
