A frame of an entry whose connection was refused shows that it lives

What callers saw: after one refused connection between two entries that both live (a cut that refuses), answers were held up each second, for as long as the processes lived.

Cause: a refused connection marks the other entry's process as ended, for good. Both then claimed the same partitions and fenced each other; the back-off of 1 s against that is left out for an owner that has ended.

Fix: a frame that arrives later takes the mark back. A last frame of a process that did end costs no more than the 2 s after which a silent entry counts as ended, mostly 0.2 s, until the next connection is refused.

--- a/src/comfreysill/dispatch/core.py
+++ b/src/comfreysill/dispatch/core.py
@@ -99,7 +99,10 @@
 
 
 def handle_refused_peer(dispatcher: Dispatcher, name: str, now: float) -> None:
-    """Treats a refused connection as proof that another entry's process has ended."""
+    """Treats a refused connection as proof that another entry's process has ended.
+
+    A later frame of it proves the contrary.
+    """
     peer = dispatcher.peers.get(name)
     if peer is not None and not peer.dead:
         peer.dead = True
@@ -127,6 +130,7 @@
         unassign_from_entry(dispatcher, frame.entry, now)
     peer.last_received_session = frame.session
     peer.last_received_at = now
+    peer.dead = False
     peer.leaving = frame.leaving
     peer.floor_version = frame.floor_version
     peer.roster_revision = frame.roster_revision
--- a/src/comfreysill/dispatch/state.py
+++ b/src/comfreysill/dispatch/state.py
@@ -47,7 +47,8 @@
         name: Name of the entry and id of the run of its process, `<name>@<id>`.
         added_at: Unix time in seconds at which this entry learned of it.
         connected: True while this entry's session to it is open.
-        dead: True once a refused connection proved that its process has ended.
+        dead: True once a refused connection proved that its process has ended, until a frame of it
+            arrives.
         session: Number of this entry's newest session to it, 0 before the first.
         last_received_session: Number of its newest session to this entry that delivered a frame, 0
             before the first.
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -232,6 +232,18 @@
         advance_world(world, 3.0)
         self.assertTrue(world.oracle.answers[caller].complete)
 
+    # One refused connection let two living entries take partitions from each other for ever.
+    def test_entry_that_sends_frames_after_a_refused_connection_is_alive(self):
+        world = self.world
+        states = [world.entries[name].state for name in ("e1", "e2")]
+        owned = [set(state.owned_partitions) for state in states]
+        core.handle_refused_peer(states[1], "e1", world.now)
+        advance_world(world)
+        self.assertEqual([set(state.owned_partitions) for state in states], owned)
+        takeovers = [state.counters["takeovers"] for state in states]
+        advance_world(world, 5.0)
+        self.assertEqual([state.counters["takeovers"] for state in states], takeovers)
+
     def test_graceful_leave_hands_over_jobs_without_restarting_tasks(self):
         world = self.world
         self.occupy_all_slots()
