End the session with an agent once it is registered at another address

What callers saw: nothing yet; found by reading. If an agent is started at another address while its former process runs on (up to 10 s, until that reads that it was replaced), entries kept their session with the former one and started tasks there. An entry that took over then read the ledger of the registered process alone, and a repeated submission issued after its registration counted as certainly new: a second start.

Cause: a change of the address was only used for the next session.

Fix: the asyncio task of the link is restarted when the address changes. It waits for the end of the former session first, so that no frame goes to the wrong process; the incarnation of the next frame gives up what was placed at the former one. Cost: none where the former process has ended, as its session has.

What remains: up to 1 s, the interval of reading the roster, which the margin of 1 s on times of issue covers but for the time of the read.

--- a/src/comfreysill/entry/actor.py
+++ b/src/comfreysill/entry/actor.py
@@ -42,7 +42,13 @@
 from comfreysill.dispatch.routing import submit_job
 from comfreysill.dispatch.state import Dispatcher
 from comfreysill.dispatch.submissions import drop_caller
-from comfreysill.entry.links import AgentLink, PeerLink, run_agent_link, run_peer_link
+from comfreysill.entry.links import (
+    AgentLink,
+    PeerLink,
+    restart_agent_link,
+    run_agent_link,
+    run_peer_link,
+)
 from comfreysill.entry.messages import (
     AgentConnected,
     AgentConnectionRefused,
@@ -246,11 +252,16 @@
             actor.link_tasks[f"entry {name}"] = asyncio.create_task(run_peer_link(link))
     for name, registration in agents.items():
         link = actor.agent_links.get(name)
+        address = Address(host=registration.host, port=registration.port)
         if link is None:
-            address = Address(host=registration.host, port=registration.port)
             link = AgentLink(agent=name, address=address, inbox=actor.inbox)
             actor.agent_links[name] = link
             actor.link_tasks[f"agent {name}"] = asyncio.create_task(run_agent_link(link))
-        # An agent keeps its name when its process is replaced, an entry doesn't: only the address
-        # of an agent can change.
-        link.address = Address(host=registration.host, port=registration.port)
+        elif str(link.address) != str(address):
+            # An agent keeps its name when its process is replaced, an entry doesn't: only the
+            # address of an agent can change. The process at the former one may still run.
+            link.address = address
+            former_task = actor.link_tasks[f"agent {name}"]
+            actor.link_tasks[f"agent {name}"] = asyncio.create_task(
+                restart_agent_link(link, former_task)
+            )
--- a/src/comfreysill/entry/links.py
+++ b/src/comfreysill/entry/links.py
@@ -90,6 +90,13 @@
         await asyncio.sleep(RECONNECT_DELAY_SECONDS)
 
 
+async def restart_agent_link(link: AgentLink, former_task: asyncio.Task) -> None:
+    """Ends the session that an asyncio task serves, and opens one at the link's present address."""
+    former_task.cancel()
+    await asyncio.wait({former_task})
+    await run_agent_link(link)
+
+
 async def _serve_agent_link(link: AgentLink, channel: Channel) -> None:
     async with asyncio.timeout(CONNECT_TIMEOUT_SECONDS):
         await channel.__connect__()
--- a/src/comfreysill/entry/program.py
+++ b/src/comfreysill/entry/program.py
@@ -75,8 +75,7 @@
     await await_stop(stop, [http_task, *tasks])
     actor.inbox.post(Shutdown())
     await _await_callers(actor, settings.shutdown_seconds)
-    # Other entries drop answers to an entry that isn't registered: it stays so until the server,
-    # which takes jobs up to here, has answered them.
+    # Other entries drop answers to one that isn't registered, and the server takes jobs up to here.
     await stop_http(http, http_task)
     await _remove_registration(store, name)
     for task in tasks:
