Number sessions to other entries on after one was removed and came back

What callers saw: after an entry had been unreachable to another for 30 s and came back, both took half of the partitions from each other each second, for 30 s and more; answers were held up, some jobs got none in 9 s.

Cause: the entry that had removed the other from its peers numbered its sessions to it from 1 again. The other one remembered a higher number and dropped all frames as those of an older session, so that it took a living entry for ended.

Fix: sessions are numbered over all peers of an entry's process, so that a later one always has a higher number.

--- a/src/comfreysill/dispatch/core.py
+++ b/src/comfreysill/dispatch/core.py
@@ -83,7 +83,8 @@
     peer = dispatcher.peers.get(name)
     if peer is not None:
         peer.connected = True
-        peer.session += 1
+        dispatcher.last_peer_session += 1
+        peer.session = dispatcher.last_peer_session
         peer.floor_sent = 0
         peer.last_sent_at = 0.0
 
--- a/src/comfreysill/dispatch/state.py
+++ b/src/comfreysill/dispatch/state.py
@@ -159,6 +159,8 @@
         place: Placement policy.
         targets: Targets by agent name.
         peers: Other entries by name.
+        last_peer_session: Number of the newest session to any other entry, 0 before the first. An
+            entry that is removed and comes back gets higher numbers than before.
         owned_partitions: Partitions that this entry claims or owns.
         epoch_numbers: Highest epoch number seen for each partition.
         fenced: Latest loss of each partition to another owner.
@@ -202,6 +204,7 @@
         "place",
         "targets",
         "peers",
+        "last_peer_session",
         "owned_partitions",
         "epoch_numbers",
         "fenced",
@@ -259,7 +262,7 @@
         self.unvalidated_answers: list[UnvalidatedAnswer] = []
         self.handovers: dict[int, list[Handover]] = {}
         self.roster_read_at = self.roster_failed_at = 0.0
-        self.roster_revision = 0
+        self.roster_revision = self.last_peer_session = 0
         self.ledgers_lost_at = 0.0
         self.leaving = False
         self.floor = NO_FLOOR
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -232,6 +232,22 @@
         advance_world(world, 3.0)
         self.assertTrue(world.oracle.answers[caller].complete)
 
+    # Sessions to an entry that was removed and came back began anew: its frames counted as stale.
+    def test_entry_that_was_removed_and_came_back_is_heard(self):
+        world = self.world
+        world.cut_peer_link("e1", "e2")
+        advance_world(world)
+        world.freeze("e2")
+        advance_world(world, 40.0)
+        states = [entry.state for entry in world.entries.values()]
+        self.assertNotIn("e2", states[0].peers)
+        world.thaw("e2")
+        advance_world(world)
+        self.assertLess(world.now - states[1].peers["e1"].last_received_at, 1.0)
+        takeovers = [state.counters["takeovers"] for state in states]
+        advance_world(world, 5.0)
+        self.assertEqual([state.counters["takeovers"] for state in states], takeovers)
+
     # One refused connection let two living entries take partitions from each other for ever.
     def test_entry_that_sends_frames_after_a_refused_connection_is_alive(self):
         world = self.world
