--- a/src/comfreysill/dispatch/links.py
+++ b/src/comfreysill/dispatch/links.py
@@ -24,7 +24,7 @@
 from comfreysill.dispatch.state import Dispatcher, Fencing, count
 from comfreysill.job.job import TaskState
 from comfreysill.job.types import JobKey
-from comfreysill.partition.owned import OwnedPartition
+from comfreysill.partition.owned import OwnedPartition, drop_undelivered
 from comfreysill.target.frames import AgentFrame
 from comfreysill.target.messages import (
     AgentMessage,
@@ -75,6 +75,8 @@
             target = Target(registration=registration, now=now, cycle=dispatcher.cycle)
             dispatcher.targets[name] = target
             count(dispatcher, "targets_added")
+        if target.registration.incarnation != registration.incarnation:
+            target.registration_known_at = now
         target.registration = registration
     if revision > dispatcher.roster_revision:
         dispatcher.takeovers_pending = True
@@ -228,7 +230,7 @@
         if owned_partition is not None and claim.epoch != owned_partition.epoch:
             owned_partition.former_epoch = max(owned_partition.former_epoch, claim.epoch)
     for owned_partition in granted.values():
-        record_grant(owned_partition, target, message.lost_at)
+        record_grant(dispatcher, owned_partition, target, message.lost_at, now)
 
 
 def _requeue_undelivered(
@@ -236,8 +238,9 @@
 ) -> None:
     """Requeues tasks sent to the agent's current incarnation that aren't in its ledger.
 
-    Their start was lost with an earlier session.
+    Their start was lost with an earlier session, or is refused as one of an earlier owner.
     """
+    drop_undelivered(owned_partition, target.name, target.incarnation, recorded)
     for job in owned_partition.jobs.values():
         if job.answer is not None:
             continue
@@ -255,7 +258,8 @@
     """Treats a refused connection as proof that an agent's process has ended.
 
     The ledger is lost with the process: attempts at the agent are abandoned, and takeovers don't
-    wait for the ledger.
+    wait for the ledger. A connection tried before this entry learned of the registered incarnation
+    proves nothing, as it may have been refused by the address of an earlier one.
 
     Args:
         dispatcher: The entry.
@@ -266,6 +270,9 @@
     target = dispatcher.targets.get(agent)
     if target is None or target.connected:
         return
+    if tried_at < target.registration_known_at:
+        count(dispatcher, "refusals_stale")
+        return
     if target.incarnation:
         count(dispatcher, "agents_refused")
         target.incarnation = ""
--- a/src/comfreysill/dispatch/ownership.py
+++ b/src/comfreysill/dispatch/ownership.py
@@ -92,9 +92,11 @@
     number = dispatcher.epoch_numbers.get(owned_partition.partition, 0) + 1
     dispatcher.epoch_numbers[owned_partition.partition] = number
     owned_partition.epoch = Epoch(number=number, owner=dispatcher.name)
-    owned_partition.claimed_at = now
+    owned_partition.claimed_at = owned_partition.roster_needed_since = now
     owned_partition.open = False
+    owned_partition.majority_lost_at = 0.0
     owned_partition.granted_in_session.clear()
+    owned_partition.read_ledgers.clear()
     owned_partition.unread_ledgers = {STALE_ROSTER, *dispatcher.targets}
     dispatcher.takeovers_pending = True
     dispatcher.effects.append(ReadRoster())
@@ -104,7 +106,9 @@
 def renew_takeovers(dispatcher: Dispatcher, now: float) -> bool:
     """Restarts the takeover of open partitions that no majority has granted in open sessions.
 
-    This happens when most agents were replaced: the fences that protected the epoch are lost.
+    This happens when most agents were replaced, since the fences that protected the epoch are lost,
+    and when a partition was opened without agents, since another entry may have used them first.
+    An agent that left is among the targets until the next read of the roster, which is done first.
 
     Returns:
         True if a takeover began.
@@ -113,11 +117,11 @@
     reachable = {target.name for target in dispatcher.targets.values() if target.handshake_done}
     began = False
     for owned_partition in dispatcher.owned_partitions.values():
-        if not owned_partition.open or len(owned_partition.granted_in_session) >= majority:
+        if not owned_partition.open or not _is_majority_lost(dispatcher, owned_partition, now):
             continue
         wait_elapsed = now - owned_partition.claimed_at >= 2 * CLAIM_TIMEOUT_SECONDS
         if (
-            wait_elapsed
+            (wait_elapsed or not owned_partition.granted_ever)
             and len(reachable) >= majority
             and reachable - owned_partition.granted_in_session
         ):
@@ -126,6 +130,18 @@
     return began
 
 
+def _is_majority_lost(dispatcher: Dispatcher, owned_partition: OwnedPartition, now: float) -> bool:
+    """Returns whether no majority has granted, by a roster read after that was first found."""
+    if _is_granted_by_majority(dispatcher, owned_partition):
+        owned_partition.majority_lost_at = 0.0
+        return False
+    if not owned_partition.majority_lost_at:
+        owned_partition.majority_lost_at = now
+        dispatcher.effects.append(ReadRoster())
+        return False
+    return _find_roster_tried_at(dispatcher) >= owned_partition.majority_lost_at
+
+
 def claim_at_all_agents(dispatcher: Dispatcher, now: float) -> None:
     """Claims the partitions at each agent that hasn't granted them."""
     for target in dispatcher.targets.values():
@@ -141,8 +157,9 @@
     - The other live entries have the agent in their roster, so that a takeover by one of them
       reads its ledger.
     - A majority of agents, all of which granted the epoch, has acknowledged a frame sent since the
-      incarnation was discovered, so that the epoch was not outdated then. This is not needed if
-      no agent ever granted the partition to this entry.
+      incarnation was discovered, so that the epoch was not outdated then.
+
+    A partition that was opened without agents is taken over again once there are some.
     """
     if not target.handshake_done:
         return
@@ -166,14 +183,22 @@
         target.outbox.append(Claim(claims=tuple(claims)))
 
 
-def record_grant(owned_partition: OwnedPartition, target: Target, lost_at: float) -> None:
+def record_grant(
+    dispatcher: Dispatcher,
+    owned_partition: OwnedPartition,
+    target: Target,
+    lost_at: float,
+    now: float,
+) -> None:
     """Records that an agent granted the epoch of a partition and sent its ledger records.
 
     Args:
+        dispatcher: The entry.
         owned_partition: The partition.
         target: The target whose agent granted the epoch.
         lost_at: Unix time in seconds at which the ledger of an earlier incarnation of the agent
             was lost, 0 for never.
+        now: Unix time in seconds.
     """
     # Once the partition is open, the loss matters only if that ledger had not been read: the jobs
     # in the others are known.
@@ -181,7 +206,23 @@
         owned_partition.lost_at = max(owned_partition.lost_at, lost_at)
     owned_partition.granted_in_session.add(target.name)
     owned_partition.granted_ever.add(_format_incarnation(target))
+    owned_partition.read_ledgers.add(_format_incarnation(target))
     owned_partition.unread_ledgers.discard(target.name)
+    if not owned_partition.open:
+        _require_roster(dispatcher, owned_partition, now)
+
+
+def _require_roster(dispatcher: Dispatcher, owned_partition: OwnedPartition, now: float) -> None:
+    """Requests a read of the roster once a majority of agents has granted the epoch.
+
+    Until then an earlier owner may claim and use agents that registered during the takeover.
+    """
+    required = owned_partition.roster_needed_since > owned_partition.claimed_at
+    if required or not _is_granted_by_majority(dispatcher, owned_partition):
+        return
+    owned_partition.roster_needed_since = now
+    owned_partition.unread_ledgers.add(STALE_ROSTER)
+    dispatcher.effects.append(ReadRoster())
 
 
 def open_partitions(dispatcher: Dispatcher, now: float) -> list[OwnedPartition]:
@@ -232,9 +273,6 @@
         return True
     if not _is_known_to_peers(dispatcher, target, now):
         return False
-    # No agent ever granted the partition to this entry: it can't have started anything.
-    if not owned_partition.granted_ever:
-        return True
     return find_validated_cycle(dispatcher, owned_partition) >= target.discovered_cycle
 
 
@@ -254,8 +292,14 @@
         return True
     if not wait_elapsed:
         return False
-    if not dispatcher.targets:
-        return False
+    return _is_granted_by_majority(dispatcher, owned_partition)
+
+
+def _find_roster_tried_at(dispatcher: Dispatcher) -> float:
+    return max(dispatcher.roster_read_at, dispatcher.roster_failed_at)
+
+
+def _is_granted_by_majority(dispatcher: Dispatcher, owned_partition: OwnedPartition) -> bool:
     return len(owned_partition.granted_in_session) >= len(dispatcher.targets) // 2 + 1
 
 
@@ -271,16 +315,20 @@
 def _replace_roster_marker(dispatcher: Dispatcher, owned_partition: OwnedPartition) -> None:
     """Replaces `STALE_ROSTER` by the agents that haven't granted the epoch.
 
-    This needs a read of the roster that began after the takeover. If it fails, the takeover goes on
-    with the agents that are known.
+    This needs a read of the roster that began at `roster_needed_since` or later. If it fails, the
+    takeover goes on with the agents that are known.
     """
-    tried_at = max(dispatcher.roster_read_at, dispatcher.roster_failed_at)
-    if STALE_ROSTER not in owned_partition.unread_ledgers or tried_at < owned_partition.claimed_at:
+    if STALE_ROSTER not in owned_partition.unread_ledgers:
+        return
+    if _find_roster_tried_at(dispatcher) < owned_partition.roster_needed_since:
         return
     owned_partition.unread_ledgers.discard(STALE_ROSTER)
     owned_partition.unread_ledgers.update(
         set(dispatcher.targets) - owned_partition.granted_in_session
     )
+    if not _is_granted_by_majority(dispatcher, owned_partition):
+        # No majority yet, or none any more as the roster has grown.
+        owned_partition.roster_needed_since = owned_partition.claimed_at
 
 
 def _format_incarnation(target: Target) -> str:
--- a/src/comfreysill/partition/owned.py
+++ b/src/comfreysill/partition/owned.py
@@ -54,6 +54,11 @@
         partition: Number of the partition.
         epoch: Epoch under which this entry claims it.
         claimed_at: Unix time in seconds at which the takeover began.
+        roster_needed_since: Unix time in seconds from which a read of the roster shows all agents
+            that earlier owners can have used: when a majority of agents had granted the epoch;
+            until then `claimed_at`.
+        majority_lost_at: Unix time in seconds at which no majority of agents was found to have
+            granted the open partition in their open sessions; 0 while one has, and before a check.
         open: True while tasks may be started, False during a takeover.
         former_epoch: Highest epoch that agents had in force before the takeover, `NO_EPOCH` for
             none.
@@ -64,6 +69,8 @@
         granted_in_session: Agents that granted the epoch in their open session.
         granted_ever: Agents that granted this or an earlier epoch of this entry in any session, as
             `<agent>|<incarnation>`.
+        read_ledgers: Agents that granted the present epoch and so sent their records, as
+            `<agent>|<incarnation>`.
         unread_ledgers: Agents whose ledgers may hold unread records of earlier owners; includes
             `STALE_ROSTER` while the roster of agents may be out of date.
         had_unread_ledgers: Whether `unread_ledgers` was non-empty at the last check.
@@ -82,12 +89,15 @@
         "partition",
         "epoch",
         "claimed_at",
+        "roster_needed_since",
+        "majority_lost_at",
         "open",
         "former_epoch",
         "handover_epoch",
         "handover_covers_from",
         "granted_in_session",
         "granted_ever",
+        "read_ledgers",
         "unread_ledgers",
         "had_unread_ledgers",
         "lost_at",
@@ -102,12 +112,15 @@
         self.partition = partition
         self.epoch: Epoch = NO_EPOCH
         self.claimed_at = claimed_at
+        self.roster_needed_since = claimed_at
+        self.majority_lost_at = 0.0
         self.open = False
         self.former_epoch: Epoch = NO_EPOCH
         self.handover_epoch: Epoch = NO_EPOCH
         self.handover_covers_from = 0.0
         self.granted_in_session: set[str] = set()
         self.granted_ever: set[str] = set()
+        self.read_ledgers: set[str] = set()
         self.unread_ledgers: set[str] = {STALE_ROSTER}
         self.had_unread_ledgers = False
         self.lost_at = 0.0
@@ -149,6 +162,28 @@
     known_attempts.append(attempt)
 
 
+def drop_undelivered(
+    owned_partition: OwnedPartition, agent: str, incarnation: str, recorded: set[tuple[JobKey, int]]
+) -> None:
+    """Drops handed-over attempts that were sent to an agent and aren't in its ledger.
+
+    Args:
+        owned_partition: A partition whose epoch the agent has granted: it refuses their starts.
+        agent: Name of the agent.
+        incarnation: Incarnation of its process.
+        recorded: Key and task index of each record in its ledger.
+    """
+    for key, recovered in owned_partition.recovered.items():
+        for index, attempts in recovered.tasks.items():
+            attempts[:] = [
+                attempt
+                for attempt in attempts
+                if attempt.outcome != Outcome.QUEUED
+                or (attempt.agent, attempt.incarnation) != (agent, incarnation)
+                or (key, index) in recorded
+            ]
+
+
 def is_handed_over(owned_partition: OwnedPartition) -> bool:
     """Returns whether the handover of the immediately preceding owner was received completely."""
     return (
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -1,9 +1,10 @@
 import unittest
 
+from comfreysill.dispatch import core
+from comfreysill.dispatch.messages import MarkLedgerLost
 from comfreysill.dispatch.ownership import find_assigned_entry
 from comfreysill.job.types import Verdict
 from comfreysill.partition.hashing import find_partition
-from comfreysill.target import results
 from comfreysill.target.messages import Outcome
 from tests.world import World, build_submission, make_key
 
@@ -42,6 +43,13 @@
     return world.next_caller
 
 
+def leave_agent(world, name):
+    """Ends an agent that runs nothing gracefully: it marks its ledger as lost before."""
+    incarnation = world.agents[name].ledger.incarnation
+    world._mark_lost(MarkLedgerLost(agent=name, incarnation=incarnation, lost_at=world.now))
+    world.kill_agent(name)
+
+
 def finish_all(world, outcome=Outcome.DONE):
     for name, agent in world.agents.items():
         while agent.running:
@@ -204,6 +212,54 @@
             finish_all(world)
         self.assertTrue(world.oracle.answers[caller].complete)
 
+    # A roster read before the registration of an entry that had sent a job removed it as a peer.
+    def test_answer_reaches_an_entry_that_the_roster_of_before_does_not_show(self):
+        world = self.world
+        read_at = world.now
+        world.now += 0.1
+        world.start_entry(0.0)
+        world._tick(world.entries["e3"])
+        world.store_up = False
+        job = make_job(world, find_key(world, "e1"))
+        caller = submit(world, "e3", job)
+        world.deliver_all()
+        self.assertEqual(count_starts(world, job.key), 1)
+        self.assertNotIn("e3", world.entries["e1"].peer_links)
+        core.update_peers(world.entries["e1"].state, ["e1", "e2"], read_at, world.now)
+        finish_all(world)
+        world.deliver_all()
+        world.store_up = True
+        advance_world(world, 3.0)
+        self.assertTrue(world.oracle.answers[caller].complete)
+
+    # Sessions to an entry that was removed and came back began anew: its frames counted as stale.
+    def test_entry_that_was_removed_and_came_back_is_heard(self):
+        world = self.world
+        world.cut_peer_link("e1", "e2")
+        advance_world(world)
+        world.freeze("e2")
+        advance_world(world, 40.0)
+        states = [entry.state for entry in world.entries.values()]
+        self.assertNotIn("e2", states[0].peers)
+        world.thaw("e2")
+        advance_world(world)
+        self.assertLess(world.now - states[1].peers["e1"].last_received_at, 1.0)
+        takeovers = [state.counters["takeovers"] for state in states]
+        advance_world(world, 5.0)
+        self.assertEqual([state.counters["takeovers"] for state in states], takeovers)
+
+    # One refused connection let two living entries take partitions from each other for ever.
+    def test_entry_that_sends_frames_after_a_refused_connection_is_alive(self):
+        world = self.world
+        states = [world.entries[name].state for name in ("e1", "e2")]
+        owned = [set(state.owned_partitions) for state in states]
+        core.handle_refused_peer(states[1], "e1", world.now)
+        advance_world(world)
+        self.assertEqual([set(state.owned_partitions) for state in states], owned)
+        takeovers = [state.counters["takeovers"] for state in states]
+        advance_world(world, 5.0)
+        self.assertEqual([state.counters["takeovers"] for state in states], takeovers)
+
     def test_graceful_leave_hands_over_jobs_without_restarting_tasks(self):
         world = self.world
         self.occupy_all_slots()
@@ -217,6 +273,31 @@
         self.assertTrue(world.oracle.answers[caller].complete)
         self.assertEqual(count_starts(world, job.key), 2)
 
+    # An owner took its partitions over again for a majority of agents that were there before.
+    def test_graceful_replacement_of_one_agent_after_another_fails_no_job(self):
+        world = World(entries=2, agents=4)
+        advance_world(world)
+        leave_agent(world, "a0")
+        advance_world(world)
+        world.start_agent("a0")
+        # The other entry reads the roster up to its interval of 1 s later.
+        world.entries["e2"].roster_read_at = world.now + 0.9
+        state = world.entries["e1"].state
+        while "a0" not in state.targets or not state.targets["a0"].handshake_done:
+            world.advance(0.05)
+            world.deliver_all()
+        key = find_key(world, "e1")
+        partition = state.owned_partitions[find_partition(key)]
+        self.assertNotIn("a0", partition.granted_in_session)
+        leave_agent(world, "a2")
+        advance_world(world, 0.5)
+        caller = submit(world, "e1", make_job(world, key))
+        for _ in range(4):
+            advance_world(world, 0.5)
+            finish_all(world)
+        answer = world.oracle.answers[caller]
+        self.assertTrue(answer.complete, answer.detail)
+
     def test_reused_job_id_with_different_content_is_refused(self):
         world = self.world
         key = find_key(world, "e1")
@@ -295,10 +376,8 @@
         caller = submit(self.world, "e1", job)
         self.world.deliver_all()
         running_agent = next(name for name, agent in self.world.agents.items() if agent.running)
-        agent = self.world.agents[running_agent]
-        self.world.oracle.starts.clear()
-        results.reject_record(agent.ledger, agent.running.pop(), self.world.now)
-        self.world._collect(agent)
+        self.world.refuse_call(running_agent, 0)
+        self.assertEqual(count_starts(self.world, job.key), 0)
         self.world.deliver_all()
         finish_all(self.world)
         advance_world(self.world, 1.0)
