Skip an odd row of the store's answer instead of the whole answer

What callers saw: entries stopped following a table of the store (members, routes, crashes), and read it whole again and again, as long as one row of it had a field of another type, a number out of range, very deep nesting or bytes that are no text. A row without a value counted as removed, so that the agent of that name was given up. An answer that says for ever that there are more rows was read for ever.

Cause: one schema was checked for the whole answer, so that one row failed all; the next page was asked for without a look at whether the last one went on.

Fix: an answer that doesn't fit the schema is split into its rows by brackets and strings alone, without recursion, and each row is decoded by itself. Rejected rows are counted and logged once, however often they come back. Only a tombstone removes a row. Paging ends when the keys don't ascend; the result says so, as a reader that removes what it doesn't find must not use it.

--- a/src/comfreysill/platform/store.py
+++ b/src/comfreysill/platform/store.py
@@ -2,7 +2,7 @@
 
 import base64
 import enum
-from typing import Any, Required, TypedDict
+from typing import Any, TypedDict
 
 import aiohttp
 import msgspec
@@ -11,6 +11,8 @@
 from comfreysill.address import Address
 from comfreysill.job.types import Verdict
 from comfreysill.platform.documents import Integer, decode_document, encode_document
+from comfreysill.platform.pages import RowPage, StoredRow, decode_page
+from comfreysill.platform.rejections import Rejections, record_rejections
 
 CALL_TIMEOUT_SECONDS = 0.7
 CONNECT_TIMEOUT_SECONDS = 0.4
@@ -35,17 +37,8 @@
 
 FAULT_BY_STATUS = {412: StoreFault.CONFLICT, 410: StoreFault.HISTORY_GONE}
 
-RowDocument = TypedDict(
-    "RowDocument",
-    {"key": Required[str], "value": str | None, "ver": Integer, "tombstone": bool},
-    total=False,
-)
-AnswerDocument = TypedDict(
-    "AnswerDocument",
-    {"rows": list[RowDocument], "ver": Integer, "has-more": bool},
-    total=False,
-)
-_DECODER = msgspec.json.Decoder(AnswerDocument)
+CommitDocument = TypedDict("CommitDocument", {"ver": Integer}, total=False)
+_COMMIT_DECODER = msgspec.json.Decoder(CommitDocument)
 
 
 class StoreError:
@@ -66,23 +59,6 @@
         self.detail = detail
 
 
-class StoredRow:
-    """A row.
-
-    Attributes:
-        key: Key of the row.
-        value: Its value, None if the row was removed; empty if the value can't be decoded.
-        version: Version of the store at which it was written or removed last.
-    """
-
-    __slots__ = ("key", "value", "version")
-
-    def __init__(self, *, key: str, value: bytes | None, version: int) -> None:
-        self.key = key
-        self.value = value
-        self.version = version
-
-
 class RowWrite:
     """One write of a transaction.
 
@@ -103,13 +79,14 @@
 
 
 class RowSet:
-    """Rows of a table at one version of the store."""
+    """Rows of a table at one version of the store; `complete` unless the store kept some back."""
 
-    __slots__ = ("rows", "version")
+    __slots__ = ("rows", "version", "complete")
 
-    def __init__(self, *, rows: list[StoredRow], version: int) -> None:
+    def __init__(self, *, rows: list[StoredRow], version: int, complete: bool = True) -> None:
         self.rows = rows
         self.version = version
+        self.complete = complete
 
 
 class StoreClient:
@@ -119,14 +96,16 @@
         base_url: Base URL of the store.
         session: HTTP session.
         calls: Number of calls made so far.
+        rejections: Rows that can't be decoded.
     """
 
-    __slots__ = ("base_url", "session", "calls")
+    __slots__ = ("base_url", "session", "calls", "rejections")
 
     def __init__(self, *, base_url: str, session: aiohttp.ClientSession) -> None:
         self.base_url = base_url
         self.session = session
         self.calls = 0
+        self.rejections = Rejections()
 
 
 def open_store(address: Address) -> StoreClient:
@@ -150,15 +129,18 @@
         query |= {"from": prefix, "to": prefix + KEY_UPPER_BOUND}
     while True:
         answer = await _call(store, "GET", "/api/rows-get", query, None, CALL_TIMEOUT_SECONDS)
-        if isinstance(answer, Err):
-            return answer
-        page = _decode_rows(answer.ok_value)
+        decoded = answer.and_then(lambda text: _decode_rows(store, table, text))
+        if isinstance(decoded, Err):
+            return decoded
+        page = decoded.ok_value
         rows += page.rows
         # The version of the first page: changes made while paging are in the change feed after it.
         version = version or page.version
-        if not answer.ok_value.get("has-more") or not page.rows:
-            return Ok(RowSet(rows=rows, version=version))
-        query["from"] = page.rows[-1].key + "\0"
+        # Keys ascend: an answer that doesn't go on from the one before would be read for ever.
+        goes_on = bool(page.last_key) and page.last_key >= query.get("from", "")
+        if not page.has_more or not goes_on:
+            return Ok(RowSet(rows=rows, version=version, complete=not page.has_more))
+        query["from"] = page.last_key + "\0"
 
 
 async def await_changes(
@@ -168,7 +150,8 @@
     query = {"table": table, "after": str(after), "wait-ms": str(int(wait_seconds * 1000))}
     timeout_seconds = wait_seconds + CALL_TIMEOUT_SECONDS
     answer = await _call(store, "GET", "/api/rows-feed", query, None, timeout_seconds)
-    return answer.map(_decode_rows)
+    decoded = answer.and_then(lambda text: _decode_rows(store, table, text))
+    return decoded.map(lambda page: RowSet(rows=page.rows, version=max(page.version, after)))
 
 
 async def commit_rows(
@@ -189,11 +172,20 @@
         else:
             body["put"].append({**row, "value": base64.b64encode(write.value).decode()})
     answer = await _call(store, "POST", "/api/rows-tx", {}, body, CALL_TIMEOUT_SECONDS)
-    return answer.map(_read_version)
+    return answer.and_then(_decode_commit)
+
 
+def _decode_rows(store: StoreClient, table: str, text: bytes) -> Result[RowPage, StoreError]:
+    """Decodes an answer about rows; rows that can't be decoded are counted and logged."""
+    decoded = decode_page(text)
+    if isinstance(decoded, Ok):
+        record_rejections(store.rejections, table, decoded.ok_value.rejected)
+    return decoded.map_err(lambda detail: _describe_unreadable("GET", detail))
 
-def _read_version(document: AnswerDocument) -> int:
-    return document.get("ver", 0)
+
+def _decode_commit(text: bytes) -> Result[int, StoreError]:
+    decoded = decode_document(_COMMIT_DECODER, text).map(lambda document: document.get("ver", 0))
+    return decoded.map_err(lambda detail: _describe_unreadable("POST", detail))
 
 
 async def _call(
@@ -203,7 +195,7 @@
     query: dict[str, str],
     body: Any,
     timeout_seconds: float,
-) -> Result[AnswerDocument, StoreError]:
+) -> Result[bytes, StoreError]:
     store.calls += 1
     timeout = aiohttp.ClientTimeout(total=timeout_seconds, sock_connect=CONNECT_TIMEOUT_SECONDS)
     data = encode_document(body) if body is not None else None
@@ -218,8 +210,7 @@
         return Err(_describe_failure(method, error))
     if status != 200:
         return Err(_describe_status(method, status))
-    decoded = decode_document(_DECODER, text)
-    return decoded.map_err(lambda detail: _describe_unreadable(method, detail))
+    return Ok(text)
 
 
 def _describe_unreadable(method: str, detail: str) -> StoreError:
@@ -248,21 +239,3 @@
         verdict=Verdict.NOT_RUN if had_no_effect else Verdict.MAY_HAVE_RUN,
         detail=f"the store answered with status {status}",
     )
-
-
-def _decode_rows(document: AnswerDocument) -> RowSet:
-    rows = []
-    for row in document.get("rows", ()):
-        # The store marks removed rows with `tombstone`.
-        removed = row.get("tombstone") or row.get("value") is None
-        value = None if removed else _decode_value(row["value"])
-        rows.append(StoredRow(key=row["key"], value=value, version=row.get("ver", 0)))
-    return RowSet(rows=rows, version=document.get("ver", 0))
-
-
-def _decode_value(text: str) -> bytes:
-    """Decodes the value of a row; an invalid one counts as empty, which no reader accepts."""
-    try:
-        return base64.b64decode(text)
-    except ValueError:
-        return b""
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -2,6 +2,7 @@
 
 import argparse
 import asyncio
+import json
 from typing import Any
 
 import falcon
@@ -25,6 +26,9 @@
         lose_answers: How many of the next transactions are applied but answered with status 504.
         outage: True while every call gets status 503.
         call_count: How many calls were received, including refused ones.
+        odd_rows: JSON texts of rows that each answer about a table includes, by table. As if they
+            changed all the time, the feed doesn't wait.
+        endless_pages: True while each answer about rows says that there are more.
     """
 
     __slots__ = (
@@ -37,6 +41,8 @@
         "delay",
         "lose_answers",
         "call_count",
+        "odd_rows",
+        "endless_pages",
     )
 
     def __init__(self) -> None:
@@ -49,6 +55,8 @@
         self.delay = 0.0
         self.lose_answers = 0
         self.call_count = 0
+        self.odd_rows: dict[str, list[bytes]] = {}
+        self.endless_pages = False
 
 
 def apply_transaction(store: Store, body: dict[str, Any]) -> bool:
@@ -78,6 +86,12 @@
     return row["table"], row.get("part", ""), row["key"]
 
 
+def _encode_answer(store: Store, table: str, rows: list[dict[str, Any]]) -> bytes:
+    texts = [json.dumps(row).encode() for row in rows] + store.odd_rows.get(table, [])
+    end = json.dumps({"has-more": store.endless_pages, "ver": store.version}).encode()
+    return b'{"rows":[' + b",".join(texts) + b"]," + end[1:]
+
+
 class StoreResource:
     """HTTP endpoints of the store."""
 
@@ -111,7 +125,8 @@
             and key >= start
             and (end is None or key < end)
         ]
-        response.media = {"rows": rows, "has-more": False, "ver": self.store.version}
+        response.content_type = falcon.MEDIA_JSON
+        response.data = _encode_answer(self.store, table, rows)
 
     async def on_get_feed(self, request: Any, response: Any) -> None:
         """Waits up to `wait-ms` for changes of a table; status 410 if they were discarded."""
@@ -129,8 +144,10 @@
                 for version, row in self.store.history
                 if version > after and row["table"] == table
             ]
-            if rows or asyncio.get_running_loop().time() >= deadline:
-                response.media = {"rows": rows, "ver": self.store.version}
+            waited = asyncio.get_running_loop().time() >= deadline
+            if rows or waited or self.store.odd_rows.get(table):
+                response.content_type = falcon.MEDIA_JSON
+                response.data = _encode_answer(self.store, table, rows)
                 return
             await asyncio.sleep(FEED_POLL_INTERVAL_SECONDS)
 
