Follow a table past odd rows, without flooding the store or the log

What callers saw: a row that comes back at each read was logged at each read, and a store whose answer doesn't move on (empty, without a version, or with the same rows again) was called without a pause; store calls are priced. An unexpected error while rows were handled would have ended the entry.

Cause: the watch called again at once whatever the answer said, and handled rows outside any try.

Fix: if an answer's version isn't newer the next call is made 0.25 s after the last at the earliest. A rejected row or configuration is counted (entries_rejected) and logged once. An error while rows are handled costs these rows. A configuration that can't be decoded leaves the last one in force.

Evidence: tests/test_odd_entries.py TestWatches plays the real tasks against the stand-in of the store.

--- a/src/comfreysill/gateway/discovery.py
+++ b/src/comfreysill/gateway/discovery.py
@@ -11,6 +11,7 @@
 
 from result import Err, Ok
 
+from comfreysill.clock import read_boot_clock
 from comfreysill.exchange.messages import Member
 from comfreysill.gateway.messages import (
     CrashesRead,
@@ -28,6 +29,7 @@
 )
 from comfreysill.platform.crashes import CRASHES_TABLE, decode_crashes
 from comfreysill.platform.members import MEMBERS_TABLE, decode_members
+from comfreysill.platform.rejections import RejectedEntry, Rejections, record_rejections
 from comfreysill.platform.store import RowSet, StoreClient, await_changes, read_rows
 
 logger = logging.getLogger(__name__)
@@ -92,7 +94,7 @@
     def handle_rows(rows: RowSet) -> None:
         for row in rows.rows:
             if row.key == CONFIGURATION_KEY and row.value is not None:
-                receive_routes_text(row.value, inbox)
+                receive_routes_text(row.value, inbox, store.rejections)
 
     async def handle_failure() -> None:
         """The state task fetches the routes from an entry that has newer ones."""
@@ -136,7 +138,7 @@
         table=MEMBERS_TABLE,
         wait_seconds=MEMBERS_LONG_POLL_SECONDS,
         max_retry_seconds=MAX_MEMBERS_RETRY_SECONDS,
-        handle_rows=lambda rows: _receive_members(rows, inbox),
+        handle_rows=lambda rows: _receive_members(rows, inbox, store.rejections),
         handle_failure=ask_other_entries,
         store_answers=store_answers,
     )
@@ -150,9 +152,7 @@
 
     def handle_rows(rows: RowSet) -> None:
         crash_set = decode_crashes(rows)
-        if crash_set.unreadable:
-            fields = {"count": crash_set.unreadable}
-            logger.warning("crash rows can't be decoded", extra={"fields": fields})
+        record_rejections(store.rejections, CRASHES_TABLE, crash_set.rejected)
         if crash_set.reports:
             inbox.post(CrashesRead(reports=crash_set.reports))
 
@@ -170,12 +170,16 @@
     await _watch_table(store, watch)
 
 
-def receive_routes_text(text: bytes, inbox: Mailbox[EntryStateMessage]) -> None:
-    """Decodes a routing document and queues it for the state task."""
+def receive_routes_text(
+    text: bytes, inbox: Mailbox[EntryStateMessage], rejections: Rejections
+) -> None:
+    """Decodes a routing document and queues it for the state task; otherwise the last one holds."""
     decoded = decode_configuration(text)
     if isinstance(decoded, Ok):
         inbox.post(RoutesRead(table=decoded.ok_value, text=text))
-    else:
+        return
+    rejected = RejectedEntry(name=CONFIGURATION_KEY, identity=hash(text), why=decoded.err_value)
+    if record_rejections(rejections, CONFIGURATION_TABLE, [rejected]):
         fields = {"why": decoded.err_value}
         logger.error("configuration can't be decoded", extra={"fields": fields})
 
@@ -184,6 +188,7 @@
     version = 0
     retry_seconds = INITIAL_RETRY_SECONDS
     while True:
+        called_at = read_boot_clock()
         if version:
             answer = await await_changes(store, watch.table, version, watch.wait_seconds)
         else:
@@ -201,8 +206,20 @@
             continue
         watch.store_answers.set()
         retry_seconds = INITIAL_RETRY_SECONDS
+        _handle_rows(watch, answer.ok_value)
+        if answer.ok_value.version <= version or not answer.ok_value.version:
+            # The same answer would come again at once.
+            await asyncio.sleep(called_at + INITIAL_RETRY_SECONDS - read_boot_clock())
         version = answer.ok_value.version
-        watch.handle_rows(answer.ok_value)
+
+
+def _handle_rows(watch: TableWatch, rows: RowSet) -> None:
+    """Hands rows on; an unexpected error costs these rows, not the watch."""
+    try:
+        watch.handle_rows(rows)
+    except Exception:
+        fields = {"table": watch.table, "rows": len(rows.rows)}
+        logger.exception("handling rows failed", extra={"fields": fields})
 
 
 async def _await_retry(watch: TableWatch, seconds: float) -> None:
@@ -216,12 +233,11 @@
         return
 
 
-def _receive_members(rows: RowSet, inbox: Mailbox[EntryStateMessage]) -> None:
+def _receive_members(
+    rows: RowSet, inbox: Mailbox[EntryStateMessage], rejections: Rejections
+) -> None:
     member_set = decode_members(rows)
-    if member_set.unreadable:
-        logger.warning(
-            "member rows can't be decoded", extra={"fields": {"count": member_set.unreadable}}
-        )
+    record_rejections(rejections, MEMBERS_TABLE, member_set.rejected)
     for name in member_set.removed:
         inbox.post(MemberRemoved(name=name))
     inbox.post(MembersDiscovered(members=member_set.members))
--- a/src/comfreysill/gateway/program.py
+++ b/src/comfreysill/gateway/program.py
@@ -31,6 +31,7 @@
 from comfreysill.metrics_app import build_metrics_app, build_observer
 from comfreysill.placement.state import EntryState
 from comfreysill.platform.ingress import EntryOperations, build_callers_app, build_readiness_app
+from comfreysill.platform.rejections import Rejections
 from comfreysill.platform.settings import InstanceSettings
 from comfreysill.platform.store import StoreClient, open_store, set_store_address
 from comfreysill.reloading import watch_settings
@@ -115,7 +116,7 @@
     coroutines = (
         run_state_task(actor),
         _post_ticks(actor),
-        _fetch_requested_routes(actor),
+        _fetch_requested_routes(actor, store.rejections),
         watch_settings(reload, lambda new: _apply_settings(actor, store, new)),
         watch_routes(store, actor.inbox, store_answers),
         watch_members(store, actor.inbox, store_answers, member, lambda: actor.state.entries),
@@ -132,7 +133,7 @@
     callers_server: HttpServer,
 ) -> list[asyncio.Task]:
     metrics_app = build_metrics_app(
-        metrics, lambda: actor.state.counters, lambda: _collect_gauges(actor, store)
+        metrics, lambda: _collect_counters(actor, store), lambda: _collect_gauges(actor, store)
     )
     readiness_app = build_readiness_app(lambda: is_ready(actor, listening=callers_server.started))
     servers = [
@@ -176,13 +177,13 @@
     await callers_server.serve(sockets=[listener])
 
 
-async def _fetch_requested_routes(actor: Actor) -> None:
+async def _fetch_requested_routes(actor: Actor, rejections: Rejections) -> None:
     """Fetches the routing document from the entries that the state task has chosen."""
     while True:
         for address in set(await actor.routes_sources.get_batch()):
             text = await fetch_routes(address)
             if text:
-                receive_routes_text(text, actor.inbox)
+                receive_routes_text(text, actor.inbox, rejections)
 
 
 def _apply_settings(actor: Actor, store: StoreClient, settings: InstanceSettings) -> None:
@@ -191,6 +192,10 @@
     actor.inbox.post(EntriesDiscovered(addresses=list(settings.entries)))
 
 
+def _collect_counters(actor: Actor, store: StoreClient) -> dict[str, int]:
+    return {**actor.state.counters, "entries_rejected": store.rejections.total}
+
+
 def _collect_gauges(actor: Actor, store: StoreClient) -> dict[str, float]:
     state = actor.state
     return {
--- a/src/comfreysill/platform/crashes.py
+++ b/src/comfreysill/platform/crashes.py
@@ -12,6 +12,7 @@
     decode_document,
     encode_document,
 )
+from comfreysill.platform.rejections import RejectedEntry
 from comfreysill.platform.store import (
     RowSet,
     RowWrite,
@@ -19,6 +20,7 @@
     StoreError,
     commit_rows,
     read_rows,
+    reject_row,
 )
 
 CRASHES_TABLE = "crashes"
@@ -36,14 +38,19 @@
 
     Attributes:
         reports: The reports, oldest first.
-        unreadable: Number of rows that could not be decoded.
+        rejected: Rows that could not be decoded.
     """
 
-    __slots__ = ("reports", "unreadable")
+    __slots__ = ("reports", "rejected")
 
-    def __init__(self, *, reports: list[CrashReport], unreadable: int) -> None:
+    def __init__(self, *, reports: list[CrashReport], rejected: list[RejectedEntry]) -> None:
         self.reports = reports
-        self.unreadable = unreadable
+        self.rejected = rejected
+
+    @property
+    def unreadable(self) -> int:
+        """Number of rows that could not be decoded."""
+        return len(self.rejected)
 
 
 async def write_crash(store: StoreClient, report: CrashReport) -> Result[int, StoreError]:
@@ -65,13 +72,13 @@
 
 def decode_crashes(rows: RowSet) -> CrashSet:
     """Decodes rows of the crash table; removed rows are skipped, invalid ones counted."""
-    reports, unreadable = [], 0
+    reports, rejected = [], []
     for row in sorted(rows.rows, key=lambda row: row.version):
         if row.value is None:
             continue
         decoded = decode_document(_DECODER, row.value)
         if isinstance(decoded, Err):
-            unreadable += 1
+            rejected.append(reject_row(row, decoded.err_value))
             continue
         document = decoded.ok_value
         reports.append(
@@ -81,4 +88,4 @@
                 route=document.get("route", ""),
             )
         )
-    return CrashSet(reports=reports, unreadable=unreadable)
+    return CrashSet(reports=reports, rejected=rejected)
--- a/src/comfreysill/platform/members.py
+++ b/src/comfreysill/platform/members.py
@@ -8,12 +8,14 @@
 from comfreysill.address import parse_address
 from comfreysill.exchange.messages import Member, Role
 from comfreysill.platform.documents import Name, OptionalName, decode_document, encode_document
+from comfreysill.platform.rejections import RejectedEntry
 from comfreysill.platform.store import (
     RowSet,
     RowWrite,
     StoreClient,
     StoreError,
     commit_rows,
+    reject_row,
 )
 
 MEMBERS_TABLE = "members"
@@ -37,18 +39,28 @@
         members: The members; of several with the same address only the last one registered.
         removed: Names of members whose rows were removed.
         version: Version of the store at which they were read.
-        unreadable: Number of rows that could not be decoded.
+        rejected: Rows that could not be decoded.
     """
 
-    __slots__ = ("members", "removed", "version", "unreadable")
+    __slots__ = ("members", "removed", "version", "rejected")
 
     def __init__(
-        self, *, members: list[Member], removed: list[str], version: int, unreadable: int
+        self,
+        *,
+        members: list[Member],
+        removed: list[str],
+        version: int,
+        rejected: list[RejectedEntry],
     ) -> None:
         self.members = members
         self.removed = removed
         self.version = version
-        self.unreadable = unreadable
+        self.rejected = rejected
+
+    @property
+    def unreadable(self) -> int:
+        """Number of rows that could not be decoded."""
+        return len(self.rejected)
 
 
 async def write_member(store: StoreClient, member: Member) -> Result[int, StoreError]:
@@ -72,14 +84,14 @@
 def decode_members(rows: RowSet) -> MemberSet:
     """Decodes member rows; invalid ones are skipped and counted."""
     by_address: dict[str, Member] = {}
-    removed, unreadable = [], 0
+    removed, rejected = [], []
     for row in sorted(rows.rows, key=lambda row: row.version):
         if row.value is None:
             removed.append(row.key)
             continue
         decoded = _decode_member(row.key, row.value)
         if isinstance(decoded, Err):
-            unreadable += 1
+            rejected.append(reject_row(row, decoded.err_value))
             continue
         # The address of an instance that is gone may belong to another one now.
         by_address[decoded.ok_value.address] = decoded.ok_value
@@ -87,7 +99,7 @@
         members=list(by_address.values()),
         removed=removed,
         version=rows.version,
-        unreadable=unreadable,
+        rejected=rejected,
     )
 
 
--- a/src/comfreysill/platform/store.py
+++ b/src/comfreysill/platform/store.py
@@ -12,7 +12,7 @@
 from comfreysill.job.types import Verdict
 from comfreysill.platform.documents import Integer, decode_document, encode_document
 from comfreysill.platform.pages import RowPage, StoredRow, decode_page
-from comfreysill.platform.rejections import Rejections, record_rejections
+from comfreysill.platform.rejections import RejectedEntry, Rejections, record_rejections
 
 CALL_TIMEOUT_SECONDS = 0.7
 CONNECT_TIMEOUT_SECONDS = 0.4
@@ -108,6 +108,11 @@
         self.rejections = Rejections()
 
 
+def reject_row(row: StoredRow, why: str) -> RejectedEntry:
+    """Returns a row whose value can't be decoded as a rejected entry."""
+    return RejectedEntry(name=row.key, identity=row.version, why=why)
+
+
 def open_store(address: Address) -> StoreClient:
     """Opens a client; its `session` has to be closed."""
     connector = aiohttp.TCPConnector(limit=4, keepalive_timeout=60.0)
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import base64
+import functools
 import json
 import socket
 import threading
@@ -10,10 +11,16 @@
 
 import uvicorn
 
+from comfreysill.address import parse_address
+from comfreysill.exchange.messages import Member, Role
+from comfreysill.gateway.discovery import watch_crashes, watch_members, watch_routes
+from comfreysill.gateway.messages import CrashesRead, MemberRemoved, MembersDiscovered, RoutesRead
+from comfreysill.mailbox import Mailbox
 from comfreysill.platform.pages import decode_page
 from comfreysill.platform.store import await_changes, read_rows
 from comfreysill.platform.table import open_store_from_url
 from standins.platform_store import Store, apply_transaction, build_store_app
+from tests.test_platform_decode import encode_configuration
 
 DEEP = b"[" * 100_000 + b"]" * 100_000
 HUGE_INTEGER = b"1" + b"0" * 400
@@ -46,6 +53,63 @@
 # Values that are none, of rows whose other fields are well formed.
 ODD_VALUES = (b"null", b"5", b'"!!!"', '"é"'.encode(), b'""', b'"' + b"A" * 10_000_001 + b'"')
 
+# Documents that no reader of rows can use.
+ODD_DOCUMENTS = (
+    b"",
+    b"\xff\xfe",
+    b"null",
+    b"5",
+    b"[]",
+    b"{}",
+    b'"text"',
+    b"NaN",
+    HUGE_INTEGER,
+    b"1e400",
+    DEEP,
+    b'{"role":' + DEEP + b"}",
+    b'{"role":"agent","address":"h:1","x":' + DEEP + b"}",
+    b'{"role":"agent","address":"\\ud800:1"}',
+)
+# Addresses that no socket connects to.
+ODD_ADDRESSES = (
+    "",
+    ":",
+    "h",
+    "h:",
+    ":80",
+    "h:0",
+    "h:00000",
+    "h:65536",
+    "h:99999999",
+    "h:-1",
+    "h:+1",
+    "h: 80",
+    "h:80 ",
+    "h:80\n",
+    "h:http",
+    "h:8\u0660",
+    "h:\u0661\u0662",
+    "\u0661.0.0.1:80",
+    "h\0:80",
+    "h h:80",
+    "[::1]:80",
+    "::1:80",
+    "\u00e9.example:80",
+    ".h:80",
+    "h..i:80",
+    "x" * 64 + ":80",
+    "http://h:80",
+    "999.0.0.1:80",
+    "1.2.3:80",
+    "5:80",
+    ".".join(["x" * 60] * 5) + ":80",
+    5,
+    None,
+    ["h:80"],
+    {"host": "h"},
+    1e300,
+)
+
 
 def encode_row(key, document, version):
     value = base64.b64encode(json.dumps(document).encode()).decode()
@@ -126,6 +190,17 @@
             self.assertTrue(decode_page(text).is_err(), text[:20])
 
 
+class TestAddresses(unittest.TestCase):
+    # Guards against: a port out of range, or a host that is none, ends the task that connects.
+    def test_addresses_that_no_socket_takes_are_none(self):
+        for text in ODD_ADDRESSES:
+            if isinstance(text, str):
+                with self.assertRaises(ValueError, msg=text):
+                    parse_address(text)
+        for text in ("10.0.0.1:80", "h:1", "a-b.example:65535", "1a.example:80"):
+            self.assertEqual(str(parse_address(text)), text)
+
+
 class TestStoreReads(unittest.TestCase):
     def run_with_store(self, scenario):
         async def run(server):
@@ -167,3 +242,126 @@
             self.assertLess(client.calls, 5)
 
         self.run_with_store(scenario)
+
+
+class TestWatches(unittest.TestCase):
+    """The asyncio tasks that follow tables, with odd rows that come back at each read."""
+
+    def run_watches(self, scenario):
+        async def run(server):
+            client = open_store_from_url(server.url)
+            inbox = Mailbox()
+            own = Member(name="e", role=Role.ENTRY, address="10.0.0.9:1")
+            answers = asyncio.Event()
+            tasks = [
+                asyncio.create_task(watch)
+                for watch in (
+                    watch_members(client, inbox, answers, own, lambda: []),
+                    watch_routes(client, inbox, answers),
+                    watch_crashes(client, inbox, answers),
+                )
+            ]
+            try:
+                await asyncio.wait_for(scenario(server, client, inbox), 30)
+                self.assertEqual([task for task in tasks if task.done()], [])
+            finally:
+                for task in tasks:
+                    task.cancel()
+                await asyncio.gather(*tasks, return_exceptions=True)
+                await client.session.close()
+
+        with StoreServer() as server:
+            asyncio.run(run(server))
+
+    async def wait_for(self, inbox, seen, is_enough):
+        """Collects messages until they are enough."""
+        async with asyncio.timeout(5):
+            while not is_enough(seen):
+                seen += await inbox.get_batch()
+
+    def put_odd_values(self, server):
+        for number, text in enumerate(ODD_DOCUMENTS):
+            for table in ("members", "crashes"):
+                server.put(table, f"odd{number}", text)
+        for number, address in enumerate(ODD_ADDRESSES):
+            server.put("members", f"far{number}", {"role": "agent", "address": address})
+
+    # Guards against: odd rows end the tasks that follow the tables, or they follow no longer.
+    def test_tables_are_followed_past_odd_rows(self):
+        async def scenario(server, client, inbox):
+            seen = []
+            server.put("members", "a", {"role": "agent", "address": "10.0.0.1:80"})
+            server.put("op", "config", encode_configuration(3))
+            self.put_odd_values(server)
+            await self.wait_for(inbox, seen, lambda seen: {"a"} <= find_names(seen))
+            await self.wait_for(inbox, seen, lambda seen: 3 in find_versions(seen))
+            for number in range(1, 4):
+                self.put_odd_values(server)
+                for text in ODD_DOCUMENTS:
+                    server.put("op", "config", text)
+                name = f"b{number}"
+                server.put("members", name, {"role": "agent", "address": f"10.0.0.2:{number}"})
+                server.put("crashes", name, {"tasks": ["r/0/1"]})
+                server.put("op", "config", encode_configuration(3 + number))
+                await self.wait_for(inbox, seen, functools.partial(has_all, name, 3 + number))
+            self.assertEqual(find_names(seen), {"a", "b1", "b2", "b3"})
+            self.assertEqual([message for message in seen if type(message) is MemberRemoved], [])
+
+        self.run_watches(scenario)
+
+    # Guards against: a row that comes back at each read costs calls and log lines for ever.
+    def test_rows_that_come_back_at_each_read_cost_few_calls(self):
+        async def scenario(server, client, inbox):
+            server.put("members", "a", {"role": "agent", "address": "10.0.0.1:80"})
+            server.put("op", "config", encode_configuration(3))
+            odd_value = encode_row("odd", {"role": 5}, 1)
+            for table in ("members", "op", "crashes"):
+                server.store.odd_rows[table] = [*ODD_ROWS, odd_value]
+            await asyncio.sleep(2.0)
+            rejected, calls = client.rejections.total, client.calls
+            # Three watches, each at most four times a second.
+            self.assertLess(calls, 3 * (1 + 2.0 / 0.25) + 3)
+            seen = []
+            server.put("members", "b", {"role": "agent", "address": "10.0.0.2:80"})
+            server.put("op", "config", encode_configuration(4))
+            await self.wait_for(inbox, seen, lambda seen: {"a", "b"} <= find_names(seen))
+            await self.wait_for(inbox, seen, lambda seen: 4 in find_versions(seen))
+            self.assertEqual(client.rejections.total, rejected)
+            # The documents of the two tables of which each row is decoded.
+            self.assertEqual(rejected, 3 * len(ODD_ROWS) + 2)
+
+        with self.assertLogs("comfreysill", "WARNING") as logs:
+            self.run_watches(scenario)
+        self.assertLessEqual(len(logs.output), 3 * len(ODD_ROWS) + 2)
+
+    # Guards against: an empty store, or answers without a version, are read in a busy loop.
+    def test_an_empty_store_is_read_a_few_times_a_second(self):
+        async def scenario(server, client, inbox):
+            await asyncio.sleep(1.0)
+            self.assertLess(client.calls, 3 * (1 + 1.0 / 0.25) + 3)
+
+        self.run_watches(scenario)
+
+
+def has_all(name, version, seen):
+    """Returns whether messages include a member, its crash and a version of the configuration."""
+    return (
+        name in find_names(seen) and name in find_crashes(seen) and version in find_versions(seen)
+    )
+
+
+def find_names(seen):
+    """Returns the names of the members in messages."""
+    found = [message.members for message in seen if isinstance(message, MembersDiscovered)]
+    return {member.name for members in found for member in members}
+
+
+def find_versions(seen):
+    """Returns the versions of the configurations in messages."""
+    return {message.table.version for message in seen if isinstance(message, RoutesRead)}
+
+
+def find_crashes(seen):
+    """Returns the ids of the crashes in messages."""
+    found = [message.reports for message in seen if isinstance(message, CrashesRead)]
+    return {report.crash_id for reports in found for report in reports}
