Job API: go on beside odd rows of the roster and of the floor document

What callers saw: one odd row among the registrations or the versions of the floor document (broken JSON, a field missing or of another type, very deep nesting, a port out of range) ended each entry, again at each start; an odd row in place of an agent's own ended that agent at each start. With a port out of range the asyncio task of the link died in silence, and the agent was never connected to again.

Cause: rows were decoded without a schema, and KeyError, TypeError and JSONDecodeError left the reader; the floor document was built from the store, or from another entry, without the check made when it is applied.

Fix: each document has a schema, and each row stands by itself; odd ones are counted (entries_rejected) and logged once. An agent or entry that is known stays so while its row is odd, and an agent writes an odd row of its own again. An answer that is not complete is no roster, as what it leaves out would count as removed. A floor document is checked as when it is applied, else the one in force holds; a new version can be applied over an odd one.

--- a/src/comfreysill/agent/actor.py
+++ b/src/comfreysill/agent/actor.py
@@ -17,6 +17,7 @@
     Tick,
 )
 from comfreysill.mailbox import Mailbox
+from comfreysill.platform.rejections import Rejections
 from comfreysill.target.frame_handling import receive_frame
 from comfreysill.target.frames import AgentFrame
 from comfreysill.target.ledger import (
@@ -64,7 +65,9 @@
         idle: Set during shutdown once nothing runs and all reports are in the outboxes.
         stopping: True once the process is shutting down.
         report_to_all: True when the next flush has to report to each entry.
-        registered: True once the agent's registration was written to the store.
+        registered: True once the agent's registration was written to the store, until it has to be
+            written again.
+        rejections: Entries of lists that can't be decoded.
     """
 
     __slots__ = (
@@ -77,6 +80,7 @@
         "stopping",
         "report_to_all",
         "registered",
+        "rejections",
     )
 
     def __init__(self, *, ledger: Ledger, start_run: StartRun) -> None:
@@ -89,6 +93,7 @@
         self.stopping = False
         self.report_to_all = False
         self.registered = False
+        self.rejections = Rejections()
 
 
 async def run_ledger_task(actor: Actor) -> None:
--- a/src/comfreysill/agent/http.py
+++ b/src/comfreysill/agent/http.py
@@ -109,7 +109,8 @@
             "floor_version": ledger.floor_version,
         }
         accept = request.get_header("accept") or ""
-        body, headers = render_metrics(self.metrics, ledger.counters, gauges, accept)
+        counters = {**ledger.counters, "entries_rejected": self.actor.rejections.total}
+        body, headers = render_metrics(self.metrics, counters, gauges, accept)
         response.data = body
         response.content_type = headers.get("Content-Type", falcon.MEDIA_TEXT)
 
--- a/src/comfreysill/agent/program.py
+++ b/src/comfreysill/agent/program.py
@@ -5,7 +5,7 @@
 import time
 import uuid
 
-from result import Ok
+from result import Err, Ok
 
 from comfreysill.agent.actor import Actor, run_ledger_task
 from comfreysill.agent.http import build_app
@@ -15,7 +15,7 @@
 from comfreysill.exceptions import RegistrationLostError
 from comfreysill.metrics import Metrics
 from comfreysill.platform.registry import is_registered, mark_ledger_lost, register_agent
-from comfreysill.platform.store import StoreClient
+from comfreysill.platform.store import StoreClient, StoreFault
 from comfreysill.platform.table import open_store_from_url
 from comfreysill.servers import build_http, start_grpc, stop_http
 from comfreysill.settings import Settings
@@ -47,6 +47,7 @@
     client = RunnerClient(inbox=actor.inbox)
 
     store = open_store_from_url(settings.table)
+    store.rejections = actor.rejections
     http = build_http(build_app(actor, Metrics(role="agent")), settings.http)
     grpc = await start_grpc([AgentService(inbox=actor.inbox)], settings.grpc)
     http_task = asyncio.create_task(http.serve())
@@ -95,7 +96,9 @@
         await asyncio.sleep(
             SERVICES_CHECK_INTERVAL_SECONDS if registered_services is not None else TICK_SECONDS
         )
-        if actor.runner is None or actor.runner.services == registered_services:
+        if actor.runner is None:
+            continue
+        if actor.registered and actor.runner.services == registered_services:
             continue
         answer = await register_agent(store, _build_registration(actor, settings), time.time())
         if isinstance(answer, Ok):
@@ -120,6 +123,9 @@
         if not actor.registered:
             continue
         answer = await is_registered(store, settings.name, actor.ledger.incarnation)
+        if isinstance(answer, Err) and answer.err_value.fault == StoreFault.UNREADABLE:
+            # Another writer has overwritten the row; it is written again.
+            actor.registered = False
         if isinstance(answer, Ok) and not answer.ok_value:
             raise RegistrationLostError(
                 message="the registration was replaced or its ledger marked as lost"
--- a/src/comfreysill/entry/actor.py
+++ b/src/comfreysill/entry/actor.py
@@ -5,7 +5,8 @@
 import time
 from collections.abc import Callable
 
-import orjson
+import msgspec
+from result import Err
 
 from comfreysill.address import Address
 from comfreysill.dispatch.cancellations import request_cancel, request_wave
@@ -42,6 +43,7 @@
 from comfreysill.dispatch.routing import submit_job
 from comfreysill.dispatch.state import Dispatcher
 from comfreysill.dispatch.submissions import drop_caller
+from comfreysill.entry.floors import build_checked_floor
 from comfreysill.entry.links import AgentLink, PeerLink, run_agent_link, run_peer_link
 from comfreysill.entry.messages import (
     AgentConnected,
@@ -62,14 +64,18 @@
     Submit,
     Tick,
 )
-from comfreysill.floor.document import Floor, build_floor
+from comfreysill.floor.document import Floor
 from comfreysill.job.types import Answer, JobKey
 from comfreysill.mailbox import Mailbox
-from comfreysill.platform.registry import Roster
+from comfreysill.platform.documents import decode_document
+from comfreysill.platform.registry import AGENT_PREFIX, ENTRY_PREFIX, Roster
+from comfreysill.platform.rejections import RejectedEntry, Rejections, record_rejections
 from comfreysill.target.messages import FloorUpdate
 
 logger = logging.getLogger(__name__)
 
+_FLOOR_DECODER = msgspec.json.Decoder()
+
 
 class Actor:
     """State of the asyncio task that owns the dispatcher.
@@ -85,6 +91,7 @@
         request_roster: Requests an immediate read of the roster.
         removals: Unreachable agents and entries to remove from the roster, for the asyncio task
             that writes to the store.
+        rejections: Entries of lists, and documents, that can't be decoded.
     """
 
     __slots__ = (
@@ -97,6 +104,7 @@
         "last_caller_number",
         "request_roster",
         "removals",
+        "rejections",
     )
 
     def __init__(self, *, dispatcher: Dispatcher, request_roster: Callable[[], None]) -> None:
@@ -109,6 +117,7 @@
         self.last_caller_number = 0
         self.request_roster = request_roster
         self.removals: Mailbox[Removal] = Mailbox()
+        self.rejections = Rejections()
 
 
 async def run_dispatcher_task(actor: Actor) -> None:
@@ -210,8 +219,15 @@
 
 
 def _adopt_floor_update(actor: Actor, update: FloorUpdate) -> None:
-    parsed_document = orjson.loads(update.document)
-    _adopt_floor(actor, build_floor(update.version, parsed_document), update.document)
+    decoded = decode_document(_FLOOR_DECODER, update.document)
+    floor = decoded.and_then(lambda document: build_checked_floor(update.version, document))
+    if isinstance(floor, Err):
+        rejected = RejectedEntry(
+            name=str(update.version), identity=hash(update.document), why=floor.err_value
+        )
+        record_rejections(actor.rejections, "floor of another entry", [rejected])
+        return
+    _adopt_floor(actor, floor.ok_value, update.document)
 
 
 def _receive_roster(actor: Actor, message: RosterRead, now: float) -> None:
@@ -220,10 +236,15 @@
     if roster is None:
         dispatcher.roster_failed_at = max(dispatcher.roster_failed_at, message.started_at)
         return
-    update_roster(
-        dispatcher, roster.agents, roster.revision, roster.lost_at, message.started_at, now
-    )
-    update_peers(dispatcher, [entry.name for entry in roster.entries], now)
+    held_agents = [
+        target.registration
+        for target in dispatcher.targets.values()
+        if AGENT_PREFIX + target.name in roster.unreadable
+    ]
+    agents = [*roster.agents, *held_agents]
+    update_roster(dispatcher, agents, roster.revision, roster.lost_at, message.started_at, now)
+    held_peers = [name for name in dispatcher.peers if ENTRY_PREFIX + name in roster.unreadable]
+    update_peers(dispatcher, [*(entry.name for entry in roster.entries), *held_peers], now)
     _update_links(actor, roster)
 
 
@@ -231,10 +252,15 @@
     own_name = actor.dispatcher.name
     peers = {entry.name: entry for entry in roster.entries if entry.name != own_name}
     agents = {registration.agent: registration for registration in roster.agents}
+    held = roster.unreadable
     for name in set(actor.peer_links) - set(peers):
+        if ENTRY_PREFIX + name in held:
+            continue
         del actor.peer_links[name]
         actor.link_tasks.pop(f"entry {name}").cancel()
     for name in set(actor.agent_links) - set(agents):
+        if AGENT_PREFIX + name in held:
+            continue
         del actor.agent_links[name]
         actor.link_tasks.pop(f"agent {name}").cancel()
     for name, entry in peers.items():
--- a/src/comfreysill/entry/administration.py
+++ b/src/comfreysill/entry/administration.py
@@ -9,10 +9,10 @@
 from result import Err
 
 from comfreysill.entry.actor import Actor
+from comfreysill.entry.floors import check_floor
 from comfreysill.entry.messages import CancelTeam, SetTargetDraining
 from comfreysill.exceptions import Problem
-from comfreysill.floor.document import diff_documents, find_inconsistencies
-from comfreysill.floor.schema import FLOOR_SCHEMA
+from comfreysill.floor.document import diff_documents
 from comfreysill.job.types import TaskClass
 from comfreysill.platform.floors import (
     FloorVersion,
@@ -46,12 +46,6 @@
 }
 
 
-def check_floor(document: Any) -> list[Problem]:
-    """Returns the schema errors of a floor document, or its inconsistencies if there are none."""
-    problems = find_problems(document, FLOOR_SCHEMA)
-    return problems or find_inconsistencies(document)
-
-
 class FloorResource:
     """The floor document in force.
 
--- a/src/comfreysill/entry/http.py
+++ b/src/comfreysill/entry/http.py
@@ -178,15 +178,16 @@
 class MetricsResource:
     """Metrics of the entry."""
 
-    __slots__ = ("dispatcher", "metrics")
+    __slots__ = ("actor", "metrics")
 
-    def __init__(self, *, dispatcher: Dispatcher, metrics: Metrics) -> None:
-        self.dispatcher = dispatcher
+    def __init__(self, *, actor: Actor, metrics: Metrics) -> None:
+        self.actor = actor
         self.metrics = metrics
 
     async def on_get(self, request: falcon.asgi.Request, response: falcon.asgi.Response) -> None:
         """Renders the metrics."""
-        dispatcher = self.dispatcher
+        dispatcher = self.actor.dispatcher
+        counters = {**dispatcher.counters, "entries_rejected": self.actor.rejections.total}
         gauges = {
             "jobs": dispatcher.job_count,
             "queued_tasks": dispatcher.queued_tasks,
@@ -197,7 +198,7 @@
             "floor_version": dispatcher.floor.version,
         }
         accept = request.get_header("accept") or ""
-        body, headers = render_metrics(self.metrics, dispatcher.counters, gauges, accept)
+        body, headers = render_metrics(self.metrics, counters, gauges, accept)
         response.data = body
         response.content_type = headers.get("Content-Type", falcon.MEDIA_TEXT)
 
@@ -211,7 +212,7 @@
     app.add_route("/v1/status", StatusResource(dispatcher=dispatcher))
     app.add_route("/health", health)
     app.add_route("/ready", health, suffix="ready")
-    app.add_route("/metrics", MetricsResource(dispatcher=dispatcher, metrics=metrics))
+    app.add_route("/metrics", MetricsResource(actor=actor, metrics=metrics))
     return app
 
 
--- a/src/comfreysill/entry/program.py
+++ b/src/comfreysill/entry/program.py
@@ -9,7 +9,6 @@
 import time
 import uuid
 
-import orjson
 from result import Err, Ok
 
 from comfreysill.dispatch.baselines import choose_placement
@@ -17,12 +16,13 @@
 from comfreysill.dispatch.state import ROSTER_INTERVAL_SECONDS, Dispatcher
 from comfreysill.entry.actor import Actor, close_links, run_dispatcher_task
 from comfreysill.entry.administration import add_routes
+from comfreysill.entry.floors import build_checked_floor
 from comfreysill.entry.http import build_app
 from comfreysill.entry.links import PeerService
 from comfreysill.entry.messages import FloorRead, RosterRead, Shutdown, Tick
-from comfreysill.floor.document import build_floor
 from comfreysill.metrics import Metrics, observe_seconds
-from comfreysill.platform.floors import read_current
+from comfreysill.platform.documents import encode_document
+from comfreysill.platform.floors import CURRENT_KEY, FloorVersion, read_current
 from comfreysill.platform.registry import (
     EntryRegistration,
     mark_ledger_lost,
@@ -30,6 +30,7 @@
     register_entry,
     remove_entry,
 )
+from comfreysill.platform.rejections import RejectedEntry, record_rejections
 from comfreysill.platform.store import StoreClient
 from comfreysill.platform.table import open_store_from_url
 from comfreysill.servers import build_http, start_grpc, stop_http
@@ -55,6 +56,7 @@
     roster_requested = asyncio.Event()
     actor = Actor(dispatcher=dispatcher, request_roster=roster_requested.set)
     store = open_store_from_url(settings.table)
+    store.rejections = actor.rejections
     floor_changed = asyncio.Event()
     app = build_app(actor, metrics)
     add_routes(app, actor, store, floor_changed)
@@ -141,12 +143,20 @@
         if isinstance(current, Ok) and current.ok_value is not None:
             latest = current.ok_value
             if latest.version > actor.dispatcher.floor.version:
-                floor = build_floor(latest.version, latest.document)
-                text = orjson.dumps(latest.document)
-                actor.inbox.post(FloorRead(floor=floor, text=text))
+                _receive_floor(actor, latest)
         await _wait_for_event(floor_changed, FLOOR_POLL_INTERVAL_SECONDS)
 
 
+def _receive_floor(actor: Actor, latest: FloorVersion) -> None:
+    floor = build_checked_floor(latest.version, latest.document)
+    if isinstance(floor, Ok):
+        text = encode_document(latest.document)
+        actor.inbox.post(FloorRead(floor=floor.ok_value, text=text))
+        return
+    rejected = RejectedEntry(name=CURRENT_KEY, identity=latest.version, why=floor.err_value)
+    record_rejections(actor.rejections, "floor document", [rejected])
+
+
 async def _wait_for_event(event: asyncio.Event, seconds: float) -> None:
     try:
         await asyncio.wait_for(event.wait(), seconds)
--- a/src/comfreysill/platform/floors.py
+++ b/src/comfreysill/platform/floors.py
@@ -1,16 +1,32 @@
 """Versions of the floor document in the platform's store."""
 
-from typing import Any
+from typing import Annotated, Any, Required, TypedDict
 
+import msgspec
+from msgspec import Meta
 from result import Err, Ok, Result
 
 from comfreysill.job.types import Verdict
+from comfreysill.platform.documents import MAX_INTEGER, Name, OptionalName
 from comfreysill.platform.store import StoreClient, StoreError, StoreFault
-from comfreysill.platform.table import Row, Write, commit, read_row, scan_rows
+from comfreysill.platform.table import Row, Write, commit, decode_row, read_row, scan_rows
 
 CURRENT_KEY = "floor/current"
 HISTORY_PREFIX = "floor/history/"
 
+VersionDocument = TypedDict(
+    "VersionDocument",
+    {
+        "version": Required[Annotated[int, Meta(ge=1, le=MAX_INTEGER)]],
+        "change_id": Required[Name],
+        "author": Required[OptionalName],
+        "changed_at": Required[Annotated[float, Meta(ge=0)]],
+        "document": Required[dict[str, Any]],
+    },
+    total=False,
+)
+_DECODER = msgspec.json.Decoder(VersionDocument)
+
 
 class FloorVersion:
     """An accepted version of the floor document.
@@ -42,15 +58,15 @@
 
 
 async def read_current(store: StoreClient) -> Result[FloorVersion | None, StoreError]:
-    """Reads the current version; the result is None before the first one."""
+    """Reads the current version; None before the first one, or if it can't be decoded."""
     row = await read_row(store, CURRENT_KEY)
-    return row.map(lambda found: _decode_version(found) if found is not None else None)
+    return row.map(lambda found: _decode_version(store, found) if found is not None else None)
 
 
 async def read_history(store: StoreClient) -> Result[list[FloorVersion], StoreError]:
-    """Reads all versions, oldest first."""
+    """Reads all versions that can be decoded, oldest first."""
     scan = await scan_rows(store, HISTORY_PREFIX)
-    return scan.map(lambda found: [_decode_version(row) for row in found.rows])
+    return scan.map(lambda found: _decode_versions(store, found.rows))
 
 
 async def write_version(
@@ -80,7 +96,7 @@
         if accepted.change_id == change.change_id:
             return Ok(accepted)
     current = row.ok_value
-    in_force = current.value["version"] if current is not None else 0
+    in_force = _find_version_in_force(store, current, history.ok_value)
     if in_force != previous:
         return Err(_build_conflict(previous, in_force))
     change.version = previous + 1
@@ -111,11 +127,31 @@
     )
 
 
-def _decode_version(row: Row) -> FloorVersion:
+def _find_version_in_force(
+    store: StoreClient, current: Row | None, history: list[FloorVersion]
+) -> int:
+    """Returns the current version, that of the history if its row can't be decoded, 0 for none."""
+    if current is None:
+        return 0
+    version = _decode_version(store, current)
+    if version is not None:
+        return version.version
+    return max((accepted.version for accepted in history), default=0)
+
+
+def _decode_versions(store: StoreClient, rows: tuple[Row, ...]) -> list[FloorVersion]:
+    decoded = [_decode_version(store, row) for row in rows]
+    return [version for version in decoded if version is not None]
+
+
+def _decode_version(store: StoreClient, row: Row) -> FloorVersion | None:
+    document = decode_row(store, row, _DECODER)
+    if document is None:
+        return None
     return FloorVersion(
-        version=row.value["version"],
-        change_id=row.value["change_id"],
-        author=row.value["author"],
-        changed_at=row.value["changed_at"],
-        document=row.value["document"],
+        version=document["version"],
+        change_id=document["change_id"],
+        author=document["author"],
+        changed_at=document["changed_at"],
+        document=document["document"],
     )
--- a/src/comfreysill/platform/store.py
+++ b/src/comfreysill/platform/store.py
@@ -25,14 +25,16 @@
 class StoreFault(enum.IntEnum):
     """Cause of a failed store call.
 
-    UNREACHABLE also stands for failures without a more specific cause. MISSING is set by
-    `registry` only. HISTORY_GONE means that the store has discarded some of the requested changes.
+    UNREACHABLE also stands for failures without a more specific cause. MISSING and UNREADABLE are
+    set by `registry` only. HISTORY_GONE means that the store has discarded some of the requested
+    changes.
     """
 
     UNREACHABLE = 0
     CONFLICT = 1
     MISSING = 2
     HISTORY_GONE = 3
+    UNREADABLE = 4
 
 
 FAULT_BY_STATUS = {412: StoreFault.CONFLICT, 410: StoreFault.HISTORY_GONE}
--- a/src/comfreysill/platform/table.py
+++ b/src/comfreysill/platform/table.py
@@ -1,4 +1,4 @@
-"""Rows of the table `comfreysill` in the platform's store, with values in JSON.
+"""Rows of the table `comfreysill` in the platform's store, with documents in JSON.
 
 The daemon `comfreysilld` (entries and agents of the job API) keeps its state there.
 A version of the store is called revision here, as some rows hold documents with versions.
@@ -6,15 +6,19 @@
 
 from typing import Any
 
-import orjson
-from result import Result
+import msgspec
+from result import Err, Ok, Result
 
 from comfreysill.address import parse_address
+from comfreysill.job.types import Verdict
+from comfreysill.platform.documents import DocumentType, decode_document, encode_document
+from comfreysill.platform.rejections import RejectedEntry, record_rejections
 from comfreysill.platform.store import (
     RowSet,
     RowWrite,
     StoreClient,
     StoreError,
+    StoreFault,
     commit_rows,
     open_store,
     read_rows,
@@ -24,14 +28,20 @@
 
 
 class Row:
-    """A row of the table; `revision` is that of the store when the row was last written."""
+    """A row of the table.
 
-    __slots__ = ("key", "revision", "value")
+    Attributes:
+        key: Key of the row.
+        revision: Revision of the store when the row was last written.
+        text: Its document, not decoded.
+    """
 
-    def __init__(self, *, key: str, revision: int, value: Any) -> None:
+    __slots__ = ("key", "revision", "text")
+
+    def __init__(self, *, key: str, revision: int, text: bytes) -> None:
         self.key = key
         self.revision = revision
-        self.value = value
+        self.text = text
 
 
 class Scan:
@@ -69,7 +79,7 @@
 async def scan_rows(store: StoreClient, prefix: str) -> Result[Scan, StoreError]:
     """Reads all rows whose keys begin with a prefix, at one revision."""
     answer = await read_rows(store, TABLE, prefix)
-    return answer.map(_decode_scan)
+    return answer.and_then(_build_scan)
 
 
 async def read_row(store: StoreClient, key: str) -> Result[Row | None, StoreError]:
@@ -84,15 +94,36 @@
     return await commit_rows(store, TABLE, tuple(_encode_write(write) for write in writes))
 
 
+def decode_row(
+    store: StoreClient, row: Row, decoder: msgspec.json.Decoder[DocumentType]
+) -> DocumentType | None:
+    """Decodes a row's document; None, counted and logged once, if it can't be decoded."""
+    decoded = decode_document(decoder, row.text)
+    if isinstance(decoded, Err):
+        reject_row(store, row, decoded.err_value)
+        return None
+    return decoded.ok_value
+
+
+def reject_row(store: StoreClient, row: Row, why: str) -> None:
+    """Counts and logs a row that can't be used, once."""
+    rejected = RejectedEntry(name=row.key, identity=row.revision, why=why)
+    record_rejections(store.rejections, TABLE, [rejected])
+
+
 def _encode_write(write: Write) -> RowWrite:
-    value = None if write.value is None else orjson.dumps(write.value)
+    value = None if write.value is None else encode_document(write.value)
     return RowWrite(key=write.key, value=value, expected_version=write.expected_revision)
 
 
-def _decode_scan(row_set: RowSet) -> Scan:
+def _build_scan(row_set: RowSet) -> Result[Scan, StoreError]:
+    if not row_set.complete:
+        # Whoever reads these rows takes what isn't among them as removed.
+        detail = "the store says that there are more rows, but not which"
+        return Err(StoreError(fault=StoreFault.UNREACHABLE, verdict=Verdict.NOT_RUN, detail=detail))
     rows = tuple(
-        Row(key=row.key, revision=row.version, value=orjson.loads(row.value))
+        Row(key=row.key, revision=row.version, text=row.value)
         for row in row_set.rows
         if row.value is not None
     )
-    return Scan(revision=row_set.version, rows=rows)
+    return Ok(Scan(revision=row_set.version, rows=rows))
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -9,17 +9,31 @@
 import time
 import unittest
 
+import aiohttp
 import uvicorn
+import yaml
 
-from comfreysill.address import parse_address
+from comfreysill.address import Address, parse_address
+from comfreysill.agent.program import run_agent
+from comfreysill.entry.program import run_entry
 from comfreysill.exchange.messages import Member, Role
 from comfreysill.gateway.discovery import watch_crashes, watch_members, watch_routes
 from comfreysill.gateway.messages import CrashesRead, MemberRemoved, MembersDiscovered, RoutesRead
 from comfreysill.mailbox import Mailbox
+from comfreysill.platform.floors import FloorVersion, read_current, read_history, write_version
 from comfreysill.platform.pages import decode_page
-from comfreysill.platform.store import await_changes, read_rows
+from comfreysill.platform.registry import (
+    is_registered,
+    mark_ledger_lost,
+    read_roster,
+    register_agent,
+)
+from comfreysill.platform.store import StoreFault, await_changes, read_rows
 from comfreysill.platform.table import open_store_from_url
+from comfreysill.settings import Settings
+from comfreysill.target.view import Registration
 from standins.platform_store import Store, apply_transaction, build_store_app
+from tests.test_floor import VALID_DOCUMENT
 from tests.test_platform_decode import encode_configuration
 
 DEEP = b"[" * 100_000 + b"]" * 100_000
@@ -364,6 +378,242 @@
         self.run_watches(scenario)
 
 
+def build_agent_document(name="a", **changes):
+    return {
+        "agent": name,
+        "incarnation": f"{name}@1",
+        "host": "127.0.0.1",
+        "port": 9,
+        "zone": "z",
+        "services": ["s"],
+        "lost_at": 0.0,
+        "left": False,
+        **changes,
+    }
+
+
+def build_version(number, **changes):
+    return {
+        "version": number,
+        "change_id": f"change-{number}",
+        "author": "x",
+        "changed_at": 1.0,
+        "document": yaml.safe_load(VALID_DOCUMENT),
+        **changes,
+    }
+
+
+def find_port():
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+def build_settings(role, name, url):
+    return Settings(
+        role=role,
+        name=name,
+        zone="z",
+        http=Address(host="127.0.0.1", port=find_port()),
+        grpc=Address(host="127.0.0.1", port=find_port()),
+        table=url,
+        log_format="text",
+        log_level="warning",
+        shutdown_seconds=0.1,
+        placement="finish",
+    )
+
+
+# Fields of an agent's registration that no entry can use.
+ODD_AGENT_FIELDS = (
+    {"port": 0},
+    {"port": 65536},
+    {"port": 99999999},
+    {"port": -1},
+    {"port": "80"},
+    {"port": 10**400},
+    {"port": None},
+    {"host": ""},
+    {"host": "::1"},
+    {"host": "h\0"},
+    {"host": "999.1.1.1"},
+    {"host": 5},
+    {"services": "s"},
+    {"services": [5]},
+    {"services": {"s": 1}},
+    {"services": None},
+    {"lost_at": -1},
+    {"lost_at": 1e308},
+    {"lost_at": 10**400},
+    {"lost_at": "0"},
+    {"left": 1},
+    {"left": None},
+    {"incarnation": 5},
+    {"agent": "another"},
+    {"agent": ["a"]},
+)
+
+
+class TestJobApiRegistry(unittest.TestCase):
+    """Readers of the first design's table."""
+
+    run_with_store = TestStoreReads.run_with_store
+
+    def put_odd_members(self, server):
+        for kind in ("agent", "entry"):
+            for number, text in enumerate(ODD_DOCUMENTS):
+                server.put("comfreysill", f"member/{kind}/odd{number}", text)
+        for number, changes in enumerate(ODD_AGENT_FIELDS):
+            document = build_agent_document(f"far{number}") | changes
+            server.put("comfreysill", f"member/agent/far{number}", document)
+            document = {"name": f"far{number}", "host": "127.0.0.1", "port": 9, "zone": "z"}
+            if changes.keys() & document.keys():
+                server.put("comfreysill", f"member/entry/far{number}", document | changes)
+
+    # Guards against: one odd registration ends every entry, each time that it is started.
+    def test_a_roster_is_read_beside_odd_registrations(self):
+        async def scenario(client, server):
+            good = build_agent_document(lost_at=5.0)
+            server.put("comfreysill", "member/agent/a", good)
+            server.put("comfreysill", "member/other/a", b"5")
+            self.put_odd_members(server)
+            server.store.odd_rows["comfreysill"] = list(ODD_ROWS)
+            rejected = 0
+            for _ in range(3):
+                roster = (await read_roster(client)).ok_value
+                self.assertEqual([agent.agent for agent in roster.agents], ["a"])
+                self.assertEqual((roster.entries, roster.lost_at), ((), 5.0))
+                self.assertIn("member/agent/far0", roster.unreadable)
+                rejected = rejected or client.rejections.total
+            self.assertEqual(client.rejections.total, rejected)
+
+        self.run_with_store(scenario)
+
+    # Guards against: a roster that isn't complete takes agents as removed.
+    def test_an_incomplete_roster_is_none(self):
+        async def scenario(client, server):
+            server.put("comfreysill", "member/agent/a", build_agent_document())
+            server.store.endless_pages = True
+            self.assertTrue((await read_roster(client)).is_err())
+
+        self.run_with_store(scenario)
+
+    # Guards against: an agent whose own row was overwritten by an odd one ends at each start.
+    def test_an_agent_registers_over_an_odd_row(self):
+        async def scenario(client, server):
+            registration = Registration(
+                agent="a",
+                incarnation="a@2",
+                host="127.0.0.1",
+                port=9,
+                zone="z",
+                services=frozenset(["s"]),
+                revision=0,
+            )
+            for text in ODD_DOCUMENTS:
+                server.put("comfreysill", "member/agent/a", text)
+                known = await is_registered(client, "a", "a@2")
+                self.assertEqual(known.err_value.fault, StoreFault.UNREADABLE)
+                lost_at = await register_agent(client, registration, 7.0)
+                self.assertEqual(lost_at.ok_value, 7.0)
+                self.assertTrue((await is_registered(client, "a", "a@2")).ok_value)
+            server.put("comfreysill", "member/agent/a", b"5")
+            self.assertTrue((await mark_ledger_lost(client, "a", "a@2", 9.0)).is_ok())
+            roster = (await read_roster(client)).ok_value
+            self.assertEqual((roster.agents, roster.lost_at), ((), 9.0))
+
+        self.run_with_store(scenario)
+
+    # Guards against: an odd floor document ends every entry, and no other can be applied.
+    def test_floor_versions_beside_odd_ones(self):
+        async def scenario(client, server):
+            server.put("comfreysill", "floor/history/0000000001", build_version(1))
+            for number, text in enumerate(ODD_DOCUMENTS):
+                server.put("comfreysill", "floor/current", text)
+                server.put("comfreysill", f"floor/history/odd{number}", text)
+                self.assertIsNone((await read_current(client)).ok_value)
+                history = (await read_history(client)).ok_value
+                self.assertEqual([version.version for version in history], [1])
+            change = FloorVersion(
+                version=0, change_id="change-9", author="x", changed_at=1.0, document={}
+            )
+            self.assertEqual((await write_version(client, 1, change)).ok_value.version, 2)
+            self.assertEqual((await read_current(client)).ok_value.version, 2)
+
+        self.run_with_store(scenario)
+
+
+class TestJobApiProcesses(unittest.TestCase):
+    """A whole entry and a whole agent of the job API, with odd rows that come back."""
+
+    async def read_metric(self, settings, name):
+        async with (
+            aiohttp.ClientSession() as session,
+            session.get(f"http://{settings.http}/metrics") as response,
+        ):
+            text = await response.text()
+        for line in text.splitlines():
+            if f'"{name}"' in line:
+                return float(line.rpartition(" ")[2])
+        return None
+
+    # Guards against: odd rows end entries and agents, or they follow the roster no longer.
+    def test_entries_and_agents_go_on_beside_odd_rows(self):
+        async def run(server):
+            stop = asyncio.Event()
+            entry = build_settings("entry", "e", server.url)
+            agent = build_settings("agent", "x", server.url)
+            server.put("comfreysill", "member/agent/a", build_agent_document())
+            server.put("comfreysill", "floor/current", build_version(1))
+            tasks = [
+                asyncio.create_task(run_entry(entry, stop)),
+                asyncio.create_task(run_agent(agent, stop)),
+            ]
+            await self.announce(agent)
+            await self.wait_for(entry, "targets", 2)
+            await self.wait_for(entry, "floor_version", 1)
+            server.store.odd_rows["comfreysill"] = list(ODD_ROWS)
+            for round_number in (2, 3):
+                TestJobApiRegistry.put_odd_members(self, server)
+                # The row of an agent that the entry knows, and that of an agent that runs.
+                server.put("comfreysill", "member/agent/a", b"[]")
+                server.put("comfreysill", "member/agent/x", b"[]")
+                for text in ODD_DOCUMENTS:
+                    server.put("comfreysill", "floor/current", text)
+                odd_floor = build_version(9, document={"teams": 5})
+                server.put("comfreysill", "floor/current", odd_floor)
+                await asyncio.sleep(2.5)
+                self.assertEqual(await self.read_metric(entry, "targets"), round_number)
+                name = f"b{round_number}"
+                server.put("comfreysill", f"member/agent/{name}", build_agent_document(name))
+                server.put("comfreysill", "floor/current", build_version(round_number))
+                await self.wait_for(entry, "targets", round_number + 1)
+                await self.wait_for(entry, "floor_version", round_number)
+            self.assertGreater(await self.read_metric(entry, "entries_rejected"), 20)
+            self.assertEqual([task for task in tasks if task.done()], [])
+            stop.set()
+            await asyncio.wait_for(asyncio.gather(*tasks), 10)
+
+        with StoreServer() as server:
+            asyncio.run(asyncio.wait_for(run(server), 40))
+
+    async def announce(self, agent):
+        document = {"host": "127.0.0.1", "port": 9, "slots": 4, "services": ["s"]}
+        async with aiohttp.ClientSession() as session:
+            for _ in range(50):
+                await asyncio.sleep(0.05)
+                try:
+                    await session.put(f"http://{agent.http}/v1/runner", json=document)
+                    return
+                except OSError:
+                    continue
+
+    async def wait_for(self, settings, name, value):
+        async with asyncio.timeout(8):
+            while await self.read_metric(settings, name) != value:
+                await asyncio.sleep(0.05)
+
+
 def has_all(name, version, seen):
     """Returns whether messages include a member, its crash and a version of the configuration."""
     return (
