Skip an odd member of an exchange between entries instead of the whole list

What callers saw: a member whose row has a name of more than 200 characters, or an empty one, was taken from the store; while the store was away no entry could learn members from one that knew it, as each refused the whole list. A crash row with any number of tasks was taken.

Cause: the reader of rows checked the address alone, the decoder of the exchange raised for the list.

Fix: names of rows have the bound that frames have, the exchange skips the member and counts it, and a crash row has at most the 256 tasks that a writer stores.

Evidence: tests/test_odd_entries.py TestMembers; its three tests failed before (FrameError for the list, both names taken, 300,000 tasks taken).

--- a/src/comfreysill/gateway/discovery.py
+++ b/src/comfreysill/gateway/discovery.py
@@ -130,7 +130,8 @@
     async def ask_other_entries() -> None:
         others = [address for address in get_entries() if address != own.address]
         chosen = random.sample(others, min(ASKED_ENTRIES, len(others)))
-        for members in await asyncio.gather(*(exchange_members(other, own) for other in chosen)):
+        calls = (exchange_members(other, own, store.rejections) for other in chosen)
+        for members in await asyncio.gather(*calls):
             if members:
                 inbox.post(MembersDiscovered(members=members, second_hand=True))
 
--- a/src/comfreysill/gateway/program.py
+++ b/src/comfreysill/gateway/program.py
@@ -78,6 +78,7 @@
         inbox=actor.inbox,
         get_routes=lambda: actor.routes_text,
         get_members=lambda: list_members(actor),
+        rejections=store.rejections,
     )
     grpc_server = await start_grpc_on_socket([roster_service], listeners.link)
     callers_task = asyncio.create_task(_serve_callers(actor, callers_server, listeners.http))
--- a/src/comfreysill/gateway/roster.py
+++ b/src/comfreysill/gateway/roster.py
@@ -13,6 +13,7 @@
 from comfreysill.exchange.messages import Member
 from comfreysill.gateway.messages import EntryStateMessage, MembersDiscovered
 from comfreysill.mailbox import Mailbox
+from comfreysill.platform.rejections import RejectedEntry, Rejections, record_rejections
 from comfreysill.roster_client import call_roster
 from comfreysill.wire.errors import UNREADABLE_ERRORS
 from comfreysill.wire.exchange import decode_announcement, decode_members, encode_members
@@ -29,9 +30,10 @@
         inbox: Mailbox of the state task.
         get_routes: Returns the undecoded routing document in use, empty if there is none.
         get_members: Returns the known entries and agents.
+        rejections: Members that can't be used.
     """
 
-    __slots__ = ("inbox", "get_routes", "get_members")
+    __slots__ = ("inbox", "get_routes", "get_members", "rejections")
 
     def __init__(
         self,
@@ -39,10 +41,12 @@
         inbox: Mailbox[EntryStateMessage],
         get_routes: Callable[[], bytes],
         get_members: Callable[[], list[Member]],
+        rejections: Rejections,
     ) -> None:
         self.inbox = inbox
         self.get_routes = get_routes
         self.get_members = get_members
+        self.rejections = rejections
 
     async def Announce(self, stream: Stream) -> None:  # noqa: N802
         """Queues the announcement of an agent for the state task."""
@@ -56,7 +60,9 @@
 
     async def ExchangeMembers(self, stream: Stream) -> None:  # noqa: N802
         """Queues the members that another entry names, and sends the known ones."""
-        self._discover(await _receive(stream, decode_members))
+        self._discover(
+            await _receive(stream, lambda message: _read_members(message, self.rejections))
+        )
         await stream.send_message(encode_members(self.get_members()))
 
     def _discover(self, members: list[Member]) -> None:
@@ -88,11 +94,25 @@
     return await call_roster(address, read, b"")
 
 
-async def exchange_members(address: str, own: Member) -> list[Member]:
-    """Names this entry to another one; returns the members that it knows, none if it fails."""
+def _read_members(message: Members, rejections: Rejections) -> list[Member]:
+    """Decodes members; those that can't be used are counted and logged once."""
+    members, problems = decode_members(message)
+    entries = [RejectedEntry(name="", identity=why, why=why) for why in problems]
+    record_rejections(rejections, "members of another entry", entries)
+    return members
+
+
+async def exchange_members(address: str, own: Member, rejections: Rejections) -> list[Member]:
+    """Names this entry to another one; returns the members that it knows, none if it fails.
+
+    Args:
+        address: Address of the other entry, `host:port`.
+        own: This entry.
+        rejections: Records the members that can't be used.
+    """
 
     async def exchange(roster: RosterStub) -> list[Member]:
         answer: Members = await roster.ExchangeMembers(encode_members([own]))
-        return decode_members(answer)
+        return _read_members(answer, rejections)
 
     return await call_roster(address, exchange, [])
--- a/src/comfreysill/platform/crashes.py
+++ b/src/comfreysill/platform/crashes.py
@@ -1,8 +1,9 @@
 """Rows of the crash table: recent crashes of runners, and the tasks that may have caused them."""
 
-from typing import Required, TypedDict
+from typing import Annotated, Required, TypedDict
 
 import msgspec
+from msgspec import Meta
 from result import Err, Result
 
 from comfreysill.crashes.report import CrashReport
@@ -27,8 +28,9 @@
 # A row holds no more tasks, so that it stays below the store's limit of 64 KiB.
 MAX_STORED_TASKS = 256
 
+StoredTasks = Annotated[list[Name], Meta(max_length=MAX_STORED_TASKS)]
 CrashDocument = TypedDict(
-    "CrashDocument", {"tasks": Required[list[Name]], "route": OptionalName}, total=False
+    "CrashDocument", {"tasks": Required[StoredTasks], "route": OptionalName}, total=False
 )
 _DECODER = msgspec.json.Decoder(CrashDocument)
 
--- a/src/comfreysill/platform/members.py
+++ b/src/comfreysill/platform/members.py
@@ -7,7 +7,13 @@
 
 from comfreysill.address import parse_address
 from comfreysill.exchange.messages import Member, Role
-from comfreysill.platform.documents import Name, OptionalName, decode_document, encode_document
+from comfreysill.platform.documents import (
+    MAX_NAME_CHARS,
+    Name,
+    OptionalName,
+    decode_document,
+    encode_document,
+)
 from comfreysill.platform.rejections import RejectedEntry
 from comfreysill.platform.store import (
     RowSet,
@@ -108,6 +114,8 @@
     if isinstance(decoded, Err):
         return decoded
     document = decoded.ok_value
+    if not 0 < len(name) <= MAX_NAME_CHARS:
+        return Err(f"a name of {len(name)} characters")
     try:
         parse_address(document["address"])
     except ValueError as error:
--- a/src/comfreysill/wire/exchange.py
+++ b/src/comfreysill/wire/exchange.py
@@ -188,22 +188,30 @@
     )
 
 
-def decode_members(message: pb.Members) -> list[Member]:
+def decode_members(message: pb.Members) -> tuple[list[Member], list[str]]:
     """Decodes members; those with a role that this version doesn't know are skipped.
 
-    Raises:
-        FrameError: A name or an address is invalid.
+    Returns:
+        The members, and what is wrong with those whose name or address is invalid.
     """
-    return [
-        Member(
-            name=_check_name(member.name, "members.name"),
-            role=Role(member.role),
-            address=_check_address(member.address, "members.address"),
-            service=member.service[:MAX_NAME_CHARS],
-        )
-        for member in message.members
-        if member.role in _ROLES
-    ]
+    members, problems = [], []
+    for member in message.members:
+        if member.role not in _ROLES:
+            continue
+        try:
+            members.append(_decode_member(member))
+        except FrameError as error:
+            problems.append(str(error))
+    return members, problems
+
+
+def _decode_member(message: pb.Member) -> Member:
+    return Member(
+        name=_check_name(message.name, "members.name"),
+        role=Role(message.role),
+        address=_check_address(message.address, "members.address"),
+        service=message.service[:MAX_NAME_CHARS],
+    )
 
 
 def _check_name(text: str, field: str) -> str:
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -20,7 +20,9 @@
 from comfreysill.gateway.discovery import watch_crashes, watch_members, watch_routes
 from comfreysill.gateway.messages import CrashesRead, MemberRemoved, MembersDiscovered, RoutesRead
 from comfreysill.mailbox import Mailbox
+from comfreysill.platform.crashes import decode_crashes
 from comfreysill.platform.floors import FloorVersion, read_current, read_history, write_version
+from comfreysill.platform.members import decode_members
 from comfreysill.platform.pages import decode_page
 from comfreysill.platform.registry import (
     is_registered,
@@ -28,10 +30,12 @@
     read_roster,
     register_agent,
 )
-from comfreysill.platform.store import StoreFault, await_changes, read_rows
+from comfreysill.platform.store import RowSet, StoredRow, StoreFault, await_changes, read_rows
 from comfreysill.platform.table import open_store_from_url
 from comfreysill.settings import Settings
 from comfreysill.target.view import Registration
+from comfreysill.wire.exchange import decode_members as decode_exchanged_members
+from comfreysill.wire.exchange import encode_members
 from standins.platform_store import Store, apply_transaction, build_store_app
 from tests.test_floor import VALID_DOCUMENT
 from tests.test_platform_decode import encode_configuration
@@ -236,6 +240,35 @@
             self.assertEqual(str(parse_address(text)), text)
 
 
+class TestMembers(unittest.TestCase):
+    # Guards against: a member with an odd name makes the list of an entry unreadable to the others.
+    def test_an_odd_member_costs_no_other_one_of_an_exchange(self):
+        good = Member(name="a", role=Role.AGENT, address="10.0.0.1:80")
+        odd = [Member(name=name, role=Role.AGENT, address="h:1") for name in ("", "n" * 201)]
+        odd += [
+            Member(name="b", role=Role.ENTRY, address=address)
+            for address in ODD_ADDRESSES
+            if isinstance(address, str)
+        ]
+        members, problems = decode_exchanged_members(encode_members([*odd, good]))
+        self.assertEqual([member.name for member in members], ["a"])
+        self.assertEqual(len(problems), len(odd))
+
+    def test_rows_whose_names_other_entries_refuse_are_skipped(self):
+        value = b'{"role":"agent","address":"h:1"}'
+        rows = [StoredRow(key=key, value=value, version=1) for key in ("", "n" * 201)]
+        found = decode_members(RowSet(rows=rows, version=1))
+        self.assertEqual((found.members, found.unreadable), ([], 2))
+
+    # Guards against: a row with more tasks than any writer stores keeps an entry busy.
+    def test_crashes_with_too_many_tasks_are_skipped(self):
+        value = json.dumps({"tasks": ["r/0/1"] * 300_000}).encode()
+        found = decode_crashes(
+            RowSet(rows=[StoredRow(key="a/1", value=value, version=1)], version=1)
+        )
+        self.assertEqual((found.reports, found.unreadable), ([], 1))
+
+
 class TestStoreReads(unittest.TestCase):
     def run_with_store(self, scenario):
         async def run(server):
