A report of another writer names no runner to use

What callers saw: a liveness report from another writer took the place of the runner in use, whose runs were then LOST: one of an unknown service, with an address that no socket takes, with fields of another type, or under an id that no header can carry (each later call then failed). One with `born` far in the future, or a very large `seq`, outdated all later reports of the true runner. In replies, a clock or the number of an end that no integer of 53 bits holds made the handling of each renewal fail, or outdated all later ends.

Cause: the reader checked only the fields that it uses, and some of them for type but not for range.

Such a report gets 400 as before. Numbers in replies have at most 53 bits. Rejected reports and replies are counted (entries_rejected) and logged once each.

--- a/src/comfreysill/platform/runner.py
+++ b/src/comfreysill/platform/runner.py
@@ -1,6 +1,6 @@
 """Client of the runner beside an agent, and the decoding of the runner's reports."""
 
-import logging
+import math
 from typing import Annotated, Any, Literal, Required, TypedDict
 
 import aiohttp
@@ -8,7 +8,7 @@
 from msgspec import Meta
 from result import Err, Ok, Result
 
-from comfreysill.address import Address
+from comfreysill.address import Address, parse_address
 from comfreysill.execution.calls import (
     CallReply,
     ListedRun,
@@ -23,6 +23,7 @@
     build_unanswered_reply,
 )
 from comfreysill.platform.documents import (
+    MAX_INTEGER,
     Amount,
     Integer,
     Name,
@@ -30,8 +31,7 @@
     decode_document,
     encode_document,
 )
-
-logger = logging.getLogger(__name__)
+from comfreysill.platform.rejections import RejectedEntry, Rejections, record_rejections
 
 COMMAND_TIMEOUT_SECONDS = 0.1
 RENEWAL_TIMEOUT_MARGIN_SECONDS = 0.1
@@ -55,12 +55,13 @@
 }
 MAX_LABELS = 100
 
+ClockMs = Annotated[float, Meta(ge=0, le=MAX_INTEGER)]
 # Each row of `running` is [task, run, checkpoint, percent, ...], and each row of `ended` is
 # [number, task, run, outcome, ...].
 ReplyDocument = TypedDict(
     "ReplyDocument",
     {
-        "clock-ms": int | float,
+        "clock-ms": ClockMs,
         "born": Integer,
         "reason": str,
         "running": list[list[Any]],
@@ -82,8 +83,14 @@
         "address": Required[OptionalName],
         "zone": Required[OptionalName],
         "state": Required[Literal["ready", "draining"]],
-        "seq": Required[Integer],
+        # A number that is far ahead would outdate all later reports.
+        "seq": Required[Amount],
         "born": Integer,
+        # Not used, but a report in which they have another type is another writer's.
+        "version": OptionalName | None,
+        "slots": Amount | None,
+        "cold-left-ms": ClockMs | None,
+        "clock-ms": ClockMs | None,
         "capacity": Required[CapacityDocument],
         "labels": Annotated[list[OptionalName], Meta(max_length=MAX_LABELS)],
     },
@@ -98,13 +105,15 @@
     Attributes:
         base_url: Base URL of the runner.
         session: HTTP session.
+        rejections: Records the replies that can't be decoded.
     """
 
-    __slots__ = ("base_url", "session")
+    __slots__ = ("base_url", "session", "rejections")
 
     def __init__(self, *, base_url: str, session: aiohttp.ClientSession) -> None:
         self.base_url = base_url
         self.session = session
+        self.rejections = Rejections()
 
 
 def open_runner(address: Address) -> RunnerClient:
@@ -177,8 +186,9 @@
 
 
 def _report_unreadable(runner: RunnerClient, detail: str) -> None:
-    fields = {"runner": runner.base_url, "why": detail}
-    logger.warning("runner reply could not be decoded", extra={"fields": fields})
+    """Counts and logs a reply that can't be decoded; the same one comes again and again."""
+    rejected = RejectedEntry(name=runner.base_url, identity=detail, why=detail)
+    record_rejections(runner.rejections, "runner reply could not be decoded", [rejected])
 
 
 def encode_task(name: str) -> str:
@@ -232,21 +242,37 @@
 
 def _decode_listed_run(row: list[Any]) -> ListedRun:
     percent = float(row[3]) if len(row) > 3 else 0.0
-    return ListedRun(task=decode_task(row[0]), run=int(row[1]), percent=percent)
+    if not math.isfinite(percent):
+        raise ValueError(f"percent: {percent}")
+    return ListedRun(task=decode_task(row[0]), run=_read_integer(row[1]), percent=percent)
 
 
 def _decode_run_end(row: list[Any]) -> RunEnd:
     return RunEnd(
-        number=int(row[0]), task=decode_task(row[1]), run=int(row[2]), outcome=str(row[3])
+        number=_read_integer(row[0]),
+        task=decode_task(row[1]),
+        run=_read_integer(row[2]),
+        outcome=str(row[3]),
     )
 
 
+def _read_integer(value: Any) -> int:
+    number = int(value)
+    if not 0 <= number <= MAX_INTEGER:
+        raise ValueError("a number out of range")
+    return number
+
+
 def decode_report(runner_id: str, body: bytes) -> Result[RunnerReport, str]:
     """Decodes a report; the error names the invalid field and the bound."""
     decoded = decode_document(_REPORT_DECODER, body)
     if isinstance(decoded, Err):
         return decoded
     document = decoded.ok_value
+    try:
+        parse_address(document["address"])
+    except ValueError as error:
+        return Err(str(error))
     capacity = document["capacity"]
     return Ok(
         RunnerReport(
--- a/src/comfreysill/sidecar/program.py
+++ b/src/comfreysill/sidecar/program.py
@@ -17,7 +17,8 @@
 from comfreysill.membership import deregister_member, register_member
 from comfreysill.metrics import Metrics
 from comfreysill.metrics_app import build_metrics_app
-from comfreysill.platform.reports import build_reports_app
+from comfreysill.platform.rejections import Rejections
+from comfreysill.platform.reports import ReportHandlers, build_reports_app
 from comfreysill.platform.runner import RunnerClient, open_runner, send_command, send_renewal
 from comfreysill.platform.settings import InstanceSettings
 from comfreysill.platform.store import StoreClient, open_store, set_store_address
@@ -60,7 +61,8 @@
     actor = Actor(agent=agent, submit_call=lambda call: _start_call(actor, runner, calls, call))
     calls: set[asyncio.Task] = set()
     store = open_store(settings.store)
-    http = build_http(_build_reports_app(actor))
+    runner.rejections = store.rejections
+    http = build_http(build_agent_reports_app(actor, settings.service, store.rejections))
     grpc = await start_grpc_on_socket([TargetService(inbox=actor.inbox)], listeners.link)
     http_task = asyncio.create_task(http.serve(sockets=[listeners.http]))
     member = Member(
@@ -96,19 +98,27 @@
     return agent
 
 
-def _build_reports_app(actor: Actor) -> Callable[..., Any]:
+def build_agent_reports_app(
+    actor: Actor, service: str, rejections: Rejections
+) -> Callable[..., Any]:
+    """Builds the application that passes usable reports of the runner to the state task."""
     inbox = actor.inbox
-    return build_reports_app(
-        lambda report: inbox.post(RunnerReportReceived(report=report)),
-        lambda runner_id: inbox.post(RunnerDeregistered(runner_id=runner_id)),
+    handlers = ReportHandlers(
+        on_report=lambda report: inbox.post(RunnerReportReceived(report=report)),
+        on_deregister=lambda runner_id: inbox.post(RunnerDeregistered(runner_id=runner_id)),
+        service=service,
+        rejections=rejections,
     )
+    return build_reports_app(handlers)
 
 
 def _start_tasks(
     actor: Actor, settings: InstanceSettings, store: StoreClient, reload: asyncio.Event
 ) -> list[asyncio.Task]:
     metrics_app = build_metrics_app(
-        Metrics(role="agent"), lambda: actor.agent.counters, lambda: _collect_gauges(actor)
+        Metrics(role="agent"),
+        lambda: {**actor.agent.counters, "entries_rejected": store.rejections.total},
+        lambda: _collect_gauges(actor),
     )
     coroutines = (
         build_http(metrics_app, settings.metrics).serve(),
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -8,6 +8,7 @@
 import threading
 import time
 import unittest
+import urllib.parse
 
 import aiohttp
 import uvicorn
@@ -17,10 +18,13 @@
 from comfreysill.agent.program import run_agent
 from comfreysill.entry.program import run_entry
 from comfreysill.exchange.messages import Member, Role
+from comfreysill.execution.calls import RenewCall, ReplyStatus
+from comfreysill.execution.state import AgentState
 from comfreysill.gateway.discovery import watch_crashes, watch_members, watch_routes
 from comfreysill.gateway.messages import CrashesRead, MemberRemoved, MembersDiscovered, RoutesRead
 from comfreysill.mailbox import Mailbox
 from comfreysill.platform.crashes import decode_crashes
+from comfreysill.platform.documents import decode_document
 from comfreysill.platform.floors import FloorVersion, read_current, read_history, write_version
 from comfreysill.platform.members import decode_members
 from comfreysill.platform.pages import decode_page
@@ -30,9 +34,14 @@
     read_roster,
     register_agent,
 )
+from comfreysill.platform.rejections import Rejections
+from comfreysill.platform.runner import REPLY_DECODER, build_renew_reply
 from comfreysill.platform.store import RowSet, StoredRow, StoreFault, await_changes, read_rows
 from comfreysill.platform.table import open_store_from_url
 from comfreysill.settings import Settings
+from comfreysill.sidecar.actor import Actor as SidecarActor
+from comfreysill.sidecar.actor import run_state_task
+from comfreysill.sidecar.program import build_agent_reports_app
 from comfreysill.target.view import Registration
 from comfreysill.wire.exchange import decode_members as decode_exchanged_members
 from comfreysill.wire.exchange import encode_members
@@ -647,6 +656,163 @@
                 await asyncio.sleep(0.05)
 
 
+REPORT = {
+    "service": "s",
+    "address": "10.0.0.1:80",
+    "zone": "z",
+    "version": "v1",
+    "slots": 8,
+    "state": "ready",
+    "cold-left-ms": 0,
+    "capacity": {"cpu": 16000, "mem-mb": 32768, "gpus": 0},
+    "labels": ["a"],
+    "clock-ms": 482113,
+    "seq": 4,
+    "born": 1_700_000_000_000,
+}
+# Changes of a report that make it another writer's.
+ODD_REPORT_FIELDS = (
+    *({"address": address} for address in ODD_ADDRESSES),
+    *(
+        {field: value}
+        for field, values in (
+            ("service", ("another", "", None, 5, ["s"])),
+            ("state", ("resting", "", None, 5, ["ready"])),
+            ("zone", (None, 5)),
+            ("version", (5, ["v"])),
+            ("slots", ("8", -1, 1.5, 10**400, [])),
+            ("cold-left-ms", ("0", -1, 10**400)),
+            ("clock-ms", ("0", -1, 1e308, 10**400, [])),
+            ("seq", (None, "5", -1, 1.5, 2**31, 2**53, 2**63, 10**400)),
+            ("born", ("0", -1, 1.5, 2**52, 2**63, 1e308, 10**400, [], None)),
+            ("capacity", (None, [], 5, {}, {"cpu": 1}, {"cpu": "x", "mem-mb": 1})),
+            ("capacity", ({"cpu": -1, "mem-mb": 1}, {"cpu": 10**400, "mem-mb": 1})),
+            ("labels", (None, "a", [5], ["a"] * 101, {"a": 1})),
+        )
+        for value in values
+    ),
+)
+ODD_IDS = ("", "a b", "a%0Ab", "a%0D%0AX-Y: z", "%00", "a%2Fb/c", "%C3%A9", "n" * 201)
+
+
+class TestReports(unittest.TestCase):
+    """Reports of another writer, at the endpoint of an agent whose runner is in use."""
+
+    async def call(self, app, path, body):
+        sent = []
+
+        async def receive():
+            return {"body": body}
+
+        async def send(message):
+            sent.append(message)
+
+        scope = {"type": "http", "method": "POST", "path": urllib.parse.unquote(path)}
+        await app(scope, receive, send)
+        await asyncio.sleep(0)
+        return sent[0]["status"]
+
+    def run_with_agent(self, scenario):
+        async def run():
+            state = AgentState(agent="a", lifetime="1", zone="z", token=1)
+            actor = SidecarActor(agent=state, submit_call=lambda call: None)
+            rejections = Rejections()
+            app = build_agent_reports_app(actor, "s", rejections)
+            task = asyncio.create_task(run_state_task(actor))
+            body = json.dumps(REPORT).encode()
+            status = await self.call(app, "/api/instances/i-1/heartbeat", body)
+            await asyncio.sleep(0.01)
+            self.assertEqual((status, state.runner_lifetime.runner_id), (200, "i-1"))
+            in_use = state.runner_lifetime
+            await scenario(app, state, rejections)
+            await asyncio.sleep(0.01)
+            self.assertIs(state.runner_lifetime, in_use)
+            self.assertFalse(task.done())
+            later = json.dumps({**REPORT, "seq": 5, "state": "draining"}).encode()
+            await self.call(app, "/api/instances/i-1/heartbeat", later)
+            await asyncio.sleep(0.01)
+            self.assertEqual((state.report.sequence, state.report.draining), (5, True))
+            task.cancel()
+
+        asyncio.run(run())
+
+    # Guards against: a report of another writer takes the place of the runner in use, or outdates
+    # all later reports of it.
+    def test_odd_reports_leave_the_runner_in_use(self):
+        async def scenario(app, state, rejections):
+            for changes in ODD_REPORT_FIELDS:
+                # A later lifetime, as far as the report can be trusted.
+                for runner_id, born in (("i-1", 0), ("i-2", 1_000), ("i-1", 1_000)):
+                    document = {**REPORT, "born": REPORT["born"] + born, **changes}
+                    path = f"/api/instances/{runner_id}/heartbeat"
+                    status = await self.call(app, path, json.dumps(document).encode())
+                    self.assertEqual(status, 400, changes)
+            for _ in range(3):
+                for text in ODD_DOCUMENTS:
+                    self.assertEqual(
+                        await self.call(app, "/api/instances/i-2/heartbeat", text), 400
+                    )
+            for field in ("service", "address", "zone", "state", "seq", "capacity"):
+                body = json.dumps({key: REPORT[key] for key in REPORT if key != field}).encode()
+                self.assertEqual(
+                    await self.call(app, "/api/instances/i-2/heartbeat", body), 400, field
+                )
+
+        self.run_with_agent(scenario)
+
+    # Guards against: each call names a runner that no header can name, and all calls fail.
+    def test_odd_ids_name_no_runner(self):
+        async def scenario(app, state, rejections):
+            for runner_id in ODD_IDS:
+                document = {**REPORT, "born": REPORT["born"] + 1_000}
+                path = f"/api/instances/{runner_id}/heartbeat"
+                status = await self.call(app, path, json.dumps(document).encode())
+                self.assertEqual(status, 400, runner_id)
+                path = f"/api/instances/{runner_id}/deregister"
+                self.assertEqual(await self.call(app, path, b""), 400, runner_id)
+            for path in ("", "/heartbeats", "/i-1", "/i-1/other"):
+                self.assertEqual(await self.call(app, f"/api/instances{path}", b""), 404, path)
+
+        self.run_with_agent(scenario)
+
+    # Guards against: the same report of another writer is logged each time that it comes.
+    def test_a_report_that_comes_again_is_logged_once(self):
+        async def scenario(app, state, rejections):
+            body = json.dumps({**REPORT, "service": 5}).encode()
+            for _ in range(50):
+                await self.call(app, "/api/instances/i-2/heartbeat", body)
+            self.assertEqual(rejections.total, 1)
+
+        self.run_with_agent(scenario)
+
+
+class TestReplies(unittest.TestCase):
+    # Guards against: a number that is too large ends the agent, or outdates all later ends of runs.
+    def test_numbers_out_of_range_make_a_reply_unreadable(self):
+        call = RenewCall(
+            lifetime=None, token=1, ended_seen=0, lease_until_ms=0, wait_ms=0, sent_at=0.0
+        )
+        for text in (
+            b'{"clock-ms":' + HUGE_INTEGER + b"}",
+            b'{"clock-ms":1e308}',
+            b'{"clock-ms":1e400}',
+            b'{"clock-ms":-1}',
+            b'{"running":[["r.0.0.0",' + HUGE_INTEGER + b"]]}",
+            b'{"running":[["r.0.0.0",1e308]]}',
+            b'{"running":[["r.0.0.0",-1]]}',
+            b'{"running":[["r.0.0.0",1,"","nan"]]}',
+            b'{"running":[["r.0.0.0",1,"","inf"]]}',
+            b'{"ended":[[' + HUGE_INTEGER + b',"r.0.0.0",1,"done"]]}',
+            b'{"ended":[[9007199254740993,"r.0.0.0",1,"done"]]}',
+            b'{"ended":[[1,"r.0.0.0",' + b"9" * 5000 + b',"done"]]}',
+            b'{"ended":' + DEEP + b"}",
+        ):
+            decoded = decode_document(REPLY_DECODER, text).and_then(
+                lambda document: build_renew_reply(call, ReplyStatus.ACCEPTED, document)
+            )
+            self.assertTrue(decoded.is_err(), text[:40])
+
+
 def has_all(name, version, seen):
     """Returns whether messages include a member, its crash and a version of the configuration."""
     return (
