--- a/src/comfreysill/platform/crashes.py
+++ b/src/comfreysill/platform/crashes.py
@@ -1,8 +1,9 @@
 """Rows of the crash table: recent crashes of runners, and the tasks that may have caused them."""
 
-from typing import Required, TypedDict
+from typing import Annotated, Required, TypedDict
 
 import msgspec
+from msgspec import Meta
 from result import Err, Result
 
 from comfreysill.crashes.report import CrashReport
@@ -12,6 +13,7 @@
     decode_document,
     encode_document,
 )
+from comfreysill.platform.rejections import RejectedEntry
 from comfreysill.platform.store import (
     RowSet,
     RowWrite,
@@ -19,14 +21,16 @@
     StoreError,
     commit_rows,
     read_rows,
+    reject_row,
 )
 
 CRASHES_TABLE = "crashes"
 # A row holds no more tasks, so that it stays below the store's limit of 64 KiB.
 MAX_STORED_TASKS = 256
 
+StoredTasks = Annotated[list[Name], Meta(max_length=MAX_STORED_TASKS)]
 CrashDocument = TypedDict(
-    "CrashDocument", {"tasks": Required[list[Name]], "route": OptionalName}, total=False
+    "CrashDocument", {"tasks": Required[StoredTasks], "route": OptionalName}, total=False
 )
 _DECODER = msgspec.json.Decoder(CrashDocument)
 
@@ -36,14 +40,19 @@
 
     Attributes:
         reports: The reports, oldest first.
-        unreadable: Number of rows that could not be decoded.
+        rejected: Rows that could not be decoded.
     """
 
-    __slots__ = ("reports", "unreadable")
+    __slots__ = ("reports", "rejected")
 
-    def __init__(self, *, reports: list[CrashReport], unreadable: int) -> None:
+    def __init__(self, *, reports: list[CrashReport], rejected: list[RejectedEntry]) -> None:
         self.reports = reports
-        self.unreadable = unreadable
+        self.rejected = rejected
+
+    @property
+    def unreadable(self) -> int:
+        """Number of rows that could not be decoded."""
+        return len(self.rejected)
 
 
 async def write_crash(store: StoreClient, report: CrashReport) -> Result[int, StoreError]:
@@ -65,13 +74,13 @@
 
 def decode_crashes(rows: RowSet) -> CrashSet:
     """Decodes rows of the crash table; removed rows are skipped, invalid ones counted."""
-    reports, unreadable = [], 0
+    reports, rejected = [], []
     for row in sorted(rows.rows, key=lambda row: row.version):
         if row.value is None:
             continue
         decoded = decode_document(_DECODER, row.value)
         if isinstance(decoded, Err):
-            unreadable += 1
+            rejected.append(reject_row(row, decoded.err_value))
             continue
         document = decoded.ok_value
         reports.append(
@@ -81,4 +90,4 @@
                 route=document.get("route", ""),
             )
         )
-    return CrashSet(reports=reports, unreadable=unreadable)
+    return CrashSet(reports=reports, rejected=rejected)
