--- a/tests/test_execution.py
+++ b/tests/test_execution.py
@@ -724,7 +724,7 @@
             self.assertLessEqual(calls, 1 / RENEWAL_RETRY_SECONDS + 1, status)
             self.assertGreater(calls, 10, status)
 
-    # Guards against the delay after a failed renewal of the lifetime before, in which a new lifetime
+    # Guards against the delay after a failed renewal of the lifetime before, in which a new one
     # carries out late starts.
     def test_a_new_lifetime_is_asked_for_its_runs_at_once(self):
         self.fail_renewal(ReplyStatus.UNANSWERED)
