--- a/src/comfreysill/execution/renewals.py
+++ b/src/comfreysill/execution/renewals.py
@@ -1,13 +1,26 @@
 """Lease renewals at the runner, and processing of the lists of runs in its replies."""
 
-from comfreysill.exchange.messages import Outcome
+from comfreysill.exchange.messages import (
+    LEASE_MARGIN_SECONDS,
+    MAX_RUN_LEASE_SECONDS,
+    Outcome,
+)
 from comfreysill.execution.calls import RenewCall, RenewReply, ReplyStatus, RunEnd, StopCall
 from comfreysill.execution.crashes import list_started_runs
 from comfreysill.execution.health import record_failure, record_success
 from comfreysill.execution.progress import evaluate_progress
 from comfreysill.execution.run import Run, RunState
 from comfreysill.execution.runner import end_all_runs, end_runner_lifetime
-from comfreysill.execution.starts import STOP_RESEND_SECONDS, mark_running, requeue_start
+from comfreysill.execution.starts import (
+    MAX_START_CALLS,
+    MIN_START_INTERVAL_SECONDS,
+    STOP_RESEND_SECONDS,
+    expire_unconfirmed,
+    is_clock_continuous,
+    is_stop_overdue,
+    mark_running,
+    requeue_start,
+)
 from comfreysill.execution.state import (
     AgentState,
     end_run,
@@ -34,7 +47,8 @@
     """Queues a renewal if none is in flight or `renew_now` is set.
 
     Does nothing while no runner is in use. The call extends the run leases only if the agent has
-    runs and the runner has answered within RENEWAL_GIVE_UP_SECONDS.
+    runs, the runner has answered within RENEWAL_GIVE_UP_SECONDS, and no stop is overdue: a lease
+    covers all runs, so that one that can't be stopped ends only if all of them expire.
     """
     if agent.runner_lifetime is None:
         return
@@ -43,12 +57,13 @@
     if now < agent.renewal_due_at:
         return
     silent = agent.answered_at and now - agent.answered_at > RENEWAL_GIVE_UP_SECONDS
+    is_extending = agent.runs and not silent and not is_stop_overdue(agent, now)
     agent.calls.append(
         RenewCall(
             lifetime=agent.runner_lifetime,
             token=agent.token,
             ended_seen=agent.runner_ends_seen,
-            lease_until_ms=0 if silent or not agent.runs else grant_run_lease(agent, now),
+            lease_until_ms=grant_run_lease(agent, now) if is_extending else 0,
             wait_ms=_choose_wait_ms(agent),
             sent_at=now,
         )
@@ -69,8 +84,9 @@
     call = reply.call
     if call.lifetime != agent.runner_lifetime:
         return
-    if reply.status == ReplyStatus.GONE:
-        end_runner_lifetime(agent, now, "another lifetime answered")
+    end_reason = _find_end_of_lifetime(agent, reply)
+    if end_reason:
+        end_runner_lifetime(agent, now, end_reason)
         return
     if reply.status not in (ReplyStatus.ACCEPTED, ReplyStatus.FENCED):
         agent.renewal_due_at = now + RENEWAL_RETRY_SECONDS
@@ -78,8 +94,12 @@
         agent.renew_now = True
         check_lease_expiry(agent, now)
         return
+    if reply.status == ReplyStatus.REFUSED:
+        return
     agent.answered_at = now
-    record_clock(agent, reply.clock_ms, now)
+    # Only lists tell the lifetime that answers; a clock may be another one's.
+    if reply.status == ReplyStatus.ACCEPTED or is_clock_continuous(agent, reply.clock_ms, now):
+        record_clock(agent, reply.clock_ms, now)
     if reply.status == ReplyStatus.FENCED:
         if call.token == agent.token:
             agent.token += TOKEN_JUMP
@@ -87,13 +107,6 @@
         return
     if reply.status != ReplyStatus.ACCEPTED:
         return
-    if (
-        reply.started_at_ms
-        and call.lifetime.started_at_ms
-        and reply.started_at_ms != call.lifetime.started_at_ms
-    ):
-        end_runner_lifetime(agent, now, "the runner was born again")
-        return
     agent.silent_runs = []
     _apply_ends(agent, reply.ended, now)
     # Replies may arrive out of order; an older list says nothing about the current runs.
@@ -102,13 +115,32 @@
         _reconcile_runs(agent, reply, now)
 
 
+def _find_end_of_lifetime(agent: AgentState, reply: RenewReply) -> str:
+    """Returns why a reply shows that the addressed lifetime has ended, empty if it doesn't."""
+    if reply.status == ReplyStatus.GONE:
+        return "another lifetime answered"
+    # The end of a process breaks its open connections before new ones are refused.
+    if reply.status == ReplyStatus.REFUSED and not agent.renewals_in_flight:
+        return "nothing listens at its address"
+    expected_ms = reply.call.lifetime.started_at_ms
+    if reply.started_at_ms and expected_ms and reply.started_at_ms != expected_ms:
+        return "the runner was born again"
+    return ""
+
+
 def check_lease_expiry(agent: AgentState, now: float) -> None:
     """Ends all runs once every run lease has expired at a runner that answers no renewals."""
-    silent = now - agent.answered_at > RENEWAL_GIVE_UP_SECONDS
-    if agent.answered_at and silent and agent.reconciled and now > agent.leases_expire_at:
+    expire_unconfirmed(agent, now)
+    is_silent = agent.answered_at and now - agent.answered_at > RENEWAL_GIVE_UP_SECONDS
+    if not is_silent or now <= agent.leases_expire_at:
+        return
+    if agent.reconciled:
         agent.reconciled = False
         agent.silent_runs = list_started_runs(agent)
         end_all_runs(agent, now, "the runner gave no answer until its lease lapsed")
+    if agent.deregistered:
+        reason = "it has deregistered and gives no answer"
+        end_runner_lifetime(agent, now, reason, is_certain=False)
 
 
 def _apply_ends(agent: AgentState, ended: list[RunEnd], now: float) -> None:
@@ -143,7 +175,7 @@
             continue
         is_listed = listed.get(run.task) == run.number
         if run.state == RunState.UNCONFIRMED:
-            _resolve_unconfirmed_start(agent, run, reply, is_listed, now)
+            _resolve_unconfirmed_start(agent, run, reply, listed.get(run.task), now)
         elif run.state == RunState.STARTING:
             if is_listed:
                 mark_running(agent, run, now)
@@ -162,12 +194,19 @@
 
 
 def _resolve_unconfirmed_start(
-    agent: AgentState, run: Run, reply: RenewReply, is_listed: bool, now: float
+    agent: AgentState, run: Run, reply: RenewReply, listed_number: int | None, now: float
 ) -> None:
-    if is_listed:
+    if listed_number == run.number:
+        if run.lifetime != agent.runner_lifetime:
+            # The lease in its call was for another clock.
+            run.lifetime = agent.runner_lifetime
+            lease_end = now + MAX_RUN_LEASE_SECONDS + LEASE_MARGIN_SECONDS
+            agent.leases_expire_at = max(agent.leases_expire_at, lease_end)
         mark_running(agent, run, now)
-    elif reply.call.token >= run.resolving_token:
-        requeue_start(agent, run, now)
+    elif listed_number is None and reply.call.token >= run.resolving_token:
+        may_retry = run.start_calls_sent < MAX_START_CALLS or run.stop_wanted
+        if may_retry or now - run.changed_at >= MIN_START_INTERVAL_SECONDS:
+            requeue_start(agent, run, now)
 
 
 def _stop_orphaned_runs(agent: AgentState, listed: dict[str, int], now: float) -> None:
--- a/src/comfreysill/execution/run.py
+++ b/src/comfreysill/execution/run.py
@@ -1,16 +1,20 @@
 """A run: one attempt of a task at an agent, and its states."""
 
 import enum
+import math
 
 from comfreysill.exchange.messages import Batch, Order
+from comfreysill.execution.calls import RunnerLifetime
 from comfreysill.request.request import name_task
 
 
 class RunState(enum.IntEnum):
     """State of a run at its agent.
 
-    UNCONFIRMED is a start whose call got no answer. The run keeps its capacity reserved until a
-    renewal with a higher fencing token shows whether the runner started it.
+    UNCONFIRMED is a start whose call got no answer. The call may be carried out late, also by a
+    later lifetime of the runner under the same id, which has seen no fencing token. The run keeps
+    its capacity reserved until a renewal with a higher token has been answered, by whichever
+    lifetime is in use then, and shows whether the runner started it.
     """
 
     WAITING = 0
@@ -33,9 +37,14 @@
         number: Run number of the newest start, 0 before the first.
         start_calls_sent: Number of start calls sent for all its run numbers.
         changed_at: Boot-clock time in seconds of the last state change.
+        lifetime: Runner lifetime that the newest start call was addressed to, None before it.
+        late_until: Boot-clock time in seconds after which nothing runs of a start call that got no
+            answer, 0 if all were answered. Until then the task starts nowhere else.
         resolving_token: Lowest token of renewals that resolve an unconfirmed start, 0 before any.
         stop_wanted: True if the run has to be stopped once it is known to run.
         stop_sent_at: Boot-clock time in seconds of the last stop call, 0 before the first.
+        stop_due_at: Boot-clock time in seconds from which no run lease is renewed while the run may
+            be at the runner; infinite unless its entry may hand the task to another target then.
         reason: Human-readable reason for the stop, empty if none was requested.
         percent: Progress in percent as last listed by the runner.
         progress_at: Boot-clock time in seconds at which `percent` last changed.
@@ -51,9 +60,12 @@
         "number",
         "start_calls_sent",
         "changed_at",
+        "lifetime",
+        "late_until",
         "resolving_token",
         "stop_wanted",
         "stop_sent_at",
+        "stop_due_at",
         "reason",
         "percent",
         "progress_at",
@@ -69,9 +81,12 @@
         self.number = 0
         self.start_calls_sent = 0
         self.changed_at = now
+        self.lifetime: RunnerLifetime | None = None
+        self.late_until = 0.0
         self.resolving_token = 0
         self.stop_wanted = False
         self.stop_sent_at = 0.0
+        self.stop_due_at = math.inf
         self.reason = ""
         self.percent = 0.0
         self.progress_at = now
--- a/src/comfreysill/execution/runner.py
+++ b/src/comfreysill/execution/runner.py
@@ -4,12 +4,15 @@
 from comfreysill.execution.calls import RunnerReport
 from comfreysill.execution.capacity import return_excess_runs
 from comfreysill.execution.crashes import record_crash
-from comfreysill.execution.run import RunState
+from comfreysill.execution.run import Run, RunState
+from comfreysill.execution.starts import mark_unconfirmed
 from comfreysill.execution.state import (
     AgentState,
     count,
     end_run,
     note_event,
+    reserve_capacity,
+    subtract_waiting,
 )
 
 
@@ -26,23 +29,7 @@
     if previous is not None and previous.lifetime == report.lifetime:
         if report.sequence < previous.sequence and report.sequence:
             return False
-        if report.draining and not previous.draining:
-            note_event(agent, "runner is draining", lifetime=str(report.lifetime))
-        if report.draining != previous.draining:
-            agent.profile_version += 1
-        if _get_capacity(report) != _get_capacity(previous):
-            agent.profile_version += 1
-            note_event(
-                agent,
-                "capacity changed",
-                cpu=report.cpu,
-                cpu_before=previous.cpu,
-                memory_mb=report.memory_mb,
-                memory_before=previous.memory_mb,
-            )
-        agent.report = report
-        _return_waiting_runs(agent, now)
-        return_excess_runs(agent, now)
+        _update_report(agent, previous, report, now)
     elif previous is not None and report.lifetime.started_at_ms < previous.lifetime.started_at_ms:
         count(agent, "reports_stale")
         return False
@@ -55,12 +42,41 @@
     return True
 
 
+def _update_report(
+    agent: AgentState, previous: RunnerReport, report: RunnerReport, now: float
+) -> None:
+    """Processes a newer report of the lifetime in use."""
+    if report.draining and not previous.draining:
+        note_event(agent, "runner is draining", lifetime=str(report.lifetime))
+    if report.draining != previous.draining:
+        agent.profile_version += 1
+    if _get_capacity(report) != _get_capacity(previous):
+        agent.profile_version += 1
+        note_event(
+            agent,
+            "capacity changed",
+            cpu=report.cpu,
+            cpu_before=previous.cpu,
+            memory_mb=report.memory_mb,
+            memory_before=previous.memory_mb,
+        )
+    agent.report = report
+    if report.sequence > previous.sequence:
+        agent.deregistered = False
+    _return_waiting_runs(agent, now)
+    return_excess_runs(agent, now)
+
+
 def _get_capacity(report: RunnerReport) -> tuple[int, int, int]:
     return report.cpu, report.memory_mb, report.gpus
 
 
 def _adopt_runner(agent: AgentState, report: RunnerReport, now: float) -> None:
     agent.runner_lifetime = report.lifetime
+    # Calls to an earlier lifetime under the same id may be carried out late by this one, which has
+    # seen no token.
+    agent.token += 1
+    _settle_starts_under_other_ids(agent, report.lifetime.runner_id, now)
     agent.clock_ms = -1
     agent.runner_ends_seen = 0
     agent.listed_at_ms = 0
@@ -69,43 +85,81 @@
     agent.answered_at = now
     agent.leases_expire_at = now
     agent.renew_now = True
+    agent.renewal_due_at = 0.0
     note_event(agent, "runner adopted", lifetime=str(report.lifetime), cpu=report.cpu)
 
 
 def receive_deregistration(agent: AgentState, runner_id: str, now: float) -> None:
-    """Processes the deregistration of a runner that is shutting down."""
-    if agent.report is None or agent.report.lifetime.runner_id != runner_id:
+    """Processes the deregistration of a runner that is shutting down.
+
+    The call names no lifetime and may arrive late, when the next one is in use. So the runner is
+    given no new work, and its runs end when it no longer answers; a newer report of it shows that
+    an earlier lifetime has deregistered.
+    """
+    if agent.runner_lifetime is None or agent.runner_lifetime.runner_id != runner_id:
         return
-    note_event(agent, "runner deregistered", lifetime=str(agent.report.lifetime))
-    agent.runner_lifetime = None
-    agent.reconciled = False
-    end_all_runs(agent, now, "the runner left")
-    agent.departed_lifetime = agent.report.lifetime
-    agent.report = None
-    agent.profile_version += 1
+    note_event(agent, "runner deregistered", lifetime=str(agent.runner_lifetime))
+    agent.deregistered = True
+    agent.renew_now = True
+    _return_waiting_runs(agent, now)
 
 
-def end_runner_lifetime(agent: AgentState, now: float, reason: str) -> None:
+def end_runner_lifetime(
+    agent: AgentState, now: float, reason: str, is_certain: bool = True
+) -> None:
     """Marks the runner's lifetime as ended, if one is in use, and ends all runs on it.
 
-    A lifetime that ends neither by deregistration nor while draining has crashed.
+    A lifetime that ends neither after a deregistration nor while draining has crashed. Unless
+    `is_certain`, a later report of it shows that it goes on.
     """
     if agent.runner_lifetime is None:
         return
-    if agent.report is not None and agent.report.draining:
+    if agent.deregistered or agent.report.draining:
         note_event(agent, "runner lost", lifetime=str(agent.runner_lifetime), why=reason)
     else:
         record_crash(agent, reason, now)
+    if agent.deregistered:
+        agent.departed_lifetime = agent.runner_lifetime if is_certain else None
+        agent.report = None
+        agent.profile_version += 1
+    agent.deregistered = False
     agent.runner_lifetime = None
     agent.reconciled = False
     end_all_runs(agent, now, reason)
 
 
 def end_all_runs(agent: AgentState, now: float, reason: str) -> None:
-    """Ends all runs: waiting ones as RETURNED, all others as LOST."""
+    """Ends the runs of a lifetime: waiting ones as RETURNED, started ones as LOST.
+
+    Those with a start call that got no answer become unconfirmed, as the call may be carried out
+    late.
+    """
+    for run in list(agent.runs.values()):
+        if run.state == RunState.UNCONFIRMED:
+            continue
+        if run.state == RunState.STARTING or now < run.late_until:
+            _hold_run(agent, run, now, reason)
+        elif run.state == RunState.WAITING:
+            end_run(agent, run, Outcome.RETURNED, now, detail=reason)
+        else:
+            end_run(agent, run, Outcome.LOST, now, detail=reason)
+
+
+def _hold_run(agent: AgentState, run: Run, now: float, reason: str) -> None:
+    if run.state == RunState.WAITING:
+        subtract_waiting(agent, run)
+        reserve_capacity(agent, run)
+    count(agent, "starts_held")
+    note_event(agent, "start held until it is final", task=run.task, run=run.number, why=reason)
+    mark_unconfirmed(agent, run, now)
+
+
+def _settle_starts_under_other_ids(agent: AgentState, runner_id: str, now: float) -> None:
+    """Ends unconfirmed runs whose start calls the present runner refuses, being addressed by id."""
     for run in list(agent.runs.values()):
-        was_waiting = run.state == RunState.WAITING
-        end_run(agent, run, Outcome.RETURNED if was_waiting else Outcome.LOST, now, detail=reason)
+        if run.state == RunState.UNCONFIRMED and run.lifetime.runner_id != runner_id:
+            run.late_until = 0.0
+            end_run(agent, run, Outcome.LOST, now, detail="another runner has replaced its own")
 
 
 def begin_shutdown(agent: AgentState, now: float) -> None:
@@ -115,7 +169,7 @@
 
 
 def _return_waiting_runs(agent: AgentState, now: float) -> None:
-    if not agent.stopping and not agent.report.draining:
+    if not agent.stopping and not agent.deregistered and not agent.report.draining:
         return
     for run in list(agent.runs.values()):
         if run.state == RunState.WAITING:
--- a/src/comfreysill/execution/starts.py
+++ b/src/comfreysill/execution/starts.py
@@ -1,8 +1,13 @@
 """Starts and stops of runs, and the runner's replies to them."""
 
 import heapq
+import math
 
-from comfreysill.exchange.messages import Outcome
+from comfreysill.exchange.messages import (
+    MAX_CALL_DELAY_SECONDS,
+    MAX_RUN_LEASE_SECONDS,
+    Outcome,
+)
 from comfreysill.execution.calls import CallReply, ReplyStatus, StartCall, StopCall
 from comfreysill.execution.health import record_failure
 from comfreysill.execution.isolation import may_start
@@ -14,6 +19,7 @@
     enqueue_run,
     grant_run_lease,
     note_event,
+    read_clock,
     record_clock,
     release_capacity,
     reserve_capacity,
@@ -22,9 +28,16 @@
 
 STOP_RESEND_SECONDS = 0.12
 MAX_START_CALLS = 3
+# From an unanswered start to the next one of the run, after MAX_START_CALLS.
+MIN_START_INTERVAL_SECONDS = 0.05
 # A runner that has answered no call for this long is given no new work.
 MAX_RUNNER_SILENCE_SECONDS = 0.3
 MAX_IDLE_RUNNER_SILENCE_SECONDS = 0.55
+# A reading of the runner's clock that is further behind its estimated time is an old one, or
+# another lifetime's.
+MAX_CLOCK_LAG_MS = 250
+# Allows for an estimate that lags behind, as the runner's clock is read between other tasks.
+MAX_CLOCK_LEAD_MS = 100
 # Added to the run number after the runner has rejected it as too low.
 RUN_NUMBER_JUMP = 10_000_000
 
@@ -33,7 +46,11 @@
     """Returns whether the target accepts new work."""
     if agent.stopping or agent.runner_lifetime is None or not agent.reconciled:
         return False
-    if agent.report is None or agent.report.draining or now < agent.suspended_until:
+    if agent.report is None or agent.report.draining or agent.deregistered:
+        return False
+    if now < agent.suspended_until:
+        return False
+    if is_stop_overdue(agent, now):
         return False
     max_silence = MAX_RUNNER_SILENCE_SECONDS if agent.runs else MAX_IDLE_RUNNER_SILENCE_SECONDS
     if now - agent.answered_at > max_silence:
@@ -45,6 +62,9 @@
     """Queues starts of waiting runs by urgency until the next one exceeds the free capacity."""
     if agent.runner_lifetime is None or not agent.reconciled or agent.clock_ms < 0:
         return
+    # The lease in a start call extends those of all runs.
+    if agent.waiting and is_stop_overdue(agent, now):
+        return
     report = agent.report
     while agent.waiting:
         run = agent.waiting[0][3]
@@ -76,6 +96,7 @@
 
 
 def _queue_start_call(agent: AgentState, run: Run, now: float) -> None:
+    run.lifetime = agent.runner_lifetime
     agent.calls.append(
         StartCall(
             lifetime=agent.runner_lifetime,
@@ -88,9 +109,21 @@
     )
 
 
-def stop_run(agent: AgentState, run: Run, now: float, reason: str) -> None:
-    """Queues a stop call, or marks the run to be stopped once its start is confirmed."""
+def stop_run(
+    agent: AgentState, run: Run, now: float, reason: str, due_at: float = math.inf
+) -> None:
+    """Queues a stop call, or marks the run to be stopped once its start is confirmed.
+
+    Args:
+        agent: The agent's state.
+        run: The run.
+        now: Boot-clock time in seconds.
+        reason: Human-readable reason.
+        due_at: Boot-clock time in seconds from which the run leases are left to expire if the run
+            has not ended.
+    """
     run.reason = run.reason or reason
+    run.stop_due_at = min(run.stop_due_at, due_at)
     if run.state == RunState.WAITING:
         end_run(agent, run, Outcome.RETURNED, now, reason)
     elif run.state in (RunState.STARTING, RunState.UNCONFIRMED):
@@ -101,6 +134,15 @@
         _queue_stop_call(agent, run, now)
 
 
+def is_stop_overdue(agent: AgentState, now: float) -> bool:
+    """Returns whether a run that has to be gone by now may still be at the runner."""
+    if agent.orphan_stop_sent_at:
+        return True
+    return any(
+        run.stop_due_at <= now for run in agent.runs.values() if run.state != RunState.WAITING
+    )
+
+
 def resend_stops(agent: AgentState, now: float) -> None:
     """Queues stop calls again for runs whose end the runner hasn't listed."""
     for run in agent.runs.values():
@@ -126,25 +168,34 @@
     """
     call = reply.call
     if call.lifetime != agent.runner_lifetime:
+        _settle_earlier_start(agent, reply, now)
         return
-    record_clock(agent, reply.clock_ms, now)
-    if reply.status != ReplyStatus.UNANSWERED:
+    is_current = is_clock_continuous(agent, reply.clock_ms, now)
+    if is_current:
+        record_clock(agent, reply.clock_ms, now)
+    if reply.status not in (ReplyStatus.UNANSWERED, ReplyStatus.REFUSED):
         agent.answered_at = now
     if isinstance(call, StopCall):
         return
     run = agent.runs.get(call.task)
     if run is None or run.number != call.run or run.state != RunState.STARTING:
         return
-    if reply.status == ReplyStatus.ACCEPTED:
+    if reply.status == ReplyStatus.UNANSWERED:
+        count(agent, "starts_unanswered")
+        note_event(agent, "start unanswered; token raised", task=run.task, token=agent.token + 1)
+        mark_unconfirmed(agent, run, now)
+    elif reply.status == ReplyStatus.ACCEPTED and not is_current:
+        # Another lifetime of the runner may have accepted it.
+        note_event(agent, "start accepted on another clock; token raised", task=run.task)
+        mark_unconfirmed(agent, run, now)
+    elif reply.status == ReplyStatus.ACCEPTED:
         mark_running(agent, run, now)
-    elif reply.status == ReplyStatus.UNANSWERED:
-        _mark_start_unconfirmed(agent, run, now)
     elif reply.status in (ReplyStatus.FENCED, ReplyStatus.LATE, ReplyStatus.OLD_RUN):
         _resend_start(agent, run, call, reply.status, now)
     elif reply.status == ReplyStatus.NO_ROOM:
         # The capacity has shrunk since the last report; the target is as healthy as before.
         _return_run(agent, run, now, "the runner refused: NO_ROOM")
-    elif reply.status == ReplyStatus.GONE:
+    elif reply.status in (ReplyStatus.GONE, ReplyStatus.REFUSED):
         agent.renew_now = True
         _return_run(agent, run, now, "the runner's lifetime has ended")
     else:
@@ -160,17 +211,46 @@
         stop_run(agent, run, now, run.reason)
 
 
-def _mark_start_unconfirmed(agent: AgentState, run: Run, now: float) -> None:
+def is_clock_continuous(agent: AgentState, clock_ms: int, now: float) -> bool:
+    """Returns whether a reading may be of the same clock as the readings before it.
+
+    Each lifetime of the runner has a clock of its own. Replies to starts don't name the lifetime.
+    """
+    expected_ms = read_clock(agent, now)
+    if clock_ms < 0 or expected_ms < 0:
+        return True
+    return -MAX_CLOCK_LAG_MS <= clock_ms - expected_ms <= MAX_CLOCK_LEAD_MS
+
+
+def _settle_earlier_start(agent: AgentState, reply: CallReply, now: float) -> None:
+    """Returns an unconfirmed run whose only call, to an earlier lifetime, was refused after all."""
+    run = agent.runs.get(reply.call.task)
+    if run is None or run.number != reply.call.run or run.state != RunState.UNCONFIRMED:
+        return
+    if not isinstance(reply.call, StartCall) or run.start_calls_sent > 1:
+        return
+    if reply.status not in (ReplyStatus.ACCEPTED, ReplyStatus.UNANSWERED):
+        _return_run(agent, run, now, f"the runner refused: {reply.status.name}")
+
+
+def mark_unconfirmed(agent: AgentState, run: Run, now: float) -> None:
     """Marks a start as unconfirmed until a renewal with a higher token.
 
     After that renewal the runner rejects the start if it arrives late.
     """
     agent.token += 1
     agent.renew_now = True
+    if run.state == RunState.STARTING:
+        run.late_until = now + MAX_CALL_DELAY_SECONDS + MAX_RUN_LEASE_SECONDS
     run.state = RunState.UNCONFIRMED
     run.resolving_token = agent.token
-    count(agent, "starts_unanswered")
-    note_event(agent, "start unanswered; token raised", task=run.task, token=agent.token)
+
+
+def expire_unconfirmed(agent: AgentState, now: float) -> None:
+    """Ends runs whose start call is too old to be carried out, at a runner that never answered."""
+    for run in list(agent.runs.values()):
+        if run.state == RunState.UNCONFIRMED and now > run.late_until:
+            end_run(agent, run, Outcome.LOST, now, detail="its start was never answered")
 
 
 def _resend_start(
@@ -190,13 +270,19 @@
 
 
 def requeue_start(agent: AgentState, run: Run, now: float) -> None:
-    """Queues a run again whose start is known to have had no effect.
+    """Queues a run again whose start is known to have had no effect in this lifetime.
 
-    After MAX_START_CALLS, or if a stop was requested, it is returned to its entry instead, and
-    counts as a failure of the target.
+    It stays here, however often that happens: at another target it could meet its earlier start, if
+    the runner restarts. Each MAX_START_CALLS unanswered calls count as a failure of the target. If
+    a stop was requested, the run is returned; if the runner has restarted, it is lost, as it may
+    have begun before.
     """
-    if run.stop_wanted or run.start_calls_sent >= MAX_START_CALLS:
+    if run.lifetime != agent.runner_lifetime:
+        end_run(agent, run, Outcome.LOST, now, detail="the runner restarted during its start")
+        return
+    if run.start_calls_sent % MAX_START_CALLS == 0:
         record_failure(agent, run.batch.request_id, now)
+    if run.stop_wanted:
         _return_run(agent, run, now, "the runner gave no answer")
         return
     release_capacity(agent, run)
--- a/src/comfreysill/placement/agents.py
+++ b/src/comfreysill/placement/agents.py
@@ -4,17 +4,20 @@
     DEMAND_INTERVAL_SECONDS,
     LEASE_MARGIN_SECONDS,
     LINK_LEASE_SECONDS,
+    MAX_CALL_DELAY_SECONDS,
+    MAX_RUN_LEASE_SECONDS,
     RUN_LEASE_SECONDS,
     AgentFrame,
     Ended,
     EntryFrame,
     Outcome,
 )
+from comfreysill.placement.bindings import bind_task, expire_bindings
 from comfreysill.placement.crashes import receive_crash
 from comfreysill.placement.effects import CloseSession, FetchRoutes, SendFrame
 from comfreysill.placement.queue import rank_demand
 from comfreysill.placement.requests import conclude_request, end_task
-from comfreysill.placement.state import Agent, EntryState, count, note_event
+from comfreysill.placement.state import AbandonedTask, Agent, EntryState, count, note_event
 from comfreysill.placement.subset import rank_agent, remove_link
 from comfreysill.request.request import reschedule_task
 from comfreysill.request.types import Verdict
@@ -24,6 +27,8 @@
 # Once an agent has sent no frame for this long, none of its tasks can still run: the agent has
 # stopped them, or their leases at the runner have expired.
 AGENT_EXPIRY_SECONDS = LINK_LEASE_SECONDS + RUN_LEASE_SECONDS + LEASE_MARGIN_SECONDS
+# A start that a silent agent had no answer to isn't carried out any more after this time.
+LATE_START_SECONDS = AGENT_EXPIRY_SECONDS + MAX_CALL_DELAY_SECONDS + MAX_RUN_LEASE_SECONDS
 # After a longer gap between ticks, this process was itself suspended: it processes the frames that
 # arrived meanwhile before it times out any session.
 MAX_TICK_GAP_SECONDS = 0.25
@@ -103,6 +108,7 @@
     agent.reservations.clear()
     agent.batches.clear()
     agent.stops.clear()
+    agent.unconfirmed = dict.fromkeys(agent.unconfirmed, 0)
     return agent.session
 
 
@@ -120,7 +126,7 @@
     if agent is None or frame.session != agent.session or not agent.connected:
         count(state, "frames_stale")
         return
-    agent.last_frame_at = now
+    previous_frame_at, agent.last_frame_at = agent.last_frame_at, now
     agent.next_seconds = frame.next_seconds
     agent.newest_timestamp = frame.stamp
     agent.load = frame.load
@@ -132,7 +138,10 @@
     if frame.routes_version > state.routes.version:
         _request_routes(state, frame, now)
     if frame.lifetime != agent.lifetime:
-        _start_lifetime(state, agent, frame)
+        _start_lifetime(state, agent, frame, previous_frame_at)
+    if frame.opening:
+        _resume_lifetime(agent)
+    _confirm_starts(agent, frame)
     # Before the ends that they caused, so that suspects are not placed beside other tasks again.
     for report in frame.crashes:
         receive_crash(state, report, now)
@@ -143,7 +152,7 @@
         _reconcile_tasks(state, agent, frame.active, now)
     # An agent that accepts has reconciled its runner: no run of its earlier lifetime is left.
     if agent.abandoned and frame.load.accepting:
-        _end_abandoned_tasks(state, agent, "its agent restarted", now)
+        _end_abandoned_tasks(state, agent, list(agent.abandoned), "its agent restarted", now)
 
 
 def _request_routes(state: EntryState, frame: AgentFrame, now: float) -> None:
@@ -157,12 +166,43 @@
     state.effects.append(FetchRoutes(address=frame.routes_holder))
 
 
-def _start_lifetime(state: EntryState, agent: Agent, frame: AgentFrame) -> None:
+def _start_lifetime(
+    state: EntryState, agent: Agent, frame: AgentFrame, silent_since: float
+) -> None:
     if agent.lifetime:
         note_event(state, "agent restarted", agent=agent.name, tasks=len(agent.tasks))
+    _mark_abandoned(agent, silent_since)
     agent.lifetime = frame.lifetime
     agent.ended_seen = 0
-    agent.abandoned = set(agent.tasks)
+
+
+def _mark_abandoned(agent: Agent, silent_since: float) -> None:
+    """Marks the tasks of a lifetime that sent its last frame at `silent_since` (boot clock)."""
+    for name in agent.tasks:
+        if name in agent.abandoned:
+            continue
+        is_unconfirmed = name in agent.unconfirmed
+        seconds = LATE_START_SECONDS if is_unconfirmed else AGENT_EXPIRY_SECONDS
+        agent.abandoned[name] = AbandonedTask(
+            lifetime=agent.lifetime,
+            unconfirmed=is_unconfirmed,
+            late_until=silent_since + seconds,
+        )
+
+
+def _resume_lifetime(agent: Agent) -> None:
+    """Takes tasks back that a silent agent still has; its list tells which."""
+    for name, abandoned in list(agent.abandoned.items()):
+        if abandoned.lifetime == agent.lifetime:
+            del agent.abandoned[name]
+
+
+def _confirm_starts(agent: Agent, frame: AgentFrame) -> None:
+    """Updates which starts the agent may have no answer to, except those of an earlier lifetime."""
+    listed = set(frame.unconfirmed)
+    for name, number in list(agent.unconfirmed.items()):
+        if number <= frame.seen and name not in listed and name not in agent.abandoned:
+            del agent.unconfirmed[name]
 
 
 def _receive_task_end(state: EntryState, agent: Agent, task_end: Ended, now: float) -> None:
@@ -174,12 +214,15 @@
         count(state, "ends_unknown")
         return
     _remove_task(agent, task.name)
+    if task_end.late_seconds and task_end.outcome != Outcome.DONE:
+        bind_task(state, task.name, agent.name, now + task_end.late_seconds)
     end_task(state, task, task_end.outcome, task_end.detail, now)
 
 
 def _remove_task(agent: Agent, name: str) -> None:
     agent.tasks.pop(name, None)
-    agent.abandoned.discard(name)
+    agent.unconfirmed.pop(name, None)
+    agent.abandoned.pop(name, None)
 
 
 def _reconcile_tasks(state: EntryState, agent: Agent, active: list[str], now: float) -> None:
@@ -198,12 +241,18 @@
             agent.stops.append(name)
 
 
-def _end_abandoned_tasks(state: EntryState, agent: Agent, detail: str, now: float) -> None:
-    for name in list(agent.abandoned):
+def _end_abandoned_tasks(
+    state: EntryState, agent: Agent, names: list[str], detail: str, now: float
+) -> None:
+    for name in names:
+        abandoned = agent.abandoned[name]
         task = agent.tasks.get(name)
         _remove_task(agent, name)
-        if task is not None:
-            end_task(state, task, Outcome.LOST, detail, now)
+        if task is None:
+            continue
+        if abandoned.unconfirmed and now < abandoned.late_until:
+            bind_task(state, name, agent.name, abandoned.late_until)
+        end_task(state, task, Outcome.LOST, detail, now)
 
 
 def expire_agents(state: EntryState, now: float) -> None:
@@ -220,12 +269,27 @@
             note_event(state, "link timed out", agent=agent.name, seconds=round(silence, 3))
             state.effects.append(CloseSession(agent=agent.name, session=agent.session))
         if agent.tasks and now - agent.last_frame_at > AGENT_EXPIRY_SECONDS:
-            agent.abandoned = set(agent.tasks)
-            note_event(state, "agent leases expired", agent=agent.name, tasks=len(agent.tasks))
-            _end_abandoned_tasks(state, agent, "no frames from its agent", now)
+            _mark_abandoned(agent, agent.last_frame_at)
+        if agent.abandoned:
+            _expire_abandoned_tasks(state, agent, now)
+    expire_bindings(state, now)
     _forget_agents(state, now)
 
 
+def _expire_abandoned_tasks(state: EntryState, agent: Agent, now: float) -> None:
+    """Reschedules the tasks of a lost lifetime of an agent of which nothing can run any more.
+
+    A runner that has restarted as well may carry out a start of its agent's earlier lifetime. So
+    unconfirmed tasks wait until a later lifetime of the agent accepts tasks, or their start is too
+    old.
+    """
+    expired = [name for name, task in agent.abandoned.items() if now > task.late_until]
+    if expired:
+        held = len(agent.abandoned) - len(expired)
+        note_event(state, "agent leases expired", agent=agent.name, tasks=len(expired), held=held)
+        _end_abandoned_tasks(state, agent, expired, "no frames from its agent", now)
+
+
 def _forget_agents(state: EntryState, now: float) -> None:
     """Releases agents out of reach for long, and forgets released ones without tasks."""
     for agent in list(state.agents.values()):
--- a/src/comfreysill/wire/exchange.py
+++ b/src/comfreysill/wire/exchange.py
@@ -120,6 +120,7 @@
         profile=_encode_profile(frame.profile) if frame.profile is not None else None,
         ended=[_encode_end(end) for end in frame.ended],
         active=frame.active,
+        unconfirmed=frame.unconfirmed,
         opening=frame.opening,
         routes_version=frame.routes_version,
         routes_holder=frame.routes_holder,
@@ -146,6 +147,7 @@
         profile=_decode_profile(message.profile) if message.HasField("profile") else None,
         ended=[_decode_end(end) for end in message.ended],
         active=list(message.active),
+        unconfirmed=list(message.unconfirmed),
         opening=message.opening,
         routes_version=message.routes_version,
         routes_holder=_check_optional_address(message.routes_holder, "routes_holder"),
@@ -188,22 +190,30 @@
     )
 
 
-def decode_members(message: pb.Members) -> list[Member]:
+def decode_members(message: pb.Members) -> tuple[list[Member], list[str]]:
     """Decodes members; those with a role that this version doesn't know are skipped.
 
-    Raises:
-        FrameError: A name or an address is invalid.
+    Returns:
+        The members, and what is wrong with those whose name or address is invalid.
     """
-    return [
-        Member(
-            name=_check_name(member.name, "members.name"),
-            role=Role(member.role),
-            address=_check_address(member.address, "members.address"),
-            service=member.service[:MAX_NAME_CHARS],
-        )
-        for member in message.members
-        if member.role in _ROLES
-    ]
+    members, problems = [], []
+    for member in message.members:
+        if member.role not in _ROLES:
+            continue
+        try:
+            members.append(_decode_member(member))
+        except FrameError as error:
+            problems.append(str(error))
+    return members, problems
+
+
+def _decode_member(message: pb.Member) -> Member:
+    return Member(
+        name=_check_name(message.name, "members.name"),
+        role=Role(message.role),
+        address=_check_address(message.address, "members.address"),
+        service=message.service[:MAX_NAME_CHARS],
+    )
 
 
 def _check_name(text: str, field: str) -> str:
@@ -303,6 +313,7 @@
         outcome=end.outcome,
         seconds=end.seconds,
         detail=end.detail,
+        late_seconds=end.late_seconds,
     )
 
 
@@ -316,4 +327,5 @@
         outcome=Outcome(message.outcome),
         seconds=_check_number(message.seconds, "ended.seconds"),
         detail=message.detail,
+        late_seconds=_check_number(message.late_seconds, "ended.late_seconds"),
     )
--- a/tests/test_execution.py
+++ b/tests/test_execution.py
@@ -2,6 +2,8 @@
 
 from comfreysill.exchange.messages import (
     LINK_LEASE_SECONDS,
+    MAX_CALL_DELAY_SECONDS,
+    MAX_RUN_LEASE_SECONDS,
     RUN_LEASE_SECONDS,
     Batch,
     EntryFrame,
@@ -36,13 +38,20 @@
     queue_renewal,
     receive_renewal,
 )
+from comfreysill.execution.run import RunState
 from comfreysill.execution.runner import (
     begin_shutdown,
     end_all_runs,
     receive_deregistration,
     receive_report,
 )
-from comfreysill.execution.starts import receive_call_reply, resend_stops, start_waiting
+from comfreysill.execution.starts import (
+    MAX_START_CALLS,
+    MIN_START_INTERVAL_SECONDS,
+    receive_call_reply,
+    resend_stops,
+    start_waiting,
+)
 from comfreysill.execution.state import AgentState
 
 # Each differs from the one before in one dimension.
@@ -63,12 +72,19 @@
         self.deliver_frame()
 
     def deliver_report(
-        self, started_at_ms=1, draining=False, sequence=1, cpu=4000, memory_mb=1000, gpus=0
+        self,
+        started_at_ms=1,
+        draining=False,
+        sequence=1,
+        cpu=4000,
+        memory_mb=1000,
+        gpus=0,
+        runner_id="i",
     ):
         return receive_report(
             self.agent,
             RunnerReport(
-                lifetime=RunnerLifetime(runner_id="i", started_at_ms=started_at_ms),
+                lifetime=RunnerLifetime(runner_id=runner_id, started_at_ms=started_at_ms),
                 service="s",
                 address="",
                 zone="z",
@@ -151,6 +167,10 @@
     def deliver_reply(self, call, status):
         receive_call_reply(self.agent, CallReply(call=call, status=status, clock_ms=7000), self.now)
 
+    def confirm_starts(self):
+        for call in self.drain_starts():
+            self.deliver_reply(call, ReplyStatus.ACCEPTED)
+
     def list_ends(self, entry="e@1"):
         return [(end.task, end.outcome) for end in self.agent.links[entry].ended]
 
@@ -189,14 +209,108 @@
         self.deliver_frame(tasks=1)
         (call,) = self.drain_starts()
         self.deliver_reply(call, ReplyStatus.UNANSWERED)
-        self.assertEqual(self.agent.token, 1001)
+        self.assertEqual(self.agent.token, call.token + 1)
         self.assertEqual(self.agent.cpu_used, 1000)
         renewal = self.answer_renewal()
-        self.assertEqual(renewal.token, 1001)
+        self.assertEqual(renewal.token, call.token + 1)
         start_waiting(self.agent, self.now)
         (retry,) = self.drain_starts()
         self.assertGreater(retry.run, call.run)
-        self.assertEqual(retry.token, 1001)
+        self.assertEqual(retry.token, call.token + 1)
+
+    # Guards against a runner that restarts under the same id, and carries out a start that it never
+    # answered before while the task runs at another target.
+    def test_a_start_under_way_when_its_runner_restarts_is_held_until_the_new_lifetime_lists(self):
+        self.deliver_frame(tasks=1)
+        (call,) = self.drain_starts()
+        self.deliver_report(started_at_ms=2)
+        self.assertEqual(self.list_ends(), [])
+        renewal = self.answer_renewal()
+        self.assertGreater(renewal.token, call.token)
+        self.assertEqual(self.list_ends(), [("r/0/0", Outcome.LOST)])
+
+    # Guards against the same where the new lifetime has carried out the start before it is asked.
+    def test_a_start_that_the_new_lifetime_carried_out_goes_on_there(self):
+        self.deliver_frame(tasks=1)
+        (call,) = self.drain_starts()
+        self.deliver_report(started_at_ms=2)
+        self.answer_renewal(running=[("r/0/0", call.run)])
+        self.assertEqual(self.list_ends(), [])
+        self.assertEqual(self.agent.runs["r/0/0"].state, RunState.RUNNING)
+        self.assertEqual(self.agent.calls, [])
+
+    # Guards against the same where an earlier start of the task was the one that came late.
+    def test_a_lost_run_is_held_until_its_earlier_unanswered_start_is_stopped(self):
+        self.deliver_frame(tasks=1)
+        (late,) = self.drain_starts()
+        self.deliver_reply(late, ReplyStatus.UNANSWERED)
+        self.answer_renewal()
+        start_waiting(self.agent, self.now)
+        self.confirm_starts()
+        self.deliver_report(started_at_ms=2)
+        self.answer_renewal(running=[("r/0/0", late.run)])
+        self.assertEqual(self.list_ends(), [])
+        self.assertIsInstance(self.agent.calls[0], StopCall)
+        self.answer_renewal()
+        self.assertEqual(self.list_ends(), [("r/0/0", Outcome.LOST)])
+
+    # Guards against the same where the runner's agent can't reach it as it restarts.
+    def test_a_start_without_an_answer_is_held_while_its_runner_is_silent(self):
+        self.deliver_frame(tasks=1)
+        self.fall_silent()
+        self.assertEqual(self.list_ends(), [])
+        self.now += MAX_CALL_DELAY_SECONDS + MAX_RUN_LEASE_SECONDS + 0.1
+        check_lease_expiry(self.agent, self.now)
+        self.assertEqual(self.list_ends(), [("r/0/0", Outcome.LOST)])
+
+    # Guards against a task that starts elsewhere while its target is asked for the third time.
+    def test_a_task_stays_with_its_target_however_often_its_start_is_unanswered(self):
+        self.deliver_frame(tasks=1)
+        for _ in range(2 * MAX_START_CALLS):
+            (call,) = self.drain_starts()
+            self.now += MIN_START_INTERVAL_SECONDS
+            self.deliver_reply(call, ReplyStatus.UNANSWERED)
+            self.answer_renewal()
+            start_waiting(self.agent, self.now)
+        self.assertEqual(self.list_ends(), [])
+
+    # Guards against a start that a new lifetime has answered before its first report: with the end
+    # of the old lifetime the run would be given up while it runs.
+    def test_a_start_answered_on_another_clock_is_unconfirmed(self):
+        self.deliver_frame(tasks=1)
+        (call,) = self.drain_starts()
+        reply = CallReply(call=call, status=ReplyStatus.ACCEPTED, clock_ms=40)
+        receive_call_reply(self.agent, reply, self.now)
+        self.deliver_report(started_at_ms=2)
+        self.assertEqual(self.list_ends(), [])
+        self.answer_renewal(running=[("r/0/0", call.run)])
+        self.assertEqual(self.agent.runs["r/0/0"].state, RunState.RUNNING)
+
+    # Guards against giving up the runs of a runner that is up while new connections are refused.
+    def test_a_refused_connection_ends_no_lifetime_while_a_renewal_is_open(self):
+        self.deliver_frame(tasks=1)
+        self.confirm_starts()
+        queue_renewal(self.agent, self.now)
+        self.assertEqual(self.agent.renewals_in_flight, 1)
+        self.answer_renewal(status=ReplyStatus.REFUSED)
+        self.assertEqual(self.list_ends(), [])
+        self.agent.renewals_in_flight = 0
+        self.now += RENEWAL_RETRY_SECONDS
+        self.answer_renewal(status=ReplyStatus.REFUSED)
+        self.assertEqual(self.list_ends(), [("r/0/0", Outcome.LOST)])
+
+    def test_a_start_that_was_refused_after_its_lifetime_ended_is_returned_at_once(self):
+        self.deliver_frame(tasks=1)
+        (call,) = self.drain_starts()
+        self.deliver_report(started_at_ms=2)
+        self.deliver_reply(call, ReplyStatus.GONE)
+        self.assertEqual(self.list_ends(), [("r/0/0", Outcome.RETURNED)])
+
+    def test_starts_are_held_for_no_runner_with_another_id(self):
+        self.deliver_frame(tasks=1)
+        self.drain_starts()
+        self.deliver_report(started_at_ms=2, runner_id="j")
+        self.assertEqual(self.list_ends(), [("r/0/0", Outcome.LOST)])
 
     def test_a_list_requested_with_the_old_token_leaves_a_start_unconfirmed(self):
         self.agent.calls.clear()
@@ -225,7 +339,7 @@
         (call,) = self.drain_starts()
         self.answer_renewal(running=[("r/0/0", call.run)])
         self.deliver_reply(call, ReplyStatus.UNANSWERED)
-        self.assertEqual(self.agent.token, 1000)
+        self.assertEqual(self.agent.token, call.token)
         self.assertEqual(self.list_ends(), [])
 
     def test_an_out_of_order_list_stops_no_run(self):
@@ -264,6 +378,50 @@
         self.assertIsInstance(self.agent.calls[0], StopCall)
         self.assertEqual(self.agent.cpu_used, 1000, "runs being stopped still hold their capacity")
 
+    # Guards against a run that outlives its entry's lease, as stops got no answer while the leases
+    # of all runs were renewed: its caller's next attempt ran beside it.
+    def test_no_lease_is_renewed_while_a_run_of_a_silent_entry_cannot_be_stopped(self):
+        self.deliver_frame(entry="e@1", tasks=1)
+        self.deliver_frame(entry="f@1", tasks=1, request_id="q")
+        for call in self.drain_starts():
+            self.deliver_reply(call, ReplyStatus.ACCEPTED)
+        running = [(run.task, run.number) for run in self.agent.runs.values()]
+        self.now += LINK_LEASE_SECONDS + 0.01
+        self.deliver_frame(entry="f@1", tasks=1, request_id="waiting", cpu=4000)
+        expire_links(self.agent, self.now)
+        leases_expire_at = self.agent.leases_expire_at
+        self.assertEqual(self.answer_renewal(running=running).lease_until_ms, 0)
+        self.deliver_frame(entry="f@1", tasks=1, request_id="late")
+        self.assertEqual(self.drain_starts(), [], "the lease in a start extends those of all runs")
+        self.assertEqual(self.agent.leases_expire_at, leases_expire_at)
+        end = RunEnd(number=1, task="r/0/0", run=running[0][1], outcome="stopped")
+        self.answer_renewal(running=running[1:], ended=[end])
+        self.assertGreater(self.answer_renewal(running=running[1:]).lease_until_ms, 0)
+
+    # Guards against the same for a run that its entry has asked to stop: it has to be gone within
+    # the lease of the link, and is renewed until then.
+    def test_a_run_that_its_entry_gave_up_is_renewed_no_longer_than_the_lease_of_the_link(self):
+        self.deliver_frame(tasks=1)
+        (call,) = self.drain_starts()
+        self.deliver_reply(call, ReplyStatus.ACCEPTED)
+        self.deliver_frame(stops=["r/0/0"])
+        running = [("r/0/0", call.run)]
+        self.assertGreater(self.answer_renewal(running=running).lease_until_ms, 0)
+        self.now += LINK_LEASE_SECONDS
+        # Later frames of the entry don't postpone it.
+        self.deliver_frame()
+        self.assertEqual(self.answer_renewal(running=running).lease_until_ms, 0)
+        self.assertFalse(compute_load(self.agent, self.now).accepting)
+
+    # Guards against renewing a run that nobody has a record of.
+    def test_no_lease_is_renewed_while_an_orphaned_run_is_listed(self):
+        self.deliver_frame(tasks=1)
+        (call,) = self.drain_starts()
+        self.deliver_reply(call, ReplyStatus.ACCEPTED)
+        self.answer_renewal(running=[("r/0/0", call.run), ("old/0/0", 7)])
+        self.assertEqual(self.answer_renewal(running=[("r/0/0", call.run)]).lease_until_ms, 0)
+        self.assertGreater(self.answer_renewal(running=[("r/0/0", call.run)]).lease_until_ms, 0)
+
     def test_a_new_lifetime_of_an_entry_stops_runs_of_the_old_one(self):
         self.deliver_frame(tasks=1)
         (call,) = self.drain_starts()
@@ -368,11 +526,14 @@
 
     def collect_end_numbers(self):
         """Ends all runs, and returns the numbers of the ends that entries haven't confirmed."""
+        self.confirm_starts()
         end_all_runs(self.agent, self.now, "test")
         return [end.number for link in self.agent.links.values() for end in link.ended]
 
     def test_a_report_that_arrives_after_the_runner_has_left_is_ignored(self):
         receive_deregistration(self.agent, "i", self.now)
+        self.assertFalse(compute_load(self.agent, self.now).accepting)
+        self.answer_renewal(status=ReplyStatus.GONE)
         self.assertIsNone(self.agent.runner_lifetime)
         self.assertFalse(self.deliver_report(sequence=9))
         self.assertIsNone(self.agent.runner_lifetime)
@@ -412,6 +573,7 @@
     def test_runs_of_a_runner_that_fell_silent_are_in_the_report_of_its_crash(self):
         """Guards against a task whose runners fall silent as they crash, so that none is blamed."""
         self.deliver_frame(tasks=1)
+        self.confirm_starts()
         self.fall_silent()
         self.assertEqual(self.list_ends(), [("r/0/0", Outcome.LOST)])
         self.deliver_report(started_at_ms=2)
@@ -420,6 +582,7 @@
     def test_runs_of_a_runner_that_was_only_silent_are_in_no_report(self):
         """Guards against blaming tasks for a link that was cut."""
         self.deliver_frame(tasks=1)
+        self.confirm_starts()
         self.fall_silent()
         self.answer_renewal(clock_ms=9000)
         self.deliver_report(started_at_ms=2)
@@ -519,6 +682,31 @@
         receive_deregistration(self.agent, "i", self.now)
         self.assertNotIn("runner_crashes", self.agent.counters)
 
+    # Guards against a deregistration that names the id alone and comes late: the runs of the next
+    # lifetime under this id were given up while they ran, and its reports ignored.
+    def test_a_late_deregistration_ends_no_run_of_the_next_lifetime(self):
+        self.deliver_report(started_at_ms=2)
+        self.answer_renewal()
+        self.deliver_frame(tasks=1)
+        (call,) = self.drain_starts()
+        self.deliver_reply(call, ReplyStatus.ACCEPTED)
+        receive_deregistration(self.agent, "i", self.now)
+        self.answer_renewal(running=[("r/0/0", call.run)])
+        self.assertEqual(self.list_ends(), [])
+        self.deliver_report(started_at_ms=2, sequence=2)
+        self.assertTrue(compute_load(self.agent, self.now).accepting)
+
+    # Guards against a run that is placed elsewhere between the deregistration and the end of its
+    # runner.
+    def test_runs_of_a_runner_that_has_deregistered_end_with_its_lifetime(self):
+        self.deliver_frame(tasks=1)
+        self.confirm_starts()
+        receive_deregistration(self.agent, "i", self.now)
+        self.assertEqual(self.list_ends(), [])
+        self.answer_renewal(status=ReplyStatus.GONE)
+        self.assertEqual(self.list_ends(), [("r/0/0", Outcome.LOST)])
+        self.assertNotIn("runner_crashes", self.agent.counters)
+
     def find_event(self, text):
         return next(fields for event, fields in self.agent.events if event == text)
 
@@ -536,6 +724,15 @@
             self.assertLessEqual(calls, 1 / RENEWAL_RETRY_SECONDS + 1, status)
             self.assertGreater(calls, 10, status)
 
+    # Guards against the delay after a failed renewal of the lifetime before, in which a new one
+    # carries out late starts.
+    def test_a_new_lifetime_is_asked_for_its_runs_at_once(self):
+        self.fail_renewal(ReplyStatus.UNANSWERED)
+        self.deliver_report(started_at_ms=2)
+        self.agent.calls.clear()
+        queue_renewal(self.agent, self.now)
+        self.assertEqual(len(self.agent.calls), 1)
+
     def fail_renewal(self, status):
         """Lets the queued renewals fail; returns their number."""
         queue_renewal(self.agent, self.now)
