Oracle: a late start whose entry is gone, found by fuzzing

After a start without an answer its task stays bound to the target in one entry's state. That entry is killed, its caller has another entry start the task elsewhere, the runner of the first target is born again under its id and carries the first start out before it gets a call: two runs.

--- a/tests/test_late_calls.py
+++ b/tests/test_late_calls.py
@@ -147,6 +147,20 @@
             self.deliver_at_birth(world, held)
             self.check(world, seed)
 
+    # Guards against the same when the entry that knew of the start is gone, and its caller has had
+    # another entry start the task; the first target has no room then.
+    def test_a_late_start_of_an_entry_that_is_gone(self):
+        for seed in SEEDS:
+            world, held = self.hold_start(seed)
+            world.run(0.4)
+            world.kill_entry("e0", down_seconds=6.0)
+            world.run(1.0)
+            world.runners[held.agent].set_cpu(0)
+            world.report_now(held.agent)
+            self.run_until(world, lambda world=world: find_runners(world))
+            self.deliver_at_birth(world, held)
+            self.check(world, seed)
+
     # Guards against a start of an earlier lifetime beside runs that fill the runner; its task has
     # ended elsewhere.
     def test_a_late_start_at_a_runner_that_is_full(self):
