Start nothing again at a runner that leaves, nor while a stop is overdue

What callers could see: a task started at a runner that has been draining for up to as long as starts go unanswered (more than 2 s after its report: DRAIN), and leases of all runs renewed by a start sent again while a run that has to be gone can't be stopped.

--- a/src/comfreysill/execution/runner.py
+++ b/src/comfreysill/execution/runner.py
@@ -5,7 +5,7 @@
 from comfreysill.execution.capacity import return_excess_runs
 from comfreysill.execution.crashes import record_crash
 from comfreysill.execution.run import Run, RunState
-from comfreysill.execution.starts import mark_unconfirmed
+from comfreysill.execution.starts import is_leaving, mark_unconfirmed
 from comfreysill.execution.state import (
     AgentState,
     count,
@@ -169,7 +169,7 @@
 
 
 def _return_waiting_runs(agent: AgentState, now: float) -> None:
-    if not agent.stopping and not agent.deregistered and not agent.report.draining:
+    if not is_leaving(agent):
         return
     for run in list(agent.runs.values()):
         if run.state == RunState.WAITING:
--- a/src/comfreysill/execution/starts.py
+++ b/src/comfreysill/execution/starts.py
@@ -44,9 +44,7 @@
 
 def is_accepting(agent: AgentState, now: float) -> bool:
     """Returns whether the target accepts new work."""
-    if agent.stopping or agent.runner_lifetime is None or not agent.reconciled:
-        return False
-    if agent.report is None or agent.report.draining or agent.deregistered:
+    if agent.runner_lifetime is None or not agent.reconciled or is_leaving(agent):
         return False
     if now < agent.suspended_until:
         return False
@@ -58,6 +56,11 @@
     return not (agent.probing and agent.runs)
 
 
+def is_leaving(agent: AgentState) -> bool:
+    """Returns whether the runner or its agent is about to end, or there is no runner."""
+    return agent.stopping or agent.deregistered or agent.report is None or agent.report.draining
+
+
 def start_waiting(agent: AgentState, now: float) -> None:
     """Queues starts of waiting runs by urgency until the next one exceeds the free capacity."""
     if agent.runner_lifetime is None or not agent.reconciled or agent.clock_ms < 0:
@@ -256,7 +259,8 @@
 def _resend_start(
     agent: AgentState, run: Run, call: StartCall, status: ReplyStatus, now: float
 ) -> None:
-    if run.start_calls_sent >= MAX_START_CALLS or run.stop_wanted:
+    is_hopeless = run.start_calls_sent >= MAX_START_CALLS or run.stop_wanted
+    if is_hopeless or is_stop_overdue(agent, now):
         _return_run(agent, run, now, f"the runner refused: {status.name}")
         return
     if status == ReplyStatus.OLD_RUN:
@@ -274,15 +278,15 @@
 
     It stays here, however often that happens: at another target it could meet its earlier start, if
     the runner restarts. Each MAX_START_CALLS unanswered calls count as a failure of the target. If
-    a stop was requested, the run is returned; if the runner has restarted, it is lost, as it may
-    have begun before.
+    a stop was requested or the target is leaving, the run is returned; if the runner has restarted,
+    it is lost, as it may have begun before.
     """
     if run.lifetime != agent.runner_lifetime:
         end_run(agent, run, Outcome.LOST, now, detail="the runner restarted during its start")
         return
     if run.start_calls_sent % MAX_START_CALLS == 0:
         record_failure(agent, run.batch.request_id, now)
-    if run.stop_wanted:
+    if run.stop_wanted or is_leaving(agent):
         _return_run(agent, run, now, "the runner gave no answer")
         return
     release_capacity(agent, run)
--- a/tests/test_unfinal_starts.py
+++ b/tests/test_unfinal_starts.py
@@ -122,6 +122,44 @@
                 self.answer_renewal()
             self.check_held()
 
+    # Guards against starts at a runner that has been draining for long, or has deregistered.
+    def test_unanswered_starts_are_not_repeated_at_a_runner_that_leaves(self):
+        for leave in (
+            lambda: self.deliver_report(sequence=2, draining=True),
+            lambda: receive_deregistration(self.agent, "i", self.now),
+        ):
+            self.setUp()
+            self.deliver_frame(tasks=1)
+            (call,) = self.drain_starts()
+            leave()
+            started_at = self.now
+            ages = []
+            while self.now < started_at + 4.0:
+                self.now += 0.1
+                self.deliver_reply(call, ReplyStatus.UNANSWERED)
+                self.answer_renewal()
+                start_waiting(self.agent, self.now)
+                starts = self.drain_starts()
+                ages += [self.now - started_at for _ in starts]
+                call = starts[0] if starts else call
+            # A runner serves for 2 s after it has said that it drains.
+            self.assertEqual([age for age in ages if age > 2.0], [])
+
+    # Guards against a lease for all runs in a start that is sent again while a stop is overdue.
+    def test_a_fenced_start_is_not_sent_again_while_a_run_cannot_be_stopped(self):
+        self.deliver_frame(tasks=1)
+        self.confirm_starts()
+        self.deliver_frame(stops=[TASK])
+        self.now += 0.45
+        self.agent.answered_at = self.now
+        self.deliver_frame(entry="f@1", tasks=1, request_id="q")
+        (call,) = self.drain_starts()
+        self.now += 0.1
+        leases_expire_at = self.agent.leases_expire_at
+        self.deliver_reply(call, ReplyStatus.FENCED)
+        self.assertEqual(self.agent.leases_expire_at, leases_expire_at)
+        self.assertEqual(self.drain_starts(), [])
+
     # Guards against starts without a pause at a runner that resets connections.
     def test_unanswered_starts_are_not_repeated_without_a_pause(self):
         self.deliver_frame(tasks=1)
