Let an agent end at once whose held starts have no runner

What operators could see: a SIGTERM of an agent that takes its whole grace period, 5.7 s, while its runner is gone and a start of before is held. No later answer can come; the agent's next lifetime fences the start as well. Found by review; the test failed before (no such function; the process waited for agent.runs to be empty).

--- a/src/comfreysill/execution/runner.py
+++ b/src/comfreysill/execution/runner.py
@@ -168,6 +168,16 @@
     _return_waiting_runs(agent, now)
 
 
+def is_idle(agent: AgentState) -> bool:
+    """Returns whether no run can be at a runner, so that the agent may end at once.
+
+    Held starts without a runner are none: a later lifetime of the agent can fence them as well.
+    """
+    if agent.runner_lifetime is not None:
+        return not agent.runs
+    return all(run.state == RunState.UNCONFIRMED for run in agent.runs.values())
+
+
 def _return_waiting_runs(agent: AgentState, now: float) -> None:
     if not is_leaving(agent):
         return
--- a/src/comfreysill/sidecar/actor.py
+++ b/src/comfreysill/sidecar/actor.py
@@ -12,7 +12,12 @@
 from comfreysill.execution.frame_handling import close_session, expire_links, receive_frame
 from comfreysill.execution.frames import collect_frames, compute_load
 from comfreysill.execution.renewals import check_lease_expiry, queue_renewal, receive_renewal
-from comfreysill.execution.runner import begin_shutdown, receive_deregistration, receive_report
+from comfreysill.execution.runner import (
+    begin_shutdown,
+    is_idle,
+    receive_deregistration,
+    receive_report,
+)
 from comfreysill.execution.starts import (
     receive_call_reply,
     resend_stops,
@@ -68,7 +73,7 @@
         sessions: Open sessions by the entry's name.
         submit_call: Starts an asyncio task that sends a call to the runner.
         crash_reports: Reports of crashes for the task that keeps them in the store.
-        idle: Set while the agent has no runs; updated after each batch of messages.
+        idle: Set while no run can be at the runner; updated after each batch of messages.
         failures: Messages whose handling has failed.
     """
 
@@ -198,7 +203,7 @@
     events, agent.events = agent.events, []
     for text, fields in events:
         logger.info(text, extra={"fields": fields})
-    if agent.runs:
-        actor.idle.clear()
-    else:
+    if is_idle(agent):
         actor.idle.set()
+    else:
+        actor.idle.clear()
--- a/tests/test_execution.py
+++ b/tests/test_execution.py
@@ -42,6 +42,8 @@
 from comfreysill.execution.runner import (
     begin_shutdown,
     end_all_runs,
+    end_runner_lifetime,
+    is_idle,
     receive_deregistration,
     receive_report,
 )
@@ -306,6 +308,15 @@
         self.deliver_reply(call, ReplyStatus.GONE)
         self.assertEqual(self.list_ends(), [("r/0/0", Outcome.RETURNED)])
 
+    # Guards against an agent that takes the whole grace period to end, as its runner is gone.
+    def test_a_held_start_without_a_runner_does_not_keep_the_agent(self):
+        self.deliver_frame(tasks=1)
+        self.drain_starts()
+        self.assertFalse(is_idle(self.agent))
+        end_runner_lifetime(self.agent, self.now, "test")
+        self.assertTrue(self.agent.runs)
+        self.assertTrue(is_idle(self.agent))
+
     def test_starts_are_held_for_no_runner_with_another_id(self):
         self.deliver_frame(tasks=1)
         self.drain_starts()
