Job API: an odd frame costs its session, not the task that reads it

What callers saw: after one frame with a value that this version doesn't know (an outcome, a class, a cause) an entry never connected to that agent again; its tasks were lost. Times that are infinite or no number, and partitions that don't exist, reached the decisions.

Cause: the decoders raised ValueError, which the task of the link doesn't expect and which ended it.

Fix: the decoders raise FrameError, as those of the platform do: the link is closed and opened again. An unexpected error is logged and has the same effect.

--- a/src/comfreysill/agent/links.py
+++ b/src/comfreysill/agent/links.py
@@ -1,6 +1,7 @@
 """The agent's gRPC service: each session with an entry is a stream, served by asyncio tasks."""
 
 import asyncio
+import logging
 
 from grpclib.const import Status
 from grpclib.exceptions import GRPCError, StreamTerminatedError
@@ -11,6 +12,9 @@
 from comfreysill.target.frames import AgentFrame
 from comfreysill.wire.agents import decode_entry_frame, encode_agent_frame
 from comfreysill.wire.comfreysill_grpc import AgentBase
+from comfreysill.wire.errors import UNREADABLE_ERRORS
+
+logger = logging.getLogger(__name__)
 
 
 class AgentService(AgentBase):
@@ -39,6 +43,8 @@
                 self.inbox.post(EntryFrameReceived(frame=decode_entry_frame(frame), outbox=outbox))
         except (StreamTerminatedError, ConnectionError):
             pass
+        except UNREADABLE_ERRORS as error:
+            logger.warning("unreadable frame; link closed: %s", error)
         finally:
             outbox.post(None)
 
--- a/src/comfreysill/entry/actor.py
+++ b/src/comfreysill/entry/actor.py
@@ -128,7 +128,7 @@
         for message in messages:
             _receive(actor, message, now)
         for effect in flush(actor.dispatcher, now):
-            _apply_effect(actor, effect)
+            apply_effect(actor, effect)
 
 
 async def close_links(actor: Actor) -> None:
@@ -192,7 +192,8 @@
         drop_caller(actor.dispatcher, key, caller)
 
 
-def _apply_effect(actor: Actor, effect: Effect) -> None:
+def apply_effect(actor: Actor, effect: Effect) -> None:
+    """Carries out a decision of the dispatcher."""
     if isinstance(effect, SendAgentFrame):
         link = actor.agent_links.get(effect.agent)
         if link is not None:
--- a/src/comfreysill/entry/links.py
+++ b/src/comfreysill/entry/links.py
@@ -25,7 +25,7 @@
 from comfreysill.target.frames import EntryFrame
 from comfreysill.wire.agents import decode_agent_frame, encode_entry_frame
 from comfreysill.wire.comfreysill_grpc import AgentStub, PeerBase, PeerStub
-from comfreysill.wire.errors import LINK_ERRORS
+from comfreysill.wire.errors import LINK_ERRORS, UNREADABLE_ERRORS
 from comfreysill.wire.peers import decode_peer_frame, encode_peer_frame
 
 logger = logging.getLogger(__name__)
@@ -80,8 +80,12 @@
             await _serve_agent_link(link, channel)
         except ConnectionRefusedError:
             refused = True
+        except UNREADABLE_ERRORS as error:
+            logger.warning("unreadable frame of agent %s; link closed: %s", link.agent, error)
         except LINK_ERRORS as error:
             logger.debug("session with agent %s failed: %s", link.agent, error)
+        except Exception:
+            logger.exception("session with agent %s failed unexpectedly", link.agent)
         finally:
             channel.close()
             link.inbox.post(AgentDisconnected(agent=link.agent, session=link.session))
@@ -125,6 +129,8 @@
             link.inbox.post(PeerConnectionRefused(name=link.name))
         except LINK_ERRORS as error:
             logger.debug("session with entry %s failed: %s", link.name, error)
+        except Exception:
+            logger.exception("session with entry %s failed unexpectedly", link.name)
         finally:
             channel.close()
             link.inbox.post(PeerDisconnected(name=link.name))
@@ -169,3 +175,5 @@
                 self.inbox.post(PeerFrameReceived(frame=decode_peer_frame(frame)))
         except (StreamTerminatedError, ConnectionError):
             pass
+        except UNREADABLE_ERRORS as error:
+            logger.warning("unreadable frame of another entry; link closed: %s", error)
--- a/src/comfreysill/wire/agents.py
+++ b/src/comfreysill/wire/agents.py
@@ -24,6 +24,7 @@
     TaskStart,
 )
 from comfreysill.wire import comfreysill_pb2 as pb
+from comfreysill.wire.errors import FrameError, check_finite, decode_enum
 from comfreysill.wire.shared import (
     decode_claim,
     decode_floor,
@@ -48,7 +49,11 @@
 
 
 def decode_entry_frame(frame: pb.EntryFrame) -> EntryFrame:
-    """Decodes a frame from an entry to an agent."""
+    """Decodes a frame from an entry to an agent.
+
+    Raises:
+        FrameError: A field is unknown or out of range.
+    """
     return EntryFrame(
         entry=frame.entry,
         session=frame.session,
@@ -80,7 +85,11 @@
 
 
 def decode_agent_frame(frame: pb.AgentFrame) -> AgentFrame:
-    """Decodes a frame from an agent to an entry."""
+    """Decodes a frame from an agent to an entry.
+
+    Raises:
+        FrameError: A field is unknown or out of range.
+    """
     load = Load(
         slots=frame.slots,
         queue_limit=frame.queue_limit,
@@ -125,6 +134,8 @@
         return CancelTasks(keys=tuple(decode_key(name) for name in message.cancel.names))
     if kind == "draining":
         return SetDraining(draining=message.draining.draining)
+    if kind is None:
+        raise FrameError("messages: one of an unknown kind")
     return decode_floor(message.floor)
 
 
@@ -146,6 +157,8 @@
         return _decode_refused(message.refused)
     if kind == "fenced":
         return Fenced(claim=decode_claim(message.fenced))
+    if kind is None:
+        raise FrameError("messages: one of an unknown kind")
     return _decode_claimed(message.claimed)
 
 
@@ -172,10 +185,10 @@
         digest=batch.digest,
         partition=claim.partition,
         epoch=claim.epoch,
-        authority_until=batch.authority_until,
-        task_class=TaskClass(batch.task_class),
-        deadline=batch.deadline,
-        expires_at=batch.expires_at,
+        authority_until=check_finite(batch.authority_until, "authority_until"),
+        task_class=decode_enum(TaskClass, batch.task_class, "task_class"),
+        deadline=check_finite(batch.deadline, "deadline"),
+        expires_at=check_finite(batch.expires_at, "expires_at"),
         service=batch.service,
         tasks=tuple(_decode_task_start(task) for task in batch.tasks),
     )
@@ -196,7 +209,7 @@
         index=task.index,
         attempt=task.attempt,
         payload=task.payload,
-        run_time=task.run_time,
+        run_time=check_finite(task.run_time, "run_time"),
         idempotent=task.idempotent,
     )
 
@@ -217,7 +230,7 @@
         previous=tuple(decode_claim(claim) for claim in message.previous),
         records=tuple(_decode_record(record) for record in message.records),
         last=message.last,
-        lost_at=message.lost_at,
+        lost_at=check_finite(message.lost_at, "lost_at"),
     )
 
 
@@ -242,9 +255,9 @@
         partition=record.partition,
         index=record.index,
         attempt=record.attempt,
-        outcome=Outcome(record.outcome),
+        outcome=decode_enum(Outcome, record.outcome, "outcome"),
         payload=record.payload,
-        run_seconds=record.run_seconds,
+        run_seconds=check_finite(record.run_seconds, "run_seconds"),
     )
 
 
@@ -265,9 +278,9 @@
         key=decode_key(message),
         index=message.index,
         attempt=message.attempt,
-        outcome=Outcome(message.outcome),
+        outcome=decode_enum(Outcome, message.outcome, "outcome"),
         payload=message.payload,
-        run_seconds=message.run_seconds,
+        run_seconds=check_finite(message.run_seconds, "run_seconds"),
     )
 
 
@@ -284,5 +297,5 @@
     return Refused(
         key=decode_key(message),
         attempts=tuple((item.index, item.attempt) for item in message.attempts),
-        cause=RefusalCause(message.cause),
+        cause=decode_enum(RefusalCause, message.cause, "cause"),
     )
--- a/src/comfreysill/wire/peers.py
+++ b/src/comfreysill/wire/peers.py
@@ -24,6 +24,7 @@
 from comfreysill.partition.owned import RecoveredAttempt
 from comfreysill.target.messages import Outcome, PartitionClaim
 from comfreysill.wire import comfreysill_pb2 as pb
+from comfreysill.wire.errors import FrameError, check_finite, decode_enum
 from comfreysill.wire.shared import (
     decode_claim,
     decode_floor,
@@ -48,7 +49,11 @@
 
 
 def decode_peer_frame(frame: pb.PeerFrame) -> PeerFrame:
-    """Decodes a frame from one entry to another."""
+    """Decodes a frame from one entry to another.
+
+    Raises:
+        FrameError: A field is unknown or out of range.
+    """
     return PeerFrame(
         entry=frame.entry,
         recipient=frame.recipient,
@@ -90,6 +95,8 @@
         return _decode_wave(message.wave)
     if kind == "handover":
         return _decode_handover(message.handover)
+    if kind is None:
+        raise FrameError("messages: one of an unknown kind")
     return decode_floor(message.floor)
 
 
@@ -118,14 +125,14 @@
     return Submission(
         key=JobKey(team=submission.team, job_id=submission.job_id),
         digest=submission.digest,
-        task_class=TaskClass(submission.task_class),
-        deadline=submission.deadline,
+        task_class=decode_enum(TaskClass, submission.task_class, "task_class"),
+        deadline=check_finite(submission.deadline, "deadline"),
         service=submission.service,
-        issued_at=submission.issued_at,
+        issued_at=check_finite(submission.issued_at, "issued_at"),
         tasks=tuple(
             TaskSpec(
                 payload=task.payload,
-                run_time=task.run_time,
+                run_time=check_finite(task.run_time, "run_time"),
                 size_mb=task.size_mb,
                 idempotent=task.idempotent,
             )
@@ -151,11 +158,11 @@
     return Answer(
         key=JobKey(team=answer.team, job_id=answer.job_id),
         complete=answer.complete,
-        verdict=Verdict(answer.verdict),
-        reason=Reason(answer.reason),
+        verdict=decode_enum(Verdict, answer.verdict, "verdict"),
+        reason=decode_enum(Reason, answer.reason, "reason"),
         detail=answer.detail,
         results=tuple(answer.results),
-        retry_at=answer.retry_at,
+        retry_at=check_finite(answer.retry_at, "retry_at"),
     )
 
 
@@ -165,7 +172,11 @@
 
 
 def _decode_wave(wave: pb.CancelWave) -> CancelWave:
-    task_class = TaskClass(wave.task_class) if wave.HasField("task_class") else None
+    task_class = (
+        decode_enum(TaskClass, wave.task_class, "task_class")
+        if wave.HasField("task_class")
+        else None
+    )
     return CancelWave(team=wave.team, task_class=task_class)
 
 
@@ -184,7 +195,7 @@
     return Handover(
         partition=claim.partition,
         epoch=claim.epoch,
-        known_since=message.known_since,
+        known_since=check_finite(message.known_since, "known_since"),
         jobs=tuple(_decode_handed_job(job) for job in message.jobs),
         last=message.last,
     )
@@ -223,7 +234,7 @@
         agent=item.agent,
         incarnation=item.incarnation,
         attempt=item.attempt,
-        outcome=Outcome(item.outcome),
+        outcome=decode_enum(Outcome, item.outcome, "outcome"),
         payload=item.payload,
     )
     return HandedTask(index=item.index, task=task)
--- a/src/comfreysill/wire/shared.py
+++ b/src/comfreysill/wire/shared.py
@@ -2,8 +2,10 @@
 
 from comfreysill.job.types import JobKey
 from comfreysill.partition.epoch import Epoch
+from comfreysill.partition.hashing import PARTITION_COUNT
 from comfreysill.target.messages import FloorUpdate, PartitionClaim
 from comfreysill.wire import comfreysill_pb2 as pb
+from comfreysill.wire.errors import FrameError
 
 
 def encode_claim(claim: PartitionClaim) -> pb.PartitionClaim:
@@ -14,7 +16,13 @@
 
 
 def decode_claim(claim: pb.PartitionClaim) -> PartitionClaim:
-    """Decodes a claim of a partition."""
+    """Decodes a claim of a partition.
+
+    Raises:
+        FrameError: There is no such partition.
+    """
+    if claim.partition >= PARTITION_COUNT:
+        raise FrameError(f"partition: {claim.partition}")
     epoch = Epoch(number=claim.number, owner=claim.owner)
     return PartitionClaim(partition=claim.partition, epoch=epoch)
 
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -16,6 +16,12 @@
 
 from comfreysill.address import Address, parse_address
 from comfreysill.agent.program import run_agent
+from comfreysill.dispatch.messages import AdoptFloorUpdate
+from comfreysill.dispatch.state import Dispatcher
+from comfreysill.entry.actor import Actor as EntryActor
+from comfreysill.entry.actor import apply_effect
+from comfreysill.entry.links import AgentLink, run_agent_link
+from comfreysill.entry.messages import AgentFrameReceived
 from comfreysill.entry.program import run_entry
 from comfreysill.exchange.messages import Member, Role
 from comfreysill.execution.calls import RenewCall, ReplyStatus
@@ -38,13 +44,20 @@
 from comfreysill.platform.runner import REPLY_DECODER, build_renew_reply
 from comfreysill.platform.store import RowSet, StoredRow, StoreFault, await_changes, read_rows
 from comfreysill.platform.table import open_store_from_url
+from comfreysill.servers import start_grpc
 from comfreysill.settings import Settings
 from comfreysill.sidecar.actor import Actor as SidecarActor
 from comfreysill.sidecar.actor import run_state_task
 from comfreysill.sidecar.program import build_agent_reports_app
+from comfreysill.target.messages import FloorUpdate
 from comfreysill.target.view import Registration
+from comfreysill.wire import comfreysill_pb2 as pb
+from comfreysill.wire.agents import decode_agent_frame, decode_entry_frame
+from comfreysill.wire.comfreysill_grpc import AgentBase
+from comfreysill.wire.errors import FrameError
 from comfreysill.wire.exchange import decode_members as decode_exchanged_members
 from comfreysill.wire.exchange import encode_members
+from comfreysill.wire.peers import decode_peer_frame
 from standins.platform_store import Store, apply_transaction, build_store_app
 from tests.test_floor import VALID_DOCUMENT
 from tests.test_platform_decode import encode_configuration
@@ -813,6 +826,102 @@
             self.assertTrue(decoded.is_err(), text[:40])
 
 
+ODD_NUMBERS = (float("inf"), float("-inf"), float("nan"))
+ODD_AGENT_MESSAGES = (
+    pb.AgentMessage(done=pb.TaskDone(team="t", job_id="j", outcome=99)),
+    *(pb.AgentMessage(done=pb.TaskDone(run_seconds=number)) for number in ODD_NUMBERS),
+    pb.AgentMessage(refused=pb.Refused(cause=99)),
+    pb.AgentMessage(fenced=pb.PartitionClaim(partition=64)),
+    pb.AgentMessage(claimed=pb.Claimed(claims=[pb.PartitionClaim(partition=2**32 - 1)])),
+    pb.AgentMessage(claimed=pb.Claimed(records=[pb.LedgerRecord(outcome=99)])),
+    *(pb.AgentMessage(claimed=pb.Claimed(lost_at=number)) for number in ODD_NUMBERS),
+    pb.AgentMessage(),
+)
+ODD_ENTRY_MESSAGES = (
+    pb.EntryMessage(start=pb.StartBatch(task_class=99)),
+    pb.EntryMessage(start=pb.StartBatch(claim=pb.PartitionClaim(partition=64))),
+    *(pb.EntryMessage(start=pb.StartBatch(deadline=number)) for number in ODD_NUMBERS),
+    *(pb.EntryMessage(start=pb.StartBatch(authority_until=number)) for number in ODD_NUMBERS),
+    *(
+        pb.EntryMessage(start=pb.StartBatch(tasks=[pb.TaskStart(run_time=number)]))
+        for number in ODD_NUMBERS
+    ),
+    pb.EntryMessage(),
+)
+ODD_PEER_MESSAGES = (
+    pb.PeerMessage(forward=pb.Submission(task_class=99)),
+    *(pb.PeerMessage(forward=pb.Submission(issued_at=number)) for number in ODD_NUMBERS),
+    pb.PeerMessage(answered=pb.Answer(verdict=99)),
+    pb.PeerMessage(answered=pb.Answer(reason=99)),
+    pb.PeerMessage(wave=pb.CancelWave(task_class=99)),
+    pb.PeerMessage(handover=pb.Handover(claim=pb.PartitionClaim(partition=64))),
+    pb.PeerMessage(
+        handover=pb.Handover(jobs=[pb.HandedJob(tasks=[pb.HandedTask(outcome=99)])]),
+    ),
+    pb.PeerMessage(),
+)
+
+
+class OddAgentService(AgentBase):
+    """Sends an odd frame in the first session, and a good one in all others."""
+
+    def __init__(self):
+        self.sessions = 0
+
+    async def Work(self, stream):  # noqa: N802
+        self.sessions += 1
+        messages = [ODD_AGENT_MESSAGES[0]] if self.sessions == 1 else []
+        frame = pb.AgentFrame(agent="a", incarnation="a@1", session=1, sequence=1)
+        frame.messages.extend(messages)
+        await stream.send_message(frame)
+        await asyncio.sleep(10)
+
+
+class TestJobApiFrames(unittest.TestCase):
+    # Guards against: a frame with an unknown value ends the task that reads it, not the link alone.
+    def test_odd_frames_are_frame_errors(self):
+        for frame_type, decode, messages in (
+            (pb.AgentFrame, decode_agent_frame, ODD_AGENT_MESSAGES),
+            (pb.EntryFrame, decode_entry_frame, ODD_ENTRY_MESSAGES),
+            (pb.PeerFrame, decode_peer_frame, ODD_PEER_MESSAGES),
+        ):
+            for message in messages:
+                with self.assertRaises(FrameError, msg=str(message)):
+                    decode(frame_type(messages=[message]))
+
+    # Guards against: an entry never connects again to an agent that sent it one odd frame.
+    def test_a_link_is_opened_again_after_an_odd_frame(self):
+        async def run():
+            service = OddAgentService()
+            address = Address(host="127.0.0.1", port=find_port())
+            server = await start_grpc([service], address)
+            inbox = Mailbox()
+            link = AgentLink(agent="a", address=address, inbox=inbox)
+            task = asyncio.create_task(run_agent_link(link))
+            seen = []
+            async with asyncio.timeout(5):
+                while not any(isinstance(message, AgentFrameReceived) for message in seen):
+                    seen += await inbox.get_batch()
+            self.assertEqual((service.sessions, task.done()), (2, False))
+            task.cancel()
+            await asyncio.gather(task, return_exceptions=True)
+            server.close()
+
+        asyncio.run(run())
+
+    # Guards against: a floor document of another entry that can't be used ends this one.
+    def test_odd_floors_of_other_entries_leave_the_one_in_force(self):
+        for text in (*ODD_DOCUMENTS, b'{"teams":5}', VALID_DOCUMENT.encode()):
+            actor = EntryActor(dispatcher=Dispatcher(name="e@1"), request_roster=lambda: None)
+            update = FloorUpdate(version=7, document=text)
+            apply_effect(actor, AdoptFloorUpdate(update=update))
+            self.assertEqual(actor.dispatcher.floor.version, 0, text[:30])
+            self.assertEqual(actor.rejections.total, 1)
+        good = json.dumps(yaml.safe_load(VALID_DOCUMENT)).encode()
+        apply_effect(actor, AdoptFloorUpdate(update=FloorUpdate(version=8, document=good)))
+        self.assertEqual(actor.dispatcher.floor.version, 8)
+
+
 def has_all(name, version, seen):
     """Returns whether messages include a member, its crash and a version of the configuration."""
     return (
