Job API: refuse odd announcements of runners

What callers saw: an agent ended when its runner announced a service that is no Unicode text (register: TypeError while the row was encoded), and each task of a target was lost when the announcement named a host with digits of another script, a host that is no IPv4 address or a line end behind it. Deep nesting got 500.

Cause: the announcement was parsed by a JSON reader that takes lone surrogates, and checked by a schema whose patterns take any script's digits and a line end, and whose integers include 80.0.

Fix: it is parsed like all other documents from outside, and host and port are parsed as an address. Malformed JSON still gets 400, an invalid field 422.

--- a/src/comfreysill/agent/http.py
+++ b/src/comfreysill/agent/http.py
@@ -5,10 +5,14 @@
 
 import falcon
 import falcon.asgi
+import msgspec
+from result import Err, Ok, Result
 
+from comfreysill.address import parse_address
 from comfreysill.agent.actor import Actor
 from comfreysill.agent.messages import RunnerAnnounced, RunnerStopping
 from comfreysill.metrics import Metrics, render_metrics
+from comfreysill.platform.documents import decode_document
 from comfreysill.schemas import find_problems
 
 RUNNER_SCHEMA = {
@@ -28,6 +32,7 @@
     },
 }
 DEFAULT_CONNECTIONS = 60
+_DECODER = msgspec.json.Decoder()
 
 
 class RunnerResource:
@@ -40,12 +45,16 @@
 
     async def on_put(self, request: falcon.asgi.Request, response: falcon.asgi.Response) -> None:
         """Accepts an announcement; the agent drains once it expires without being renewed."""
-        document = await request.get_media()
-        problems = find_problems(document, RUNNER_SCHEMA)
-        if problems:
-            description = "; ".join(str(problem) for problem in problems)
-            raise falcon.HTTPUnprocessableEntity(description=description)
-        self.actor.inbox.post(_parse_runner(document))
+        media_type = (request.content_type or falcon.MEDIA_JSON).partition(";")[0]
+        if media_type.strip().lower() not in (falcon.MEDIA_JSON, "*/*"):
+            raise falcon.HTTPUnsupportedMediaType
+        document = decode_document(_DECODER, await request.stream.read())
+        if isinstance(document, Err):
+            raise falcon.HTTPBadRequest(description=document.err_value)
+        announcement = _check_announcement(document.ok_value)
+        if isinstance(announcement, Err):
+            raise falcon.HTTPUnprocessableEntity(description=announcement.err_value)
+        self.actor.inbox.post(announcement.ok_value)
         response.status = falcon.HTTP_204
 
     async def on_delete(self, request: falcon.asgi.Request, response: falcon.asgi.Response) -> None:
@@ -126,12 +135,24 @@
     return app
 
 
+def _check_announcement(document: Any) -> Result[RunnerAnnounced, str]:
+    problems = find_problems(document, RUNNER_SCHEMA)
+    if problems:
+        return Err("; ".join(str(problem) for problem in problems))
+    try:
+        return Ok(_parse_runner(document))
+    except ValueError as error:
+        return Err(str(error))
+
+
 def _parse_runner(document: dict[str, Any]) -> RunnerAnnounced:
+    # The schema takes 80.0 as an integer, and digits of any script in a host.
+    address = parse_address(f"{document['host']}:{int(document['port'])}")
     return RunnerAnnounced(
-        host=document["host"],
-        port=document["port"],
-        slots=document["slots"],
-        connections=document.get("connections", DEFAULT_CONNECTIONS),
+        host=address.host,
+        port=address.port,
+        slots=int(document["slots"]),
+        connections=int(document.get("connections", DEFAULT_CONNECTIONS)),
         services=frozenset(document["services"]),
         received_at=time.time(),
     )
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -11,10 +11,13 @@
 import urllib.parse
 
 import aiohttp
+import falcon.testing
 import uvicorn
 import yaml
 
 from comfreysill.address import Address, parse_address
+from comfreysill.agent.actor import Actor as AgentActor
+from comfreysill.agent.http import build_app as build_agent_app
 from comfreysill.agent.program import run_agent
 from comfreysill.dispatch.messages import AdoptFloorUpdate
 from comfreysill.dispatch.state import Dispatcher
@@ -29,6 +32,7 @@
 from comfreysill.gateway.discovery import watch_crashes, watch_members, watch_routes
 from comfreysill.gateway.messages import CrashesRead, MemberRemoved, MembersDiscovered, RoutesRead
 from comfreysill.mailbox import Mailbox
+from comfreysill.metrics import Metrics
 from comfreysill.platform.crashes import decode_crashes
 from comfreysill.platform.documents import decode_document
 from comfreysill.platform.floors import FloorVersion, read_current, read_history, write_version
@@ -49,6 +53,7 @@
 from comfreysill.sidecar.actor import Actor as SidecarActor
 from comfreysill.sidecar.actor import run_state_task
 from comfreysill.sidecar.program import build_agent_reports_app
+from comfreysill.target.ledger import Ledger
 from comfreysill.target.messages import FloorUpdate
 from comfreysill.target.view import Registration
 from comfreysill.wire import comfreysill_pb2 as pb
@@ -922,6 +927,44 @@
         self.assertEqual(actor.dispatcher.floor.version, 8)
 
 
+class TestAnnouncements(unittest.TestCase):
+    """Announcements of the runner beside an agent of the job API."""
+
+    def setUp(self):
+        ledger = Ledger(agent="a", incarnation="a@1")
+        self.actor = AgentActor(ledger=ledger, start_run=lambda runner, record: None)
+        self.client = falcon.testing.TestClient(build_agent_app(self.actor, Metrics(role="agent")))
+
+    def announce(self, body, media_type="application/json; charset=utf-8"):
+        headers = {"Content-Type": media_type}
+        return self.client.simulate_put("/v1/runner", body=body, headers=headers).status_code
+
+    # Guards against: an odd announcement is taken, and its agent ends or its tasks are lost.
+    def test_odd_announcements_are_refused(self):
+        good = {"host": "127.0.0.1", "port": 80, "slots": 4, "services": ["s"]}
+        odd = [
+            {**good, field: value}
+            for field, values in (
+                ("host", ("\u0661.0.0.1", "999.0.0.1", "127.0.0.1\n", "", 5, None, "::1")),
+                ("port", (0, 65536, 99999999, -1, "80", 10**400, 80.5, None)),
+                ("slots", (0, -1, 1.5, 10**400, "4")),
+                ("connections", (0, 65536, 1e308)),
+                ("services", ([], "s", [5], [""], [None], {"s": 1})),
+            )
+            for value in values
+        ]
+        for document in odd:
+            self.assertEqual(self.announce(json.dumps(document)), 422, document)
+        surrogate = json.dumps({**good, "services": ["\ud800"]})
+        for body in (*ODD_DOCUMENTS, surrogate):
+            self.assertIn(self.announce(body), (400, 422), body[:30])
+        self.assertEqual(self.announce(json.dumps(good), media_type="text/plain"), 415)
+        self.assertTrue(self.actor.inbox.is_empty())
+        self.assertEqual(self.announce(json.dumps({**good, "port": 80.0, "slots": 4.0})), 204)
+        announced = asyncio.run(self.actor.inbox.get_batch())[0]
+        self.assertEqual((repr(announced.port), repr(announced.slots)), ("80", "4"))
+
+
 def has_all(name, version, seen):
     """Returns whether messages include a member, its crash and a version of the configuration."""
     return (
