--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -11,6 +11,8 @@
 import unittest
 from unittest import mock
 
+from tests.run import read_known_red
+
 FRAME_HANDLING = "comfreysill.target.frame_handling"
 DISPATCH = "comfreysill.dispatch"
 
@@ -227,7 +229,7 @@
         lambda original: 0.0,
     ),
     "departed-runner-adopted": (
-        "tests.test_execution.receive_deregistration",
+        f"{EXECUTION}.renewals.end_runner_lifetime",
         lambda original: forget_departure(original),
     ),
     "capacity-not-reserved": (f"{PLACEMENT}.placement.RESERVED_CAPACITY_SHARE", lambda o: -1.0),
@@ -287,16 +289,44 @@
         f"{EXECUTION}.runner._get_capacity",
         lambda original: lambda report: report.cpu,
     ),
+    "unanswered-starts-given-back": (
+        f"{EXECUTION}.runner._hold_run",
+        lambda original: lose_run,
+    ),
+    "any-clock-confirms-a-start": (
+        f"{EXECUTION}.starts.is_clock_continuous",
+        lambda original: lambda *a: True,
+    ),
+    "leases-renewed-beside-overdue-stops": (
+        f"{EXECUTION}.renewals.is_stop_overdue",
+        lambda original: lambda *a: False,
+    ),
+    "bound-tasks-placed-anywhere": (
+        f"{PLACEMENT}.placement.may_place",
+        lambda original: lambda *a: True,
+    ),
+    "unconfirmed-tasks-of-dead-agents-placed-at-once": (
+        f"{PLACEMENT}.agents.LATE_START_SECONDS",
+        lambda original: 0.0,
+    ),
 }
 MUTATIONS |= PLATFORM_MUTATIONS
 
 
 def forget_departure(original):
-    def receive(agent, runner_id, now):
-        original(agent, runner_id, now)
-        agent.departed_lifetime = None
+    def end(agent, now, reason, is_certain=True):
+        original(agent, now, reason, False)
+
+    return end
 
-    return receive
+
+def lose_run(agent, run, now, reason):
+    from comfreysill.exchange.messages import Outcome
+    from comfreysill.execution.run import RunState
+    from comfreysill.execution.state import end_run
+
+    was_waiting = run.state == RunState.WAITING
+    end_run(agent, run, Outcome.RETURNED if was_waiting else Outcome.LOST, now, reason)
 
 
 def accept_old_lists(original):
@@ -325,9 +355,11 @@
             test_crashes,
             test_execution,
             test_gateway,
+            test_late_calls,
             test_load_patterns,
             test_placement,
             test_subset,
+            test_unfinal_starts,
         )
 
         modules = [
@@ -339,10 +371,13 @@
             test_crash_ledger,
             test_crashes,
             test_confinement,
+            test_late_calls,
+            test_unfinal_starts,
             test_load_patterns,
             test_platform_floor,
         ]
-        return unittest.TestSuite(loader.loadTestsFromModule(module) for module in modules)
+        suites = [loader.loadTestsFromModule(module) for module in modules]
+        return unittest.TestSuite(drop_known_red(suites))
     suite = loader.loadTestsFromModule(test_takeover)
     suite.addTests(loader.loadTestsFromModule(test_starts_in_doubt))
     suite.addTests(loader.loadTestsFromModule(test_ledger))
@@ -350,6 +385,13 @@
     return suite
 
 
+def drop_known_red(suites):
+    """Returns the tests of the suites that aren't known to fail without any mutation."""
+    known = read_known_red("test") | read_known_red("sometimes")
+    tests = [test for suite in suites for case in suite for test in case]
+    return [test for test in tests if test.id() not in known]
+
+
 def run_mutated(name):
     """Runs the tests for one mutation; returns exit status 1 if a test failed, otherwise 0."""
     global ORIGINAL_COMPLETE_JOB
