--- a/src/comfreysill/execution/runner.py
+++ b/src/comfreysill/execution/runner.py
@@ -5,7 +5,7 @@
 from comfreysill.execution.capacity import return_excess_runs
 from comfreysill.execution.crashes import record_crash
 from comfreysill.execution.run import Run, RunState
-from comfreysill.execution.starts import mark_unconfirmed
+from comfreysill.execution.starts import is_leaving, mark_unconfirmed
 from comfreysill.execution.state import (
     AgentState,
     count,
@@ -168,8 +168,18 @@
     _return_waiting_runs(agent, now)
 
 
+def is_idle(agent: AgentState) -> bool:
+    """Returns whether no run can be at a runner, so that the agent may end at once.
+
+    Held starts without a runner are none: a later lifetime of the agent can fence them as well.
+    """
+    if agent.runner_lifetime is not None:
+        return not agent.runs
+    return all(run.state == RunState.UNCONFIRMED for run in agent.runs.values())
+
+
 def _return_waiting_runs(agent: AgentState, now: float) -> None:
-    if not agent.stopping and not agent.deregistered and not agent.report.draining:
+    if not is_leaving(agent):
         return
     for run in list(agent.runs.values()):
         if run.state == RunState.WAITING:
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -11,11 +11,20 @@
 import urllib.parse
 
 import aiohttp
+import falcon.testing
 import uvicorn
 import yaml
 
 from comfreysill.address import Address, parse_address
+from comfreysill.agent.actor import Actor as AgentActor
+from comfreysill.agent.http import build_app as build_agent_app
 from comfreysill.agent.program import run_agent
+from comfreysill.dispatch.messages import AdoptFloorUpdate
+from comfreysill.dispatch.state import Dispatcher
+from comfreysill.entry.actor import Actor as EntryActor
+from comfreysill.entry.actor import apply_effect
+from comfreysill.entry.links import AgentLink, run_agent_link
+from comfreysill.entry.messages import AgentFrameReceived
 from comfreysill.entry.program import run_entry
 from comfreysill.exchange.messages import Member, Role
 from comfreysill.execution.calls import RenewCall, ReplyStatus
@@ -23,6 +32,7 @@
 from comfreysill.gateway.discovery import watch_crashes, watch_members, watch_routes
 from comfreysill.gateway.messages import CrashesRead, MemberRemoved, MembersDiscovered, RoutesRead
 from comfreysill.mailbox import Mailbox
+from comfreysill.metrics import Metrics
 from comfreysill.platform.crashes import decode_crashes
 from comfreysill.platform.documents import decode_document
 from comfreysill.platform.floors import FloorVersion, read_current, read_history, write_version
@@ -38,13 +48,21 @@
 from comfreysill.platform.runner import REPLY_DECODER, build_renew_reply
 from comfreysill.platform.store import RowSet, StoredRow, StoreFault, await_changes, read_rows
 from comfreysill.platform.table import open_store_from_url
+from comfreysill.servers import start_grpc
 from comfreysill.settings import Settings
 from comfreysill.sidecar.actor import Actor as SidecarActor
 from comfreysill.sidecar.actor import run_state_task
 from comfreysill.sidecar.program import build_agent_reports_app
+from comfreysill.target.ledger import Ledger
+from comfreysill.target.messages import FloorUpdate
 from comfreysill.target.view import Registration
+from comfreysill.wire import comfreysill_pb2 as pb
+from comfreysill.wire.agents import decode_agent_frame, decode_entry_frame
+from comfreysill.wire.comfreysill_grpc import AgentBase
+from comfreysill.wire.errors import FrameError
 from comfreysill.wire.exchange import decode_members as decode_exchanged_members
 from comfreysill.wire.exchange import encode_members
+from comfreysill.wire.peers import decode_peer_frame
 from standins.platform_store import Store, apply_transaction, build_store_app
 from tests.test_floor import VALID_DOCUMENT
 from tests.test_platform_decode import encode_configuration
@@ -813,6 +831,140 @@
             self.assertTrue(decoded.is_err(), text[:40])
 
 
+ODD_NUMBERS = (float("inf"), float("-inf"), float("nan"))
+ODD_AGENT_MESSAGES = (
+    pb.AgentMessage(done=pb.TaskDone(team="t", job_id="j", outcome=99)),
+    *(pb.AgentMessage(done=pb.TaskDone(run_seconds=number)) for number in ODD_NUMBERS),
+    pb.AgentMessage(refused=pb.Refused(cause=99)),
+    pb.AgentMessage(fenced=pb.PartitionClaim(partition=64)),
+    pb.AgentMessage(claimed=pb.Claimed(claims=[pb.PartitionClaim(partition=2**32 - 1)])),
+    pb.AgentMessage(claimed=pb.Claimed(records=[pb.LedgerRecord(outcome=99)])),
+    *(pb.AgentMessage(claimed=pb.Claimed(lost_at=number)) for number in ODD_NUMBERS),
+    pb.AgentMessage(),
+)
+ODD_ENTRY_MESSAGES = (
+    pb.EntryMessage(start=pb.StartBatch(task_class=99)),
+    pb.EntryMessage(start=pb.StartBatch(claim=pb.PartitionClaim(partition=64))),
+    *(pb.EntryMessage(start=pb.StartBatch(deadline=number)) for number in ODD_NUMBERS),
+    *(pb.EntryMessage(start=pb.StartBatch(authority_until=number)) for number in ODD_NUMBERS),
+    *(
+        pb.EntryMessage(start=pb.StartBatch(tasks=[pb.TaskStart(run_time=number)]))
+        for number in ODD_NUMBERS
+    ),
+    pb.EntryMessage(),
+)
+ODD_PEER_MESSAGES = (
+    pb.PeerMessage(forward=pb.Submission(task_class=99)),
+    *(pb.PeerMessage(forward=pb.Submission(issued_at=number)) for number in ODD_NUMBERS),
+    pb.PeerMessage(answered=pb.Answer(verdict=99)),
+    pb.PeerMessage(answered=pb.Answer(reason=99)),
+    pb.PeerMessage(wave=pb.CancelWave(task_class=99)),
+    pb.PeerMessage(handover=pb.Handover(claim=pb.PartitionClaim(partition=64))),
+    pb.PeerMessage(
+        handover=pb.Handover(jobs=[pb.HandedJob(tasks=[pb.HandedTask(outcome=99)])]),
+    ),
+    pb.PeerMessage(),
+)
+
+
+class OddAgentService(AgentBase):
+    """Sends an odd frame in the first session, and a good one in all others."""
+
+    def __init__(self):
+        self.sessions = 0
+
+    async def Work(self, stream):  # noqa: N802
+        self.sessions += 1
+        messages = [ODD_AGENT_MESSAGES[0]] if self.sessions == 1 else []
+        frame = pb.AgentFrame(agent="a", incarnation="a@1", session=1, sequence=1)
+        frame.messages.extend(messages)
+        await stream.send_message(frame)
+        await asyncio.sleep(10)
+
+
+class TestJobApiFrames(unittest.TestCase):
+    # Guards against: a frame with an unknown value ends the task that reads it, not the link alone.
+    def test_odd_frames_are_frame_errors(self):
+        for frame_type, decode, messages in (
+            (pb.AgentFrame, decode_agent_frame, ODD_AGENT_MESSAGES),
+            (pb.EntryFrame, decode_entry_frame, ODD_ENTRY_MESSAGES),
+            (pb.PeerFrame, decode_peer_frame, ODD_PEER_MESSAGES),
+        ):
+            for message in messages:
+                with self.assertRaises(FrameError, msg=str(message)):
+                    decode(frame_type(messages=[message]))
+
+    # Guards against: an entry never connects again to an agent that sent it one odd frame.
+    def test_a_link_is_opened_again_after_an_odd_frame(self):
+        async def run():
+            service = OddAgentService()
+            address = Address(host="127.0.0.1", port=find_port())
+            server = await start_grpc([service], address)
+            inbox = Mailbox()
+            link = AgentLink(agent="a", address=address, inbox=inbox)
+            task = asyncio.create_task(run_agent_link(link))
+            seen = []
+            async with asyncio.timeout(5):
+                while not any(isinstance(message, AgentFrameReceived) for message in seen):
+                    seen += await inbox.get_batch()
+            self.assertEqual((service.sessions, task.done()), (2, False))
+            task.cancel()
+            await asyncio.gather(task, return_exceptions=True)
+            server.close()
+
+        asyncio.run(run())
+
+    # Guards against: a floor document of another entry that can't be used ends this one.
+    def test_odd_floors_of_other_entries_leave_the_one_in_force(self):
+        for text in (*ODD_DOCUMENTS, b'{"teams":5}', VALID_DOCUMENT.encode()):
+            actor = EntryActor(dispatcher=Dispatcher(name="e@1"), request_roster=lambda: None)
+            update = FloorUpdate(version=7, document=text)
+            apply_effect(actor, AdoptFloorUpdate(update=update))
+            self.assertEqual(actor.dispatcher.floor.version, 0, text[:30])
+            self.assertEqual(actor.rejections.total, 1)
+        good = json.dumps(yaml.safe_load(VALID_DOCUMENT)).encode()
+        apply_effect(actor, AdoptFloorUpdate(update=FloorUpdate(version=8, document=good)))
+        self.assertEqual(actor.dispatcher.floor.version, 8)
+
+
+class TestAnnouncements(unittest.TestCase):
+    """Announcements of the runner beside an agent of the job API."""
+
+    def setUp(self):
+        ledger = Ledger(agent="a", incarnation="a@1")
+        self.actor = AgentActor(ledger=ledger, start_run=lambda runner, record: None)
+        self.client = falcon.testing.TestClient(build_agent_app(self.actor, Metrics(role="agent")))
+
+    def announce(self, body, media_type="application/json; charset=utf-8"):
+        headers = {"Content-Type": media_type}
+        return self.client.simulate_put("/v1/runner", body=body, headers=headers).status_code
+
+    # Guards against: an odd announcement is taken, and its agent ends or its tasks are lost.
+    def test_odd_announcements_are_refused(self):
+        good = {"host": "127.0.0.1", "port": 80, "slots": 4, "services": ["s"]}
+        odd = [
+            {**good, field: value}
+            for field, values in (
+                ("host", ("\u0661.0.0.1", "999.0.0.1", "127.0.0.1\n", "", 5, None, "::1")),
+                ("port", (0, 65536, 99999999, -1, "80", 10**400, 80.5, None)),
+                ("slots", (0, -1, 1.5, 10**400, "4")),
+                ("connections", (0, 65536, 1e308)),
+                ("services", ([], "s", [5], [""], [None], {"s": 1})),
+            )
+            for value in values
+        ]
+        for document in odd:
+            self.assertEqual(self.announce(json.dumps(document)), 422, document)
+        surrogate = json.dumps({**good, "services": ["\ud800"]})
+        for body in (*ODD_DOCUMENTS, surrogate):
+            self.assertIn(self.announce(body), (400, 422), body[:30])
+        self.assertEqual(self.announce(json.dumps(good), media_type="text/plain"), 415)
+        self.assertTrue(self.actor.inbox.is_empty())
+        self.assertEqual(self.announce(json.dumps({**good, "port": 80.0, "slots": 4.0})), 204)
+        announced = asyncio.run(self.actor.inbox.get_batch())[0]
+        self.assertEqual((repr(announced.port), repr(announced.slots)), ("80", "4"))
+
+
 def has_all(name, version, seen):
     """Returns whether messages include a member, its crash and a version of the configuration."""
     return (
