--- a/standins/platform_deployment.py
+++ b/standins/platform_deployment.py
@@ -259,16 +259,13 @@
 
 
 def count_starts(folder: pathlib.Path, job_id: str) -> dict[str, int]:
-    """Returns how often each task of a job was started, by the task's name at runners.
-
-    Starts that were carried out late, without an answer, don't count.
-    """
+    """Returns how often each task of a job was started, by the task's name at runners."""
     starts: dict[str, int] = {}
     for log in folder.glob("starts-*.log"):
         for line in log.read_text().splitlines():
             _, event, task, _ = json.loads(line)
-            if event in ("start", LATE_EVENT) and task.partition(".")[0] == job_id:
-                starts[task] = starts.get(task, 0) + (1 if event == "start" else -1)
+            if event == "start" and task.partition(".")[0] == job_id:
+                starts[task] = starts.get(task, 0) + 1
     return starts
 
 
