Without agents, 'not run' needs a read of the roster since the refusal

What callers saw: 'not run' for a job of which tasks had started. An entry that had seen no agent yet was paused; another entry took its partition over with an agent registered since and started the job; the first one, back and cut off from the table, refused a repeated submission with 'no target runs the service', 'not run'.

Cause: without agents there is no majority to confirm the epoch, and the entry took its own, outdated roster for proof that nothing can have run.

Cost: one read of the table before a refusal for want of any agent.

--- a/src/comfreysill/dispatch/delivery.py
+++ b/src/comfreysill/dispatch/delivery.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable
 
 from comfreysill.dispatch.authority import find_validated_cycle
-from comfreysill.dispatch.messages import Answered
+from comfreysill.dispatch.messages import Answered, ReadRoster
 from comfreysill.dispatch.state import (
     VALIDATION_TIMEOUT_SECONDS,
     Dispatcher,
@@ -24,7 +24,7 @@
 
     An answer with the verdict "not run" is held until a majority of agents has acknowledged a
     frame sent since. This proves that no other entry, which might have run the job, had taken over
-    the partition when the answer was set.
+    the partition when the answer was set. Without agents, a read of the roster since proves it.
     """
     if answer.verdict != Verdict.NOT_RUN:
         _send_answer(dispatcher, answer, listeners)
@@ -40,6 +40,8 @@
         )
     )
     dispatcher.required_ack_cycle = dispatcher.cycle
+    if not dispatcher.targets:
+        dispatcher.effects.append(ReadRoster())
 
 
 def release_validated_answers(dispatcher: Dispatcher, now: float) -> None:
@@ -73,10 +75,25 @@
         return False
     # Without agents there is no majority that could acknowledge a frame.
     if not dispatcher.targets and not owned_partition.granted_ever:
-        return owned_partition.open and not owned_partition.unread_ledgers
+        return _is_without_agents(dispatcher, owned_partition, held_answer.held_at)
     return find_validated_cycle(dispatcher, owned_partition) >= held_answer.cycle
 
 
+def _is_without_agents(
+    dispatcher: Dispatcher, owned_partition: OwnedPartition, since: float
+) -> bool:
+    """Returns whether a read of the roster begun since a Unix time showed that there was no agent.
+
+    An agent that came and went since the partition was opened shows by the loss of its ledger.
+    """
+    return (
+        owned_partition.open
+        and not owned_partition.unread_ledgers
+        and dispatcher.roster_read_at >= since
+        and dispatcher.ledgers_lost_at <= owned_partition.lost_at
+    )
+
+
 def _send_answer(dispatcher: Dispatcher, answer: Answer, listeners: Iterable[str]) -> None:
     for listener in listeners:
         if listener == dispatcher.name:
--- a/tests/test_starts_in_doubt.py
+++ b/tests/test_starts_in_doubt.py
@@ -3,6 +3,7 @@
 import unittest
 
 from comfreysill.dispatch import links
+from comfreysill.job.types import Verdict
 from tests.test_takeover import advance_world, count_starts, find_key, finish_all, make_job, submit
 from tests.world import World
 
@@ -112,6 +113,34 @@
         self.assertEqual(count_starts(world, job.key), 1)
 
 
+class NotRunTest(unittest.TestCase):
+    """An entry that knows of no agent refuses a job."""
+
+    # After a pause it trusted a roster that had no agents then, which another entry used meanwhile.
+    def test_entry_that_knew_no_agents_reads_the_roster_before_it_answers_not_run(self):
+        world = World(entries=2, agents=0)
+        advance_world(world)
+        job = make_job(world, find_key(world, "e1"), idempotent=True)
+        world.freeze("e1")
+        world.start_agent("a0")
+        advance_world(world, 4.0)
+        submit(world, "e2", job)
+        advance_world(world, 0.5)
+        self.assertEqual(count_starts(world, job.key), 1)
+        world.cut_off_table("e1")
+        caller = submit(world, "e1", job)
+        world.thaw("e1")
+        advance_world(world, 4.0)
+        self.assertNotEqual(world.oracle.answers[caller].verdict, Verdict.NOT_RUN)
+
+    def test_entry_answers_not_run_while_the_roster_shows_no_agents(self):
+        world = World(entries=2, agents=0)
+        advance_world(world)
+        caller = submit(world, "e1", make_job(world, find_key(world, "e1")))
+        advance_world(world, 0.5)
+        self.assertEqual(world.oracle.answers[caller].verdict, Verdict.NOT_RUN)
+
+
 class HandoverTest(unittest.TestCase):
     """An entry leaves while its last orders are under way."""
 
