Keep the failure itself beside the logs of a failed process test

A run of test_killed_owners_and_agents failed at a load average of 45 on 8 cores, and its logs don't say with what; the processes started again during it had logged nothing when it ended 25 s later.

--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -113,6 +113,7 @@
             await play_and_check(test, trial, faults, graceful, seconds)
         except BaseException as error:
             trial.write_jobs()
+            (trial.plan.folder / "failure.log").write_text(f"{type(error).__name__}: {error}")
             kept = keep_logs(trial.plan.folder, test.id())
             print(f"\nlogs of the failed deployment: {kept}")
             error.add_note(f"logs of the failed deployment: {kept}")
