--- a/tests/test_input_fuzz.py
+++ b/tests/test_input_fuzz.py
@@ -5,6 +5,7 @@
 `make fuzz` plays more of them, with a seed that is printed.
 """
 
+import asyncio
 import itertools
 import json
 import math
@@ -14,11 +15,16 @@
 import unittest
 from unittest import mock
 
+import falcon.testing
 import yaml
 from google.protobuf.message import DecodeError
 from hypothesis import strategies as st
 from result import Err, Ok
 
+from comfreysill.address import parse_address
+from comfreysill.agent.actor import Actor as AgentActor
+from comfreysill.agent.http import build_app as build_agent_app
+from comfreysill.entry.floors import build_checked_floor
 from comfreysill.exceptions import UsageError
 from comfreysill.execution.calls import RenewCall, ReplyStatus, RunnerLifetime
 from comfreysill.execution.frame_handling import expire_links, receive_frame
@@ -27,6 +33,7 @@
 from comfreysill.execution.runner import receive_report
 from comfreysill.execution.starts import resend_stops, start_waiting
 from comfreysill.execution.state import AgentState
+from comfreysill.metrics import Metrics
 from comfreysill.placement.agents import (
     begin_session,
     collect_frames,
@@ -43,14 +50,21 @@
 from comfreysill.platform.configuration import decode_configuration
 from comfreysill.platform.crashes import decode_crashes
 from comfreysill.platform.documents import decode_document, encode_document
+from comfreysill.platform.floors import read_current
 from comfreysill.platform.members import decode_members
+from comfreysill.platform.pages import decode_page
+from comfreysill.platform.registry import read_roster
 from comfreysill.platform.runner import REPLY_DECODER, build_renew_reply, decode_report
 from comfreysill.platform.settings import read_instance_settings
 from comfreysill.platform.settings_file import SETTINGS_VARIABLE
-from comfreysill.platform.store import RowSet, StoredRow
+from comfreysill.platform.store import RowSet, StoreClient, StoredRow
 from comfreysill.platform.submission import decode_submission
 from comfreysill.routes.table import find_route
+from comfreysill.target.ledger import Ledger
+from comfreysill.wire import comfreysill_pb2 as job_api_pb
 from comfreysill.wire import exchange_pb2 as pb
+from comfreysill.wire.agents import decode_agent_frame as decode_job_api_agent_frame
+from comfreysill.wire.agents import decode_entry_frame as decode_job_api_entry_frame
 from comfreysill.wire.errors import FrameError
 from comfreysill.wire.exchange import (
     decode_agent_frame,
@@ -58,16 +72,31 @@
     decode_entry_frame,
     encode_agent_frame,
     encode_entry_frame,
+    encode_members,
 )
 from comfreysill.wire.exchange import decode_members as decode_exchanged_members
+from comfreysill.wire.peers import decode_peer_frame
 from tests.fuzzing import fuzz
+from tests.test_floor import VALID_DOCUMENT
 from tests.test_platform_decode import SETTINGS, encode_configuration
 
 EXAMPLES = int(os.environ.get("INPUT_EXAMPLES", "60"))
 NOW = 100.0
 
-ODD_NUMBERS = st.sampled_from([0, -1, 1, 2**31 - 1, 2**31, 2**63, 2**64, 1e308, math.inf, math.nan])
-ODD_TEXTS = st.sampled_from(["", "nan", "x" * 5000, "é\x00", "a/b.c", "10.0.0.1:99999", "h:1"])
+ODD_NUMBERS = st.sampled_from(
+    [0, -1, 1, 2**31 - 1, 2**31, 2**53, 2**63, 2**64, 1e308, 10**400, math.inf, math.nan]
+)
+ODD_TEXTS = st.sampled_from(
+    ["", "nan", "x" * 5000, "é\x00", "a/b.c", "10.0.0.1:99999", "h:0", "h:1", "\u0661.0.0.1"]
+)
+# Texts that stand where a value should, some of which are no JSON.
+RAW_VALUES = {
+    "@deep-lists@": b"[" * 100_000 + b"]" * 100_000,
+    "@deep-objects@": b'{"a":' * 20_000 + b"1" + b"}" * 20_000,
+    "@infinite@": b"1e400",
+    "@no-text@": b'"\xff"',
+    "@surrogate@": b'"\\ud800"',
+}
 ODD_VALUES = st.one_of(
     st.none(),
     st.booleans(),
@@ -76,6 +105,7 @@
     st.floats(),
     ODD_TEXTS,
     st.text(max_size=8),
+    st.sampled_from(sorted(RAW_VALUES)),
     st.lists(st.one_of(ODD_NUMBERS, ODD_TEXTS), max_size=3),
     st.dictionaries(st.text(max_size=4), ODD_NUMBERS, max_size=2),
 )
@@ -131,6 +161,14 @@
     return paths
 
 
+def encode_raw(document):
+    """Encodes a document in which names of `RAW_VALUES` stand for these."""
+    text = json.dumps(document).encode()
+    for name, raw in RAW_VALUES.items():
+        text = text.replace(f'"{name}"'.encode(), raw)
+    return text
+
+
 @st.composite
 def changed_documents(draw, document):
     """Draws the bytes of a document in which up to three values are replaced or removed."""
@@ -146,11 +184,33 @@
                 del container[path[-1]]
         except (KeyError, IndexError, TypeError):
             continue
-    text = json.dumps(changed).encode()
+    text = encode_raw(changed)
     cut = draw(st.one_of(st.none(), st.integers(0, len(text))))
     return text if cut is None else text[:cut] + draw(st.binary(max_size=4))
 
 
+def is_balanced(text):
+    """Returns whether a text ends where its brackets do, outside of any text in quotes."""
+    depth, quoted, position = 0, False, 0
+    while position < len(text):
+        byte = text[position : position + 1]
+        if quoted:
+            position += byte == b"\\"
+            quoted = byte != b'"'
+        elif byte == b'"':
+            quoted = True
+        elif byte in (b"[", b"{"):
+            depth += 1
+        elif byte in (b"]", b"}"):
+            depth -= 1
+            if depth < 0:
+                return False
+        elif byte == b"," and depth == 0:
+            return False
+        position += 1
+    return depth == 0 and not quoted and bool(text.strip())
+
+
 RUNNER_DOCUMENTS = st.tuples(changed_documents(REPORT), changed_documents(REPLY))
 
 
@@ -257,6 +317,86 @@
 
 ANNOUNCEMENTS = messages(pb.Announcement, {"agent": NAMES, "address": NAMES, "service": NAMES})
 
+CLAIMS = messages(job_api_pb.PartitionClaim, {"partition": U32, "number": U32, "owner": NAMES})
+JOB_API_AGENT_FRAMES = messages(
+    job_api_pb.AgentFrame,
+    {
+        "agent": NAMES,
+        "session": U64,
+        "sequence": U64,
+        "slots": U32,
+        "messages": st.lists(
+            messages(
+                job_api_pb.AgentMessage,
+                {
+                    "done": messages(
+                        job_api_pb.TaskDone, {"outcome": U32, "index": U32, "run_seconds": FLOATS}
+                    ),
+                    "refused": messages(job_api_pb.Refused, {"cause": U32}),
+                    "claimed": messages(
+                        job_api_pb.Claimed,
+                        {
+                            "claims": st.lists(CLAIMS, max_size=2),
+                            "records": st.lists(
+                                messages(job_api_pb.LedgerRecord, {"outcome": U32}), max_size=2
+                            ),
+                            "lost_at": FLOATS,
+                        },
+                    ),
+                },
+            ),
+            min_size=1,
+            max_size=2,
+        ),
+    },
+)
+JOB_API_ENTRY_FRAMES = messages(
+    job_api_pb.EntryFrame,
+    {
+        "entry": NAMES,
+        "session": U64,
+        "messages": st.lists(
+            messages(
+                job_api_pb.EntryMessage,
+                {
+                    "start": messages(
+                        job_api_pb.StartBatch,
+                        {"claim": CLAIMS, "task_class": U32, "deadline": FLOATS},
+                    ),
+                },
+            ),
+            min_size=1,
+            max_size=2,
+        ),
+    },
+)
+JOB_API_PEER_FRAMES = messages(
+    job_api_pb.PeerFrame,
+    {
+        "entry": NAMES,
+        "session": U64,
+        "messages": st.lists(
+            messages(
+                job_api_pb.PeerMessage,
+                {
+                    "answered": messages(
+                        job_api_pb.Answer, {"verdict": U32, "reason": U32, "retry_at": FLOATS}
+                    ),
+                    "forward": messages(
+                        job_api_pb.Submission, {"task_class": U32, "issued_at": FLOATS}
+                    ),
+                    "wave": messages(job_api_pb.CancelWave, {"task_class": U32}),
+                    "handover": messages(
+                        job_api_pb.Handover, {"claim": CLAIMS, "known_since": FLOATS}
+                    ),
+                },
+            ),
+            min_size=1,
+            max_size=2,
+        ),
+    },
+)
+
 
 def encode_odd_bytes(frames):
     """Returns a strategy of the bytes of frames, some of them cut or with bytes added."""
@@ -381,6 +521,109 @@
             case.assertLessEqual(link.lease_until, NOW + 1.0)
 
 
+JOB_API_AGENT = {
+    "agent": "a",
+    "incarnation": "a@1",
+    "host": "10.0.0.1",
+    "port": 80,
+    "zone": "z",
+    "services": ["s"],
+    "lost_at": 5.0,
+    "left": False,
+}
+JOB_API_ENTRY = {"name": "e@1", "host": "10.0.0.1", "port": 80, "zone": "z"}
+JOB_API_VERSION = {
+    "version": 1,
+    "change_id": "change-1",
+    "author": "x",
+    "changed_at": 1.0,
+    "document": yaml.safe_load(VALID_DOCUMENT),
+}
+STORED_ROW = {"table": "t", "key": "odd", "value": "e30=", "ver": 3, "tombstone": False}
+ANNOUNCEMENT = {
+    "host": "127.0.0.1",
+    "port": 80,
+    "slots": 4,
+    "connections": 9,
+    "services": ["s"],
+}
+
+
+def build_store(rows):
+    """Returns a store client, and a function in place of `read_rows` that finds these rows."""
+
+    async def read_rows(store, table, prefix=""):
+        found = [row for row in rows if row.key.startswith(prefix)]
+        return Ok(RowSet(rows=found, version=9))
+
+    return StoreClient(base_url="", session=None), read_rows
+
+
+class TestJobApiInput(unittest.TestCase):
+    """Ways into the entries and agents of the job API."""
+
+    @fuzz(EXAMPLES, changed_documents(JOB_API_AGENT), changed_documents(JOB_API_ENTRY))
+    def test_registrations(self, agent, entry):
+        good = json.dumps({**JOB_API_AGENT, "agent": "b"}).encode()
+        rows = [
+            StoredRow(key="member/agent/a", value=agent, version=1),
+            StoredRow(key="member/agent/b", value=good, version=2),
+            StoredRow(key="member/entry/e@1", value=entry, version=3),
+        ]
+        store, read_rows = build_store(rows)
+        with mock.patch("comfreysill.platform.table.read_rows", read_rows):
+            for _ in range(2):
+                roster = asyncio.run(read_roster(store)).ok_value
+        found = [agent.agent for agent in roster.agents] + [entry.name for entry in roster.entries]
+        self.assertIn("b", found)
+        for named in (*roster.agents, *roster.entries):
+            parse_address(f"{named.host}:{named.port}")
+        self.assertLess(roster.lost_at, 1e11)
+        self.assertEqual(store.rejections.total, len(roster.unreadable))
+
+    @fuzz(EXAMPLES, changed_documents(JOB_API_VERSION))
+    def test_floor_versions(self, text):
+        store, read_rows = build_store([StoredRow(key="floor/current", value=text, version=1)])
+        with mock.patch("comfreysill.platform.table.read_rows", read_rows):
+            version = asyncio.run(read_current(store)).ok_value
+        if version is not None:
+            self.assertIsInstance(version.version, int)
+            floor = build_checked_floor(version.version, version.document)
+            self.assertTrue(isinstance(floor, Err) or floor.ok_value.teams)
+
+    @fuzz(5 * EXAMPLES, changed_documents(ANNOUNCEMENT))
+    def test_announcements_of_runners(self, body):
+        actor = AgentActor(
+            ledger=Ledger(agent="a", incarnation="a@1"), start_run=lambda runner, record: None
+        )
+        client = falcon.testing.TestClient(build_agent_app(actor, Metrics(role="agent")))
+        status = client.simulate_put("/v1/runner", body=body).status_code
+        self.assertIn(status, (204, 400, 422))
+        if status == 204:
+            announced = asyncio.run(actor.inbox.get_batch())[0]
+            parse_address(f"{announced.host}:{announced.port}")
+            encode_document(sorted(announced.services))
+
+    @fuzz(
+        5 * EXAMPLES,
+        st.one_of(
+            encode_odd_bytes(JOB_API_AGENT_FRAMES).map(lambda data: (0, data)),
+            encode_odd_bytes(JOB_API_ENTRY_FRAMES).map(lambda data: (1, data)),
+            encode_odd_bytes(JOB_API_PEER_FRAMES).map(lambda data: (2, data)),
+        ),
+    )
+    def test_frames(self, drawn):
+        frame_type, decode = (
+            (job_api_pb.AgentFrame, decode_job_api_agent_frame),
+            (job_api_pb.EntryFrame, decode_job_api_entry_frame),
+            (job_api_pb.PeerFrame, decode_peer_frame),
+        )[drawn[0]]
+        try:
+            decode(frame_type.FromString(drawn[1]))
+        except (FrameError, DecodeError):
+            return
+
+
 class TestInput(unittest.TestCase):
     @fuzz(EXAMPLES, changed_documents(SUBMISSION))
     def test_submissions(self, body):
@@ -408,7 +651,7 @@
         agent.check(self)
 
     @fuzz(
-        EXAMPLES,
+        5 * EXAMPLES,
         st.lists(st.tuples(changed_documents(REPORT), changed_documents(REPLY)), max_size=3),
     )
     def test_reports_and_replies_of_a_runner(self, documents):
@@ -417,6 +660,9 @@
         for report, reply in documents:
             agent.report(report)
             agent.renew(reply)
+            parse_address(agent.agent.report.address)
+            self.assertLess(agent.agent.report.sequence, 2**31)
+            self.assertLess(max(agent.agent.clock_ms, agent.agent.runner_ends_seen), 2**53)
         agent.check(self)
 
     @fuzz(EXAMPLES, changed_documents(json.loads(encode_configuration())), st.binary(max_size=30))
@@ -432,9 +678,28 @@
                     submit_request(entry.state, 1, specification.ok_value, NOW)
                     entry.flush()
 
-    @fuzz(EXAMPLES, changed_documents(MEMBER), encode_odd_bytes(ANNOUNCEMENTS))
-    def test_member_rows_and_announcements(self, value, data):
-        found = decode_members(RowSet(rows=[StoredRow(key="n", value=value, version=1)], version=1))
+    @fuzz(EXAMPLES, st.lists(changed_documents(STORED_ROW), max_size=3))
+    def test_pages_of_the_store(self, odd_rows):
+        good = [json.dumps({**STORED_ROW, "key": key}).encode() for key in ("a", "z")]
+        # An odd row that is cut may take the rest of the page with it.
+        rows = [good[0], *odd_rows, good[1]]
+        text = b'{"rows":[' + b",".join(rows) + b'],"ver":9,"has-more":false}'
+        page = decode_page(text)
+        whole = all(is_balanced(row) for row in odd_rows)
+        if whole:
+            keys = [row.key for row in page.ok_value.rows]
+            self.assertEqual((keys[0], keys[-1]), ("a", "z"))
+            self.assertEqual(len(keys) + len(page.ok_value.rejected), len(odd_rows) + 2)
+            self.assertEqual(page.ok_value.version, 9)
+
+    @fuzz(EXAMPLES, changed_documents(MEMBER), encode_odd_bytes(ANNOUNCEMENTS), NAMES)
+    def test_member_rows_and_announcements(self, value, data, name):
+        found = decode_members(
+            RowSet(rows=[StoredRow(key=name, value=value, version=1)], version=1)
+        )
+        # Other entries accept what this one tells them of the members.
+        exchanged, problems = decode_exchanged_members(encode_members(found.members))
+        self.assertEqual((len(exchanged), problems), (len(found.members), []))
         self.assertEqual(len(found.members) + found.unreadable, 1)
         entry = Entry()
         for member in found.members:
