Bind no task whose only start is known to have been refused or carried out

What callers could see: a request that waits up to 16 s for a target that has crashed, though its start was refused there, or was listed and has ended since. The time for which a start may come late was kept after that was known. Found by reading the change again.

Change: a refusal after the end of the lifetime, and a list that shows the run of the only call, make the start final.

Evidence: both tests failed before (late_seconds 16.0).

--- a/src/comfreysill/execution/renewals.py
+++ b/src/comfreysill/execution/renewals.py
@@ -197,6 +197,9 @@
     agent: AgentState, run: Run, reply: RenewReply, listed_number: int | None, now: float
 ) -> None:
     if listed_number == run.number:
+        if run.start_calls_sent == 1:
+            # Its only call has been carried out.
+            run.late_until = 0.0
         if run.lifetime != agent.runner_lifetime:
             # The lease in its call was for another clock.
             run.lifetime = agent.runner_lifetime
--- a/src/comfreysill/execution/starts.py
+++ b/src/comfreysill/execution/starts.py
@@ -233,6 +233,7 @@
     if not isinstance(reply.call, StartCall) or run.start_calls_sent > 1:
         return
     if reply.status not in (ReplyStatus.ACCEPTED, ReplyStatus.UNANSWERED):
+        run.late_until = 0.0
         _return_run(agent, run, now, f"the runner refused: {reply.status.name}")
 
 
--- a/tests/test_execution.py
+++ b/tests/test_execution.py
@@ -307,6 +307,18 @@
         self.deliver_report(started_at_ms=2)
         self.deliver_reply(call, ReplyStatus.GONE)
         self.assertEqual(self.list_ends(), [("r/0/0", Outcome.RETURNED)])
+        self.assertEqual(self.agent.links["e@1"].ended[-1].late_seconds, 0.0)
+
+    # Guards against a task that waits for its target, though its only start was carried out.
+    def test_a_run_whose_only_start_was_carried_out_is_not_bound_to_its_target(self):
+        self.deliver_frame(tasks=1)
+        (call,) = self.drain_starts()
+        self.deliver_reply(call, ReplyStatus.UNANSWERED)
+        self.answer_renewal(running=[("r/0/0", call.run)])
+        end = RunEnd(number=1, task="r/0/0", run=call.run, outcome="failed")
+        self.answer_renewal(ended=[end])
+        self.assertEqual(self.list_ends(), [("r/0/0", Outcome.FAILED)])
+        self.assertEqual(self.agent.links["e@1"].ended[-1].late_seconds, 0.0)
 
     # Guards against an agent that takes the whole grace period to end, as its runner is gone.
     def test_a_held_start_without_a_runner_does_not_keep_the_agent(self):
