Review, part two: a late start beside another entry's run of the task (TWICE)

Case review/2, from an entry of KNOWN-RED.txt: one start gets no answer and is carried out 5.3 s later, by a runner that has crashed meanwhile and started again under its id; the client has sent the job to another entry by then.

--- a/review/harness.py
+++ b/review/harness.py
@@ -102,7 +102,7 @@
     raise OSError("no free loopback network")
 
 
-async def start_floor(floor, cpu=8000):
+async def start_floor(floor, cpu=8000, program=None):
     """Starts all processes and waits until the entries are ready and linked to all agents."""
     floor.session = aiohttp.ClientSession(connector=aiohttp.TCPConnector(force_close=True, limit=0))
     host, _, port = floor.store.partition(":")
@@ -115,7 +115,7 @@
     await put_configuration(floor, 4)
     for name in floor.agents:
         await start_program(floor, name)
-        await start_runner(floor, name, cpu)
+        await start_runner(floor, name, cpu, program)
     for name in floor.entries:
         await start_program(floor, name)
     for name in floor.entries:
@@ -173,10 +173,20 @@
     return document
 
 
-async def start_runner(floor, agent, cpu=8000):
-    """Starts a new lifetime of the runner beside an agent, under a new id."""
+async def start_runner(floor, agent, cpu=8000, program=None, same_id=False, options=()):
+    """Starts a new lifetime of the runner beside an agent.
+
+    Args:
+        floor: The deployment.
+        agent: Name of the agent.
+        cpu: CPU capacity in thousandths of a core.
+        program: Arguments of Python that name another program than the project's stand-in.
+        same_id: Whether the new lifetime has the id of the one before.
+        options: Further arguments of that program.
+    """
     ip = floor.ip(agent)
-    floor.lifetimes[agent] = floor.lifetimes.get(agent, 0) + 1
+    if not same_id or agent not in floor.lifetimes:
+        floor.lifetimes[agent] = floor.lifetimes.get(agent, 0) + 1
     arguments = [
         f"--id=i-{agent}-{floor.lifetimes[agent]}",
         f"--host={ip}",
@@ -186,10 +196,10 @@
         "--zone=z1",
         f"--cpu={cpu}",
         f"--log={floor.folder / f'runs-{agent}.log'}",
+        *options,
     ]
-    await spawn(
-        floor, f"runner-{agent}", [sys.executable, "-m", "standins.platform_runner", *arguments]
-    )
+    program = program or ("-m", "standins.platform_runner")
+    await spawn(floor, f"runner-{agent}", [sys.executable, *program, *arguments])
 
 
 async def spawn(floor, name, command, environment=None):
