Log how long a request may have lain unread, and for how long its caller waits

The event loop now records its polls; what is read has arrived since an earlier poll that didn't report it, which bounds its age. 'request accepted' has the fields unread and wait (X-Deadline-Ms, read for the first time), 'entry was suspended or busy' the length of a pause.

No decision changes. tests.test_caller_waits: 6 passed.

--- a/src/comfreysill/gateway/actor.py
+++ b/src/comfreysill/gateway/actor.py
@@ -58,7 +58,7 @@
 )
 from comfreysill.placement.state import EntryState
 from comfreysill.placement.subset import update_subset
-from comfreysill.request.types import Specification, Verdict
+from comfreysill.request.types import CallerWait, Specification, Verdict
 from comfreysill.routes.table import choose_newer
 
 logger = logging.getLogger(__name__)
@@ -105,13 +105,15 @@
         self.failures = MessageFailures()
 
 
-def submit(actor: Actor, specification: Specification) -> tuple[int, asyncio.Future[Reply]]:
+def submit(
+    actor: Actor, specification: Specification, wait: CallerWait
+) -> tuple[int, asyncio.Future[Reply]]:
     """Queues a request; returns the number of its caller and the future of the reply."""
     actor.last_caller_number += 1
     caller = actor.last_caller_number
     future: asyncio.Future[Reply] = asyncio.get_running_loop().create_future()
     actor.pending_replies[caller] = future
-    actor.inbox.post(Submit(caller=caller, specification=specification))
+    actor.inbox.post(Submit(caller=caller, specification=specification, wait=wait))
     return caller, future
 
 
@@ -158,7 +160,7 @@
 
 
 def _receive_submit(actor: Actor, message: Submit, now: float) -> None:
-    submit_request(actor.state, message.caller, message.specification, now)
+    submit_request(actor.state, message.caller, message.specification, now, message.wait)
 
 
 def _receive_disconnect(actor: Actor, message: CallerDisconnected, now: float) -> None:
--- a/src/comfreysill/gateway/messages.py
+++ b/src/comfreysill/gateway/messages.py
@@ -2,7 +2,7 @@
 
 from comfreysill.crashes.report import CrashReport
 from comfreysill.exchange.messages import AgentFrame, Member
-from comfreysill.request.types import Specification, Verdict
+from comfreysill.request.types import CallerWait, Specification, Verdict
 from comfreysill.routes.table import RouteTable
 
 
@@ -25,13 +25,20 @@
 
 
 class Submit:
-    """A caller has submitted a request; `caller` is the number of the caller at this entry."""
+    """A caller has submitted a request.
 
-    __slots__ = ("caller", "specification")
+    Attributes:
+        caller: Number of the caller at this entry.
+        specification: The request.
+        wait: How long the caller waits.
+    """
+
+    __slots__ = ("caller", "specification", "wait")
 
-    def __init__(self, *, caller: int, specification: Specification) -> None:
+    def __init__(self, *, caller: int, specification: Specification, wait: CallerWait) -> None:
         self.caller = caller
         self.specification = specification
+        self.wait = wait
 
 
 class CallerDisconnected:
--- a/src/comfreysill/gateway/program.py
+++ b/src/comfreysill/gateway/program.py
@@ -34,6 +34,7 @@
 from comfreysill.platform.rejections import Rejections
 from comfreysill.platform.settings import InstanceSettings
 from comfreysill.platform.store import StoreClient, open_store, set_store_address
+from comfreysill.polls import PollTimes
 from comfreysill.reloading import watch_settings
 from comfreysill.request.types import Verdict
 from comfreysill.servers import (
@@ -63,17 +64,27 @@
     lifetime: str,
     stop: asyncio.Event,
     reload: asyncio.Event,
+    poll_times: PollTimes,
 ) -> None:
     """Runs an entry until `stop` is set, then waits until its callers are answered.
 
     Requests that are still open shortly before the end of the grace period end as MAY_HAVE_RUN.
+
+    Args:
+        settings: Settings of the instance.
+        listeners: Listening sockets for HTTP and for links.
+        lifetime: Id of this run of the process.
+        stop: Set to request a graceful stop.
+        reload: Set to request a reload of the settings.
+        poll_times: Polls of the event loop.
     """
     name = f"{settings.name}@{lifetime}"
     metrics = Metrics(role="entry")
     state = _build_state(name, settings, metrics)
     actor = Actor(state=state)
     store = open_store(settings.store)
-    callers_server = build_http(build_callers_app(_build_operations(actor)))
+    callers_app = build_callers_app(_build_operations(actor))
+    callers_server = build_http(callers_app, poll_times=poll_times)
     roster_service = RosterService(
         inbox=actor.inbox,
         get_routes=lambda: actor.routes_text,
@@ -239,7 +250,7 @@
 
     return EntryOperations(
         get_routes=lambda: state.routes,
-        submit=lambda specification: submit(actor, specification),
+        submit=lambda specification, wait: submit(actor, specification, wait),
         report_disconnect=lambda caller: report_disconnect(actor, caller),
         find_state=find_state,
         cancel=cancel,
--- a/src/comfreysill/placement/agents.py
+++ b/src/comfreysill/placement/agents.py
@@ -257,9 +257,13 @@
 
 def expire_agents(state: EntryState, now: float) -> None:
     """Closes sessions that timed out, and reschedules tasks that can't run any more."""
-    was_suspended = now - state.ticked_at > MAX_TICK_GAP_SECONDS
+    gap_seconds = now - state.ticked_at
+    is_first = not state.ticked_at
     state.ticked_at = now
-    if was_suspended:
+    if gap_seconds > MAX_TICK_GAP_SECONDS:
+        if not is_first:
+            count(state, "suspensions")
+            note_event(state, "entry was suspended or busy", seconds=round(gap_seconds, 3))
         return
     for agent in state.agents.values():
         silence = now - max(agent.last_frame_at, agent.opened_at)
--- a/src/comfreysill/placement/requests.py
+++ b/src/comfreysill/placement/requests.py
@@ -1,5 +1,6 @@
 """Life cycle of requests at their entry on the platform: acceptance, cancellation, verdict."""
 
+import math
 import zlib
 
 from comfreysill.crashes.ledger import find_deadly_task, is_suspect
@@ -17,7 +18,7 @@
     set_verdict,
     suspect_task,
 )
-from comfreysill.request.types import Specification, Verdict
+from comfreysill.request.types import CallerWait, Specification, Verdict
 
 # A final verdict is cached this long to answer repetitions of the request.
 VERDICT_CACHE_SECONDS = 10.0
@@ -27,7 +28,11 @@
 
 
 def submit_request(
-    state: EntryState, caller: int, specification: Specification, now: float
+    state: EntryState,
+    caller: int,
+    specification: Specification,
+    now: float,
+    wait: CallerWait,
 ) -> None:
     """Accepts a request, unless there is one with its id.
 
@@ -48,14 +53,18 @@
         if request.verdict is None:
             request.callers.add(caller)
         else:
-            waiter = Waiter(caller=caller, specification=specification)
+            waiter = Waiter(caller=caller, specification=specification, wait=wait)
             state.waiters.setdefault(request_id, []).append(waiter)
         return
-    _accept_request(state, caller, specification, now)
+    _accept_request(state, caller, specification, now, wait)
 
 
 def _accept_request(
-    state: EntryState, caller: int, specification: Specification, now: float
+    state: EntryState,
+    caller: int,
+    specification: Specification,
+    now: float,
+    wait: CallerWait,
 ) -> None:
     request = Request(specification=specification, received_at=now, unix_offset=state.unix_offset)
     request.callers.add(caller)
@@ -70,6 +79,8 @@
         routes_version=state.routes.version,
         tasks=sum(step.count for step in specification.steps),
         objective=round(request.due_at - now, 3),
+        unread=round(wait.read_at - wait.sent_after, 3),
+        wait=round(wait.ends_at - wait.read_at, 3) if wait.ends_at < math.inf else None,
     )
     record_demand(state, specification, now)
     suspect_tasks(state, request)
@@ -179,7 +190,7 @@
         if cached is not None:
             state.effects.append(SendVerdict(caller=waiter.caller, verdict=cached.verdict))
         else:
-            submit_request(state, waiter.caller, waiter.specification, now)
+            submit_request(state, waiter.caller, waiter.specification, now, waiter.wait)
 
 
 def end_task(state: EntryState, task: Task, outcome: Outcome, detail: str, now: float) -> None:
--- a/src/comfreysill/placement/state.py
+++ b/src/comfreysill/placement/state.py
@@ -9,7 +9,7 @@
 from comfreysill.exchange.messages import Batch, Load, Profile
 from comfreysill.placement.effects import Effect
 from comfreysill.request.request import Request, Task
-from comfreysill.request.types import Specification, Verdict
+from comfreysill.request.types import CallerWait, Specification, Verdict
 from comfreysill.routes.table import NO_ROUTES
 
 
@@ -192,13 +192,15 @@
     Attributes:
         caller: Number of the caller.
         specification: Its request.
+        wait: How long it waits.
     """
 
-    __slots__ = ("caller", "specification")
+    __slots__ = ("caller", "specification", "wait")
 
-    def __init__(self, *, caller: int, specification: Specification) -> None:
+    def __init__(self, *, caller: int, specification: Specification, wait: CallerWait) -> None:
         self.caller = caller
         self.specification = specification
+        self.wait = wait
 
 
 class RouteDemand:
--- a/src/comfreysill/platform/ingress.py
+++ b/src/comfreysill/platform/ingress.py
@@ -1,6 +1,7 @@
 """HTTP interface for callers, translated to operations of an entry on the platform."""
 
 import asyncio
+import math
 from collections.abc import Callable
 from typing import Any
 
@@ -10,9 +11,14 @@
 from comfreysill.platform.bodies import read_body
 from comfreysill.platform.documents import encode_document
 from comfreysill.platform.submission import Rejection, decode_submission
-from comfreysill.request.types import Specification, Verdict
+from comfreysill.request.types import CallerWait, Specification, Verdict
 from comfreysill.routes.table import Route, RouteTable, find_route
+from comfreysill.servers import ARRIVAL_EXTENSION
 
+# Name of the header with the time in milliseconds for which the caller waits.
+WAIT_HEADER = b"x-deadline-ms"
+# Longer waits count as unknown, like values that can't be read.
+MAX_WAIT_MS = 86_400_000.0
 STATE_NAMES = {Verdict.COMPLETED: "completed", Verdict.FAILED: "failed"}
 
 
@@ -45,7 +51,7 @@
         self,
         *,
         get_routes: Callable[[], RouteTable],
-        submit: Callable[[Specification], tuple[int, asyncio.Future[Reply]]],
+        submit: Callable[[Specification, CallerWait], tuple[int, asyncio.Future[Reply]]],
         report_disconnect: Callable[[int], None],
         find_state: Callable[[str], "str | Verdict | None"],
         cancel: Callable[[str], bool],
@@ -80,7 +86,8 @@
             return
         request_id = path[len(route.prefix) :]
         if scope["method"] == "POST" and request_id:
-            await _serve_submission(operations, table, route, request_id, receive, send)
+            wait = read_wait(scope)
+            await _serve_submission(operations, table, route, request_id, wait, receive, send)
         else:
             await _serve_query(operations, scope["method"], route, request_id, send)
 
@@ -98,17 +105,43 @@
 
 
 def _read_host(scope: dict[str, Any]) -> str:
-    for name, value in scope["headers"]:
-        if name == b"host":
-            return value.decode("latin-1").partition(":")[0]
+    return _read_header(scope, b"host").partition(":")[0]
+
+
+def _read_header(scope: dict[str, Any], name: bytes) -> str:
+    """Returns the value of a header, empty if there is none; `name` is in lower case."""
+    for other_name, value in scope["headers"]:
+        if other_name == name:
+            return value.decode("latin-1")
     return ""
 
 
+def read_wait(scope: dict[str, Any]) -> CallerWait:
+    """Returns how long the caller of a submission waits, by its header and its time of arrival."""
+    arrival = scope["extensions"][ARRIVAL_EXTENSION]
+    wait_seconds = _parse_wait(_read_header(scope, WAIT_HEADER))
+    return CallerWait(
+        sent_after=arrival.sent_after,
+        read_at=arrival.read_at,
+        ends_at=arrival.read_at + wait_seconds,
+    )
+
+
+def _parse_wait(text: str) -> float:
+    """Returns a wait in seconds, infinite if the header is missing or not a usable number."""
+    try:
+        wait_ms = float(text)
+    except ValueError:
+        return math.inf
+    return wait_ms / 1000 if 0 < wait_ms <= MAX_WAIT_MS else math.inf
+
+
 async def _serve_submission(
     operations: EntryOperations,
     table: RouteTable,
     route: Route,
     request_id: str,
+    wait: CallerWait,
     receive: Any,
     send: Any,
 ) -> None:
@@ -124,7 +157,7 @@
         else:
             await _send_json(operations, send, 400, {"error": error.detail})
         return
-    caller_number, reply = operations.submit(decoded.ok_value)
+    caller_number, reply = operations.submit(decoded.ok_value, wait)
     disconnected = asyncio.ensure_future(_await_disconnect(receive))
     await asyncio.wait((reply, disconnected), return_when=asyncio.FIRST_COMPLETED)
     disconnected.cancel()
--- a/src/comfreysill/process.py
+++ b/src/comfreysill/process.py
@@ -7,6 +7,7 @@
 
 from comfreysill.listeners import Listeners
 from comfreysill.platform.settings import InstanceSettings
+from comfreysill.polls import PollTimes, build_timed_loop
 from comfreysill.structured_logging import configure_structured_logging
 
 
@@ -22,10 +23,14 @@
         listeners: Listening sockets for HTTP and for links.
     """
     configure_structured_logging(settings.name)
-    asyncio.run(_run(role, settings, listeners))
+    poll_times = PollTimes()
+    with asyncio.Runner(loop_factory=lambda: build_timed_loop(poll_times)) as runner:
+        runner.run(_run(role, settings, listeners, poll_times))
 
 
-async def _run(role: str, settings: InstanceSettings, listeners: Listeners) -> None:
+async def _run(
+    role: str, settings: InstanceSettings, listeners: Listeners, poll_times: PollTimes
+) -> None:
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGTERM, stop.set)
@@ -35,8 +40,12 @@
     lifetime = uuid.uuid4().hex[:8]
     # Each role imports only its own modules, to limit memory and start-up time.
     if role == "entry":
-        from comfreysill.gateway.program import run_gateway as run
+        from comfreysill.gateway.program import run_gateway
+
+        run = run_gateway(settings, listeners, lifetime, stop, reload, poll_times)
     else:
-        from comfreysill.sidecar.program import run_sidecar as run
+        from comfreysill.sidecar.program import run_sidecar
+
+        run = run_sidecar(settings, listeners, lifetime, stop, reload)
     gc.freeze()
-    await run(settings, listeners, lifetime, stop, reload)
+    await run
--- a/src/comfreysill/request/types.py
+++ b/src/comfreysill/request/types.py
@@ -1,4 +1,4 @@
-"""Values of the request aggregate: steps, specifications and verdicts."""
+"""Values of the request aggregate: steps, specifications, callers' waits and verdicts."""
 
 import enum
 
@@ -122,6 +122,27 @@
         self.slack_seconds = slack_seconds
 
 
+class CallerWait:
+    """How long the caller of one submission waits for its answer.
+
+    It stops waiting a fixed time after it has sent the request, which may have been before it was
+    read here.
+
+    Attributes:
+        sent_after: Boot-clock time in seconds before which it can't have sent the request.
+        read_at: Boot-clock time in seconds at which the request was read.
+        ends_at: Boot-clock time in seconds at which it would stop waiting if it had sent the
+            request at `read_at`, infinite if it doesn't say how long it waits.
+    """
+
+    __slots__ = ("sent_after", "read_at", "ends_at")
+
+    def __init__(self, *, sent_after: float, read_at: float, ends_at: float) -> None:
+        self.sent_after = sent_after
+        self.read_at = read_at
+        self.ends_at = ends_at
+
+
 def compute_critical_path(steps: tuple[Step, ...]) -> float:
     """Returns the declared run time in seconds of the longest chain of dependent steps.
 
--- a/src/comfreysill/servers.py
+++ b/src/comfreysill/servers.py
@@ -1,16 +1,52 @@
 """HTTP and gRPC servers of a process."""
 
 import asyncio
+import functools
 import socket
 from typing import Any
 
 import uvicorn
 from grpclib.server import Server
+from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
 from comfreysill.address import Address
+from comfreysill.clock import read_boot_clock
+from comfreysill.polls import PollTimes, find_earliest_arrival
 
 # The Date header has a resolution of one second.
 DATE_HEADER_INTERVAL_SECONDS = 1.0
+# Name of the ASGI extension in which a request carries an `Arrival`.
+ARRIVAL_EXTENSION = "comfreysill.arrival"
+
+
+class Arrival:
+    """When a request has arrived at this process.
+
+    Attributes:
+        sent_after: Boot-clock time in seconds before which its first byte can't have arrived.
+        read_at: Boot-clock time in seconds at which its first byte was read.
+    """
+
+    __slots__ = ("sent_after", "read_at")
+
+    def __init__(self, *, sent_after: float, read_at: float) -> None:
+        self.sent_after = sent_after
+        self.read_at = read_at
+
+
+class TimedHttpProtocol(HttpToolsProtocol):
+    """HTTP protocol of uvicorn that adds an `Arrival` to the ASGI scope of each request."""
+
+    def __init__(self, *, poll_times: PollTimes, **arguments: Any) -> None:
+        super().__init__(**arguments)
+        self.poll_times = poll_times
+
+    def on_message_begin(self) -> None:
+        """Begins a request, at its first byte."""
+        super().on_message_begin()
+        now = read_boot_clock()
+        arrival = Arrival(sent_after=find_earliest_arrival(self.poll_times, now), read_at=now)
+        self.scope["extensions"] = {ARRIVAL_EXTENSION: arrival}
 
 
 class HttpServer(uvicorn.Server):
@@ -53,18 +89,24 @@
         return None
 
 
-def build_http(app: Any, address: Address | None = None) -> HttpServer:
+def build_http(
+    app: Any, address: Address | None = None, poll_times: PollTimes | None = None
+) -> HttpServer:
     """Builds an HTTP server; `serve()` runs it until `begin_http_shutdown` is called.
 
     Args:
         app: The ASGI application.
         address: Address to listen on, None if `serve()` is given a listening socket.
+        poll_times: Polls of the event loop; requests carry an `Arrival` if they are given.
     """
+    protocol: Any = "httptools"
+    if poll_times is not None:
+        protocol = functools.partial(TimedHttpProtocol, poll_times=poll_times)
     config = uvicorn.Config(
         app,
         host=address.host if address else "",
         port=address.port if address else 0,
-        http="httptools",
+        http=protocol,
         ws="none",
         lifespan="off",
         access_log=False,
--- a/tests/platform_world.py
+++ b/tests/platform_world.py
@@ -45,6 +45,7 @@
 from comfreysill.placement.state import EntryState
 from comfreysill.placement.subset import update_subset
 from comfreysill.request.types import Specification, Step, Verdict
+from tests.waits import build_wait
 
 HOP_SECONDS = 0.001
 STORE_SECONDS = 0.005
@@ -618,7 +619,8 @@
         self.run_or_defer(process, self.handle_request, process, caller, request_id)
 
     def handle_request(self, process, caller, request_id):
-        submit_request(process.state, caller, self.requests[request_id], self.now)
+        specification = self.requests[request_id]
+        submit_request(process.state, caller, specification, self.now, build_wait(self.now))
         self.flush_entry(process)
 
     def handle_verdict(self, entry, effect):
--- /dev/null
+++ b/tests/test_caller_waits.py
@@ -0,0 +1,114 @@
+import asyncio
+import math
+import socket
+import time
+import unittest
+
+from comfreysill.clock import read_boot_clock
+from comfreysill.platform.ingress import read_wait
+from comfreysill.polls import PollTimes, build_timed_loop
+from comfreysill.servers import ARRIVAL_EXTENSION, Arrival, build_http, stop_http
+
+PAUSE_SECONDS = 0.4
+MAX_IDLE_POLL_SECONDS = 0.2
+
+
+def build_scope(*headers, unread_seconds=0.0):
+    arrival = Arrival(sent_after=100.0 - unread_seconds, read_at=100.0)
+    return {"headers": list(headers), "extensions": {ARRIVAL_EXTENSION: arrival}}
+
+
+class TestWaitHeader(unittest.TestCase):
+    def test_the_wait_begins_when_the_request_was_read(self):
+        wait = read_wait(build_scope((b"x-deadline-ms", b"1500"), unread_seconds=0.25))
+        self.assertEqual((wait.sent_after, wait.read_at, wait.ends_at), (99.75, 100.0, 101.5))
+
+    def test_a_missing_or_unusable_header_means_an_unknown_wait(self):
+        for value in (b"", b"0", b"-1", b"nan", b"inf", b"1e99", b"soon", b"\xff", b"9" * 400):
+            wait = read_wait(build_scope((b"x-deadline-ms", value)))
+            self.assertEqual(wait.ends_at, math.inf, value)
+        self.assertEqual(read_wait(build_scope()).ends_at, math.inf)
+
+
+class TestArrival(unittest.TestCase):
+    """The time that a request may have waited unread, on a real server and event loop."""
+
+    def setUp(self):
+        self.poll_times = PollTimes()
+        self.arrivals = []
+        self.listener = socket.create_server(("127.0.0.1", 0))
+
+    def play(self, scenario):
+        """Runs a scenario beside a server that records the arrivals of its requests."""
+
+        async def serve(scope, receive, send):
+            self.arrivals.append((scope["extensions"][ARRIVAL_EXTENSION], read_boot_clock()))
+            await send({"type": "http.response.start", "status": 200, "headers": []})
+            await send({"type": "http.response.body", "body": b""})
+
+        async def run():
+            server = build_http(serve, poll_times=self.poll_times)
+            task = asyncio.create_task(server.serve(sockets=[self.listener]))
+            ticks = asyncio.create_task(self.tick())
+            await asyncio.sleep(0.5)
+            await scenario()
+            await asyncio.sleep(0.2)
+            ticks.cancel()
+            await stop_http(server, task)
+
+        with asyncio.Runner(loop_factory=lambda: build_timed_loop(self.poll_times)) as runner:
+            runner.run(run())
+
+    async def tick(self):
+        while True:
+            await asyncio.sleep(0.02)
+
+    def connect(self):
+        client = socket.create_connection(self.listener.getsockname())
+        self.addCleanup(client.close)
+        return client
+
+    def send(self, client):
+        client.sendall(b"GET / HTTP/1.1\r\nhost: h\r\n\r\n")
+        return read_boot_clock()
+
+    def test_a_request_that_came_during_a_pause_may_be_as_old_as_the_pause(self):
+        async def scenario():
+            self.sent_at = self.send(self.connect())
+            time.sleep(PAUSE_SECONDS)
+
+        self.play(scenario)
+        arrival, _ = self.arrivals[0]
+        self.assertLess(arrival.sent_after, self.sent_at)
+        self.assertGreater(arrival.read_at - self.sent_at, PAUSE_SECONDS * 0.9)
+
+    def test_a_request_on_an_open_connection_that_came_during_a_pause(self):
+        async def scenario():
+            client = self.connect()
+            await asyncio.sleep(0.2)
+            self.sent_at = self.send(client)
+            time.sleep(PAUSE_SECONDS)
+
+        self.play(scenario)
+        self.assertLess(self.arrivals[0][0].sent_after, self.sent_at)
+
+    def test_the_first_byte_counts_where_a_request_comes_in_pieces(self):
+        async def scenario():
+            client = self.connect()
+            client.sendall(b"GET / HTTP/1.1\r\n")
+            await asyncio.sleep(PAUSE_SECONDS)
+            client.sendall(b"host: h\r\n\r\n")
+
+        self.play(scenario)
+        arrival, handled_at = self.arrivals[0]
+        self.assertGreater(handled_at - arrival.read_at, PAUSE_SECONDS * 0.9)
+
+    def test_a_request_on_a_calm_day_was_read_soon(self):
+        async def scenario():
+            self.send(self.connect())
+            await asyncio.sleep(0.1)
+            self.send(self.connect())
+
+        self.play(scenario)
+        for arrival, _ in self.arrivals:
+            self.assertLess(arrival.read_at - arrival.sent_after, MAX_IDLE_POLL_SECONDS)
--- a/tests/test_containment.py
+++ b/tests/test_containment.py
@@ -17,6 +17,7 @@
 from comfreysill.sidecar import messages as sidecar_messages
 from tests import test_placement
 from tests.test_placement import build_request
+from tests.waits import build_wait
 
 
 def fail(*arguments, **named_arguments):
@@ -39,7 +40,9 @@
             self.pass_message(message)
 
     def test_a_failed_submission_is_answered_as_one_that_may_have_run(self):
-        message = gateway_messages.Submit(caller=7, specification=build_request())
+        message = gateway_messages.Submit(
+            caller=7, specification=build_request(), wait=build_wait(self.now)
+        )
         with mock.patch.object(requests, "push_request", fail):
             self.handle(message)
         verdicts = [effect for effect in self.state.effects if isinstance(effect, SendVerdict)]
--- a/tests/test_input_fuzz.py
+++ b/tests/test_input_fuzz.py
@@ -79,6 +79,7 @@
 from tests.fuzzing import fuzz
 from tests.test_floor import VALID_DOCUMENT
 from tests.test_platform_decode import SETTINGS, encode_configuration
+from tests.waits import build_wait
 
 EXAMPLES = int(os.environ.get("INPUT_EXAMPLES", "60"))
 NOW = 100.0
@@ -431,7 +432,7 @@
         route = find_route(self.table, "h.example", "/a/1")
         decoded = decode_submission(request_id, route, body)
         if isinstance(decoded, Ok):
-            submit_request(self.state, caller, decoded.ok_value, NOW)
+            submit_request(self.state, caller, decoded.ok_value, NOW, build_wait(NOW))
         return self.flush()
 
     def receive(self, data):
@@ -675,7 +676,7 @@
             for route in itertools.chain.from_iterable(decoded.ok_value.by_host.values()):
                 specification = decode_submission("r", route, json.dumps(SUBMISSION).encode())
                 if isinstance(specification, Ok):
-                    submit_request(entry.state, 1, specification.ok_value, NOW)
+                    submit_request(entry.state, 1, specification.ok_value, NOW, build_wait(NOW))
                     entry.flush()
 
     @fuzz(EXAMPLES, st.lists(changed_documents(STORED_ROW), max_size=3))
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -19,6 +19,7 @@
 from comfreysill.placement.requests import disconnect_caller, submit_request
 from comfreysill.placement.state import EntryState
 from comfreysill.request.types import Specification, Step, Verdict
+from tests.waits import build_wait
 
 
 def build_request(request_id="r", tasks=2, cpu=1000, estimate=0.2, priority=0, label="", after=()):
@@ -107,7 +108,7 @@
         receive_agent_frame(self.state, frame, self.now)
 
     def submit(self, specification, caller=1):
-        submit_request(self.state, caller, specification, self.now)
+        submit_request(self.state, caller, specification, self.now, build_wait(self.now))
 
     def flush(self):
         """Returns the number of tasks sent to each agent, and the verdict sent to each caller."""
