--- a/src/comfreysill/exchange/messages.py
+++ b/src/comfreysill/exchange/messages.py
@@ -1,6 +1,7 @@
 """Frames on the link between an entry and the agent beside a target, on the platform."""
 
 import enum
+import math
 
 from comfreysill.crashes.report import CrashReport
 
@@ -15,6 +16,11 @@
 MAX_RUN_LEASE_SECONDS = 1.0
 # Allows for a runner's clock that is 2% slow, and for the time that a stop takes.
 LEASE_MARGIN_SECONDS = 0.07
+# A run that hasn't ended this long after its caller has stopped waiting is left without a lease.
+STOP_GRACE_SECONDS = 0.2
+# Nothing of a request runs later than this after its `stop_at`: an agent notices that time with its
+# next tick at the latest, and a run that can't be stopped ends with its lease.
+MAX_STOP_SECONDS = STOP_GRACE_SECONDS + RUN_LEASE_SECONDS + LEASE_MARGIN_SECONDS + 0.1
 # Intervals between frames on a link: while its entry has tasks to place, while it has tasks at the
 # agent, and while it has neither.
 DEMAND_INTERVAL_SECONDS = 0.15
@@ -76,6 +82,8 @@
         estimate: Declared run time of a task in seconds.
         orders: The attempts to start, one for each task.
         isolated: True if they may run only while no task of another request does.
+        stop_at: Boot-clock time of the agent in seconds from which none of the tasks may run, as
+            their caller has stopped waiting; infinite if that time is unknown.
     """
 
     __slots__ = (
@@ -90,6 +98,7 @@
         "estimate",
         "orders",
         "isolated",
+        "stop_at",
     )
 
     def __init__(
@@ -106,6 +115,7 @@
         orders: list[Order],
         isolated: bool = False,
         route: str = "",
+        stop_at: float = math.inf,
     ) -> None:
         self.request_id = request_id
         self.route = route
@@ -118,6 +128,7 @@
         self.estimate = estimate
         self.orders = orders
         self.isolated = isolated
+        self.stop_at = stop_at
 
 
 class EntryFrame:
--- a/src/comfreysill/execution/frame_handling.py
+++ b/src/comfreysill/execution/frame_handling.py
@@ -2,6 +2,7 @@
 
 from comfreysill.exchange.messages import (
     LINK_LEASE_SECONDS,
+    STOP_GRACE_SECONDS,
     Batch,
     EntryFrame,
     Outcome,
@@ -103,6 +104,14 @@
             del agent.links[link.entry]
 
 
+def expire_runs(agent: AgentState, now: float) -> None:
+    """Stops the runs whose callers have stopped waiting, whatever their entry has asked for."""
+    for run in list(agent.runs.values()):
+        if now >= run.batch.stop_at:
+            due_at = run.batch.stop_at + STOP_GRACE_SECONDS
+            stop_run(agent, run, now, "its caller has stopped waiting", due_at)
+
+
 def stop_runs_of_entry(agent: AgentState, link: EntryLink, now: float, reason: str) -> None:
     """Requests a stop of all runs of an entry, due when the lease of its link ends."""
     for run in list(agent.runs.values()):
@@ -143,6 +152,8 @@
         return "another run of the task is here"
     if now > link.lease_until:
         return "the order came late"
+    if now >= batch.stop_at:
+        return "its caller has stopped waiting"
     if not is_accepting(agent, now):
         return "the target takes no new work"
     conflict = check_isolation(agent, batch)
--- a/src/comfreysill/gateway/actor.py
+++ b/src/comfreysill/gateway/actor.py
@@ -54,6 +54,7 @@
     conclude_request,
     disconnect_caller,
     expire_cached_verdicts,
+    expire_requests,
     submit_request,
 )
 from comfreysill.placement.state import EntryState
@@ -156,7 +157,8 @@
         now = read_boot_clock()
         for message in messages:
             handle_contained(actor, message, now, HANDLERS, CONTAINMENT)
-        _flush(actor, now)
+        # The process may have been suspended meanwhile.
+        _flush(actor, read_boot_clock())
 
 
 def _receive_submit(actor: Actor, message: Submit, now: float) -> None:
@@ -295,6 +297,7 @@
 def _flush(actor: Actor, now: float) -> None:
     state = actor.state
     update_subset(state, now)
+    expire_requests(state, now)
     place_waiting(state, now)
     collect_frames(state, now)
     effects, state.effects = state.effects, []
--- a/src/comfreysill/gateway/program.py
+++ b/src/comfreysill/gateway/program.py
@@ -115,6 +115,7 @@
         zone=settings.zone,
         unix_offset=measure_unix_offset(),
         remote_factor=settings.remote_factor,
+        retry_seconds=settings.retry_seconds,
         observe=build_observer(metrics),
     )
     state.entries = list(dict.fromkeys((settings.advertised, *settings.entries)))
--- a/src/comfreysill/placement/orders.py
+++ b/src/comfreysill/placement/orders.py
@@ -64,7 +64,7 @@
         place_task(task, agent.name)
         agent.tasks[task.name] = task
         agent.unconfirmed[task.name] = agent.last_sent_number + 1
-    agent.batches.append(_build_batch(request, step, tasks, isolated))
+    agent.batches.append(_build_batch(agent, request, step, tasks, isolated))
     count(state, "tasks_placed", len(tasks))
     if isolated:
         count(state, "tasks_isolated", len(tasks))
@@ -73,7 +73,9 @@
         _reserve_capacity(candidate, step, len(tasks))
 
 
-def _build_batch(request: Request, step: Step, tasks: list[Task], isolated: bool) -> Batch:
+def _build_batch(
+    agent: Agent, request: Request, step: Step, tasks: list[Task], isolated: bool
+) -> Batch:
     specification = request.specification
     return Batch(
         request_id=specification.request_id,
@@ -90,9 +92,19 @@
             for task in tasks
         ],
         isolated=isolated,
+        stop_at=_convert_to_agent_clock(agent, request.stop_at),
     )
 
 
+def _convert_to_agent_clock(agent: Agent, at: float) -> float:
+    """Returns a boot-clock time on the boot clock of an agent, or an earlier one.
+
+    The agent's newest timestamp was taken before it was received, so the result is early by the
+    time that the frame took.
+    """
+    return agent.newest_timestamp + at - agent.last_frame_at
+
+
 def _reserve_target(candidate: Candidate) -> None:
     candidate.isolating = True
     _reserve(
--- a/src/comfreysill/placement/requests.py
+++ b/src/comfreysill/placement/requests.py
@@ -6,6 +6,12 @@
 from comfreysill.crashes.ledger import find_deadly_task, is_suspect
 from comfreysill.exchange.messages import Outcome
 from comfreysill.placement.confinement import record_demand
+from comfreysill.placement.deadlines import (
+    compute_stop_at,
+    extend_request,
+    pop_overdue,
+    push_deadline,
+)
 from comfreysill.placement.effects import SendVerdict
 from comfreysill.placement.queue import push_request
 from comfreysill.placement.state import CachedVerdict, EntryState, Waiter, count, note_event
@@ -34,13 +40,15 @@
     now: float,
     wait: CallerWait,
 ) -> None:
-    """Accepts a request, unless there is one with its id.
+    """Accepts a request, unless there is one with its id or its caller may have left.
 
     The caller joins an open request with this id, or gets a cached verdict. If the earlier request
     has ended without a cached verdict and tasks of it are still placed, the caller waits until
-    those have ended.
+    those have ended. A request that was read so late that its caller may have sent it again is
+    refused at once.
     """
     request_id = specification.request_id
+    stop_at = compute_stop_at(wait, state.retry_seconds)
     cached = state.cached.get(request_id)
     if cached is not None and cached.expires_at > now:
         count(state, "requests_repeated")
@@ -52,36 +60,68 @@
         state.callers[caller] = request_id
         if request.verdict is None:
             request.callers.add(caller)
+            extend_request(state, request, stop_at)
         else:
             waiter = Waiter(caller=caller, specification=specification, wait=wait)
             state.waiters.setdefault(request_id, []).append(waiter)
         return
-    _accept_request(state, caller, specification, now, wait)
+    if now >= stop_at:
+        _refuse_unread(state, caller, specification, now, wait)
+        return
+    request = Request(
+        specification=specification,
+        received_at=now,
+        unix_offset=state.unix_offset,
+        stop_at=stop_at,
+    )
+    objective = round(request.due_at - now, 3)
+    _note_submission(state, "request accepted", specification, wait, objective=objective)
+    _accept_request(state, caller, request, now)
 
 
-def _accept_request(
+def _refuse_unread(
     state: EntryState,
     caller: int,
     specification: Specification,
     now: float,
     wait: CallerWait,
 ) -> None:
-    request = Request(specification=specification, received_at=now, unix_offset=state.unix_offset)
-    request.callers.add(caller)
-    state.callers[caller] = specification.request_id
-    state.requests[specification.request_id] = request
-    count(state, "requests_taken")
+    """Refuses a request that has lain unread for too long, and of which nothing was placed."""
+    count(state, "requests_read_late")
+    _note_submission(state, "request refused: its caller may have left", specification, wait)
+    state.effects.append(
+        SendVerdict(
+            caller=caller,
+            verdict=Verdict.NOT_RUN,
+            detail="it was read too late",
+            retry_at=_choose_retry_time(specification.request_id, now),
+        )
+    )
+
+
+def _note_submission(
+    state: EntryState, text: str, specification: Specification, wait: CallerWait, **fields: object
+) -> None:
     note_event(
         state,
-        "request accepted",
+        text,
         request=specification.request_id,
         route=specification.route,
         routes_version=state.routes.version,
         tasks=sum(step.count for step in specification.steps),
-        objective=round(request.due_at - now, 3),
         unread=round(wait.read_at - wait.sent_after, 3),
         wait=round(wait.ends_at - wait.read_at, 3) if wait.ends_at < math.inf else None,
+        **fields,
     )
+
+
+def _accept_request(state: EntryState, caller: int, request: Request, now: float) -> None:
+    specification = request.specification
+    request.callers.add(caller)
+    state.callers[caller] = specification.request_id
+    state.requests[specification.request_id] = request
+    push_deadline(state, request)
+    count(state, "requests_taken")
     record_demand(state, specification, now)
     suspect_tasks(state, request)
     deadly_task = find_deadly_task(state.crashes, specification.request_id)
@@ -157,7 +197,7 @@
     )
     retry_at = 0.0
     if verdict not in (Verdict.COMPLETED, Verdict.FAILED):
-        retry_at = now + RETRY_AFTER_SECONDS + _spread_retry(request_id)
+        retry_at = _choose_retry_time(request_id, now)
     for caller in request.callers:
         state.callers.pop(caller, None)
         state.effects.append(
@@ -170,9 +210,13 @@
     _release_request(state, request, now)
 
 
-def _spread_retry(request_id: str) -> int:
-    """Returns seconds that differ between requests and are the same for each try of one."""
-    return zlib.crc32(request_id.encode()) % RETRY_SPREAD_SECONDS
+def _choose_retry_time(request_id: str, now: float) -> float:
+    """Returns the boot-clock time in seconds from which a caller may repeat a request.
+
+    Its distance from now differs between requests and is the same for each try of one.
+    """
+    spread_seconds = zlib.crc32(request_id.encode()) % RETRY_SPREAD_SECONDS
+    return now + RETRY_AFTER_SECONDS + spread_seconds
 
 
 def _release_request(state: EntryState, request: Request, now: float) -> None:
@@ -233,6 +277,18 @@
         push_request(state, request, now)
 
 
+def expire_requests(state: EntryState, now: float) -> None:
+    """Ends the requests whose callers have stopped waiting; has to precede each placement.
+
+    After a suspension these may be requests accepted before it, or whose tasks have just been
+    returned.
+    """
+    for request in pop_overdue(state, now):
+        count(state, "requests_expired")
+        verdict = Verdict.MAY_HAVE_RUN if request.begun else Verdict.NOT_RUN
+        conclude_request(state, request, verdict, "its caller has stopped waiting", now)
+
+
 def expire_cached_verdicts(state: EntryState, now: float) -> None:
     """Removes expired verdicts from the cache."""
     while state.cached_ids:
--- a/src/comfreysill/placement/state.py
+++ b/src/comfreysill/placement/state.py
@@ -227,6 +227,7 @@
         name: Name of the entry's instance and id of the run of its process, joined by `@`.
         zone: Its availability zone.
         unix_offset: Seconds to add to the boot clock to get Unix time.
+        retry_seconds: Seconds from the end of a caller's wait until it sends its request again.
         routes: Route table in use.
         routes_due_at: Boot-clock time in seconds from which a newer routing document may be fetched
             from another entry, 0 while no newer one is known.
@@ -243,6 +244,8 @@
         demand: Demand of routes, by route.
         waiters: Callers waiting for the tasks of an ended request to end, by request id.
         callers: Request ids by number of the caller, for each caller not answered yet.
+        deadlines: Heap of (time, deadline count, request); see `deadlines`.
+        deadline_count: Number of deadlines pushed so far; puts otherwise equal ones in order.
         queues: Heap of (band, priority, due time, enqueue count, request) for each service; for the
             bands see `ON_TIME` in `queue`.
         ticked_at: Boot-clock time in seconds of the last tick.
@@ -257,6 +260,7 @@
         "name",
         "zone",
         "unix_offset",
+        "retry_seconds",
         "routes",
         "routes_due_at",
         "agents",
@@ -272,6 +276,8 @@
         "demand",
         "waiters",
         "callers",
+        "deadlines",
+        "deadline_count",
         "queues",
         "ticked_at",
         "enqueue_count",
@@ -288,11 +294,13 @@
         zone: str,
         unix_offset: float,
         remote_factor: float = 1.0,
+        retry_seconds: float = 0.0,
         observe=None,
     ) -> None:
         self.name = name
         self.zone = zone
         self.unix_offset = unix_offset
+        self.retry_seconds = retry_seconds
         self.routes = NO_ROUTES
         self.routes_due_at = 0.0
         self.agents: dict[str, Agent] = {}
@@ -308,6 +316,8 @@
         self.demand: dict[str, RouteDemand] = {}
         self.waiters: dict[str, list[Waiter]] = {}
         self.callers: dict[int, str] = {}
+        self.deadlines: list[tuple[float, int, Request]] = []
+        self.deadline_count = 0
         self.queues: dict[str, list[tuple[int, int, float, int, Request]]] = {}
         self.ticked_at = 0.0
         self.enqueue_count = 0
--- a/src/comfreysill/platform/settings.py
+++ b/src/comfreysill/platform/settings.py
@@ -12,6 +12,9 @@
 MAX_GRACE_SECONDS = 3_600.0
 MAX_REMOTE_FACTOR = 1_000.0
 DEFAULT_REMOTE_FACTOR = 1.0
+MAX_RETRY_MS = 3_600_000.0
+# Callers that send a request again at once.
+DEFAULT_RETRY_MS = 0.0
 
 Port = Annotated[int, Meta(ge=0, le=MAX_PORT)]
 ListenDocument = TypedDict(
@@ -24,6 +27,7 @@
     {
         "grace-s": Required[Annotated[float, Meta(gt=0, le=MAX_GRACE_SECONDS)]],
         "remote-factor": Annotated[float, Meta(ge=1, le=MAX_REMOTE_FACTOR)],
+        "retransmit-ms": Annotated[float, Meta(ge=0, le=MAX_RETRY_MS)],
     },
     total=False,
 )
@@ -68,6 +72,7 @@
         store: Address of the platform's store.
         grace_seconds: Time between the termination signal and the kill.
         remote_factor: Factor on the run time of a task outside the rack of its data.
+        retry_seconds: Time from the end of a caller's wait until it sends its request again.
     """
 
     __slots__ = (
@@ -85,6 +90,7 @@
         "store",
         "grace_seconds",
         "remote_factor",
+        "retry_seconds",
     )
 
     def __init__(
@@ -104,6 +110,7 @@
         store: Address,
         grace_seconds: float,
         remote_factor: float,
+        retry_seconds: float,
     ) -> None:
         self.name = name
         self.zone = zone
@@ -119,6 +126,7 @@
         self.store = store
         self.grace_seconds = grace_seconds
         self.remote_factor = remote_factor
+        self.retry_seconds = retry_seconds
 
 
 def read_instance_settings() -> InstanceSettings:
@@ -164,6 +172,7 @@
         store=parse_address(document["platform"]["address"]),
         grace_seconds=document["bounds"]["grace-s"],
         remote_factor=document["bounds"].get("remote-factor", DEFAULT_REMOTE_FACTOR),
+        retry_seconds=document["bounds"].get("retransmit-ms", DEFAULT_RETRY_MS) / 1000,
     )
 
 
--- a/src/comfreysill/request/request.py
+++ b/src/comfreysill/request/request.py
@@ -1,6 +1,7 @@
 """A request at its entry on the platform: the states of its tasks, and its verdict."""
 
 import enum
+import math
 
 from comfreysill.request.types import Specification, Verdict, compute_critical_path
 
@@ -73,6 +74,8 @@
         critical_path: Declared run time in seconds of its longest chain of dependent steps.
         due_at: Boot-clock time in seconds of its latency objective.
         due_unix: `due_at` as Unix time in seconds, for other processes.
+        stop_at: Boot-clock time in seconds from which none of its tasks may run, as its callers
+            have stopped waiting; infinite if that time is unknown.
         callers: Numbers of the callers waiting for the verdict.
         pending: Tasks that may be placed, by index of their step.
         suspects: Tasks that may be placed isolated only, by index of their step.
@@ -89,6 +92,7 @@
         "critical_path",
         "due_at",
         "due_unix",
+        "stop_at",
         "callers",
         "pending",
         "suspects",
@@ -100,7 +104,12 @@
     )
 
     def __init__(
-        self, *, specification: Specification, received_at: float, unix_offset: float
+        self,
+        *,
+        specification: Specification,
+        received_at: float,
+        unix_offset: float,
+        stop_at: float = math.inf,
     ) -> None:
         self.specification = specification
         self.received_at = received_at
@@ -109,6 +118,7 @@
             received_at + specification.stretch * self.critical_path + specification.slack_seconds
         )
         self.due_unix = self.due_at + unix_offset
+        self.stop_at = stop_at
         self.callers: set[int] = set()
         self.pending: dict[int, list[Task]] = {}
         self.suspects: dict[int, list[Task]] = {}
--- a/src/comfreysill/sidecar/actor.py
+++ b/src/comfreysill/sidecar/actor.py
@@ -9,7 +9,12 @@
 from comfreysill.crashes.report import CrashReport
 from comfreysill.exchange.messages import AgentFrame
 from comfreysill.execution.calls import Call, RenewReply
-from comfreysill.execution.frame_handling import close_session, expire_links, receive_frame
+from comfreysill.execution.frame_handling import (
+    close_session,
+    expire_links,
+    expire_runs,
+    receive_frame,
+)
 from comfreysill.execution.frames import collect_frames, compute_load
 from comfreysill.execution.renewals import check_lease_expiry, queue_renewal, receive_renewal
 from comfreysill.execution.runner import (
@@ -94,8 +99,10 @@
     while True:
         messages = await actor.inbox.get_batch()
         now = read_boot_clock()
-        # If the process was suspended, leases may have ended; they are checked before any message.
+        # If the process was suspended, leases and runs may have ended; they are checked before any
+        # message.
         expire_links(actor.agent, now)
+        expire_runs(actor.agent, now)
         load_before = compute_load(actor.agent, now)
         for message in messages:
             handle_contained(actor, message, now, HANDLERS, CONTAINMENT)
--- a/src/comfreysill/wire/exchange.py
+++ b/src/comfreysill/wire/exchange.py
@@ -4,6 +4,8 @@
 decisions can work with, and raise `FrameError` for all others.
 """
 
+import math
+
 from comfreysill.address import parse_address
 from comfreysill.crashes.report import CrashReport
 from comfreysill.exchange.messages import (
@@ -84,6 +86,8 @@
         ],
         isolated=batch.isolated,
         route=batch.route,
+        # 0 stands for an unknown time, which earlier versions don't send.
+        stop_at=batch.stop_at if batch.stop_at < math.inf else 0.0,
     )
 
 
@@ -105,6 +109,7 @@
         ],
         isolated=message.isolated,
         route=message.route[:MAX_NAME_CHARS],
+        stop_at=_check_number(message.stop_at, "batches.stop_at") or math.inf,
     )
 
 
--- a/tests/platform_world.py
+++ b/tests/platform_world.py
@@ -3,6 +3,9 @@
 Guarantees are checked only at the runners: a task that runs on two runners at the same time and a
 runner whose runs need more than its capacity are listed in `World.violations`.
 
+Callers behave as on the users' page: one that stops waiting closes its connection, and sends the
+request again RESEND_DELAY_SECONDS later to any entry. The end of its connection may come late.
+
 A call that gets no answer may be carried out up to MAX_CALL_DELAY_SECONDS later, also by a later
 lifetime of the runner: a call names the runner's id alone.
 """
@@ -23,7 +26,12 @@
     StartCall,
     build_unanswered_reply,
 )
-from comfreysill.execution.frame_handling import close_session, expire_links, receive_frame
+from comfreysill.execution.frame_handling import (
+    close_session,
+    expire_links,
+    expire_runs,
+    receive_frame,
+)
 from comfreysill.execution.frames import collect_frames as collect_agent_frames
 from comfreysill.execution.frames import compute_load
 from comfreysill.execution.renewals import check_lease_expiry, queue_renewal, receive_renewal
@@ -41,7 +49,12 @@
 from comfreysill.placement.crashes import receive_crash
 from comfreysill.placement.effects import CloseSession, OpenLink, RemoveLink, SendFrame
 from comfreysill.placement.placement import place_waiting, refuse_unmeetable
-from comfreysill.placement.requests import disconnect_caller, expire_cached_verdicts, submit_request
+from comfreysill.placement.requests import (
+    disconnect_caller,
+    expire_cached_verdicts,
+    expire_requests,
+    submit_request,
+)
 from comfreysill.placement.state import EntryState
 from comfreysill.placement.subset import update_subset
 from comfreysill.request.types import Specification, Step, Verdict
@@ -54,6 +67,8 @@
 TICK_SECONDS = 0.05
 REPORT_INTERVAL_SECONDS = 1.5
 RESEND_DELAY_SECONDS = 1.3
+# A request that is read at once may have arrived this long before.
+POLL_SECONDS = 0.01
 CALL_TIMEOUT_SECONDS = 0.25
 MAX_CALL_DELAY_SECONDS = 12.0
 # Probability that a late call is carried out as soon as its runner is born again.
@@ -239,6 +254,7 @@
         self.state = None
         self.alive = False
         self.lifetime = 0
+        self.frozen_at = 0.0
         self.frozen_until = 0.0
         self.deferred = []
 
@@ -280,6 +296,13 @@
         # Crash reports in the store; they outlive all processes.
         self.stored_crashes = []
         self.requests = {}
+        # Seconds for which the callers of a request wait, by request; without an end if missing.
+        self.waits = {}
+        # Tests replace it: seconds from the end of a caller's wait until the end of its connection
+        # is seen, NEVER if it isn't.
+        self.draw_end_delay = lambda: HOP_SECONDS
+        # Whether a process that wakes reads from agents first, and from callers after that.
+        self.reads_callers_last = False
         self.callers = {}
         self.verdicts = {}
         self.next_caller = 1
@@ -330,6 +353,8 @@
             process.deferred.append((lifetime, action, arguments))
             return
         deferred, process.deferred = process.deferred, []
+        if self.reads_callers_last:
+            deferred.sort(key=lambda item: item[1] in (self.handle_request, self.handle_disconnect))
         for lifetime, deferred_action, deferred_arguments in deferred:
             if lifetime == process.lifetime and deferred_action is not action:
                 deferred_action(*deferred_arguments)
@@ -341,7 +366,12 @@
         process.lifetime += 1
         process.alive = True
         process.deferred = []
-        process.state = EntryState(name=f"{name}@{process.lifetime}", zone="z", unix_offset=0.0)
+        process.state = EntryState(
+            name=f"{name}@{process.lifetime}",
+            zone="z",
+            unix_offset=0.0,
+            retry_seconds=RESEND_DELAY_SECONDS,
+        )
         process.state.entries = list(self.entries)
         for agent in self.agents:
             discover_agent(process.state, agent, agent)
@@ -398,6 +428,7 @@
 
     def tick_agent(self, process):
         expire_links(process.state, self.now)
+        expire_runs(process.state, self.now)
         resend_stops(process.state, self.now)
         check_lease_expiry(process.state, self.now)
         self.flush_agent(process)
@@ -405,6 +436,7 @@
     def flush_entry(self, process):
         state = process.state
         update_subset(state, self.now)
+        expire_requests(state, self.now)
         place_waiting(state, self.now)
         collect_frames(state, self.now)
         effects, state.effects = state.effects, []
@@ -487,6 +519,7 @@
 
     def handle_frame(self, process, entry, frame):
         expire_links(process.state, self.now)
+        expire_runs(process.state, self.now)
         receive_frame(process.state, frame, self.now)
         self.flush_agent(process)
 
@@ -588,14 +621,26 @@
         return self.requests[task.partition("/")[0]].steps[0].cpu
 
     # --- callers ----------------------------------------------------------------------------
-    def submit(self, request_id, entry, tasks=3, seconds=0.3, cpu=1000, priority=0):
-        step = Step(count=tasks, cpu=cpu, memory_mb=10, estimate=seconds)
+    def submit(
+        self, request_id, entry, tasks=3, seconds=0.3, cpu=1000, priority=0, wait=NEVER, steps=1
+    ):
+        step_list = tuple(
+            Step(
+                count=tasks,
+                cpu=cpu,
+                memory_mb=10,
+                estimate=seconds,
+                after=(number - 1,) if number else (),
+            )
+            for number in range(steps)
+        )
+        self.waits[request_id] = wait
         self.requests[request_id] = Specification(
             request_id=request_id,
             route="r",
             service="s",
             payload=str(seconds),
-            steps=(step,),
+            steps=step_list,
             priority=priority,
             max_attempts=2,
             stretch=1.6,
@@ -616,11 +661,17 @@
         caller = self.next_caller
         self.next_caller += 1
         self.callers[caller] = (request_id, entry)
-        self.run_or_defer(process, self.handle_request, process, caller, request_id)
-
-    def handle_request(self, process, caller, request_id):
-        specification = self.requests[request_id]
-        submit_request(process.state, caller, specification, self.now, build_wait(self.now))
+        wait = self.waits.get(request_id, NEVER)
+        if wait != NEVER:
+            self.schedule(wait, self.stop_waiting, caller)
+        self.run_or_defer(process, self.handle_request, process, caller, request_id, self.now)
+
+    def handle_request(self, process, caller, request_id, sent_at):
+        unread_seconds = POLL_SECONDS
+        if sent_at < self.now:
+            unread_seconds += self.now - process.frozen_at
+        wait = build_wait(self.now, self.waits.get(request_id, NEVER), unread_seconds)
+        submit_request(process.state, caller, self.requests[request_id], self.now, wait)
         self.flush_entry(process)
 
     def handle_verdict(self, entry, effect):
@@ -634,6 +685,22 @@
     def choose_entry(self):
         return self.random.choice(sorted(self.entries))
 
+    def stop_waiting(self, caller):
+        """Lets a caller without an answer close its connection, and send its request again."""
+        if caller not in self.callers:
+            return
+        request_id, entry = self.callers.pop(caller)
+        end_delay = self.draw_end_delay()
+        if end_delay != NEVER:
+            process = self.entries[entry]
+            lifetime = process.lifetime
+            self.schedule(end_delay, self.deliver_disconnect, process, lifetime, caller)
+        self.schedule(RESEND_DELAY_SECONDS, self.send_request, request_id, self.choose_entry())
+
+    def deliver_disconnect(self, process, lifetime, caller):
+        if process.lifetime == lifetime:
+            self.run_or_defer(process, self.handle_disconnect, process, caller)
+
     def drop_caller(self, caller):
         request_id, entry = self.callers.pop(caller)
         process = self.entries[entry]
@@ -678,6 +745,8 @@
         self.schedule(down_seconds, self.start_agent, name)
 
     def freeze(self, process, seconds):
+        if self.now >= process.frozen_until:
+            process.frozen_at = self.now
         process.frozen_until = max(process.frozen_until, self.now + seconds)
 
     def cut(self, sender, receiver, seconds):
--- a/tests/test_execution.py
+++ b/tests/test_execution.py
@@ -1,3 +1,4 @@
+import math
 import unittest
 
 from comfreysill.exchange.messages import (
@@ -130,6 +131,7 @@
         request_id="r",
         demand_rank=0,
         isolated=False,
+        stop_at=math.inf,
     ):
         self.frame_number += 1
         orders = [Order(step=0, index=index, attempt=1) for index in range(tasks)]
@@ -144,6 +146,7 @@
             estimate=0.1,
             orders=orders,
             isolated=isolated,
+            stop_at=stop_at,
         )
         # The newest echoed timestamp renews the link lease of the entry.
         frame = EntryFrame(
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -16,7 +16,7 @@
 from comfreysill.placement.effects import FetchRoutes, SendFrame, SendVerdict
 from comfreysill.placement.placement import place_waiting, refuse_unmeetable
 from comfreysill.placement.queue import rank_demand
-from comfreysill.placement.requests import disconnect_caller, submit_request
+from comfreysill.placement.requests import disconnect_caller, expire_requests, submit_request
 from comfreysill.placement.state import EntryState
 from comfreysill.request.types import Specification, Step, Verdict
 from tests.waits import build_wait
@@ -107,11 +107,13 @@
         )
         receive_agent_frame(self.state, frame, self.now)
 
-    def submit(self, specification, caller=1):
-        submit_request(self.state, caller, specification, self.now, build_wait(self.now))
+    def submit(self, specification, caller=1, wait=None):
+        wait = wait or build_wait(self.now)
+        submit_request(self.state, caller, specification, self.now, wait)
 
     def flush(self):
         """Returns the number of tasks sent to each agent, and the verdict sent to each caller."""
+        expire_requests(self.state, self.now)
         place_waiting(self.state, self.now)
         collect_frames(self.state, self.now)
         effects, self.state.effects = self.state.effects, []
