--- a/src/comfreysill/gateway/program.py
+++ b/src/comfreysill/gateway/program.py
@@ -34,7 +34,7 @@
 from comfreysill.platform.rejections import Rejections
 from comfreysill.platform.settings import InstanceSettings
 from comfreysill.platform.store import StoreClient, open_store, set_store_address
-from comfreysill.polls import PollTimes
+from comfreysill.polls import PollTimes, forget_listener, watch_listener
 from comfreysill.reloading import watch_settings
 from comfreysill.request.types import Verdict
 from comfreysill.servers import (
@@ -85,6 +85,7 @@
     store = open_store(settings.store)
     callers_app = build_callers_app(_build_operations(actor))
     callers_server = build_http(callers_app, poll_times=poll_times)
+    watch_listener(poll_times, listeners.http, listeners.opened_at)
     roster_service = RosterService(
         inbox=actor.inbox,
         get_routes=lambda: actor.routes_text,
@@ -101,7 +102,7 @@
     registration = asyncio.create_task(register_member(store, member))
     logger.info("entry started", extra={"fields": {"name": name}})
     await await_stop(stop, [callers_task, *tasks], [registration])
-    await _shut_down(actor, settings, callers_server, callers_task)
+    await _shut_down(actor, settings, callers_server, callers_task, poll_times)
     for task in [registration, *tasks, *(link.task for link in actor.links.values())]:
         task.cancel()
     grpc_server.close()
@@ -164,12 +165,14 @@
     settings: InstanceSettings,
     callers_server: HttpServer,
     callers_task: asyncio.Task,
+    poll_times: PollTimes,
 ) -> None:
     started_at = read_boot_clock()
     actor.stopping = True
     waiting_callers = len(actor.pending_replies)
     logger.info("entry stopping", extra={"fields": {"callers": waiting_callers}})
     await asyncio.sleep(min(BALANCER_REMOVAL_SECONDS, settings.grace_seconds / 2))
+    forget_listener(poll_times)
     begin_http_shutdown(callers_server)
     conclude_at = started_at + settings.grace_seconds - SHUTDOWN_RESERVE_SECONDS
     while actor.pending_replies and read_boot_clock() < conclude_at:
--- a/src/comfreysill/launch.py
+++ b/src/comfreysill/launch.py
@@ -9,6 +9,7 @@
 import os
 import sys
 
+from comfreysill.clock import read_boot_clock
 from comfreysill.exceptions import ComfreysillError
 from comfreysill.listeners import Listeners, open_listener
 from comfreysill.platform.settings_file import find_listening_addresses, read_settings_file
@@ -34,7 +35,12 @@
     try:
         document = read_settings_file()
         http_address, link_address = find_listening_addresses(document, role)
-        listeners = Listeners(http=open_listener(http_address), link=open_listener(link_address))
+        opened_at = read_boot_clock()
+        listeners = Listeners(
+            http=open_listener(http_address),
+            link=open_listener(link_address),
+            opened_at=opened_at,
+        )
         from comfreysill.platform.settings import decode_settings
 
         settings = decode_settings(document)
--- a/src/comfreysill/listeners.py
+++ b/src/comfreysill/listeners.py
@@ -18,13 +18,15 @@
     Attributes:
         http: Accepts HTTP from the callers of an entry, or from the runner beside an agent.
         link: Accepts connections of other entries and agents (gRPC).
+        opened_at: Boot-clock time in seconds before which they weren't open.
     """
 
-    __slots__ = ("http", "link")
+    __slots__ = ("http", "link", "opened_at")
 
-    def __init__(self, *, http: socket.socket, link: socket.socket) -> None:
+    def __init__(self, *, http: socket.socket, link: socket.socket, opened_at: float) -> None:
         self.http = http
         self.link = link
+        self.opened_at = opened_at
 
 
 def open_listener(address: Address) -> socket.socket:
--- a/tests/test_caller_waits.py
+++ b/tests/test_caller_waits.py
@@ -6,7 +6,7 @@
 
 from comfreysill.clock import read_boot_clock
 from comfreysill.platform.ingress import read_wait
-from comfreysill.polls import PollTimes, build_timed_loop
+from comfreysill.polls import PollTimes, build_timed_loop, watch_listener
 from comfreysill.servers import ARRIVAL_EXTENSION, Arrival, build_http, stop_http
 
 PAUSE_SECONDS = 0.4
@@ -38,8 +38,11 @@
         self.arrivals = []
         self.listener = socket.create_server(("127.0.0.1", 0))
 
-    def play(self, scenario):
-        """Runs a scenario beside a server that records the arrivals of its requests."""
+    def play(self, scenario, before=None):
+        """Runs a scenario beside a server that records the arrivals of its requests.
+
+        `before` is called before the server accepts connections.
+        """
 
         async def serve(scope, receive, send):
             self.arrivals.append((scope["extensions"][ARRIVAL_EXTENSION], read_boot_clock()))
@@ -47,6 +50,9 @@
             await send({"type": "http.response.body", "body": b""})
 
         async def run():
+            if before is not None:
+                watch_listener(self.poll_times, self.listener, read_boot_clock())
+                await before()
             server = build_http(serve, poll_times=self.poll_times)
             task = asyncio.create_task(server.serve(sockets=[self.listener]))
             ticks = asyncio.create_task(self.tick())
@@ -103,6 +109,37 @@
         arrival, handled_at = self.arrivals[0]
         self.assertGreater(handled_at - arrival.read_at, PAUSE_SECONDS * 0.9)
 
+    # Guards against requests that come while the process starts, and are taken for new ones.
+    def test_a_request_that_came_before_connections_are_accepted(self):
+        async def before():
+            self.sent_at = self.send(self.connect())
+            for _ in range(20):
+                await asyncio.sleep(0.02)
+
+        async def scenario():
+            self.send(self.connect())
+
+        self.play(scenario, before)
+        first, second = (arrival for arrival, _ in self.arrivals)
+        self.assertLess(first.sent_after, self.sent_at)
+        self.assertLess(second.read_at - second.sent_after, MAX_IDLE_POLL_SECONDS)
+
+    # Guards against the same while the process has no descriptors left to accept with.
+    def test_a_request_that_came_while_the_listening_socket_was_not_polled(self):
+        async def before():
+            pass
+
+        async def scenario():
+            loop = asyncio.get_running_loop()
+            key = loop._selector.unregister(self.listener)
+            self.sent_at = self.send(self.connect())
+            for _ in range(20):
+                await asyncio.sleep(0.02)
+            loop._selector.register(self.listener, key.events, key.data)
+
+        self.play(scenario, before)
+        self.assertLess(self.arrivals[0][0].sent_after, self.sent_at)
+
     def test_a_request_on_a_calm_day_was_read_soon(self):
         async def scenario():
             self.send(self.connect())
