A paused entry asks the kernel how old a connection is

Change: a request that may have waited for over 0.25 s is at most as old as its connection, or as the last response on it, by struct tcp_info of the kernel; not where the instance was suspended since, as the kernel's count stands still then, and not where the kernel counts no received bytes.

The soak's callers stop waiting, send again to another entry, and the ends of their connections may be held back; the fuzzer's as well.

--- a/src/comfreysill/launch.py
+++ b/src/comfreysill/launch.py
@@ -9,7 +9,7 @@
 import os
 import sys
 
-from comfreysill.clock import read_boot_clock
+from comfreysill.clock import read_clocks
 from comfreysill.exceptions import ComfreysillError
 from comfreysill.listeners import Listeners, open_listener
 from comfreysill.platform.settings_file import find_listening_addresses, read_settings_file
@@ -35,7 +35,7 @@
     try:
         document = read_settings_file()
         http_address, link_address = find_listening_addresses(document, role)
-        opened_at = read_boot_clock()
+        opened_at = read_clocks()
         listeners = Listeners(
             http=open_listener(http_address),
             link=open_listener(link_address),
--- a/src/comfreysill/listeners.py
+++ b/src/comfreysill/listeners.py
@@ -7,6 +7,7 @@
 import socket
 
 from comfreysill.address import Address
+from comfreysill.clock import ClockReading
 from comfreysill.exceptions import ComfreysillError
 
 BACKLOG_CONNECTIONS = 1024
@@ -18,12 +19,14 @@
     Attributes:
         http: Accepts HTTP from the callers of an entry, or from the runner beside an agent.
         link: Accepts connections of other entries and agents (gRPC).
-        opened_at: Boot-clock time in seconds before which they weren't open.
+        opened_at: Time before which they weren't open.
     """
 
     __slots__ = ("http", "link", "opened_at")
 
-    def __init__(self, *, http: socket.socket, link: socket.socket, opened_at: float) -> None:
+    def __init__(
+        self, *, http: socket.socket, link: socket.socket, opened_at: ClockReading
+    ) -> None:
         self.http = http
         self.link = link
         self.opened_at = opened_at
--- a/src/comfreysill/polls.py
+++ b/src/comfreysill/polls.py
@@ -10,7 +10,7 @@
 import socket
 from collections import deque
 
-from comfreysill.clock import read_boot_clock
+from comfreysill.clock import ClockReading, read_clocks
 
 # Polls of asyncio from the one before a connection is accepted to the one that reports its first
 # bytes: reporting the listening socket, creating the transport, adding its reader, and one spare.
@@ -21,21 +21,21 @@
     """Times of the newest polls, and how long a listening socket wasn't among the polled ones.
 
     Attributes:
-        started_at: Starts of the newest polls in boot-clock seconds, the earliest first.
+        started_at: Starts of the newest polls, the earliest first.
         count: Number of polls so far.
         listener: File descriptor of the listening socket, -1 if none is watched.
-        unpolled_since: Boot-clock time in seconds since which the listening socket wasn't polled
-            before it was last registered.
+        unpolled_since: Time since which the listening socket wasn't polled before it was last
+            registered, None if it always was.
         unpolled_until: Number of the last poll that may report what came before that registration.
     """
 
     __slots__ = ("started_at", "count", "listener", "unpolled_since", "unpolled_until")
 
     def __init__(self) -> None:
-        self.started_at: deque[float] = deque(maxlen=POLLS_BEFORE_READ)
+        self.started_at: deque[ClockReading] = deque(maxlen=POLLS_BEFORE_READ)
         self.count = 0
         self.listener = -1
-        self.unpolled_since = 0.0
+        self.unpolled_since: ClockReading | None = None
         self.unpolled_until = 0
 
 
@@ -52,7 +52,7 @@
 
     def select(self, timeout: float | None = None) -> list:
         """Polls the registered sockets; see `selectors.BaseSelector.select`."""
-        self.poll_times.started_at.append(read_boot_clock())
+        self.poll_times.started_at.append(read_clocks())
         self.poll_times.count += 1
         return super().select(timeout)
 
@@ -79,13 +79,13 @@
     return asyncio.SelectorEventLoop(TimedSelector(poll_times=poll_times))
 
 
-def watch_listener(poll_times: PollTimes, listener: socket.socket, opened_at: float) -> None:
+def watch_listener(poll_times: PollTimes, listener: socket.socket, opened_at: ClockReading) -> None:
     """Takes into account the times in which a listening socket isn't polled.
 
     Args:
         poll_times: Polls of the event loop that will accept its connections.
         listener: The listening socket, which isn't polled yet.
-        opened_at: Boot-clock time in seconds before which it didn't listen.
+        opened_at: Time before which it didn't listen.
     """
     poll_times.listener = listener.fileno()
     poll_times.unpolled_since = opened_at
@@ -96,8 +96,8 @@
     poll_times.listener = -1
 
 
-def find_earliest_arrival(poll_times: PollTimes, now: float) -> float:
-    """Returns the boot-clock time in seconds since which what is read now may have waited."""
-    if poll_times.count <= poll_times.unpolled_until:
+def find_earliest_arrival(poll_times: PollTimes, now: ClockReading) -> ClockReading:
+    """Returns the time since which what is read now may have waited."""
+    if poll_times.unpolled_since is not None and poll_times.count <= poll_times.unpolled_until:
         return poll_times.unpolled_since
     return poll_times.started_at[0] if poll_times.started_at else now
--- a/src/comfreysill/servers.py
+++ b/src/comfreysill/servers.py
@@ -10,8 +10,8 @@
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
 from comfreysill.address import Address
-from comfreysill.clock import read_boot_clock
-from comfreysill.polls import PollTimes, find_earliest_arrival
+from comfreysill.arrivals import measure_arrival
+from comfreysill.polls import PollTimes
 
 # The Date header has a resolution of one second.
 DATE_HEADER_INTERVAL_SECONDS = 1.0
@@ -19,21 +19,6 @@
 ARRIVAL_EXTENSION = "comfreysill.arrival"
 
 
-class Arrival:
-    """When a request has arrived at this process.
-
-    Attributes:
-        sent_after: Boot-clock time in seconds before which its first byte can't have arrived.
-        read_at: Boot-clock time in seconds at which its first byte was read.
-    """
-
-    __slots__ = ("sent_after", "read_at")
-
-    def __init__(self, *, sent_after: float, read_at: float) -> None:
-        self.sent_after = sent_after
-        self.read_at = read_at
-
-
 class TimedHttpProtocol(HttpToolsProtocol):
     """HTTP protocol of uvicorn that adds an `Arrival` to the ASGI scope of each request."""
 
@@ -44,8 +29,7 @@
     def on_message_begin(self) -> None:
         """Begins a request, at its first byte."""
         super().on_message_begin()
-        now = read_boot_clock()
-        arrival = Arrival(sent_after=find_earliest_arrival(self.poll_times, now), read_at=now)
+        arrival = measure_arrival(self.poll_times, self.transport.get_extra_info("socket"))
         self.scope["extensions"] = {ARRIVAL_EXTENSION: arrival}
 
 
--- a/standins/proxy.py
+++ b/standins/proxy.py
@@ -6,6 +6,7 @@
 import struct
 
 CHUNK_BYTES = 65536
+HELD_END_CHECK_SECONDS = 0.05
 
 
 class Mode(enum.Enum):
@@ -13,7 +14,8 @@
 
     DELAY delays bytes both ways. SILENT drops them both ways, CUT_BACK those from the target and
     CUT_FORTH those to it; the connections stay open. REFUSE closes new connections and passes the
-    bytes of open ones.
+    bytes of open ones. HOLD_ENDS passes all bytes, and the ends of connections only once the mode
+    has changed.
     """
 
     PASS = "pass"
@@ -22,6 +24,7 @@
     CUT_BACK = "cut-back"
     CUT_FORTH = "cut-forth"
     REFUSE = "refuse"
+    HOLD_ENDS = "hold-ends"
 
 
 class Proxy:
@@ -101,6 +104,8 @@
     while True:
         chunk = await reader.read(CHUNK_BYTES)
         if not chunk:
+            while proxy.mode == Mode.HOLD_ENDS:
+                await asyncio.sleep(HELD_END_CHECK_SECONDS)
             writer.transport.close()
             return
         if proxy.mode == Mode.DELAY:
