explain tells of a request that was read too late

A request that is refused unread has no 'request accepted'; explain said that no process had logged it.

--- a/src/comfreysill/request_trace/trace.py
+++ b/src/comfreysill/request_trace/trace.py
@@ -12,6 +12,7 @@
         "entry started",
         "entry stopping",
         "entry stopped",
+        "entry was suspended or busy",
         "agent started",
         "agent stopping",
         "agent stopped",
@@ -114,6 +115,17 @@
     return "no process logged the request: it reached no entry, or the log lines were dropped"
 
 
+def _explain_read_late(related: list[Record], context: list[Record]) -> str:
+    refused = _find_events(related, "request refused: its caller may have left")
+    if not refused or _find_events(related, "request accepted"):
+        return ""
+    fields = refused[-1].fields
+    return (
+        f"refused before it ran: {refused[-1].process} may have read it {fields.get('unread')} s "
+        f"after it was sent, and its caller waits {fields.get('wait')} s"
+    )
+
+
 def _explain_missing_end(related: list[Record], context: list[Record]) -> str:
     ended = _find_events(related, "request ended")
     accepted = _find_events(related, "request accepted")
@@ -187,6 +199,7 @@
 # In order of precedence; each returns an empty string if it does not apply.
 EXPLANATIONS: tuple[Callable[[list[Record], list[Record]], str], ...] = (
     _explain_no_records,
+    _explain_read_late,
     _explain_missing_end,
     _explain_refused,
     _explain_failed,
--- a/tests/test_request_trace.py
+++ b/tests/test_request_trace.py
@@ -55,6 +55,20 @@
                 "given up: task 0/0 crashes the runners that start it; crashed: a",
             ),
             ((accepted(), ended("MAY_HAVE_RUN", why="its caller left")), "its caller left"),
+            (
+                (
+                    line(10.0, "e1", "entry was suspended or busy", seconds=3.5),
+                    line(
+                        10.1,
+                        "e1",
+                        "request refused: its caller may have left",
+                        request="r1",
+                        unread=3.4,
+                        wait=1.5,
+                    ),
+                ),
+                "e1 may have read it 3.4 s after it was sent, and its caller waits 1.5 s",
+            ),
             ((accepted(), line(10.9, "e1", "entry started")), "e1 died during the request"),
             ((accepted(), line(10.9, "e2", "entry started")), "e1 logged no end"),
             ((ended("COMPLETED", time=9.0), accepted()), "e1 logged no end"),
