--- a/src/comfreysill/gateway/program.py
+++ b/src/comfreysill/gateway/program.py
@@ -69,23 +69,13 @@
     """Runs an entry until `stop` is set, then waits until its callers are answered.
 
     Requests that are still open shortly before the end of the grace period end as MAY_HAVE_RUN.
-
-    Args:
-        settings: Settings of the instance.
-        listeners: Listening sockets for HTTP and for links.
-        lifetime: Id of this run of the process.
-        stop: Set to request a graceful stop.
-        reload: Set to request a reload of the settings.
-        poll_times: Polls of the event loop.
+    `poll_times` are those of the running event loop.
     """
     name = f"{settings.name}@{lifetime}"
     metrics = Metrics(role="entry")
-    state = _build_state(name, settings, metrics)
-    actor = Actor(state=state)
+    actor = Actor(state=_build_state(name, settings, metrics))
     store = open_store(settings.store)
-    callers_app = build_callers_app(_build_operations(actor))
-    callers_server = build_http(callers_app, poll_times=poll_times)
-    watch_listener(poll_times, listeners.http, listeners.opened_at)
+    callers_server = _build_callers_server(actor, listeners, poll_times)
     roster_service = RosterService(
         inbox=actor.inbox,
         get_routes=lambda: actor.routes_text,
@@ -107,7 +97,12 @@
         task.cancel()
     grpc_server.close()
     await store.session.close()
-    logger.info("entry stopped", extra={"fields": {"name": name, **state.counters}})
+    logger.info("entry stopped", extra={"fields": {"name": name, **actor.state.counters}})
+
+
+def _build_callers_server(actor: Actor, listeners: Listeners, poll_times: PollTimes) -> HttpServer:
+    watch_listener(poll_times, listeners.http, listeners.opened_at)
+    return build_http(build_callers_app(_build_operations(actor)), poll_times=poll_times)
 
 
 def _build_state(name: str, settings: InstanceSettings, metrics: Metrics) -> EntryState:
--- a/src/comfreysill/placement/deadlines.py
+++ b/src/comfreysill/placement/deadlines.py
@@ -16,6 +16,8 @@
 # Items of ended requests are removed once the heap is longer than this and than twice the number
 # of open requests.
 MIN_COMPACTED_DEADLINES = 256
+# A request may seem to have lain unread for this long where nothing has paused.
+MIN_HARMLESS_SECONDS = 0.25
 
 
 def measure_excess(wait: CallerWait, retry_seconds: float) -> float:
@@ -25,7 +27,7 @@
         wait: The wait of its caller.
         retry_seconds: Seconds from the end of a caller's wait until it sends the request again.
     """
-    harmless_seconds = max(0.0, retry_seconds - MAX_STOP_SECONDS)
+    harmless_seconds = max(MIN_HARMLESS_SECONDS, retry_seconds - MAX_STOP_SECONDS)
     return max(0.0, wait.read_at - wait.sent_after - harmless_seconds)
 
 
--- a/src/comfreysill/placement/requests.py
+++ b/src/comfreysill/placement/requests.py
@@ -56,14 +56,8 @@
         return
     request = state.requests.get(request_id)
     if request is not None:
-        count(state, "requests_joined")
-        state.callers[caller] = request_id
-        if request.verdict is None:
-            request.callers.add(caller)
-            extend_request(state, request, stop_at)
-        else:
-            waiter = Waiter(caller=caller, specification=specification, wait=wait)
-            state.waiters.setdefault(request_id, []).append(waiter)
+        waiter = Waiter(caller=caller, specification=specification, wait=wait)
+        _join_request(state, request, waiter, stop_at)
         return
     if now >= stop_at:
         _refuse_unread(state, caller, specification, now, wait)
@@ -79,6 +73,17 @@
     _accept_request(state, caller, request, now)
 
 
+def _join_request(state: EntryState, request: Request, waiter: Waiter, stop_at: float) -> None:
+    request_id = request.specification.request_id
+    count(state, "requests_joined")
+    state.callers[waiter.caller] = request_id
+    if request.verdict is None:
+        request.callers.add(waiter.caller)
+        extend_request(state, request, stop_at)
+    else:
+        state.waiters.setdefault(request_id, []).append(waiter)
+
+
 def _refuse_unread(
     state: EntryState,
     caller: int,
--- a/src/comfreysill/polls.py
+++ b/src/comfreysill/polls.py
@@ -46,6 +46,8 @@
     the next one only.
     """
 
+    __slots__ = ("poll_times",)
+
     def __init__(self, *, poll_times: PollTimes) -> None:
         super().__init__()
         self.poll_times = poll_times
