--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -4,6 +4,7 @@
 status is 0 if each mutation was caught.
 """
 
+import math
 import os
 import random
 import subprocess
@@ -309,6 +310,34 @@
         f"{PLACEMENT}.agents.LATE_START_SECONDS",
         lambda original: 0.0,
     ),
+    "waits-of-callers-unknown": (
+        f"{PLACEMENT}.requests.compute_stop_at",
+        lambda original: lambda *a: math.inf,
+    ),
+    "waits-counted-from-the-reading": (
+        f"{PLACEMENT}.deadlines.measure_excess",
+        lambda original: lambda *a: 0.0,
+    ),
+    "expired-requests-placed": (
+        "tests.test_placement.expire_requests",
+        lambda original: lambda *a: None,
+    ),
+    "orders-without-stop-time": (
+        f"{PLACEMENT}.orders._convert_to_agent_clock",
+        lambda original: lambda *a: math.inf,
+    ),
+    "expired-runs-go-on": (
+        "tests.platform_world.expire_runs",
+        lambda original: lambda *a: None,
+    ),
+    "polls-forgotten": (
+        "comfreysill.arrivals.find_earliest_arrival",
+        lambda original: lambda poll_times, now: now,
+    ),
+    "suspension-forgotten": (
+        "comfreysill.arrivals.measure_suspension",
+        lambda original: lambda *a: 0.0,
+    ),
 }
 MUTATIONS |= PLATFORM_MUTATIONS
 
@@ -349,6 +378,7 @@
     loader = unittest.defaultTestLoader
     if name in PLATFORM_MUTATIONS:
         from tests import (
+            test_caller_waits,
             test_confinement,
             test_containment,
             test_crash_ledger,
@@ -357,6 +387,7 @@
             test_gateway,
             test_late_calls,
             test_load_patterns,
+            test_paused_entries,
             test_placement,
             test_subset,
             test_unfinal_starts,
@@ -373,6 +404,8 @@
             test_confinement,
             test_late_calls,
             test_unfinal_starts,
+            test_paused_entries,
+            test_caller_waits,
             test_load_patterns,
             test_platform_floor,
         ]
