--- a/src/comfreysill/exchange/messages.py
+++ b/src/comfreysill/exchange/messages.py
@@ -18,9 +18,13 @@
 LEASE_MARGIN_SECONDS = 0.07
 # A run that hasn't ended this long after its caller has stopped waiting is left without a lease.
 STOP_GRACE_SECONDS = 0.2
-# Nothing of a request runs later than this after its `stop_at`: an agent notices that time with its
-# next tick at the latest, and a run that can't be stopped ends with its lease.
-MAX_STOP_SECONDS = STOP_GRACE_SECONDS + RUN_LEASE_SECONDS + LEASE_MARGIN_SECONDS + 0.1
+# An agent with runs looks for those that have to stop at least this often.
+EXPIRY_INTERVAL_SECONDS = 0.1
+# Nothing of a request runs later than this after its `stop_at`: a run that can't be stopped ends
+# with its lease.
+MAX_STOP_SECONDS = (
+    EXPIRY_INTERVAL_SECONDS + STOP_GRACE_SECONDS + RUN_LEASE_SECONDS + LEASE_MARGIN_SECONDS
+)
 # Intervals between frames on a link: while its entry has tasks to place, while it has tasks at the
 # agent, and while it has neither.
 DEMAND_INTERVAL_SECONDS = 0.15
