--- a/src/comfreysill/process.py
+++ b/src/comfreysill/process.py
@@ -1,6 +1,7 @@
 """Event loop, signal handlers and logging of an entry or an agent on the platform."""
 
 import asyncio
+import functools
 import gc
 import signal
 import uuid
@@ -24,7 +25,9 @@
     """
     configure_structured_logging(settings.name)
     poll_times = PollTimes()
-    with asyncio.Runner(loop_factory=lambda: build_timed_loop(poll_times)) as runner:
+    # Only an entry asks for the times of its polls.
+    loop_factory = functools.partial(build_timed_loop, poll_times) if role == "entry" else None
+    with asyncio.Runner(loop_factory=loop_factory) as runner:
         runner.run(_run(role, settings, listeners, poll_times))
 
 
