--- a/src/comfreysill/entry/program.py
+++ b/src/comfreysill/entry/program.py
@@ -48,12 +48,8 @@
     """Runs an entry until `stop` is set, then drains it for up to `settings.shutdown_seconds`."""
     name = f"{settings.name}@{uuid.uuid4().hex[:8]}"
     metrics = Metrics(role="entry")
-    dispatcher = Dispatcher(
-        name=name,
-        place=choose_placement(settings.placement, random.Random(name).random),
-        observe=lambda *observation: observe_seconds(metrics, *observation),
-    )
     roster_requested = asyncio.Event()
+    dispatcher = _build_dispatcher(name, settings, metrics)
     actor = Actor(dispatcher=dispatcher, request_roster=roster_requested.set)
     store = open_store_from_url(settings.table)
     store.rejections = actor.rejections
@@ -66,13 +62,7 @@
     registration = EntryRegistration(
         name=name, host=settings.grpc.host, port=settings.grpc.port, zone=settings.zone
     )
-    tasks = [
-        asyncio.create_task(run_dispatcher_task(actor)),
-        asyncio.create_task(_post_ticks(actor)),
-        asyncio.create_task(_poll_roster(actor, store, registration, roster_requested)),
-        asyncio.create_task(_poll_floor(actor, store, floor_changed)),
-        asyncio.create_task(_remove_unreachable(actor, store)),
-    ]
+    tasks = _start_tasks(actor, store, registration, roster_requested, floor_changed)
     logger.info("entry %s started as %s", settings.name, name)
     await await_stop(stop, [http_task, *tasks])
     actor.inbox.post(Shutdown())
@@ -87,6 +77,31 @@
     await store.session.close()
 
 
+def _build_dispatcher(name: str, settings: Settings, metrics: Metrics) -> Dispatcher:
+    return Dispatcher(
+        name=name,
+        place=choose_placement(settings.placement, random.Random(name).random),
+        observe=lambda *observation: observe_seconds(metrics, *observation),
+    )
+
+
+def _start_tasks(
+    actor: Actor,
+    store: StoreClient,
+    registration: EntryRegistration,
+    roster_requested: asyncio.Event,
+    floor_changed: asyncio.Event,
+) -> list[asyncio.Task]:
+    coroutines = (
+        run_dispatcher_task(actor),
+        _post_ticks(actor),
+        _poll_roster(actor, store, registration, roster_requested),
+        _poll_floor(actor, store, floor_changed),
+        _remove_unreachable(actor, store),
+    )
+    return [asyncio.create_task(coroutine) for coroutine in coroutines]
+
+
 async def _post_ticks(actor: Actor) -> None:
     while True:
         await asyncio.sleep(TICK_SECONDS)
