Agents tell all linked entries of starts that aren't final

What callers saw: a task could run twice at the same time. A start got no answer; its entry ended, or its caller left it and asked another entry 1.3 s later; the second entry started the task on another target, and the first target's runner, which had restarted under its id, carried the late start out.

Cause: until a start is final its task is bound to the target, but only the entry that had ordered it knew so.

Why this works: the agent sees every start. It keeps a numbered list of the tasks with one that isn't final, told once a session and all anew in the next, at most 0.15 s after the change; a caller asks another entry after 1.3 s at the earliest. The entries bind the task for as long as the start may come late, and stop it where they had placed it elsewhere before. The list outlives the runs, also those that are done. Once the start is final (refused after all, its only call carried out, a runner under another id) the binding ends. Bindings by two agents, or two lifetimes of one, don't replace each other. Nothing is asked of the store.

test_a_late_start_of_an_entry_that_is_gone waited for the task to run elsewhere within 5 s, which is what may not happen any more: its only allowed target has no room.

Earlier versions skip the field and go on as before.

--- a/src/comfreysill/exchange/messages.py
+++ b/src/comfreysill/exchange/messages.py
@@ -298,6 +298,22 @@
         self.isolating = isolating
 
 
+class LateStart:
+    """A task with a start that may still be carried out late by the target's runner.
+
+    Attributes:
+        task: Name of the task.
+        seconds: Time in seconds for which the task may start on this target only, 0 once each of
+            its starts there is final.
+    """
+
+    __slots__ = ("task", "seconds")
+
+    def __init__(self, *, task: str, seconds: float) -> None:
+        self.task = task
+        self.seconds = seconds
+
+
 class AgentFrame:
     """A frame from an agent to an entry.
 
@@ -319,6 +335,8 @@
         routes_holder: Address of that entry, empty if unknown.
         next_seconds: Time in seconds until the next frame at the latest.
         crashes: Recent crashes of the target's runner not yet sent in the session.
+        late_starts: Tasks of any entry with a start that may be carried out late, or was until
+            lately, unless sent in the session.
     """
 
     __slots__ = (
@@ -337,6 +355,7 @@
         "routes_holder",
         "next_seconds",
         "crashes",
+        "late_starts",
     )
 
     def __init__(
@@ -357,6 +376,7 @@
         next_seconds: float,
         crashes: tuple[CrashReport, ...] = (),
         unconfirmed: list[str] | None = None,
+        late_starts: tuple[LateStart, ...] = (),
     ) -> None:
         self.agent = agent
         self.lifetime = lifetime
@@ -373,6 +393,7 @@
         self.routes_holder = routes_holder
         self.next_seconds = next_seconds
         self.crashes = crashes
+        self.late_starts = late_starts
 
 
 class Role(enum.StrEnum):
--- a/src/comfreysill/execution/frame_handling.py
+++ b/src/comfreysill/execution/frame_handling.py
@@ -69,6 +69,7 @@
     link.end_sent = 0
     link.profile_sent = -1
     link.crash_sent = 0
+    link.unfinal_start_sent = 0
     note_event(agent, "link opened", entry=frame.entry, session=frame.session)
     return link
 
--- a/src/comfreysill/execution/frames.py
+++ b/src/comfreysill/execution/frames.py
@@ -13,10 +13,20 @@
 from comfreysill.execution.crashes import list_unsent_crashes
 from comfreysill.execution.run import RunState
 from comfreysill.execution.starts import is_accepting
-from comfreysill.execution.state import AgentState, EntryLink
+from comfreysill.execution.state import AgentState, EntryLink, note_event
+from comfreysill.execution.unfinal_starts import (
+    expire_unfinal_starts,
+    has_unsent_late_starts,
+    take_late_starts,
+)
 
 # Maximum number of entries that are notified immediately when capacity becomes free.
 MAX_NOTIFIED_ENTRIES = 2
+# Minimum time between frames that are sent only to tell of late starts. An entry is told before it
+# can be asked for a task of another one: a caller sends its request again over 1 s later.
+LATE_START_INTERVAL_SECONDS = 0.15
+# A log line names at most this many of the tasks whose late starts were told.
+MAX_LOGGED_TASKS = 12
 UNCONFIRMED_STATES = frozenset({RunState.WAITING, RunState.STARTING, RunState.UNCONFIRMED})
 NO_PROFILE = Profile(service="", zone="", cpu=0, memory_mb=0, gpus=0, labels=())
 
@@ -65,6 +75,7 @@
     Returns:
         Pairs of an entry's name and the frame for it.
     """
+    expire_unfinal_starts(agent, now)
     frames = []
     load = compute_load(agent, now)
     notified = _choose_notified_links(agent, now) if freed else ()
@@ -74,9 +85,24 @@
             accepting_changed or link in notified or _is_due(agent, link, now)
         ):
             frames.append((link.entry, _build_frame(agent, link, load, now)))
+    _log_late_starts(agent, frames)
     return frames
 
 
+def _log_late_starts(agent: AgentState, frames: list[tuple[str, AgentFrame]]) -> None:
+    told = [(entry, frame.late_starts) for entry, frame in frames if frame.late_starts]
+    if not told:
+        return
+    tasks = list(dict.fromkeys(item.task for _, late_starts in told for item in late_starts))
+    note_event(
+        agent,
+        "late starts told",
+        entries=[entry for entry, _ in told],
+        number=len(tasks),
+        tasks=tasks[:MAX_LOGGED_TASKS],
+    )
+
+
 def _choose_notified_links(agent: AgentState, now: float) -> list[EntryLink]:
     """Returns the links to the entries that are notified immediately of free capacity.
 
@@ -98,6 +124,9 @@
         return True
     if link.ended and link.ended[-1].number > link.end_sent:
         return True
+    is_told_due = now - link.sent_at >= LATE_START_INTERVAL_SECONDS
+    if is_told_due and has_unsent_late_starts(agent, link):
+        return True
     return now - link.sent_at >= _compute_frame_interval(agent, link)
 
 
@@ -135,6 +164,7 @@
         routes_holder=agent.routes_holder,
         next_seconds=_compute_frame_interval(agent, link),
         crashes=list_unsent_crashes(agent, link, now),
+        late_starts=take_late_starts(agent, link, now),
     )
     link.opening_sent = True
     link.accepting_sent = load.accepting
--- a/src/comfreysill/execution/renewals.py
+++ b/src/comfreysill/execution/renewals.py
@@ -28,6 +28,7 @@
     note_event,
     record_clock,
 )
+from comfreysill.execution.unfinal_starts import settle_start
 
 RENEWAL_WAIT_MS = 150
 # Without runs there is no lease to extend; the renewals show that the runner answers.
@@ -199,7 +200,7 @@
     if listed_number == run.number:
         if run.start_calls_sent == 1:
             # Its only call has been carried out.
-            run.late_until = 0.0
+            settle_start(agent, run)
         if run.lifetime != agent.runner_lifetime:
             # The lease in its call was for another clock.
             run.lifetime = agent.runner_lifetime
--- a/src/comfreysill/execution/runner.py
+++ b/src/comfreysill/execution/runner.py
@@ -14,6 +14,7 @@
     reserve_capacity,
     subtract_waiting,
 )
+from comfreysill.execution.unfinal_starts import settle_start, settle_starts_under_other_ids
 
 
 def receive_report(agent: AgentState, report: RunnerReport, now: float) -> bool:
@@ -156,9 +157,10 @@
 
 def _settle_starts_under_other_ids(agent: AgentState, runner_id: str, now: float) -> None:
     """Ends unconfirmed runs whose start calls the present runner refuses, being addressed by id."""
+    settle_starts_under_other_ids(agent, runner_id)
     for run in list(agent.runs.values()):
         if run.state == RunState.UNCONFIRMED and run.lifetime.runner_id != runner_id:
-            run.late_until = 0.0
+            settle_start(agent, run)
             end_run(agent, run, Outcome.LOST, now, detail="another runner has replaced its own")
 
 
--- a/src/comfreysill/execution/starts.py
+++ b/src/comfreysill/execution/starts.py
@@ -25,6 +25,7 @@
     reserve_capacity,
     subtract_waiting,
 )
+from comfreysill.execution.unfinal_starts import record_unfinal_start, settle_start
 
 STOP_RESEND_SECONDS = 0.12
 MAX_START_CALLS = 3
@@ -233,7 +234,7 @@
     if not isinstance(reply.call, StartCall) or run.start_calls_sent > 1:
         return
     if reply.status not in (ReplyStatus.ACCEPTED, ReplyStatus.UNANSWERED):
-        run.late_until = 0.0
+        settle_start(agent, run)
         _return_run(agent, run, now, f"the runner refused: {reply.status.name}")
 
 
@@ -246,6 +247,7 @@
     agent.renew_now = True
     if run.state == RunState.STARTING:
         run.late_until = now + MAX_CALL_DELAY_SECONDS + MAX_RUN_LEASE_SECONDS
+        record_unfinal_start(agent, run, now)
     run.state = RunState.UNCONFIRMED
     run.resolving_token = agent.token
 
--- a/src/comfreysill/execution/state.py
+++ b/src/comfreysill/execution/state.py
@@ -31,6 +31,8 @@
         opening_sent: True once the first frame of the newest session has been sent.
         profile_sent: Version of the profile sent in the newest session, -1 if none was sent.
         crash_sent: Number of the newest crash sent in the newest session, 0 before the first.
+        unfinal_start_sent: Number of the newest unfinal start sent in the newest session, 0 before
+            the first.
         sent_at: Boot-clock time in seconds of the last frame sent, 0 before the first.
         address: Address of the entry, empty until a frame names it.
     """
@@ -49,6 +51,7 @@
         "opening_sent",
         "profile_sent",
         "crash_sent",
+        "unfinal_start_sent",
         "sent_at",
         "address",
     )
@@ -67,6 +70,7 @@
         self.opening_sent = False
         self.profile_sent = -1
         self.crash_sent = 0
+        self.unfinal_start_sent = 0
         self.sent_at = 0.0
         self.address = ""
 
@@ -88,6 +92,32 @@
         self.expires_at = expires_at
 
 
+class UnfinalStart:
+    """A task with a start that may be carried out late, kept for the entries; see `unfinal_starts`.
+
+    Attributes:
+        number: Sequence number of its last change among all changes in the agent's lifetime, from
+            1.
+        task: Name of the task.
+        run: The run that made the start, None if several runs of the task have made such starts.
+        runner_id: Id of the runner that the start was addressed to.
+        late_until: Boot-clock time in seconds after which nothing runs of the starts, 0 once they
+            are final.
+        expires_at: Boot-clock time in seconds from which it is no longer sent.
+    """
+
+    __slots__ = ("number", "task", "run", "runner_id", "late_until", "expires_at")
+
+    def __init__(
+        self, *, number: int, task: str, run: Run | None, runner_id: str, late_until: float
+    ) -> None:
+        self.number = number
+        self.task = task
+        self.run = run
+        self.runner_id = runner_id
+        self.late_until = self.expires_at = late_until
+
+
 class AgentState:
     """State of one agent, changed only by the functions of this package.
 
@@ -145,6 +175,9 @@
             processed.
         recent_crashes: Recent crashes of the runner, oldest first.
         last_crash_number: Sequence number of the last one, 0 before the first.
+        unfinal_starts: Tasks with a start that isn't final, or wasn't until lately, by name; the
+            one that changed first is first.
+        last_unfinal_start_number: Sequence number of their last change, 0 before the first.
         unsaved_crashes: Reports of crashes for the store, drained by the process.
         calls: Pending calls to the runner, drained by the process.
         events: Pending log lines as (text, fields), drained by the process.
@@ -199,6 +232,8 @@
         "last_end_number",
         "recent_crashes",
         "last_crash_number",
+        "unfinal_starts",
+        "last_unfinal_start_number",
         "unsaved_crashes",
         "calls",
         "events",
@@ -247,6 +282,8 @@
         self.routes_holder = ""
         self.recent_crashes: deque[RecentCrash] = deque()
         self.last_crash_number = 0
+        self.unfinal_starts: dict[str, UnfinalStart] = {}
+        self.last_unfinal_start_number = 0
         self.unsaved_crashes: list[CrashReport] = []
         self.calls: list[Call] = []
         self.events: list[tuple[str, dict[str, object]]] = []
--- a/src/comfreysill/placement/agents.py
+++ b/src/comfreysill/placement/agents.py
@@ -12,7 +12,12 @@
     EntryFrame,
     Outcome,
 )
-from comfreysill.placement.bindings import bind_task, expire_bindings
+from comfreysill.placement.bindings import (
+    bind_task,
+    expire_bindings,
+    may_place,
+    receive_late_starts,
+)
 from comfreysill.placement.crashes import receive_crash
 from comfreysill.placement.effects import CloseSession, FetchRoutes, SendFrame
 from comfreysill.placement.queue import rank_demand
@@ -142,6 +147,7 @@
     if frame.opening:
         _resume_lifetime(agent)
     _confirm_starts(agent, frame)
+    receive_late_starts(state, agent, frame.late_starts, now)
     # Before the ends that they caused, so that suspects are not placed beside other tasks again.
     for report in frame.crashes:
         receive_crash(state, report, now)
@@ -215,7 +221,8 @@
         return
     _remove_task(agent, task.name)
     if task_end.late_seconds and task_end.outcome != Outcome.DONE:
-        bind_task(state, task.name, agent.name, now + task_end.late_seconds)
+        expires_at = now + task_end.late_seconds
+        bind_task(state, task.name, agent.name, agent.lifetime, expires_at)
     end_task(state, task, task_end.outcome, task_end.detail, now)
 
 
@@ -226,9 +233,10 @@
 
 
 def _reconcile_tasks(state: EntryState, agent: Agent, active: list[str], now: float) -> None:
-    """Reschedules tasks that the agent has no record of; queues stops for ended requests again.
+    """Reschedules tasks that the agent has no record of; queues stops again.
 
-    Stops queued earlier may have been lost with the previous session.
+    Stops queued earlier may have been lost with the previous session. They are of tasks of ended
+    requests, and of those that are bound to another target by now.
     """
     active_names = set(active)
     for name, task in list(agent.tasks.items()):
@@ -237,7 +245,7 @@
         if name not in active_names:
             _remove_task(agent, name)
             end_task(state, task, Outcome.LOST, "its agent has no record of it", now)
-        elif task.request.verdict is not None:
+        elif task.request.verdict is not None or not may_place(state, name, agent.name, now):
             agent.stops.append(name)
 
 
@@ -251,7 +259,7 @@
         if task is None:
             continue
         if abandoned.unconfirmed and now < abandoned.late_until:
-            bind_task(state, name, agent.name, abandoned.late_until)
+            bind_task(state, name, agent.name, abandoned.lifetime, abandoned.late_until)
         end_task(state, task, Outcome.LOST, detail, now)
 
 
--- a/src/comfreysill/placement/state.py
+++ b/src/comfreysill/placement/state.py
@@ -142,13 +142,15 @@
 
     Attributes:
         agent: Name of the agent.
+        lifetime: Id of the run of the agent's process that knew why.
         expires_at: Boot-clock time in seconds after which the task may start elsewhere.
     """
 
-    __slots__ = ("agent", "expires_at")
+    __slots__ = ("agent", "lifetime", "expires_at")
 
-    def __init__(self, *, agent: str, expires_at: float) -> None:
+    def __init__(self, *, agent: str, lifetime: str, expires_at: float) -> None:
         self.agent = agent
+        self.lifetime = lifetime
         self.expires_at = expires_at
 
 
@@ -240,7 +242,7 @@
         cached: Final verdicts for repeated requests, by request id.
         cached_ids: Request ids of cached verdicts, oldest first.
         crashes: Crashes of runners that the entry knows of.
-        bindings: Targets that tasks are bound to, by the task's name; see `bindings`.
+        bindings: Bindings of tasks to targets, by the task's name; see `bindings`.
         demand: Demand of routes, by route.
         waiters: Callers waiting for the tasks of an ended request to end, by request id.
         callers: Request ids by number of the caller, for each caller not answered yet.
@@ -312,7 +314,7 @@
         self.cached: dict[str, CachedVerdict] = {}
         self.cached_ids: deque[str] = deque()
         self.crashes = CrashLedger()
-        self.bindings: dict[str, Binding] = {}
+        self.bindings: dict[str, list[Binding]] = {}
         self.demand: dict[str, RouteDemand] = {}
         self.waiters: dict[str, list[Waiter]] = {}
         self.callers: dict[int, str] = {}
--- a/src/comfreysill/wire/exchange.py
+++ b/src/comfreysill/wire/exchange.py
@@ -13,6 +13,7 @@
     Batch,
     Ended,
     EntryFrame,
+    LateStart,
     Load,
     Member,
     Order,
@@ -131,6 +132,10 @@
         routes_holder=frame.routes_holder,
         next_seconds=frame.next_seconds,
         crashes=[_encode_crash(crash) for crash in frame.crashes],
+        late_starts=[
+            pb.LateStart(task=late_start.task, seconds=late_start.seconds)
+            for late_start in frame.late_starts
+        ],
     )
 
 
@@ -158,6 +163,7 @@
         routes_holder=_check_optional_address(message.routes_holder, "routes_holder"),
         next_seconds=_check_number(message.next_seconds, "next_seconds"),
         crashes=tuple(_decode_crash(crash) for crash in message.crashes),
+        late_starts=tuple(_decode_late_start(item) for item in message.late_starts),
     )
 
 
@@ -288,6 +294,13 @@
     )
 
 
+def _decode_late_start(message: pb.LateStart) -> LateStart:
+    return LateStart(
+        task=_check_name(message.task, "late_starts.task"),
+        seconds=_check_number(message.seconds, "late_starts.seconds"),
+    )
+
+
 def _encode_profile(profile: Profile) -> pb.Profile:
     return pb.Profile(
         service=profile.service,
--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -61,6 +61,25 @@
     return ORIGINAL_COMPLETE_JOB(job)
 
 
+def keep_told_starts(original):
+    def open_session(agent, frame, now):
+        known = agent.links.get(frame.entry)
+        sent = known.unfinal_start_sent if known is not None else 0
+        link = original(agent, frame, now)
+        link.unfinal_start_sent = sent
+        return link
+
+    return open_session
+
+
+def record_as_only(original):
+    def record(agent, run, now):
+        original(agent, run, now)
+        agent.unfinal_starts[run.task].run = run
+
+    return record
+
+
 def resolve_path(path):
     module, name = path.rsplit(".", 1)
     return getattr(__import__(module, fromlist=[name]), name)
@@ -306,6 +325,32 @@
         f"{PLACEMENT}.placement.may_place",
         lambda original: lambda *a: True,
     ),
+    "late-starts-not-told": (
+        f"{EXECUTION}.frames.take_late_starts",
+        lambda original: lambda *a: (),
+    ),
+    "late-starts-told-once": (f"{EXECUTION}.frame_handling._open_session", keep_told_starts),
+    "final-starts-not-withdrawn": (
+        f"{EXECUTION}.unfinal_starts._withdraw",
+        lambda original: lambda *a: None,
+    ),
+    "starts-settled-by-any-run": (f"{EXECUTION}.starts.record_unfinal_start", record_as_only),
+    "told-starts-not-bound": (
+        f"{PLACEMENT}.agents.receive_late_starts",
+        lambda original: lambda *a: None,
+    ),
+    "bound-tasks-go-on-elsewhere": (
+        f"{PLACEMENT}.bindings._stop_elsewhere",
+        lambda original: lambda *a: None,
+    ),
+    "bound-tasks-go-on-in-the-next-session": (
+        f"{PLACEMENT}.agents.may_place",
+        lambda original: lambda *a: True,
+    ),
+    "bindings-of-earlier-lifetimes-released": (
+        f"{PLACEMENT}.bindings.release_task",
+        lambda original: lambda state, task, agent, lifetime: state.bindings.pop(task, None),
+    ),
     "unconfirmed-tasks-of-dead-agents-placed-at-once": (
         f"{PLACEMENT}.agents.LATE_START_SECONDS",
         lambda original: 0.0,
@@ -390,12 +435,14 @@
             test_paused_entries,
             test_placement,
             test_subset,
+            test_told_starts,
             test_unfinal_starts,
         )
 
         modules = [
             test_execution,
             test_placement,
+            test_told_starts,
             test_subset,
             test_gateway,
             test_containment,
--- a/tests/test_input_fuzz.py
+++ b/tests/test_input_fuzz.py
@@ -276,8 +276,10 @@
         "outcome": st.sampled_from([0, 1, 2, 3, 4, 5, 99]),
         "seconds": FLOATS,
         "detail": NAMES,
+        "late_seconds": FLOATS,
     },
 )
+LATE_STARTS = messages(pb.LateStart, {"task": NAMES, "seconds": FLOATS})
 AGENT_FRAMES = messages(
     pb.ToEntry,
     {
@@ -309,6 +311,7 @@
         ),
         "ended": st.lists(ENDS, max_size=2),
         "active": st.lists(NAMES, max_size=2),
+        "late_starts": st.lists(LATE_STARTS, max_size=2),
         "opening": st.booleans(),
         "routes_version": U64,
         "routes_holder": NAMES,
--- a/tests/test_late_calls.py
+++ b/tests/test_late_calls.py
@@ -62,6 +62,12 @@
             self.assertLess(world.now, ends_at, "the condition was never met")
             world.run(0.002)
 
+    def run_while(self, world, condition, seconds):
+        """Runs until a condition no longer holds, or for `seconds`."""
+        ends_at = world.now + seconds
+        while world.now < ends_at and condition():
+            world.run(0.002)
+
     def check(self, world, seed):
         world.run(SETTLING_SECONDS)
         self.assertEqual(world.violations, [], seed)
@@ -148,7 +154,7 @@
             self.check(world, seed)
 
     # Guards against the same when the entry that knew of the start is gone, and its caller has had
-    # another entry start the task; the first target has no room then.
+    # another entry start the task; the first target has no room then, so that the task may wait.
     def test_a_late_start_of_an_entry_that_is_gone(self):
         for seed in SEEDS:
             world, held = self.hold_start(seed)
@@ -157,7 +163,7 @@
             world.run(1.0)
             world.runners[held.agent].set_cpu(0)
             world.report_now(held.agent)
-            self.run_until(world, lambda world=world: find_runners(world))
+            self.run_while(world, lambda world=world: not find_runners(world), 2.0)
             self.deliver_at_birth(world, held)
             self.check(world, seed)
 
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -1,7 +1,7 @@
 import unittest
 
 from comfreysill.crashes.report import CrashReport
-from comfreysill.exchange.messages import AgentFrame, Ended, Load, Outcome, Profile
+from comfreysill.exchange.messages import AgentFrame, Ended, LateStart, Load, Outcome, Profile
 from comfreysill.placement.agents import (
     AGENT_EXPIRY_SECONDS,
     FORGET_AGENT_SECONDS,
@@ -67,6 +67,7 @@
         crashes=(),
         isolating=False,
         unconfirmed=(),
+        late_starts=(),
     ):
         agent = self.state.agents[name]
         load = Load(
@@ -104,6 +105,9 @@
             next_seconds=0.15,
             crashes=tuple(CrashReport(crash_id=name, tasks=tasks) for name, tasks in crashes),
             unconfirmed=list(unconfirmed),
+            late_starts=tuple(
+                LateStart(task=task, seconds=seconds) for task, seconds in late_starts
+            ),
         )
         receive_agent_frame(self.state, frame, self.now)
 
--- a/tests/test_platform_floor.py
+++ b/tests/test_platform_floor.py
@@ -56,6 +56,22 @@
     "leave",
     "late_deregistration",
     "late_report",
+    "ask_another_entry",
+)
+ASKING_FAULTS = (
+    "ask_another_entry",
+    "ask_another_entry",
+    "ask_another_entry",
+    "submit_long",
+    "lose_starts_and_crash",
+    "lose_stops",
+    "resubmit",
+    "delay_replies",
+    "reset",
+    "kill_entry_silent",
+    "crash_at_once",
+    "crash_new_id",
+    "grow",
 )
 # Without calls that are lost: a late start of a caller that asks another entry is a known fault.
 IMPATIENT_FAULTS = (
@@ -93,6 +109,7 @@
 STEPS = draw_steps(FAULTS)
 IMPATIENT_STEPS = draw_steps(IMPATIENT_FAULTS)
 LATE_STEPS = draw_steps(LATE_FAULTS)
+ASKING_STEPS = draw_steps(ASKING_FAULTS)
 REFUSING_STEPS = draw_steps(REFUSING_FAULTS)
 
 
@@ -145,6 +162,8 @@
     elif fault == "drop_caller":
         if world.callers:
             world.drop_caller(sorted(world.callers)[number % len(world.callers)])
+    elif fault == "ask_another_entry":
+        ask_another_entry(world, entry, number, seconds)
     elif not apply_runner_fault(world, fault, agent, number, seconds):
         if fault in ("cut_both", "cut_to_agent"):
             world.cut(entry, agent, seconds)
@@ -171,6 +190,51 @@
     return (1 + number % 3) * (0.1 + seconds) + 0.1 * (number + 1)
 
 
+def ask_another_entry(world, entry, number, seconds):
+    """Submits a request whose starts get no answer, and that another entry gets next.
+
+    The first entry dies, or its caller leaves. The targets have less room than the others then, and
+    their runners are born again while the task may run elsewhere.
+    """
+    key = f"r{len(world.requests)}"
+    world.submit(key, entry, tasks=1 + number % 2, seconds=3.0 + seconds, cpu=800)
+    world.lost_until[StartCall] = world.now + 0.1
+    if number % 2:
+        world.schedule(0.4, world.kill_entry, entry, 3.0, number > 2)
+    else:
+        world.schedule(0.4, leave_caller, world, key)
+    world.schedule(1.5, shrink_targets_of_late_starts, world)
+    world.schedule(2.0 + seconds / 2, crash_targets_of_late_starts, world, number / 100)
+
+
+def leave_caller(world, request_id):
+    """Lets the callers of a request leave their entries, and ask another one."""
+    for caller, (asked_id, _) in sorted(world.callers.items()):
+        if asked_id == request_id:
+            world.drop_caller(caller)
+            entry = world.choose_entry()
+            world.schedule(RESEND_DELAY_SECONDS, world.send_request, request_id, entry)
+
+
+def list_targets_of_late_starts(world):
+    return [
+        name
+        for name, calls in world.late_calls.items()
+        if any(isinstance(call, StartCall) for call in calls)
+    ]
+
+
+def shrink_targets_of_late_starts(world):
+    for name in list_targets_of_late_starts(world):
+        world.runners[name].set_cpu(CPU_CAPACITY // 2)
+        world.report_now(name)
+
+
+def crash_targets_of_late_starts(world, down_seconds):
+    for name in list_targets_of_late_starts(world):
+        world.crash_runner(name, down_seconds)
+
+
 def apply_runner_fault(world, fault, agent, number, seconds):
     """Applies a fault of a runner or of the calls to it; returns False for any other fault."""
     if fault == "lose_more_calls":
@@ -229,6 +293,11 @@
     def test_no_task_runs_twice_or_beyond_capacity_with_late_calls(self, steps, seed):
         self.run_steps(World(seed), steps, settling_seconds=40.0)
 
+    # Guards against late starts beside the runs of an entry that did not order them.
+    @fuzz(EXAMPLES, ASKING_STEPS, st.integers(0, 1000))
+    def test_no_task_runs_twice_while_other_entries_are_asked(self, steps, seed):
+        self.run_steps(World(seed, entries=3), steps, settling_seconds=40.0)
+
     # Guards against runs of callers that have left beside those of the entry that they ask next.
     @fuzz(EXAMPLES, IMPATIENT_STEPS, st.integers(0, 1000), st.booleans(), st.booleans())
     def test_no_task_runs_twice_beside_callers_that_stop_waiting(self, steps, seed, last, draws):
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -1,3 +1,4 @@
+import math
 import unittest
 
 from comfreysill.crashes.report import CrashReport
@@ -12,7 +13,14 @@
     NotOwner,
     PeerFrame,
 )
-from comfreysill.exchange.messages import AgentFrame, Batch, EntryFrame, Load, Order
+from comfreysill.exchange.messages import (
+    AgentFrame,
+    Batch,
+    EntryFrame,
+    LateStart,
+    Load,
+    Order,
+)
 from comfreysill.job.types import (
     Answer,
     JobKey,
@@ -27,6 +35,7 @@
 from comfreysill.target import frames
 from comfreysill.target import messages as m
 from comfreysill.wire import agents, exchange, peers
+from comfreysill.wire.errors import FrameError
 
 KEY = JobKey(team="t", job_id="j")
 CLAIM = m.PartitionClaim(partition=3, epoch=Epoch(number=4, owner="e"))
@@ -43,7 +52,7 @@
 
 
 class ExchangeWireTest(unittest.TestCase):
-    def test_isolated_batches_and_crash_reports_keep_all_fields(self):
+    def test_frames_keep_all_fields(self):
         batch = Batch(
             request_id="r",
             payload="p",
@@ -90,6 +99,10 @@
             routes_holder="127.0.0.1:1",
             next_seconds=0.25,
             crashes=(CrashReport(crash_id="a/i@1", tasks=("r/0/1", "r/0/0"), route="q"),),
+            late_starts=(
+                LateStart(task="r/0/2", seconds=15.5),
+                LateStart(task="r/0/3", seconds=0.0),
+            ),
         )
         parsed = exchange.pb.ToEntry.FromString(
             exchange.encode_agent_frame(agent_frame).SerializeToString()
@@ -97,6 +110,26 @@
         decoded = exchange.decode_agent_frame(parsed)
         self.assertEqual(flatten_message(decoded), flatten_message(agent_frame))
 
+    def test_odd_late_starts_are_rejected(self):
+        load = exchange.pb.Load(slowness=1.0)
+        for task, seconds in (
+            ("", 1.0),
+            ("x" * 300, 1.0),
+            ("r/0/0", -1.0),
+            ("r/0/0", math.nan),
+            ("r/0/0", math.inf),
+        ):
+            late_start = exchange.pb.LateStart(task=task, seconds=seconds)
+            message = exchange.pb.ToEntry(
+                agent="a", lifetime="1", load=load, late_starts=[late_start]
+            )
+            with self.assertRaises(FrameError):
+                exchange.decode_agent_frame(message)
+
+    def test_a_frame_of_an_earlier_version_tells_of_no_late_starts(self):
+        message = exchange.pb.ToEntry(agent="a", lifetime="1", load=exchange.pb.Load(slowness=1.0))
+        self.assertEqual(exchange.decode_agent_frame(message).late_starts, ())
+
 
 class WireTest(unittest.TestCase):
     def test_entry_frame_round_trip_keeps_all_fields(self):
