A task with another run at its target is not placed elsewhere

What callers saw: a task could run twice at the same time. An entry ordered it at a target where a run for another entry was still there; the agent refused it ("another run of the task is here"), and the entry placed it on another target beside that run, or ordered it there again without a pause.

Cause: the refusal looked like one for lack of room, after which a task may go anywhere.

The entry orders it there again after 0.1 s; each refusal begins the time anew. That an earlier start turned out to be final doesn't end this binding, as the run goes on.

A run that no order has met, on a target that the entry doesn't choose, is as open as before.

--- a/src/comfreysill/exchange/messages.py
+++ b/src/comfreysill/exchange/messages.py
@@ -207,7 +207,8 @@
             ended before its start was confirmed, or after its stop was requested.
         detail: Human-readable reason, may be empty.
         late_seconds: Time in seconds for which the task may start on this target only, as an
-            earlier start may still be carried out here; 0 for none.
+            earlier start may still be carried out here, or another run of the task is here if the
+            outcome is BUSY; 0 for none.
     """
 
     __slots__ = ("number", "task", "attempt", "outcome", "seconds", "detail", "late_seconds")
--- a/src/comfreysill/execution/frame_handling.py
+++ b/src/comfreysill/execution/frame_handling.py
@@ -1,7 +1,9 @@
 """Handling of frames from entries: sessions, tasks to start and tasks to stop."""
 
 from comfreysill.exchange.messages import (
+    LEASE_MARGIN_SECONDS,
     LINK_LEASE_SECONDS,
+    RUN_LEASE_SECONDS,
     STOP_GRACE_SECONDS,
     Batch,
     EntryFrame,
@@ -24,6 +26,10 @@
 # A link without an open session is kept for this long after its lease has ended.
 CLOSED_LINK_RETENTION_SECONDS = 20.0
 
+# A run that keeps an order of another entry from the target has ended this long after, or the order
+# is refused again: the run's entry is silent, or its caller has left, as the other one was asked.
+OTHER_RUN_SECONDS = LINK_LEASE_SECONDS + RUN_LEASE_SECONDS + LEASE_MARGIN_SECONDS
+
 
 def receive_frame(agent: AgentState, frame: EntryFrame, now: float) -> bool:
     """Processes a frame from an entry.
@@ -133,7 +139,15 @@
         # Checked for each order: a target that is probed after a suspension accepts one at a time.
         refusal = _check_order(agent, link, batch, existing, now)
         if refusal:
-            report_end(agent, link.entry, name, order.attempt, Outcome.BUSY, detail=refusal)
+            report_end(
+                agent,
+                link.entry,
+                name,
+                order.attempt,
+                Outcome.BUSY,
+                detail=refusal,
+                late_seconds=0.0 if existing is None else OTHER_RUN_SECONDS,
+            )
             continue
         agent.runs[name] = Run(entry=link.entry, batch=batch, order=order, now=now)
         agent.isolated_runs += batch.isolated
@@ -147,7 +161,7 @@
 
     Entries place tasks by their own, possibly outdated view of the load, so two entries may count
     on the same capacity. The task that arrives second is refused at once, so that its entry can
-    place it elsewhere.
+    place it elsewhere. If another run of it is here, it has to wait for the end of that.
     """
     if existing is not None:
         return "another run of the task is here"
--- a/src/comfreysill/placement/agents.py
+++ b/src/comfreysill/placement/agents.py
@@ -15,6 +15,7 @@
 from comfreysill.placement.bindings import (
     bind_task,
     expire_bindings,
+    hold_task,
     may_place,
     receive_late_starts,
 )
@@ -222,7 +223,10 @@
     _remove_task(agent, task.name)
     if task_end.late_seconds and task_end.outcome != Outcome.DONE:
         expires_at = now + task_end.late_seconds
-        bind_task(state, task.name, agent.name, agent.lifetime, expires_at)
+        if task_end.outcome == Outcome.BUSY:
+            hold_task(state, task.name, agent.name, expires_at, now)
+        else:
+            bind_task(state, task.name, agent.name, agent.lifetime, expires_at)
     end_task(state, task, task_end.outcome, task_end.detail, now)
 
 
--- a/src/comfreysill/placement/bindings.py
+++ b/src/comfreysill/placement/bindings.py
@@ -2,7 +2,8 @@
 
 A task that started elsewhere could run twice at the same time: the runner may restart and carry out
 the start before its agent can have it rejected. At the same target there is one run at a time. A
-task that is bound to several targets starts nowhere.
+task that is bound to several targets starts nowhere. A task that was refused because another run of
+it is there is bound as well.
 """
 
 from collections.abc import Iterable
@@ -11,6 +12,8 @@
 from comfreysill.placement.state import Agent, Binding, EntryState, count, note_event
 from comfreysill.request.request import get_request_id
 
+# From the refusal of a task, as another run of it is there, to its next order.
+OTHER_RUN_RETRY_SECONDS = 0.1
 # A log line names at most this many of the tasks that were bound.
 MAX_LOGGED_TASKS = 12
 
@@ -33,6 +36,17 @@
     bindings.append(Binding(agent=agent, lifetime=lifetime, expires_at=expires_at))
 
 
+def hold_task(state: EntryState, task: str, agent: str, expires_at: float, now: float) -> None:
+    """Binds a task to the target of an agent that has refused it, as another run of it is there.
+
+    It is placed again after OTHER_RUN_RETRY_SECONDS. For `expires_at` see `bind_task`.
+    """
+    release_task(state, task, agent, "")
+    starts_at = now + OTHER_RUN_RETRY_SECONDS
+    binding = Binding(agent=agent, lifetime="", expires_at=expires_at, starts_at=starts_at)
+    state.bindings.setdefault(task, []).append(binding)
+
+
 def release_task(state: EntryState, task: str, agent: str, lifetime: str) -> None:
     """Ends the binding of a task that a lifetime of an agent has caused."""
     bindings = state.bindings.get(task, [])
@@ -56,7 +70,7 @@
 def may_place(state: EntryState, task: str, agent: str, now: float) -> bool:
     """Returns whether a task may start on the target of an agent."""
     return all(
-        binding.agent == agent or now >= binding.expires_at
+        (binding.agent == agent and now >= binding.starts_at) or now >= binding.expires_at
         for binding in state.bindings.get(task, ())
     )
 
--- a/src/comfreysill/placement/state.py
+++ b/src/comfreysill/placement/state.py
@@ -142,15 +142,20 @@
 
     Attributes:
         agent: Name of the agent.
-        lifetime: Id of the run of the agent's process that knew why.
+        lifetime: Id of the run of the agent's process that knew of a late start there, empty if
+            another run of the task was there.
+        starts_at: Boot-clock time in seconds from which the task may start there.
         expires_at: Boot-clock time in seconds after which the task may start elsewhere.
     """
 
-    __slots__ = ("agent", "lifetime", "expires_at")
+    __slots__ = ("agent", "lifetime", "starts_at", "expires_at")
 
-    def __init__(self, *, agent: str, lifetime: str, expires_at: float) -> None:
+    def __init__(
+        self, *, agent: str, lifetime: str, expires_at: float, starts_at: float = 0.0
+    ) -> None:
         self.agent = agent
         self.lifetime = lifetime
+        self.starts_at = starts_at
         self.expires_at = expires_at
 
 
--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -347,6 +347,18 @@
         f"{PLACEMENT}.agents.may_place",
         lambda original: lambda *a: True,
     ),
+    "other-runs-not-reported": (
+        f"{EXECUTION}.frame_handling.OTHER_RUN_SECONDS",
+        lambda original: 0.0,
+    ),
+    "tasks-with-other-runs-not-held": (
+        f"{PLACEMENT}.agents.hold_task",
+        lambda original: lambda *a: None,
+    ),
+    "tasks-with-other-runs-ordered-at-once": (
+        f"{PLACEMENT}.bindings.OTHER_RUN_RETRY_SECONDS",
+        lambda original: 0.0,
+    ),
     "bindings-of-earlier-lifetimes-released": (
         f"{PLACEMENT}.bindings.release_task",
         lambda original: lambda state, task, agent, lifetime: state.bindings.pop(task, None),
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -68,6 +68,7 @@
         isolating=False,
         unconfirmed=(),
         late_starts=(),
+        ends=(),
     ):
         agent = self.state.agents[name]
         load = Load(
@@ -81,7 +82,7 @@
         profile = Profile(
             service="s", zone="z1", cpu=4000, memory_mb=900, gpus=0, labels=("k", name)
         )
-        ended_attempts = []
+        ended_attempts = list(ends)
         for task, attempt, outcome in task_ends:
             number = self.task_ends[name] = self.task_ends.get(name, 0) + 1
             ended_attempts.append(
--- a/tests/test_told_starts.py
+++ b/tests/test_told_starts.py
@@ -3,16 +3,24 @@
 import unittest
 from unittest import mock
 
-from comfreysill.exchange.messages import MAX_CALL_DELAY_SECONDS, MAX_RUN_LEASE_SECONDS, Outcome
+from comfreysill.exchange.messages import (
+    MAX_CALL_DELAY_SECONDS,
+    MAX_RUN_LEASE_SECONDS,
+    Ended,
+    Outcome,
+)
 from comfreysill.execution.calls import CallReply, ReplyStatus, RunEnd, StartCall
+from comfreysill.execution.frame_handling import OTHER_RUN_SECONDS
 from comfreysill.execution.frames import LATE_START_INTERVAL_SECONDS, collect_frames
 from comfreysill.execution.starts import receive_call_reply, start_waiting
 from comfreysill.execution.unfinal_starts import MAX_LATE_STARTS_PER_FRAME
 from comfreysill.placement import subset
 from comfreysill.placement.agents import expire_agents
+from comfreysill.placement.bindings import OTHER_RUN_RETRY_SECONDS
 from comfreysill.placement.placement import place_waiting
+from comfreysill.request.types import Verdict
 from tests import test_execution, test_placement
-from tests.platform_world import RESEND_DELAY_SECONDS
+from tests.platform_world import CPU_CAPACITY, RESEND_DELAY_SECONDS, World
 from tests.test_late_calls import DOWN_SECONDS, SEEDS, TASK, HeldCall, LateCallCase, find_runners
 
 PAUSE_SECONDS = LATE_START_INTERVAL_SECONDS + 0.001
@@ -256,6 +264,109 @@
         self.assertEqual(self.flush()[0], {"b": 1})
 
 
+class TestOtherRuns(unittest.TestCase):
+    """An order that its agent refuses, as another run of the task is there."""
+
+    establish_link = test_placement.TestPlacement.establish_link
+    deliver_frame = test_placement.TestPlacement.deliver_frame
+    submit = test_placement.TestPlacement.submit
+    flush = test_placement.TestPlacement.flush
+
+    def setUp(self):
+        test_placement.TestPlacement.setUp(self)
+        self.deliver_frame("b", accepting=False)
+        self.submit(test_placement.build_request(tasks=1, estimate=2.0))
+        self.assertEqual(self.flush()[0], {"a": 1})
+        self.attempt = 1
+
+    def refuse(self):
+        """Lets `a` refuse the order; `b` would accept it."""
+        end = Ended(
+            number=self.attempt,
+            task=TASK,
+            attempt=self.attempt,
+            outcome=Outcome.BUSY,
+            seconds=0.0,
+            detail="",
+            late_seconds=OTHER_RUN_SECONDS,
+        )
+        self.attempt += 1
+        self.deliver_frame("a", ends=[end])
+        self.deliver_frame("b")
+
+    def wait(self, seconds):
+        """Returns the agents that are sent the task in a time, the last of which may refuse it."""
+        placed = []
+        ends_at = self.now + seconds
+        while self.now < ends_at and not placed:
+            self.now += 0.01
+            for name in "ab":
+                self.deliver_frame(name)
+            placed += self.flush()[0]
+        return placed
+
+    # Guards against a task that starts elsewhere beside the run that has kept it from its target.
+    def test_a_task_with_another_run_at_a_target_starts_nowhere_else(self):
+        for _ in range(20):
+            self.refuse()
+            self.assertEqual(self.flush()[0], {})
+            self.assertEqual(self.wait(1.0), ["a"])
+
+    # Guards against orders and refusals without a pause.
+    def test_a_task_with_another_run_at_a_target_is_ordered_again_after_a_pause(self):
+        refused_at = self.now
+        for _ in range(10):
+            self.refuse()
+            self.wait(1.0)
+        self.assertGreater(self.now - refused_at, 9 * OTHER_RUN_RETRY_SECONDS)
+
+    # Guards against a task that waits for its target for longer than needed.
+    def test_a_task_is_free_once_the_other_run_is_gone_for_sure(self):
+        self.refuse()
+        self.now += OTHER_RUN_SECONDS
+        self.deliver_frame("a", accepting=False)
+        self.deliver_frame("b")
+        self.assertEqual(self.flush()[0], {"b": 1})
+
+    # Guards against a run that is forgotten as its start is final: it goes on.
+    def test_a_final_start_does_not_free_a_task_with_another_run(self):
+        self.deliver_frame("a", late_starts=[(TASK, LATE_SECONDS)])
+        self.refuse()
+        self.deliver_frame("a", late_starts=[(TASK, 0.0)], accepting=False)
+        self.assertEqual(self.flush()[0], {})
+
+    def test_an_agent_says_for_how_long_a_task_with_another_run_is_kept_from_others(self):
+        agent = TestToldStarts()
+        agent.setUp()
+        agent.deliver_frame(tasks=1)
+        agent.deliver_frame(entry="f@1", tasks=1)
+        (end,) = agent.agent.links["f@1"].ended
+        self.assertEqual((end.outcome, end.late_seconds), (Outcome.BUSY, OTHER_RUN_SECONDS))
+
+    # Guards against a run beside that of a caller that has left, the end of whose connection never
+    # comes: the target refuses the order of the entry that the caller asks next.
+    def test_a_refused_order_is_not_placed_beside_the_run_that_is_there(self):
+        for seed in SEEDS:
+            world = World(seed)
+            world.run(2.0)
+            world.submit("r", "e0", tasks=1, seconds=2.0)
+            world.run(0.3)
+            (name,) = find_runners(world)
+            for other in set(world.runners) - {name}:
+                world.runners[other].set_cpu(2000)
+                world.report_now(other)
+            world.run(0.4)
+            world.callers.clear()
+            world.send_request("r", "e1")
+            world.run(0.05)
+            for other in world.runners:
+                world.runners[other].set_cpu(CPU_CAPACITY)
+                world.report_now(other)
+            world.run(10.0)
+            self.assertEqual(world.violations, [], seed)
+            self.assertIn(Verdict.COMPLETED, world.verdicts["r"], seed)
+
+
 class TestToldStartsInADeployment(LateCallCase):
     """The start has no answer, and a later lifetime of the runner carries it out."""
 
