--- a/tests/test_platform_floor.py
+++ b/tests/test_platform_floor.py
@@ -73,9 +73,8 @@
     "crash_new_id",
     "grow",
 )
-# Without calls that are lost: a late start of a caller that asks another entry is a known fault.
 IMPATIENT_FAULTS = (
-    *(fault for fault in FAULTS if fault != "lose_calls"),
+    *FAULTS,
     "submit_impatient",
     "submit_impatient",
     "submit_impatient",
