A request with a task that is bound is never answered as not run

What callers saw: 503, which promises that a job never runs, for a job of which a start without an answer was known; the runner restarted under its id and carried it out after the answer. New with the late starts that agents tell: the next entry waits for the target, and refused the request as unmeetable.

Cause: the refusals asked only whether this entry had placed a task, not whether one is bound. Evidence: test_a_request_with_a_known_late_start_is_not_answered_as_never_run failed before (NOT_RUN, then a start) and passes now. Why this works: each verdict of a request that wasn't placed here (unmeetable, waited too long, read too late) is chosen by its bindings: MAY_HAVE_RUN, 504, while a task of it is bound to a target, where it may run or have run.

--- a/src/comfreysill/placement/bindings.py
+++ b/src/comfreysill/placement/bindings.py
@@ -11,6 +11,7 @@
 from comfreysill.exchange.messages import LateStart
 from comfreysill.placement.state import Agent, Binding, EntryState, count, note_event
 from comfreysill.request.request import get_request_id
+from comfreysill.request.types import Verdict
 
 # From the refusal of a task, as another run of it is there, to its next order.
 OTHER_RUN_RETRY_SECONDS = 0.1
@@ -62,6 +63,17 @@
     return any(now < binding.expires_at for binding in state.bindings.get(task, ()))
 
 
+def choose_refusal(state: EntryState, request_id: str, now: float) -> Verdict:
+    """Returns the verdict of a request of which this entry has placed no task.
+
+    It is NOT_RUN unless a task of it is bound to a target, where it may run or have run.
+    """
+    is_in_doubt = any(
+        get_request_id(task) == request_id and is_bound(state, task, now) for task in state.bindings
+    )
+    return Verdict.MAY_HAVE_RUN if is_in_doubt else Verdict.NOT_RUN
+
+
 def is_bound_to(state: EntryState, task: str, agent: str, now: float) -> bool:
     """Returns whether a task may start only on the target of an agent."""
     return is_bound(state, task, now) and may_place(state, task, agent, now)
--- a/src/comfreysill/placement/placement.py
+++ b/src/comfreysill/placement/placement.py
@@ -15,10 +15,10 @@
 from comfreysill.placement.isolation import place_suspects
 from comfreysill.placement.orders import Candidate, place_tasks
 from comfreysill.placement.queue import LATE, pop_request, push_request
-from comfreysill.placement.requests import conclude_request
+from comfreysill.placement.requests import refuse_request
 from comfreysill.placement.state import Agent, EntryState
 from comfreysill.request.request import Request, Task, has_pending
-from comfreysill.request.types import Step, Verdict
+from comfreysill.request.types import Step
 
 # No tasks are placed on an agent whose next frame is overdue by more than this.
 FRAME_DELAY_LIMIT_SECONDS = 0.2
@@ -64,7 +64,7 @@
             is_waiting = request.verdict is None and not request.begun
             if is_waiting and _is_unmeetable(request, lowest_slowness, now):
                 detail = describe_confinement(state, request, now) or reason
-                conclude_request(state, request, Verdict.NOT_RUN, detail, now)
+                refuse_request(state, request, detail, now)
 
 
 def _describe_missing_targets(state: EntryState, service: str) -> str:
@@ -106,7 +106,7 @@
         group = get_group(groups, request)
         if not request.begun and _is_unmeetable(request, group.lowest_slowness, now):
             reason = describe_confinement(state, request, now) or UNMEETABLE_REASON
-            conclude_request(state, request, Verdict.NOT_RUN, reason, now)
+            refuse_request(state, request, reason, now)
             continue
         if queue_band == LATE and not _has_spare_capacity(group.candidates):
             unplaced.append(request)
--- a/src/comfreysill/placement/requests.py
+++ b/src/comfreysill/placement/requests.py
@@ -5,6 +5,7 @@
 
 from comfreysill.crashes.ledger import find_deadly_task, is_suspect
 from comfreysill.exchange.messages import Outcome
+from comfreysill.placement.bindings import choose_refusal
 from comfreysill.placement.confinement import record_demand
 from comfreysill.placement.deadlines import (
     compute_stop_at,
@@ -91,13 +92,13 @@
     now: float,
     wait: CallerWait,
 ) -> None:
-    """Refuses a request that has lain unread for too long, and of which nothing was placed."""
+    """Refuses a request that has lain unread for too long, and of which nothing was placed here."""
     count(state, "requests_read_late")
     _note_submission(state, "request refused: its caller may have left", specification, wait)
     state.effects.append(
         SendVerdict(
             caller=caller,
-            verdict=Verdict.NOT_RUN,
+            verdict=choose_refusal(state, specification.request_id, now),
             detail="it was read too late",
             retry_at=_choose_retry_time(specification.request_id, now),
         )
@@ -180,6 +181,12 @@
         publish_verdict(state, request, detail, now)
 
 
+def refuse_request(state: EntryState, request: Request, detail: str, now: float) -> None:
+    """Concludes a request of which no task was placed here; see `choose_refusal`."""
+    verdict = choose_refusal(state, request.specification.request_id, now)
+    conclude_request(state, request, verdict, detail, now)
+
+
 def publish_verdict(state: EntryState, request: Request, detail: str, now: float) -> None:
     """Queues the verdict of a request for its callers, and the stopping of its remaining tasks."""
     request_id = request.specification.request_id
@@ -290,8 +297,11 @@
     """
     for request in pop_overdue(state, now):
         count(state, "requests_expired")
-        verdict = Verdict.MAY_HAVE_RUN if request.begun else Verdict.NOT_RUN
-        conclude_request(state, request, verdict, "its caller has stopped waiting", now)
+        detail = "its caller has stopped waiting"
+        if request.begun:
+            conclude_request(state, request, Verdict.MAY_HAVE_RUN, detail, now)
+        else:
+            refuse_request(state, request, detail, now)
 
 
 def expire_cached_verdicts(state: EntryState, now: float) -> None:
--- a/tests/test_told_starts.py
+++ b/tests/test_told_starts.py
@@ -429,6 +429,26 @@
             self.deliver_at_birth(world, held)
             self.check(world, seed)
 
+    # Guards against a 503 ("never runs") to a request whose start, as its entry was told, may be
+    # carried out late: it is, after the answer.
+    def test_a_request_with_a_known_late_start_is_not_answered_as_never_run(self):
+        for seed in SEEDS:
+            world = self.build_world(seed)
+            held = HeldCall(world, StartCall)
+            self.submit(world, 0.5)
+            self.run_until(world, lambda held=held: held.call)
+            world.run(0.4)
+            world.drop_caller(next(iter(world.callers)))
+            world.schedule(RESEND_DELAY_SECONDS, world.send_request, "r", "e1")
+            world.run(1.0)
+            self.assertIn(TASK, world.entries["e1"].state.bindings, seed)
+            world.runners[held.agent].set_cpu(0)
+            world.report_now(held.agent)
+            self.run_until(world, lambda world=world: world.verdicts["r"], 20.0)
+            self.deliver_at_birth(world, held)
+            self.run_until(world, lambda world=world: find_runners(world), 1.0)
+            self.assertEqual(world.verdicts["r"][-1], Verdict.MAY_HAVE_RUN, seed)
+
     # Guards against the same when the entry has no link to the target, as there are many.
     def test_a_late_start_at_a_target_without_a_link_to_the_next_entry(self):
         with mock.patch.multiple(subset, MIN_SUBSET_SIZE=2, ENTRIES_PER_AGENT=1):
