The news that a start is final is read after the ends that came before it

What callers saw: a request could wait for one target for up to 16 s though no start of its task could come late any more. Cause: if the link was away between the end of a run and the news, both came in one frame, and the end, read last, bound the task again. Evidence: test_an_end_from_before_does_not_bind_a_task_whose_start_is_final failed before. Why this works: what an agent says of late starts is as of the frame, what it says in an end as of that end.

--- a/src/comfreysill/placement/agents.py
+++ b/src/comfreysill/placement/agents.py
@@ -148,12 +148,13 @@
     if frame.opening:
         _resume_lifetime(agent)
     _confirm_starts(agent, frame)
-    receive_late_starts(state, agent, frame.late_starts, now)
     # Before the ends that they caused, so that suspects are not placed beside other tasks again.
     for report in frame.crashes:
         receive_crash(state, report, now)
     for task_end in frame.ended:
         _receive_task_end(state, agent, task_end, now)
+    # After the ends, which tell what was known of their starts then.
+    receive_late_starts(state, agent, frame.late_starts, now)
     if frame.opening:
         agent.handshake_done = True
         _reconcile_tasks(state, agent, frame.active, now)
--- a/tests/test_late_calls.py
+++ b/tests/test_late_calls.py
@@ -167,6 +167,21 @@
             self.deliver_at_birth(world, held)
             self.check(world, seed)
 
+    # Guards against the same where the other entry is kept from the task for less time than the
+    # start may come late by.
+    def test_a_late_start_of_an_entry_that_is_gone_for_as_long_as_it_may_come(self):
+        for seed in SEEDS:
+            world, held = self.hold_start(seed)
+            world.run(0.4)
+            world.kill_entry("e0", down_seconds=6.0)
+            world.run(1.0)
+            world.runners[held.agent].set_cpu(0)
+            world.report_now(held.agent)
+            self.run_while(world, lambda world=world: not find_runners(world), 10.0)
+            self.assertEqual(find_runners(world), [], seed)
+            self.deliver_at_birth(world, held)
+            self.check(world, seed)
+
     # Guards against a start of an earlier lifetime beside runs that fill the runner; its task has
     # ended elsewhere.
     def test_a_late_start_at_a_runner_that_is_full(self):
--- a/tests/test_told_starts.py
+++ b/tests/test_told_starts.py
@@ -203,6 +203,22 @@
         self.assertEqual(self.flush()[0], {"b": 1})
         self.assertEqual(self.state.bindings, {})
 
+    # Guards against a task that stays bound though its start is final: its end, which was queued
+    # before that, comes in the same frame as the news.
+    def test_an_end_from_before_does_not_bind_a_task_whose_start_is_final(self):
+        self.place_at("a")
+        end = Ended(
+            number=1,
+            task=TASK,
+            attempt=1,
+            outcome=Outcome.LOST,
+            seconds=0.0,
+            detail="",
+            late_seconds=LATE_SECONDS,
+        )
+        self.deliver_frame("a", ends=[end], late_starts=[(TASK, 0.0)])
+        self.assertEqual(self.state.bindings, {})
+
     # Guards against the same, and bindings that are kept for ever.
     def test_a_task_is_free_once_the_start_is_too_old(self):
         self.tell(accepting=False)
@@ -449,6 +465,19 @@
             self.run_until(world, lambda world=world: find_runners(world), 1.0)
             self.assertEqual(world.verdicts["r"][-1], Verdict.MAY_HAVE_RUN, seed)
 
+    # Guards against a start that was told to all entries, and is known to none after its agent and
+    # then the entries have restarted.
+    def test_a_late_start_when_its_agent_and_then_all_entries_have_restarted(self):
+        for seed in SEEDS:
+            world, held = self.hold_start(seed)
+            world.kill_agent(held.agent, down_seconds=0.2)
+            world.run(0.3)
+            for entry in world.entries:
+                world.kill_entry(entry, down_seconds=0.2)
+            world.run(2.0)
+            self.deliver_at_birth(world, held)
+            self.check(world, seed)
+
     # Guards against the same when the entry has no link to the target, as there are many.
     def test_a_late_start_at_a_target_without_a_link_to_the_next_entry(self):
         with mock.patch.multiple(subset, MIN_SUBSET_SIZE=2, ENTRIES_PER_AGENT=1):
