A refused connection ends a runner's lifetime only after the runner has closed a renewal

What callers saw: two runs of one task side by side while connections to a runner that is up were refused for longer than a renewal is open (KNOWN-RED.txt; overlap up to the lease of 0.6 s).

Cause: `_find_end_of_lifetime` took a refused connection for the end of the process as soon as no renewal was open, also if the last one had timed out or had been reset by the cut itself.

Evidence: how the client reports each case, against a process that is killed (tests/test_platform_runner_calls.py): an open call, or one written to a connection that the process had kept, ends with an end of stream; a stopped process times out; a connection with unread bytes is reset.

Why the fix works: the end of a process closes its open connections; a cut leaves them silent or resets them. The client tells an end of stream from both (DISCONNECTED); only it, with no answer since, makes a refused connection a proof. Else the runs end with their leases. What stays open: a cut that closes connections without a reset (in KNOWN-RED.txt with its test).

--- a/src/comfreysill/execution/calls.py
+++ b/src/comfreysill/execution/calls.py
@@ -87,10 +87,12 @@
 class ReplyStatus(enum.IntEnum):
     """Result of a call to a runner.
 
-    After UNANSWERED the call may have taken effect or may still take effect. Any other status
-    except ACCEPTED means that it had no effect. FENCED means that the fencing token is too low,
-    OLD_RUN that the run number is, LATE that the lease in the call has already ended, REFUSED that
-    nothing listens at the runner's address, and GONE that the addressed lifetime has ended.
+    After UNANSWERED and DISCONNECTED the call may have taken effect or may still take effect. Any
+    other status except ACCEPTED means that it had no effect. FENCED means that the fencing token is
+    too low, OLD_RUN that the run number is, LATE that the lease in the call has already ended,
+    REFUSED that nothing listens at the runner's address, GONE that the addressed lifetime has
+    ended, and DISCONNECTED that the runner has closed the connection without an answer. A
+    connection that is reset counts as UNANSWERED, as a cut may reset it.
     """
 
     ACCEPTED = 0
@@ -103,6 +105,7 @@
     GONE = 7
     UNANSWERED = 8
     REFUSED = 9
+    DISCONNECTED = 10
 
 
 class StartCall:
@@ -185,6 +188,8 @@
 
 
 Call = StartCall | StopCall | RenewCall
+# Statuses after which a call may still take effect.
+UNANSWERED_STATUSES = frozenset({ReplyStatus.UNANSWERED, ReplyStatus.DISCONNECTED})
 
 
 class RunEnd:
--- a/src/comfreysill/execution/renewals.py
+++ b/src/comfreysill/execution/renewals.py
@@ -5,7 +5,14 @@
     MAX_RUN_LEASE_SECONDS,
     Outcome,
 )
-from comfreysill.execution.calls import RenewCall, RenewReply, ReplyStatus, RunEnd, StopCall
+from comfreysill.execution.calls import (
+    UNANSWERED_STATUSES,
+    RenewCall,
+    RenewReply,
+    ReplyStatus,
+    RunEnd,
+    StopCall,
+)
 from comfreysill.execution.crashes import list_started_runs
 from comfreysill.execution.health import record_failure, record_success
 from comfreysill.execution.progress import evaluate_progress
@@ -91,13 +98,15 @@
         return
     if reply.status not in (ReplyStatus.ACCEPTED, ReplyStatus.FENCED):
         agent.renewal_due_at = now + RENEWAL_RETRY_SECONDS
-    if reply.status == ReplyStatus.UNANSWERED:
+    if reply.status in UNANSWERED_STATUSES:
+        agent.disconnected = agent.disconnected or reply.status == ReplyStatus.DISCONNECTED
         agent.renew_now = True
         check_lease_expiry(agent, now)
         return
     if reply.status == ReplyStatus.REFUSED:
         return
     agent.answered_at = now
+    agent.disconnected = False
     # Only lists tell the lifetime that answers; a clock may be another one's.
     if reply.status == ReplyStatus.ACCEPTED or is_clock_continuous(agent, reply.clock_ms, now):
         record_clock(agent, reply.clock_ms, now)
@@ -120,8 +129,10 @@
     """Returns why a reply shows that the addressed lifetime has ended, empty if it doesn't."""
     if reply.status == ReplyStatus.GONE:
         return "another lifetime answered"
-    # The end of a process breaks its open connections before new ones are refused.
-    if reply.status == ReplyStatus.REFUSED and not agent.renewals_in_flight:
+    # The end of a process closes its open connections before new ones are refused; a cut that
+    # refuses new ones leaves the open ones silent, or resets them.
+    is_refused = reply.status == ReplyStatus.REFUSED and not agent.renewals_in_flight
+    if is_refused and agent.disconnected:
         return "nothing listens at its address"
     expected_ms = reply.call.lifetime.started_at_ms
     if reply.started_at_ms and expected_ms and reply.started_at_ms != expected_ms:
--- a/src/comfreysill/execution/runner.py
+++ b/src/comfreysill/execution/runner.py
@@ -84,6 +84,7 @@
     agent.reconciled = False
     agent.silent_runs = []
     agent.answered_at = now
+    agent.disconnected = False
     agent.leases_expire_at = now
     agent.renew_now = True
     agent.renewal_due_at = 0.0
--- a/src/comfreysill/execution/starts.py
+++ b/src/comfreysill/execution/starts.py
@@ -8,7 +8,13 @@
     MAX_RUN_LEASE_SECONDS,
     Outcome,
 )
-from comfreysill.execution.calls import CallReply, ReplyStatus, StartCall, StopCall
+from comfreysill.execution.calls import (
+    UNANSWERED_STATUSES,
+    CallReply,
+    ReplyStatus,
+    StartCall,
+    StopCall,
+)
 from comfreysill.execution.health import record_failure
 from comfreysill.execution.isolation import may_start
 from comfreysill.execution.run import Run, RunState
@@ -177,14 +183,14 @@
     is_current = is_clock_continuous(agent, reply.clock_ms, now)
     if is_current:
         record_clock(agent, reply.clock_ms, now)
-    if reply.status not in (ReplyStatus.UNANSWERED, ReplyStatus.REFUSED):
+    if reply.status not in UNANSWERED_STATUSES and reply.status != ReplyStatus.REFUSED:
         agent.answered_at = now
     if isinstance(call, StopCall):
         return
     run = agent.runs.get(call.task)
     if run is None or run.number != call.run or run.state != RunState.STARTING:
         return
-    if reply.status == ReplyStatus.UNANSWERED:
+    if reply.status in UNANSWERED_STATUSES:
         count(agent, "starts_unanswered")
         note_event(agent, "start unanswered; token raised", task=run.task, token=agent.token + 1)
         mark_unconfirmed(agent, run, now)
@@ -233,7 +239,7 @@
         return
     if not isinstance(reply.call, StartCall) or run.start_calls_sent > 1:
         return
-    if reply.status not in (ReplyStatus.ACCEPTED, ReplyStatus.UNANSWERED):
+    if reply.status != ReplyStatus.ACCEPTED and reply.status not in UNANSWERED_STATUSES:
         settle_start(agent, run)
         _return_run(agent, run, now, f"the runner refused: {reply.status.name}")
 
--- a/src/comfreysill/execution/state.py
+++ b/src/comfreysill/execution/state.py
@@ -156,6 +156,8 @@
         renewal_due_at: Boot-clock time in seconds before which no renewal is sent, 0 before the
             first one that failed.
         answered_at: Boot-clock time in seconds of the last answer of the runner to any call.
+        disconnected: True if the runner has closed the connection of an open renewal since its last
+            answer to one.
         leases_expire_at: Boot-clock time in seconds by which all run leases have expired.
         stopping: True once the process is shutting down.
         failed_requests: Requests with a failed task since the last successful task.
@@ -215,6 +217,7 @@
         "renew_now",
         "renewal_due_at",
         "answered_at",
+        "disconnected",
         "leases_expire_at",
         "stopping",
         "failed_requests",
@@ -267,6 +270,7 @@
         self.renewals_in_flight = 0
         self.renew_now = False
         self.renewal_due_at = self.answered_at = 0.0
+        self.disconnected = False
         self.leases_expire_at = 0.0
         self.stopping = False
         self.failed_requests: set[str] = set()
--- a/src/comfreysill/platform/runner.py
+++ b/src/comfreysill/platform/runner.py
@@ -221,6 +221,8 @@
     except aiohttp.ClientConnectorError as error:
         refused = isinstance(error.os_error, ConnectionRefusedError)
         return (ReplyStatus.REFUSED if refused else ReplyStatus.UNANSWERED), {}
+    except aiohttp.ServerDisconnectedError:
+        return ReplyStatus.DISCONNECTED, {}
     except (TimeoutError, aiohttp.ClientError, OSError, ValueError):
         return ReplyStatus.UNANSWERED, {}
     decoded = decode_document(REPLY_DECODER, text or b"{}")
