The lease that an agent grants allows for a runner's clock that runs slow since its last reading

What callers saw: nothing known. A run at a runner with a slow clock could go on for some milliseconds after its agent counted it as gone and its entry had it started elsewhere.

Cause: a lease ends 0.6 s after the estimated time on the runner's clock, and the estimate runs at full speed from the last reading. A clock that is 2% slow is behind it by 2% of the reading's age: 11 ms at 0.55 s, more where answers without a clock (429, 503) keep the runner from counting as silent. The margin of 0.07 s holds 12 ms for the lease itself and 50 ms for a stop, so 8 ms are left.

Then 0.6 / 0.98 + 0.05 = 0.662 s is below 0.67 s, whatever the age, and with it AGENT_EXPIRY_SECONDS and MAX_STOP_SECONDS hold, which add the same 0.67 s. The longest lease, 1 / 0.98 + 0.05 s, is 0.4 ms above its 1.07 s, less than the resolution of the clock.

Ruled out by a test: a renewal that is carried out late, at a birth, makes leases last up to 1 s; the agent goes on granting leases for 0.55 s after the last answer, so that it counts runs as gone only after that.

Cost: a lease is shorter by 2% of the reading's age, 3 ms at a renewal each 0.15 s.

--- a/src/comfreysill/execution/state.py
+++ b/src/comfreysill/execution/state.py
@@ -13,6 +13,9 @@
 from comfreysill.execution.calls import Call, RunnerLifetime, RunnerReport
 from comfreysill.execution.run import Run, RunState
 
+# A runner's clock may be 2% slow.
+MIN_CLOCK_RATE = 0.98
+
 
 class EntryLink:
     """Link of an agent with an entry; a session is one connection of it.
@@ -323,12 +326,13 @@
 
     Also postpones `leases_expire_at` to the end of this lease.
     """
-    clock = read_clock(agent, now)
-    if clock < 0:
+    if agent.clock_ms < 0:
         return 0
     until = now + RUN_LEASE_SECONDS + LEASE_MARGIN_SECONDS
     agent.leases_expire_at = max(agent.leases_expire_at, until)
-    return clock + int(RUN_LEASE_SECONDS * 1000)
+    # A slow clock may be behind its estimated time.
+    earliest_ms = agent.clock_ms + int((now - agent.clock_at) * MIN_CLOCK_RATE * 1000)
+    return earliest_ms + int(RUN_LEASE_SECONDS * 1000)
 
 
 def enqueue_run(agent: AgentState, run: Run) -> None:
--- a/tests/platform_world.py
+++ b/tests/platform_world.py
@@ -290,6 +290,8 @@
         self.lost_until = {}
         # Calls that are still to be carried out late, by the runner's name.
         self.late_calls = {name: [] for name in self.agents}
+        # Seconds by which the time of day of an instance is set back, by agent.
+        self.clock_lags = {}
         # Replies come up to so many seconds late, so that they overtake each other.
         self.max_reply_delay = 0.0
         # Tests replace it: seconds that a call is late without an answer, None for a normal call.
@@ -389,7 +391,7 @@
         process.lifetime += 1
         process.alive = True
         process.deferred = []
-        token = int(self.now * 1000)
+        token = int((self.now - self.clock_lags.get(name, 0.0)) * 1000)
         process.state = AgentState(
             agent=name, lifetime=str(process.lifetime), zone="z", token=token
         )
