A run that no list has shown is held when its runner is born again under its id

Cause: a start accepted by a later lifetime of a runner is taken for one of the lifetime in use if the later one's clock happens to be within -250 to +100 ms of the earlier one's (`is_clock_continuous`). When the rebirth was seen, the run was given back as LOST with the earlier lifetime.

Why the fix works: only a list names the lifetime. A run that no list has shown since its start, at a runner that has been born again under its id, waits for the first list of the later lifetime: there it goes on, else it is LOST, and its task isn't bound.

Left: a later lifetime that falls silent right after it accepted the start, within a lease granted by the other clock.

--- a/src/comfreysill/execution/renewals.py
+++ b/src/comfreysill/execution/renewals.py
@@ -92,6 +92,9 @@
     call = reply.call
     if call.lifetime != agent.runner_lifetime:
         return
+    if _is_born_again(reply):
+        end_runner_lifetime(agent, now, "the runner was born again", is_reborn=True)
+        return
     end_reason = _find_end_of_lifetime(agent, reply)
     if end_reason:
         end_runner_lifetime(agent, now, end_reason)
@@ -134,12 +137,16 @@
     is_refused = reply.status == ReplyStatus.REFUSED and not agent.renewals_in_flight
     if is_refused and agent.disconnected:
         return "nothing listens at its address"
-    expected_ms = reply.call.lifetime.started_at_ms
-    if reply.started_at_ms and expected_ms and reply.started_at_ms != expected_ms:
-        return "the runner was born again"
     return ""
 
 
+def _is_born_again(reply: RenewReply) -> bool:
+    """Returns whether a later lifetime under the same id has answered."""
+    expected_ms = reply.call.lifetime.started_at_ms
+    is_other = reply.started_at_ms and expected_ms and reply.started_at_ms != expected_ms
+    return bool(is_other) and reply.status != ReplyStatus.GONE
+
+
 def check_lease_expiry(agent: AgentState, now: float) -> None:
     """Ends all runs once every run lease has expired at a runner that answers no renewals."""
     expire_unconfirmed(agent, now)
@@ -186,6 +193,7 @@
         if run.state == RunState.WAITING:
             continue
         is_listed = listed.get(run.task) == run.number
+        run.listed = run.listed or is_listed
         if run.state == RunState.UNCONFIRMED:
             _resolve_unconfirmed_start(agent, run, reply, listed.get(run.task), now)
         elif run.state == RunState.STARTING:
--- a/src/comfreysill/execution/run.py
+++ b/src/comfreysill/execution/run.py
@@ -40,6 +40,9 @@
         lifetime: Runner lifetime that the newest start call was addressed to, None before it.
         late_until: Boot-clock time in seconds after which nothing runs of a start call that got no
             answer, 0 if all were answered. Until then the task starts nowhere else.
+        held_until: Boot-clock time in seconds until which an accepted run waits for the next
+            lifetime of its runner to list it, 0 unless its own has ended.
+        listed: True once the runner has listed the newest start.
         resolving_token: Lowest token of renewals that resolve an unconfirmed start, 0 before any.
         stop_wanted: True if the run has to be stopped once it is known to run.
         stop_sent_at: Boot-clock time in seconds of the last stop call, 0 before the first.
@@ -62,6 +65,8 @@
         "changed_at",
         "lifetime",
         "late_until",
+        "held_until",
+        "listed",
         "resolving_token",
         "stop_wanted",
         "stop_sent_at",
@@ -83,6 +88,8 @@
         self.changed_at = now
         self.lifetime: RunnerLifetime | None = None
         self.late_until = 0.0
+        self.held_until = 0.0
+        self.listed = False
         self.resolving_token = 0
         self.stop_wanted = False
         self.stop_sent_at = 0.0
--- a/src/comfreysill/execution/runner.py
+++ b/src/comfreysill/execution/runner.py
@@ -1,6 +1,10 @@
 """Lifetimes of the runner: its reports, its deregistration and the end of a lifetime."""
 
-from comfreysill.exchange.messages import Outcome
+from comfreysill.exchange.messages import (
+    LEASE_MARGIN_SECONDS,
+    MAX_RUN_LEASE_SECONDS,
+    Outcome,
+)
 from comfreysill.execution.calls import RunnerReport
 from comfreysill.execution.capacity import return_excess_runs
 from comfreysill.execution.crashes import record_crash
@@ -35,7 +39,9 @@
         count(agent, "reports_stale")
         return False
     else:
-        end_runner_lifetime(agent, now, "a new lifetime reported")
+        ended = agent.runner_lifetime
+        is_reborn = ended is not None and ended.runner_id == report.lifetime.runner_id
+        end_runner_lifetime(agent, now, "a new lifetime reported", is_reborn=is_reborn)
         agent.report = report
         agent.profile_version += 1
     if agent.runner_lifetime is None:
@@ -107,12 +113,13 @@
 
 
 def end_runner_lifetime(
-    agent: AgentState, now: float, reason: str, is_certain: bool = True
+    agent: AgentState, now: float, reason: str, is_certain: bool = True, is_reborn: bool = False
 ) -> None:
     """Marks the runner's lifetime as ended, if one is in use, and ends all runs on it.
 
     A lifetime that ends neither after a deregistration nor while draining has crashed. Unless
-    `is_certain`, a later report of it shows that it goes on.
+    `is_certain`, a later report of it shows that it goes on. If `is_reborn`, a later lifetime is
+    there under its id.
     """
     if agent.runner_lifetime is None:
         return
@@ -127,14 +134,15 @@
     agent.deregistered = False
     agent.runner_lifetime = None
     agent.reconciled = False
-    end_all_runs(agent, now, reason)
+    end_all_runs(agent, now, reason, is_reborn)
 
 
-def end_all_runs(agent: AgentState, now: float, reason: str) -> None:
+def end_all_runs(agent: AgentState, now: float, reason: str, is_reborn: bool = False) -> None:
     """Ends the runs of a lifetime: waiting ones as RETURNED, started ones as LOST.
 
     Those with a start call that got no answer become unconfirmed, as the call may be carried out
-    late.
+    late; if `is_reborn`, also those that no list has shown, as a later lifetime of the runner may
+    have accepted them.
     """
     for run in list(agent.runs.values()):
         if run.state == RunState.UNCONFIRMED:
@@ -143,6 +151,10 @@
             _hold_run(agent, run, now, reason)
         elif run.state == RunState.WAITING:
             end_run(agent, run, Outcome.RETURNED, now, detail=reason)
+        elif is_reborn and not run.listed:
+            run.stop_wanted = run.stop_wanted or run.state == RunState.STOPPING
+            run.held_until = now + MAX_RUN_LEASE_SECONDS + LEASE_MARGIN_SECONDS
+            _hold_run(agent, run, now, reason)
         else:
             end_run(agent, run, Outcome.LOST, now, detail=reason)
 
--- a/src/comfreysill/execution/starts.py
+++ b/src/comfreysill/execution/starts.py
@@ -107,6 +107,7 @@
 
 def _queue_start_call(agent: AgentState, run: Run, now: float) -> None:
     run.lifetime = agent.runner_lifetime
+    run.listed = False
     agent.calls.append(
         StartCall(
             lifetime=agent.runner_lifetime,
@@ -261,7 +262,7 @@
 def expire_unconfirmed(agent: AgentState, now: float) -> None:
     """Ends runs whose start call is too old to be carried out, at a runner that never answered."""
     for run in list(agent.runs.values()):
-        if run.state == RunState.UNCONFIRMED and now > run.late_until:
+        if run.state == RunState.UNCONFIRMED and now > max(run.late_until, run.held_until):
             end_run(agent, run, Outcome.LOST, now, detail="its start was never answered")
 
 
--- a/tests/test_late_calls.py
+++ b/tests/test_late_calls.py
@@ -5,7 +5,7 @@
 from comfreysill.execution.calls import ReplyStatus, StartCall, StopCall
 from comfreysill.placement.agents import end_session
 from comfreysill.request.types import Verdict
-from tests.platform_world import NEVER, RESEND_DELAY_SECONDS, SILENT, World
+from tests.platform_world import CPU_CAPACITY, NEVER, RESEND_DELAY_SECONDS, SILENT, World
 
 TASK = "r/0/0"
 SEEDS = range(4)
@@ -182,6 +182,28 @@
             self.check(world, seed)
 
 
+class TestContinuousClocks(LateCallCase):
+    # Guards against a start that a later lifetime of its runner has accepted, on a clock that goes
+    # on where that of the earlier one ended, and that is given back with the earlier lifetime.
+    def test_a_start_that_another_lifetime_has_accepted_on_a_clock_that_goes_on(self):
+        for seed in SEEDS:
+            world = self.build_world(seed, agents=2)
+            world.runners["a1"].set_cpu(0)
+            world.report_now("a1")
+            world.run(0.1)
+            earlier = world.runners["a0"]
+            world.crash_runner("a0", down_seconds=0.01)
+            report_now, world.report_now = world.report_now, lambda name: None
+            world.run(0.012)
+            world.runners["a0"].clock_started_at = earlier.clock_started_at
+            self.submit(world)
+            self.run_until(world, lambda world=world: find_runners(world))
+            world.report_now = report_now
+            world.runners["a1"].set_cpu(CPU_CAPACITY)
+            world.report_now("a1")
+            self.check(world, seed)
+
+
 class TestRefusedConnections(LateCallCase):
     def refuse_connections(self, status):
         for seed in SEEDS:
