A test of late starts of an agent whose clock was set back; they are ruled out

A new agent's tokens then begin below those of its earlier lifetime, so that no token keeps a late start from being carried out by a runner that was born again. What does is the binding: the entry keeps tasks whose start its dead agent hadn't confirmed at that target for as long as the start may come. The test passes on the code before; it fails, as one other does, if tasks of a dead agent aren't bound (a mutation of _end_abandoned_tasks). An entry that doesn't know the binding is the known fault of test_a_late_start_of_an_entry_that_is_gone.

--- a/tests/test_late_calls.py
+++ b/tests/test_late_calls.py
@@ -121,6 +121,18 @@
                     world.schedule(late_seconds, held.deliver)
                     self.check(world, seed)
 
+    # Guards against the same when the agent's time of day was set back meanwhile, so that its next
+    # lifetime begins with a token below that of the start; the task is bound to its target.
+    def test_a_late_start_of_an_agent_whose_clock_was_set_back(self):
+        for seed in SEEDS:
+            for late_seconds in (0.6, 1.0, 3.0):
+                world, held = self.hold_start(seed)
+                world.clock_lags[held.agent] = 5.0
+                world.kill_agent(held.agent, down_seconds=0.1)
+                world.crash_runner(held.agent, down_seconds=DOWN_SECONDS)
+                world.schedule(late_seconds, held.deliver)
+                self.check(world, seed)
+
     # Guards against the same when the agent is back before its runner is born again.
     def test_a_late_start_of_an_earlier_agent_in_the_first_moment_of_a_later_lifetime(self):
         for seed in SEEDS:
