--- a/src/comfreysill/execution/state.py
+++ b/src/comfreysill/execution/state.py
@@ -13,6 +13,9 @@
 from comfreysill.execution.calls import Call, RunnerLifetime, RunnerReport
 from comfreysill.execution.run import Run, RunState
 
+# A runner's clock may be 2% slow.
+MIN_CLOCK_RATE = 0.98
+
 
 class EntryLink:
     """Link of an agent with an entry; a session is one connection of it.
@@ -156,6 +159,8 @@
         renewal_due_at: Boot-clock time in seconds before which no renewal is sent, 0 before the
             first one that failed.
         answered_at: Boot-clock time in seconds of the last answer of the runner to any call.
+        disconnected: True if the runner has closed the connection of an open renewal since its last
+            answer to one.
         leases_expire_at: Boot-clock time in seconds by which all run leases have expired.
         stopping: True once the process is shutting down.
         failed_requests: Requests with a failed task since the last successful task.
@@ -215,6 +220,7 @@
         "renew_now",
         "renewal_due_at",
         "answered_at",
+        "disconnected",
         "leases_expire_at",
         "stopping",
         "failed_requests",
@@ -267,6 +273,7 @@
         self.renewals_in_flight = 0
         self.renew_now = False
         self.renewal_due_at = self.answered_at = 0.0
+        self.disconnected = False
         self.leases_expire_at = 0.0
         self.stopping = False
         self.failed_requests: set[str] = set()
@@ -319,12 +326,13 @@
 
     Also postpones `leases_expire_at` to the end of this lease.
     """
-    clock = read_clock(agent, now)
-    if clock < 0:
+    if agent.clock_ms < 0:
         return 0
     until = now + RUN_LEASE_SECONDS + LEASE_MARGIN_SECONDS
     agent.leases_expire_at = max(agent.leases_expire_at, until)
-    return clock + int(RUN_LEASE_SECONDS * 1000)
+    # A slow clock may be behind its estimated time.
+    earliest_ms = agent.clock_ms + int((now - agent.clock_at) * MIN_CLOCK_RATE * 1000)
+    return earliest_ms + int(RUN_LEASE_SECONDS * 1000)
 
 
 def enqueue_run(agent: AgentState, run: Run) -> None:
--- a/tests/test_late_calls.py
+++ b/tests/test_late_calls.py
@@ -2,10 +2,10 @@
 
 import unittest
 
-from comfreysill.execution.calls import StartCall, StopCall
+from comfreysill.execution.calls import ReplyStatus, StartCall, StopCall
 from comfreysill.placement.agents import end_session
 from comfreysill.request.types import Verdict
-from tests.platform_world import NEVER, RESEND_DELAY_SECONDS, World
+from tests.platform_world import CPU_CAPACITY, NEVER, RESEND_DELAY_SECONDS, SILENT, World
 
 TASK = "r/0/0"
 SEEDS = range(4)
@@ -121,6 +121,18 @@
                     world.schedule(late_seconds, held.deliver)
                     self.check(world, seed)
 
+    # Guards against the same when the agent's time of day was set back meanwhile, so that its next
+    # lifetime begins with a token below that of the start; the task is bound to its target.
+    def test_a_late_start_of_an_agent_whose_clock_was_set_back(self):
+        for seed in SEEDS:
+            for late_seconds in (0.6, 1.0, 3.0):
+                world, held = self.hold_start(seed)
+                world.clock_lags[held.agent] = 5.0
+                world.kill_agent(held.agent, down_seconds=0.1)
+                world.crash_runner(held.agent, down_seconds=DOWN_SECONDS)
+                world.schedule(late_seconds, held.deliver)
+                self.check(world, seed)
+
     # Guards against the same when the agent is back before its runner is born again.
     def test_a_late_start_of_an_earlier_agent_in_the_first_moment_of_a_later_lifetime(self):
         for seed in SEEDS:
@@ -197,18 +209,64 @@
             self.check(world, seed)
 
 
+class TestContinuousClocks(LateCallCase):
+    # Guards against a start that a later lifetime of its runner has accepted, on a clock that goes
+    # on where that of the earlier one ended, and that is given back with the earlier lifetime.
+    def test_a_start_that_another_lifetime_has_accepted_on_a_clock_that_goes_on(self):
+        for seed in SEEDS:
+            world = self.build_world(seed, agents=2)
+            world.runners["a1"].set_cpu(0)
+            world.report_now("a1")
+            world.run(0.1)
+            earlier = world.runners["a0"]
+            world.crash_runner("a0", down_seconds=0.01)
+            report_now, world.report_now = world.report_now, lambda name: None
+            world.run(0.012)
+            world.runners["a0"].clock_started_at = earlier.clock_started_at
+            self.submit(world)
+            self.run_until(world, lambda world=world: find_runners(world))
+            world.report_now = report_now
+            world.runners["a1"].set_cpu(CPU_CAPACITY)
+            world.report_now("a1")
+            self.check(world, seed)
+
+
 class TestRefusedConnections(LateCallCase):
-    # Guards against tasks started elsewhere as a cut refuses connections to a runner that is up.
-    def test_a_cut_that_refuses_connections_to_a_runner_that_is_up(self):
+    def refuse_connections(self, status):
         for seed in SEEDS:
             for seconds in (0.1, 0.4, 2.0):
                 world = self.build_world(seed)
                 self.submit(world)
                 self.run_until(world, lambda world=world: find_runners(world))
                 world.run(0.3)
-                world.refuse_connections(find_runners(world)[0], seconds)
+                world.refuse_connections(find_runners(world)[0], seconds, status)
                 self.check(world, seed)
 
+    # Guards against tasks started elsewhere as a cut refuses connections to a runner that is up,
+    # and resets those that are open.
+    def test_a_cut_that_refuses_connections_to_a_runner_that_is_up(self):
+        self.refuse_connections(ReplyStatus.UNANSWERED)
+
+    # Guards against the same for a cut that leaves the open connections silent.
+    def test_a_cut_that_refuses_connections_and_leaves_open_ones_silent(self):
+        self.refuse_connections(SILENT)
+
+    # Guards against the same for a cut that closes the open connections, as the end of the
+    # runner's process does.
+    def test_a_cut_that_refuses_connections_and_closes_open_ones(self):
+        self.refuse_connections(ReplyStatus.DISCONNECTED)
+
+    # Guards against tasks held for as long as a lease lasts at a runner whose process has ended.
+    def test_the_end_of_a_runner_is_seen_at_once(self):
+        for seed in SEEDS:
+            world = self.build_world(seed)
+            self.submit(world, seconds=0.8)
+            self.run_until(world, lambda world=world: find_runners(world))
+            world.run(0.3)
+            world.crash_runner(find_runners(world)[0], down_seconds=3.0)
+            self.run_until(world, lambda world=world: find_runners(world), seconds=0.1)
+            self.check(world, seed)
+
 
 class TestUnansweredStops(LateCallCase):
     def lose_stops(self, world):
