A crash report names no start that the crashed runner refused

Cause: the report of a crash named each run that wasn't waiting, also those whose start call had no reply yet. After the crash of one runner its task is placed isolated, perhaps on a target whose runner has ended at the same moment. The start and the renewal are both refused; if the renewal's reply is read first, the start counts as running: a second crash, isolated, conclusive.

Fix: the report names at once what was confirmed or had broken off before. A start whose call is open is added, under the same crash id, once the call has broken off or was accepted, and never if any other reply shows that it had no effect. A call has a reply within COMMAND_TIMEOUT_SECONDS. The ledger takes the tasks of a later report of a crash into the one it has. If a deadly task's start breaks off as the runner dies, it is reported as before.

Two older tests crashed a runner before any reply to its starts and expected these in the report; they now confirm the starts first, with the same assertions, and the new tests cover the starts without a reply.

--- a/src/comfreysill/crashes/ledger.py
+++ b/src/comfreysill/crashes/ledger.py
@@ -87,13 +87,13 @@
 
 
 def record_crash(ledger: CrashLedger, report: CrashReport, now: float) -> list[str]:
-    """Records a crash, unless it is known already.
+    """Records a crash, or the tasks that a later report of a known crash names in addition.
 
     Returns:
-        The ids of the requests whose tasks were running.
+        The ids of the requests whose tasks were running; empty if nothing is new.
     """
     if report.crash_id in ledger.crash_ids:
-        return []
+        return _extend_crash(ledger, report)
     request_ids = list_request_ids(report)
     is_isolated = len(request_ids) == 1
     is_doubtful = is_isolated and is_crash_prone(ledger, get_agent_name(report), request_ids[0])
@@ -110,6 +110,24 @@
     return request_ids
 
 
+def _extend_crash(ledger: CrashLedger, report: CrashReport) -> list[str]:
+    """Adds the tasks to a known crash that only this report of it names."""
+    crash = next(crash for crash in ledger.known if crash.report.crash_id == report.crash_id)
+    known = crash.report
+    if set(report.tasks) <= set(known.tasks):
+        return []
+    _add_crash(ledger, crash, -1)
+    crash.report = CrashReport(
+        crash_id=known.crash_id,
+        tasks=tuple(dict.fromkeys((*report.tasks, *known.tasks))),
+        route=report.route,
+    )
+    request_ids = list_request_ids(crash.report)
+    crash.conclusive = crash.conclusive and len(request_ids) == 1
+    _add_crash(ledger, crash, 1)
+    return request_ids
+
+
 def expire_crashes(ledger: CrashLedger, now: float) -> None:
     """Forgets crashes whose retention has ended, and ends confinements."""
     for route, ends_at in list(ledger.confined_until.items()):
--- a/src/comfreysill/execution/crashes.py
+++ b/src/comfreysill/execution/crashes.py
@@ -1,14 +1,10 @@
 """Crashes of the runner: what an agent reports of them to entries and keeps in the store."""
 
 from comfreysill.crashes.report import CRASH_RETENTION_SECONDS, CrashReport
+from comfreysill.execution.calls import CallReply, ReplyStatus, StartCall
+from comfreysill.execution.recent_crashes import RecentCrash, UnsettledCrash
 from comfreysill.execution.run import Run, RunState
-from comfreysill.execution.state import (
-    AgentState,
-    EntryLink,
-    RecentCrash,
-    count,
-    note_event,
-)
+from comfreysill.execution.state import AgentState, EntryLink, count, note_event
 
 # A log line about a crash names at most this many of the tasks that may have caused it.
 MAX_LOGGED_TASKS = 12
@@ -17,36 +13,85 @@
 def record_crash(agent: AgentState, reason: str, now: float) -> None:
     """Logs a crash of the runner in use, and queues its report if runs may have been there.
 
-    A runner may have fallen silent as it crashed, so that its runs were given up before.
+    A start call that has no reply yet may be refused, as the runner had crashed before. Such a
+    start is named once the call is known to have broken off; see `settle_crash`. A runner may have
+    fallen silent as it crashed, so that its runs were given up before.
     """
-    lifetime = str(agent.runner_lifetime)
-    started = list_started_runs(agent)
-    present = {run.task for run in started}
-    started += [run for run in agent.silent_runs if run.task not in present]
+    runs = {run.number: run for run in (*agent.silent_runs, *list_started_runs(agent))}
     agent.silent_runs = []
-    tasks = tuple(run.task for run in started)
-    routes = {run.batch.route for run in started}
+    crash = UnsettledCrash(lifetime=str(agent.runner_lifetime), runs={}, open_starts={})
+    for number in sorted(runs, reverse=True):
+        run = runs[number]
+        named = crash.open_starts if _is_start_open(agent, run) else crash.runs
+        named[number] = (run.task, run.batch.route)
     count(agent, "runner_crashes")
+    _note_crash(agent, "runner crashed", crash, reason)
+    if crash.runs:
+        _report_crash(agent, crash, now)
+    if crash.open_starts:
+        agent.unsettled_crashes.append(crash)
+
+
+def settle_crash(agent: AgentState, reply: CallReply, now: float) -> None:
+    """Adds a start to the report of a crash if its call has broken off or was accepted.
+
+    Any other reply shows that the start had no effect.
+    """
+    call = reply.call
+    if not isinstance(call, StartCall):
+        return
+    agent.open_starts.discard(call.run)
+    for crash in [crash for crash in agent.unsettled_crashes if call.run in crash.open_starts]:
+        started = crash.open_starts.pop(call.run)
+        if not crash.open_starts:
+            agent.unsettled_crashes.remove(crash)
+        if reply.status in (ReplyStatus.UNANSWERED, ReplyStatus.ACCEPTED):
+            crash.runs[call.run] = started
+            _note_crash(agent, "start added to a crash", crash, reply.status.name)
+            _report_crash(agent, crash, now)
+
+
+def _is_start_open(agent: AgentState, run: Run) -> bool:
+    """Returns whether nothing shows yet that the newest start of a run had an effect or none."""
+    is_confirmed = run.state in (RunState.RUNNING, RunState.STOPPING)
+    return run.number in agent.open_starts and not is_confirmed
+
+
+def _note_crash(agent: AgentState, text: str, crash: UnsettledCrash, reason: str) -> None:
+    tasks = _list_tasks(crash)
     note_event(
         agent,
-        "runner crashed",
-        lifetime=lifetime,
+        text,
+        lifetime=crash.lifetime,
         why=reason,
         runs=len(tasks),
-        tasks=list(tasks[:MAX_LOGGED_TASKS]),
+        tasks=tasks[:MAX_LOGGED_TASKS],
+        open_starts=len(crash.open_starts),
+    )
+
+
+def _list_tasks(crash: UnsettledCrash) -> list[str]:
+    """Returns the tasks that may have been running, those started last first."""
+    return [crash.runs[number][0] for number in sorted(crash.runs, reverse=True)]
+
+
+def _report_crash(agent: AgentState, crash: UnsettledCrash, now: float) -> None:
+    """Queues the report of a crash; a later report with its id replaces it."""
+    routes = {route for _, route in crash.runs.values()}
+    agent.last_crash_number += 1
+    crash.crash_id = crash.crash_id or f"{agent.agent}/{agent.lifetime}/{agent.last_crash_number}"
+    report = CrashReport(
+        crash_id=crash.crash_id,
+        tasks=tuple(dict.fromkeys(_list_tasks(crash))),
+        route=routes.pop() if len(routes) == 1 else "",
+    )
+    agent.unsaved_crashes.append(report)
+    recent = RecentCrash(
+        number=agent.last_crash_number,
+        report=report,
+        expires_at=now + CRASH_RETENTION_SECONDS,
     )
-    if tasks:
-        agent.last_crash_number += 1
-        crash_id = f"{agent.agent}/{agent.lifetime}/{agent.last_crash_number}"
-        route = routes.pop() if len(routes) == 1 else ""
-        report = CrashReport(crash_id=crash_id, tasks=tasks, route=route)
-        agent.unsaved_crashes.append(report)
-        crash = RecentCrash(
-            number=agent.last_crash_number,
-            report=report,
-            expires_at=now + CRASH_RETENTION_SECONDS,
-        )
-        agent.recent_crashes.append(crash)
+    agent.recent_crashes.append(recent)
 
 
 def list_unsent_crashes(agent: AgentState, link: EntryLink, now: float) -> tuple[CrashReport, ...]:
--- a/src/comfreysill/execution/starts.py
+++ b/src/comfreysill/execution/starts.py
@@ -9,6 +9,7 @@
     Outcome,
 )
 from comfreysill.execution.calls import CallReply, ReplyStatus, StartCall, StopCall
+from comfreysill.execution.crashes import settle_crash
 from comfreysill.execution.health import record_failure
 from comfreysill.execution.isolation import may_start
 from comfreysill.execution.run import Run, RunState
@@ -101,6 +102,7 @@
 
 def _queue_start_call(agent: AgentState, run: Run, now: float) -> None:
     run.lifetime = agent.runner_lifetime
+    agent.open_starts.add(run.number)
     agent.calls.append(
         StartCall(
             lifetime=agent.runner_lifetime,
@@ -171,6 +173,7 @@
     Of the reply to a stop only the clock is used: the end is confirmed by the runner's lists.
     """
     call = reply.call
+    settle_crash(agent, reply, now)
     if call.lifetime != agent.runner_lifetime:
         _settle_earlier_start(agent, reply, now)
         return
@@ -185,9 +188,7 @@
     if run is None or run.number != call.run or run.state != RunState.STARTING:
         return
     if reply.status == ReplyStatus.UNANSWERED:
-        count(agent, "starts_unanswered")
-        note_event(agent, "start unanswered; token raised", task=run.task, token=agent.token + 1)
-        mark_unconfirmed(agent, run, now)
+        _hold_unanswered_start(agent, run, now)
     elif reply.status == ReplyStatus.ACCEPTED and not is_current:
         # Another lifetime of the runner may have accepted it.
         note_event(agent, "start accepted on another clock; token raised", task=run.task)
@@ -207,6 +208,12 @@
         _return_run(agent, run, now, f"the runner refused: {reply.status.name}")
 
 
+def _hold_unanswered_start(agent: AgentState, run: Run, now: float) -> None:
+    count(agent, "starts_unanswered")
+    note_event(agent, "start unanswered; token raised", task=run.task, token=agent.token + 1)
+    mark_unconfirmed(agent, run, now)
+
+
 def mark_running(agent: AgentState, run: Run, now: float) -> None:
     """Marks a run as running, and queues its stop if one was requested meanwhile."""
     run.state = RunState.RUNNING
--- a/src/comfreysill/execution/state.py
+++ b/src/comfreysill/execution/state.py
@@ -11,6 +11,7 @@
     Outcome,
 )
 from comfreysill.execution.calls import Call, RunnerLifetime, RunnerReport
+from comfreysill.execution.recent_crashes import RecentCrash, UnsettledCrash
 from comfreysill.execution.run import Run, RunState
 
 
@@ -75,23 +76,6 @@
         self.address = ""
 
 
-class RecentCrash:
-    """A crash of the runner, kept for entries that don't know of it yet.
-
-    Attributes:
-        number: Sequence number among the crashes in the agent's lifetime, from 1.
-        report: The report.
-        expires_at: Boot-clock time in seconds from which it is no longer sent.
-    """
-
-    __slots__ = ("number", "report", "expires_at")
-
-    def __init__(self, *, number: int, report: CrashReport, expires_at: float) -> None:
-        self.number = number
-        self.report = report
-        self.expires_at = expires_at
-
-
 class UnfinalStart:
     """A task with a start that may be carried out late, kept for the entries; see `unfinal_starts`.
 
@@ -142,6 +126,7 @@
         runs: The runs by task.
         silent_runs: Runs that may have been at the runner when it fell silent, those started last
             first; empty once it has answered.
+        open_starts: Run numbers of the start calls without a reply.
         waiting: Heap of (priority, due, queue sequence, run) waiting for capacity.
         queue_sequence: Sequence number of the last enqueued run; orders equal heap entries.
         isolated_runs: Number of runs that have to be isolated, waiting ones included.
@@ -178,6 +163,7 @@
         unfinal_starts: Tasks with a start that isn't final, or wasn't until lately, by name; the
             one that changed first is first.
         last_unfinal_start_number: Sequence number of their last change, 0 before the first.
+        unsettled_crashes: Crashes that some start calls without a reply may belong to.
         unsaved_crashes: Reports of crashes for the store, drained by the process.
         calls: Pending calls to the runner, drained by the process.
         events: Pending log lines as (text, fields), drained by the process.
@@ -202,6 +188,7 @@
         "orphan_stop_sent_at",
         "runs",
         "silent_runs",
+        "open_starts",
         "waiting",
         "queue_sequence",
         "isolated_runs",
@@ -234,6 +221,7 @@
         "last_crash_number",
         "unfinal_starts",
         "last_unfinal_start_number",
+        "unsettled_crashes",
         "unsaved_crashes",
         "calls",
         "events",
@@ -259,6 +247,7 @@
         self.orphan_stop_sent_at: dict[str, float] = {}
         self.runs: dict[str, Run] = {}
         self.silent_runs: list[Run] = []
+        self.open_starts: set[int] = set()
         self.waiting: list[tuple[int, float, int, Run]] = []
         self.queue_sequence = 0
         self.isolated_runs = 0
@@ -284,6 +273,7 @@
         self.last_crash_number = 0
         self.unfinal_starts: dict[str, UnfinalStart] = {}
         self.last_unfinal_start_number = 0
+        self.unsettled_crashes: list[UnsettledCrash] = []
         self.unsaved_crashes: list[CrashReport] = []
         self.calls: list[Call] = []
         self.events: list[tuple[str, dict[str, object]]] = []
--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -272,6 +272,18 @@
         f"{CRASHES}.ledger.is_crash_prone",
         lambda original: lambda *a: False,
     ),
+    "refused-starts-blamed": (
+        f"{EXECUTION}.crashes._is_start_open",
+        lambda original: lambda *a: False,
+    ),
+    "broken-off-starts-not-blamed": (
+        f"{EXECUTION}.starts.settle_crash",
+        lambda original: lambda *a: None,
+    ),
+    "later-reports-of-a-crash-ignored": (
+        f"{CRASHES}.ledger._extend_crash",
+        lambda original: lambda *a: [],
+    ),
     "suspects-placed-beside-others": (
         f"{PLACEMENT}.crashes.suspect_tasks",
         lambda original: lambda *a: None,
--- a/tests/test_crash_ledger.py
+++ b/tests/test_crash_ledger.py
@@ -97,6 +97,19 @@
             self.record("a/1", "r/0/0")
         self.assertEqual(find_deadly_task(self.ledger, "r"), "")
 
+    # Guards against guilt by a report that didn't name all tasks yet, and a crash counted twice.
+    def test_a_later_report_of_a_crash_adds_the_tasks_that_it_names(self):
+        self.record("a/1/1", "r/0/0")
+        self.assertEqual(self.record("a/1/1", "s/0/0", "r/0/0"), ["s", "r"])
+        self.assertEqual(self.record("a/1/1", "r/0/0"), [])
+        self.assertTrue(is_suspect(self.ledger, "s/0/0"))
+        self.record("b/1/1", "r/0/0", "t/0/0")
+        self.assertEqual(find_deadly_task(self.ledger, "r"), "")
+        self.record("c/1/1", "r/0/0")
+        self.assertEqual(find_deadly_task(self.ledger, "r"), "r/0/0")
+        expire_crashes(self.ledger, CRASH_RETENTION_SECONDS)
+        self.assertEqual(self.ledger.requests, {})
+
     def test_crashes_are_forgotten_after_their_retention(self):
         self.record("a/1", "r/0/0", "s/0/0")
         self.record("b/1", "r/0/0", now=10.0)
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -72,6 +72,23 @@
             self.assertEqual(verdicts.count(Verdict.FAILED), 0, seed)
             self.assertGreater(verdicts.count(Verdict.COMPLETED), 200, seed)
 
+    # Guards against blaming tasks for crashes of many runners at one moment, by reports that name
+    # starts that came after the crash and were refused.
+    def test_no_request_is_given_up_for_starts_that_crashed_runners_refused(self):
+        for seed in range(20):
+            world = World(seed, entries=2, agents=6)
+            world.run(2.0)
+            world.max_reply_delay = 0.01
+            for number in range(8):
+                world.submit(f"r{number}", f"e{number % 2}", tasks=4, seconds=1.0)
+            world.run(0.3)
+            for name in world.agents:
+                world.crash_runner(name, 0.3)
+            world.run(10.0)
+            verdicts = [verdict for answers in world.verdicts.values() for verdict in answers]
+            self.assertEqual(verdicts.count(Verdict.FAILED), 0, seed)
+            self.assertEqual(verdicts.count(Verdict.COMPLETED), 8, seed)
+
     def test_crashes_are_known_after_the_entry_that_saw_them_was_killed(self):
         """Guards against a resubmitted request that crashes runners as if it were new."""
         for seed in SEEDS:
--- a/tests/test_execution.py
+++ b/tests/test_execution.py
@@ -570,6 +570,7 @@
         self.deliver_frame(tasks=2)
         self.deliver_frame(tasks=1, request_id="later")
         start_waiting(self.agent, self.now)
+        self.confirm_starts()
         self.deliver_report(started_at_ms=2)
         crash = self.find_event("runner crashed")
         self.assertEqual(crash["tasks"], ["later/0/0", "r/0/1", "r/0/0"])
@@ -579,6 +580,7 @@
         """Guards against crash reports that only one entry has when it dies."""
         self.deliver_frame(entry="other@1")
         self.deliver_frame(tasks=2)
+        self.confirm_starts()
         self.deliver_report(started_at_ms=2)
         self.assertEqual(
             {entry: self.list_crashed_tasks(frame) for entry, frame in self.collect()},
@@ -596,6 +598,58 @@
     def list_crashed_tasks(self, frame):
         return [report.tasks for report in frame.crashes]
 
+    # Guards against a report that names a start as the cause of a crash that came before it.
+    def test_a_start_that_a_crashed_runner_refused_is_in_no_report(self):
+        for status in (ReplyStatus.REFUSED, ReplyStatus.GONE):
+            for start_first in (False, True):
+                self.setUp()
+                self.deliver_frame(tasks=1)
+                (call,) = self.drain_starts()
+                if start_first:
+                    self.deliver_reply(call, status)
+                self.answer_renewal(status=status)
+                self.assertIsNone(self.agent.runner_lifetime)
+                if not start_first:
+                    self.deliver_reply(call, status)
+                self.assertEqual(self.agent.counters["runner_crashes"], 1)
+                self.assertEqual(list(self.agent.recent_crashes), [], (status, start_first))
+                self.assertEqual(self.list_ends(), [("r/0/0", Outcome.RETURNED)])
+
+    # Guards against a task that is never blamed as it crashes runners before they answer its start.
+    def test_a_start_whose_call_broke_off_as_its_runner_crashed_is_reported(self):
+        for status in (ReplyStatus.UNANSWERED, ReplyStatus.ACCEPTED):
+            for start_first in (False, True):
+                self.setUp()
+                self.deliver_frame(tasks=1)
+                (call,) = self.drain_starts()
+                if start_first:
+                    self.deliver_reply(call, status)
+                self.deliver_report(started_at_ms=2)
+                if not start_first:
+                    self.assertEqual(list(self.agent.recent_crashes), [])
+                    self.deliver_reply(call, status)
+                reported = [crash.report.tasks for crash in self.agent.recent_crashes]
+                self.assertEqual(reported, [("r/0/0",)], (status, start_first))
+
+    # Guards against a second crash in the count of tasks that ran beside a start without an answer.
+    def test_a_start_whose_call_broke_off_is_added_to_the_crash_that_was_reported(self):
+        self.deliver_frame(tasks=1)
+        self.confirm_starts()
+        self.deliver_frame(tasks=2, request_id="later")
+        broken_off, refused = self.drain_starts()
+        self.deliver_report(started_at_ms=2)
+        (first,) = dict(self.collect())["e@1"].crashes
+        self.assertEqual(first.tasks, ("r/0/0",))
+        self.deliver_reply(refused, ReplyStatus.REFUSED)
+        self.deliver_reply(broken_off, ReplyStatus.UNANSWERED)
+        self.now += 1.0
+        (second,) = dict(self.collect())["e@1"].crashes
+        self.assertEqual(second.crash_id, first.crash_id)
+        self.assertEqual(second.tasks, ("later/0/0", "r/0/0"))
+        self.assertEqual(len(self.agent.unsaved_crashes), 2)
+        self.assertEqual(self.agent.unsettled_crashes, [])
+        self.assertEqual(self.agent.open_starts, set())
+
     def test_runs_of_a_runner_that_fell_silent_are_in_the_report_of_its_crash(self):
         """Guards against a task whose runners fall silent as they crash, so that none is blamed."""
         self.deliver_frame(tasks=1)
--- a/tests/test_unfinal_starts.py
+++ b/tests/test_unfinal_starts.py
@@ -180,7 +180,8 @@
         self.deliver_frame(tasks=1)
         self.confirm_starts()
         self.deliver_frame(tasks=1, request_id="q")
-        self.drain_starts()
+        (call,) = self.drain_starts()
+        self.deliver_reply(call, ReplyStatus.UNANSWERED)
         self.now += 2.0
         check_lease_expiry(self.agent, self.now)
         self.assertEqual(self.list_ends(), [(TASK, Outcome.LOST)])
@@ -192,10 +193,12 @@
     # goes down and up.
     def test_a_held_start_is_blamed_for_one_crash_only(self):
         self.deliver_frame(tasks=1)
-        self.drain_starts()
+        (call,) = self.drain_starts()
+        self.deliver_reply(call, ReplyStatus.UNANSWERED)
         # The later lifetimes end before they have answered anything.
         for started_at_ms in (2, 3, 4):
             self.deliver_report(started_at_ms=started_at_ms)
+        self.assertEqual(len(self.agent.unsaved_crashes), 1)
         ledger = CrashLedger()
         for report in self.agent.unsaved_crashes:
             record_crash(ledger, report, self.now)
