Crashes of several targets at one moment prove nothing against a task

Cause: an isolated crash of a target without an earlier one of its own was taken for proof, whatever happened to other targets at that moment. A task that was alone at its first crash needed any second crash only.

Fix: a crash that an agent reports at once is judged COINCIDENCE_SECONDS later. If MIN_COINCIDENT_TARGETS other targets crashed within that time of it, none of them under a task of its requests or of a proved one, it counts for suspicion only. No single task on one target can have caused these. Agents notice a crash when the renewal breaks or, 0.05 s later, is refused. Until the judgement the task isn't started again. Reports from the store and of new sessions come all together and are judged at once, as before.

A deadly task still ends: crashes that coincide with fewer than two others prove as before, and of those that don't, six isolated ones do.

Costs: a deadly request gets its FAILED up to 0.15 s later. The crash of a target without tasks is not reported, so that it doesn't count as coincident: with nearly idle targets, or two that end together, a task may still be blamed.

--- a/src/comfreysill/gateway/actor.py
+++ b/src/comfreysill/gateway/actor.py
@@ -39,7 +39,7 @@
     receive_agent_frame,
     release_agent,
 )
-from comfreysill.placement.crashes import receive_crash
+from comfreysill.placement.crashes import judge_crashes, receive_crash
 from comfreysill.placement.effects import (
     CloseSession,
     Effect,
@@ -241,6 +241,7 @@
 def _receive_tick(actor: Actor, message: Tick, now: float) -> None:
     expire_agents(actor.state, now)
     expire_cached_verdicts(actor.state, now)
+    judge_crashes(actor.state, now)
     expire_crashes(actor.state.crashes, now)
     refuse_unmeetable(actor.state, now)
 
--- a/src/comfreysill/placement/agents.py
+++ b/src/comfreysill/placement/agents.py
@@ -151,7 +151,7 @@
     receive_late_starts(state, agent, frame.late_starts, now)
     # Before the ends that they caused, so that suspects are not placed beside other tasks again.
     for report in frame.crashes:
-        receive_crash(state, report, now)
+        receive_crash(state, report, now, is_recent=not frame.opening)
     for task_end in frame.ended:
         _receive_task_end(state, agent, task_end, now)
     if frame.opening:
--- a/src/comfreysill/placement/isolation.py
+++ b/src/comfreysill/placement/isolation.py
@@ -4,7 +4,7 @@
 caller is affected, and it is proved to be the cause. A part of the targets at most is used so.
 """
 
-from comfreysill.crashes.ledger import is_crash_prone
+from comfreysill.crashes.ledger import is_crash_prone, is_judgement_open
 from comfreysill.placement.bindings import may_place
 from comfreysill.placement.orders import Candidate, place_tasks
 from comfreysill.placement.state import EntryState
@@ -56,7 +56,12 @@
 def _list_allowed(
     state: EntryState, tasks: list[Task], candidate: Candidate, now: float
 ) -> list[Task]:
-    return [task for task in tasks if may_place(state, task.name, candidate.agent.name, now)]
+    return [
+        task
+        for task in tasks
+        if may_place(state, task.name, candidate.agent.name, now)
+        and not is_judgement_open(state.crashes, task.name)
+    ]
 
 
 def _rank_target(
--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -165,6 +165,13 @@
     return add
 
 
+def judge_at_once(original):
+    def receive(state, report, now, is_recent=False):
+        original(state, report, now, is_recent=False)
+
+    return receive
+
+
 def report_crash_on_departure(original):
     def receive(agent, runner_id, now):
         from comfreysill.execution.crashes import record_crash
@@ -284,6 +291,19 @@
         f"{CRASHES}.ledger._extend_crash",
         lambda original: lambda *a: [],
     ),
+    "coincident-crashes-trusted": (
+        f"{CRASHES}.ledger._is_coincident",
+        lambda original: lambda *a: False,
+    ),
+    "coincident-crashes-excused-for-ever": (
+        f"{CRASHES}.ledger.MIN_INCONCLUSIVE_CRASHES",
+        lambda original: 99,
+    ),
+    "recent-crashes-judged-at-once": (f"{PLACEMENT}.agents.receive_crash", judge_at_once),
+    "suspects-placed-before-the-judgement": (
+        f"{PLACEMENT}.isolation.is_judgement_open",
+        lambda original: lambda *a: False,
+    ),
     "suspects-placed-beside-others": (
         f"{PLACEMENT}.crashes.suspect_tasks",
         lambda original: lambda *a: None,
--- a/tests/platform_world.py
+++ b/tests/platform_world.py
@@ -46,7 +46,7 @@
     expire_agents,
     receive_agent_frame,
 )
-from comfreysill.placement.crashes import receive_crash
+from comfreysill.placement.crashes import judge_crashes, receive_crash
 from comfreysill.placement.effects import CloseSession, OpenLink, RemoveLink, SendFrame
 from comfreysill.placement.placement import place_waiting, refuse_unmeetable
 from comfreysill.placement.requests import (
@@ -422,6 +422,7 @@
     def tick_entry(self, process):
         expire_agents(process.state, self.now)
         expire_cached_verdicts(process.state, self.now)
+        judge_crashes(process.state, self.now)
         expire_crashes(process.state.crashes, self.now)
         refuse_unmeetable(process.state, self.now)
         self.flush_entry(process)
--- a/tests/test_crash_ledger.py
+++ b/tests/test_crash_ledger.py
@@ -1,14 +1,18 @@
 import unittest
 
 from comfreysill.crashes.ledger import (
+    COINCIDENCE_SECONDS,
     CONFINEMENT_SECONDS,
+    MIN_COINCIDENT_TARGETS,
     MIN_INCONCLUSIVE_CRASHES,
     CrashLedger,
     expire_crashes,
     find_deadly_task,
+    is_judgement_open,
     is_suspect,
     list_confined_routes,
     record_crash,
+    settle_crashes,
 )
 from comfreysill.crashes.report import CRASH_RETENTION_SECONDS, CrashReport
 
@@ -97,6 +101,52 @@
             self.record("a/1", "r/0/0")
         self.assertEqual(find_deadly_task(self.ledger, "r"), "")
 
+    def record_recent(self, crash_id, *tasks, now):
+        record_crash(self.ledger, CrashReport(crash_id=crash_id, tasks=tasks), now, is_recent=True)
+
+    def record_coincidence(self, number, now, others):
+        """Records a crash of the target of r alone, between those of other targets."""
+        self.record_recent(f"other0/1/1{number}", f"x{number}/0/0", now=now)
+        self.record_recent(f"a{number}/1/1", "r/0/0", now=now + 0.5 * COINCIDENCE_SECONDS)
+        for other in range(1, others):
+            crash_id, task = f"other{other}/1/1{number}", f"y{other}-{number}/0/0"
+            self.record_recent(crash_id, task, now=now + COINCIDENCE_SECONDS)
+        return settle_crashes(self.ledger, now + 2.0 * COINCIDENCE_SECONDS)
+
+    # Guards against blaming an isolated task for a cause that many targets share.
+    def test_a_crash_at_the_same_moment_as_those_of_several_other_targets_proves_nothing(self):
+        self.record("z/1/1", "r/0/0", "w/0/0")
+        self.assertIn("r", self.record_coincidence("0", 10.0, MIN_COINCIDENT_TARGETS))
+        self.assertEqual(find_deadly_task(self.ledger, "r"), "")
+        self.assertTrue(is_suspect(self.ledger, "r/0/0"))
+        self.record("b/1/1", "r/0/0")
+        self.assertEqual(find_deadly_task(self.ledger, "r"), "r/0/0")
+
+    # Guards against deadly tasks that stay unknown as others crash a runner at the same moment.
+    def test_a_crash_at_the_same_moment_as_that_of_one_other_target_is_proof(self):
+        self.record("z/1/1", "r/0/0", "w/0/0")
+        self.record_coincidence("0", 10.0, MIN_COINCIDENT_TARGETS - 1)
+        self.assertEqual(find_deadly_task(self.ledger, "r"), "r/0/0")
+
+    # Guards against a deadly task that is started without end as runners crash all the time.
+    def test_crashes_at_the_same_moment_as_others_prove_guilt_at_last(self):
+        for number in range(MIN_INCONCLUSIVE_CRASHES):
+            self.assertEqual(find_deadly_task(self.ledger, "r"), "")
+            self.record_coincidence(str(number), 1.0 + number, MIN_COINCIDENT_TARGETS)
+        self.assertEqual(find_deadly_task(self.ledger, "r"), "r/0/0")
+
+    # Guards against a verdict, or one more start, before the crashes of the same moment are known.
+    def test_a_recent_crash_is_judged_once_others_of_its_moment_are_known(self):
+        self.record("z/1/1", "r/0/0", "w/0/0")
+        self.record_recent("a/1/1", "r/0/0", now=10.0)
+        self.assertTrue(is_judgement_open(self.ledger, "r/0/0"))
+        self.assertFalse(is_judgement_open(self.ledger, "w/0/0"))
+        self.assertEqual(settle_crashes(self.ledger, 10.0 + 0.9 * COINCIDENCE_SECONDS), [])
+        self.assertEqual(find_deadly_task(self.ledger, "r"), "")
+        self.assertEqual(settle_crashes(self.ledger, 10.0 + COINCIDENCE_SECONDS), ["r"])
+        self.assertFalse(is_judgement_open(self.ledger, "r/0/0"))
+        self.assertEqual(find_deadly_task(self.ledger, "r"), "r/0/0")
+
     # Guards against guilt by a report that didn't name all tasks yet, and a crash counted twice.
     def test_a_later_report_of_a_crash_adds_the_tasks_that_it_names(self):
         self.record("a/1/1", "r/0/0")
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -89,6 +89,64 @@
             self.assertEqual(verdicts.count(Verdict.FAILED), 0, seed)
             self.assertEqual(verdicts.count(Verdict.COMPLETED), 8, seed)
 
+    # Guards against blaming an isolated task for a crash of many runners at one moment.
+    def test_no_isolated_task_is_given_up_for_a_crash_of_many_runners(self):
+        for seed in SEEDS:
+            world = World(seed, entries=2, agents=6)
+            world.run(2.0)
+            world.max_reply_delay = 0.005
+            world.submit("r", "e0", tasks=1, seconds=2.0)
+            submit_innocents(world, 1.0)
+            world.run(0.6)
+            world.crash_runner(self.find_runner(world, "r/0/0"), 0.3)
+            while not self.find_runner(world, "r/0/0"):
+                world.run(0.005)
+            # The other runners are busy.
+            for number in range(10):
+                world.submit(f"busy{number}", f"e{number % 2}", tasks=4, seconds=0.5)
+            world.run(0.2)
+            name = self.find_runner(world, "r/0/0")
+            self.assertEqual(list(world.runners[name].running), ["r/0/0"], "it is isolated")
+            for name in world.agents:
+                world.crash_runner(name, 0.3)
+            world.run(10.0)
+            verdicts = [verdict for answers in world.verdicts.values() for verdict in answers]
+            self.assertEqual(verdicts.count(Verdict.FAILED), 0, seed)
+            self.assertEqual(world.verdicts["r"], [Verdict.COMPLETED], seed)
+
+    def find_runner(self, world, task):
+        """Returns the name of the runner that runs a task, empty if none does."""
+        running = [
+            name
+            for name, runner in world.runners.items()
+            if runner.alive and task in runner.running
+        ]
+        return running[0] if running else ""
+
+    # Guards against one more start of a deadly task while its last crash isn't judged yet.
+    def test_a_task_is_not_started_before_its_last_crash_is_judged(self):
+        for seed in SEEDS:
+            world = self.build_world(seed)
+            world.run(10.0)
+            self.assertEqual(len(world.crashes["deadly/0/1"]), 2, seed)
+            self.assertEqual(world.verdicts["deadly"], [Verdict.FAILED], seed)
+
+    # Guards against deadly tasks that are never found, as their crashes coincide by chance.
+    def test_several_deadly_tasks_at_a_time_are_found(self):
+        for seed in SEEDS:
+            world = World(seed, entries=2, agents=12)
+            world.run(2.0)
+            submit_innocents(world, 4.0)
+            for number in range(4):
+                world.submit(f"deadly{number}", f"e{number % 2}", tasks=4, seconds=0.3)
+                world.make_deadly(f"deadly{number}/0/1")
+            world.run(20.0)
+            self.assertEqual(world.violations, [], seed)
+            for number in range(4):
+                crashes = world.crashes[f"deadly{number}/0/1"]
+                self.assertLessEqual(len(crashes), MAX_CRASHES, seed)
+                self.assertEqual(world.verdicts[f"deadly{number}"], [Verdict.FAILED], seed)
+
     def test_crashes_are_known_after_the_entry_that_saw_them_was_killed(self):
         """Guards against a resubmitted request that crashes runners as if it were new."""
         for seed in SEEDS:
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -1,5 +1,6 @@
 import unittest
 
+from comfreysill.crashes.ledger import COINCIDENCE_SECONDS
 from comfreysill.crashes.report import CrashReport
 from comfreysill.exchange.messages import AgentFrame, Ended, LateStart, Load, Outcome, Profile
 from comfreysill.placement.agents import (
@@ -13,6 +14,7 @@
     expire_agents,
     receive_agent_frame,
 )
+from comfreysill.placement.crashes import judge_crashes
 from comfreysill.placement.effects import FetchRoutes, SendFrame, SendVerdict
 from comfreysill.placement.placement import place_waiting, refuse_unmeetable
 from comfreysill.placement.queue import rank_demand
@@ -136,10 +138,24 @@
         """Guards against a resubmitted request that crashes runners as if it were new."""
         crashes = (("a/1", ("r/0/1", "x/0/0")), ("b/1", ("r/0/1", "r/0/0")))
         self.deliver_frame("a", crashes=crashes)
+        self.judge_crashes()
         self.submit(build_request("r"))
         placed, verdicts = self.flush()
         self.assertEqual((placed, verdicts), ({}, {1: Verdict.FAILED}))
 
+    # Guards against one more start of a deadly task while its last crash isn't judged yet.
+    def test_a_request_whose_last_crash_is_not_judged_yet_is_held(self):
+        crashes = (("a/1", ("r/0/0", "x/0/0")), ("b/1", ("r/0/0",)))
+        self.deliver_frame("a", crashes=crashes)
+        self.submit(build_request("r", tasks=1))
+        self.assertEqual(self.flush(), ({}, {}))
+        self.judge_crashes()
+        self.assertEqual(self.flush(), ({}, {1: Verdict.FAILED}))
+
+    def judge_crashes(self):
+        self.now += COINCIDENCE_SECONDS
+        judge_crashes(self.state, self.now)
+
     def test_a_suspect_is_placed_on_an_idle_target_and_nothing_beside_it(self):
         self.submit(build_request("r", tasks=1), caller=1)
         self.assertEqual(self.flush()[0], {"a": 1})
