--- a/src/comfreysill/placement/agents.py
+++ b/src/comfreysill/placement/agents.py
@@ -150,7 +150,7 @@
     _confirm_starts(agent, frame)
     # Before the ends that they caused, so that suspects are not placed beside other tasks again.
     for report in frame.crashes:
-        receive_crash(state, report, now)
+        receive_crash(state, report, now, is_recent=not frame.opening)
     for task_end in frame.ended:
         _receive_task_end(state, agent, task_end, now)
     # After the ends, which tell what was known of their starts then.
