--- a/tests/test_late_calls.py
+++ b/tests/test_late_calls.py
@@ -1,5 +1,6 @@
 """Calls that are carried out late or never, while their runner is born again, cut off or stays."""
 
+import random
 import unittest
 
 from comfreysill.execution.calls import ReplyStatus, StartCall, StopCall
@@ -282,6 +283,38 @@
             self.check(world, seed)
 
 
+class TestEndsOfDays(LateCallCase):
+    """All agents and entries lose their power at once, while runners run on or are born again."""
+
+    def end_day(self, seed, call_loss_probability):
+        draw = random.Random(seed)
+        world = self.build_world(seed, entries=3, agents=4)
+        world.call_loss_probability = call_loss_probability
+        for number in range(4):
+            seconds, wait = draw.choice((0.3, 1.0, 3.0)), draw.choice((NEVER, 1.5, 3.0))
+            world.submit(f"r{number}", f"e{number % 3}", tasks=4, seconds=seconds, wait=wait)
+        world.run(draw.uniform(0.02, 0.6))
+        for name in world.agents:
+            world.kill_agent(name, down_seconds=draw.choice((0.1, 0.6, 1.2, 3.0)), silent=True)
+        for name in world.entries:
+            world.kill_entry(name, down_seconds=draw.choice((0.05, 0.3, 1.0, 2.0)), silent=True)
+        for name in world.agents:
+            if draw.random() < 0.5:
+                world.schedule(draw.uniform(0, 2.0), world.crash_runner, name, DOWN_SECONDS)
+        world.call_loss_probability = 0.0
+        world.run(SETTLING_SECONDS)
+        self.assertEqual(world.violations, [], seed)
+
+    # Guards against tasks placed before agents that are back have stopped what they don't know.
+    def test_nothing_runs_twice_after_all_power_was_lost(self):
+        for seed in range(12):
+            self.end_day(seed, call_loss_probability=0.0)
+
+    # Guards against the same for starts without an answer, which a runner born again carries out.
+    def test_no_late_start_runs_twice_after_all_power_was_lost(self):
+        self.end_day(20, call_loss_probability=0.2)
+
+
 class TestLateDeregistrations(LateCallCase):
     # Guards against a late deregistration, which names an id alone, that ends the runs of the
     # lifetime that has the id by now.
