--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -123,6 +123,8 @@
     "partial-answer": (f"{DISPATCH}.jobs.complete_job", lambda original: complete_early),
 }
 
+# Exit status of a process whose mutation was noticed by a test; 1 is that of any exception.
+CAUGHT_STATUS = 3
 EXECUTION = "comfreysill.execution"
 PLACEMENT = "comfreysill.placement"
 CRASHES = "comfreysill.crashes"
@@ -205,7 +207,7 @@
         lambda original: lambda *a: "",
     ),
     "token-not-raised": (
-        f"{EXECUTION}.starts._mark_start_unconfirmed",
+        f"{EXECUTION}.starts.mark_unconfirmed",
         lambda original: return_unconfirmed_run,
     ),
     "unconfirmed-resolved-early": (
@@ -517,7 +519,7 @@
 
 
 def run_mutated(name):
-    """Runs the tests for one mutation; returns exit status 1 if a test failed, otherwise 0."""
+    """Runs the tests for one mutation; returns CAUGHT_STATUS if a test failed, otherwise 0."""
     global ORIGINAL_COMPLETE_JOB
     path, build_replacement = MUTATIONS[name]
     ORIGINAL_COMPLETE_JOB = resolve_path(f"{DISPATCH}.jobs.complete_job")
@@ -528,7 +530,7 @@
         print(f"by {test.id()}", end=": ")
         lines = [line for line in text.splitlines() if "Error" in line]
         print(lines[-1].strip(" |") if lines else text[-200:])
-    return 0 if result.wasSuccessful() else 1
+    return 0 if result.wasSuccessful() else CAUGHT_STATUS
 
 
 def main(names):
@@ -543,8 +545,11 @@
             capture_output=True,
             text=True,
         )
-        caught = run.returncode == 1
+        caught = run.returncode == CAUGHT_STATUS
         output = [line for line in run.stdout.splitlines() if not line.startswith("FUZZ")]
+        if run.returncode not in (0, CAUGHT_STATUS):
+            # Another exit status shows no failed test, but that none was run.
+            output = run.stderr.splitlines()
         print(
             f"{name}: {'caught' if caught else 'MISSED'} {output[-1] if output else ''}",
             flush=True,
