--- a/src/comfreysill/sidecar/links.py
+++ b/src/comfreysill/sidecar/links.py
@@ -24,7 +24,7 @@
         """Serves one session until either side closes it; None in its outbox closes it."""
         outbox: Mailbox[AgentFrame | None] = Mailbox()
 
-        def receive(message: pb.EntryFrame) -> None:
+        def receive(message: pb.ToAgent) -> None:
             self.inbox.post(EntryFrameReceived(frame=decode_entry_frame(message), outbox=outbox))
 
         try:
