--- a/tests/test_late_calls.py
+++ b/tests/test_late_calls.py
@@ -166,17 +166,25 @@
             self.deliver_at_birth(world, held)
             self.check(world, seed)
 
+    def leave_to_another_entry(self, seed, seconds):
+        """Kills the entry that knows of the start; the other one waits for the first target.
+
+        Returns once the task runs elsewhere, or after `seconds`.
+        """
+        world, held = self.hold_start(seed)
+        world.run(0.4)
+        world.kill_entry("e0", down_seconds=6.0)
+        world.run(1.0)
+        world.runners[held.agent].set_cpu(0)
+        world.report_now(held.agent)
+        self.run_while(world, lambda: not find_runners(world), seconds)
+        return world, held
+
     # Guards against the same when the entry that knew of the start is gone, and its caller has had
     # another entry start the task; the first target has no room then, so that the task may wait.
     def test_a_late_start_of_an_entry_that_is_gone(self):
         for seed in SEEDS:
-            world, held = self.hold_start(seed)
-            world.run(0.4)
-            world.kill_entry("e0", down_seconds=6.0)
-            world.run(1.0)
-            world.runners[held.agent].set_cpu(0)
-            world.report_now(held.agent)
-            self.run_while(world, lambda world=world: not find_runners(world), 2.0)
+            world, held = self.leave_to_another_entry(seed, 2.0)
             self.deliver_at_birth(world, held)
             self.check(world, seed)
 
@@ -184,13 +192,7 @@
     # start may come late by.
     def test_a_late_start_of_an_entry_that_is_gone_for_as_long_as_it_may_come(self):
         for seed in SEEDS:
-            world, held = self.hold_start(seed)
-            world.run(0.4)
-            world.kill_entry("e0", down_seconds=6.0)
-            world.run(1.0)
-            world.runners[held.agent].set_cpu(0)
-            world.report_now(held.agent)
-            self.run_while(world, lambda world=world: not find_runners(world), 10.0)
+            world, held = self.leave_to_another_entry(seed, 10.0)
             self.assertEqual(find_runners(world), [], seed)
             self.deliver_at_birth(world, held)
             self.check(world, seed)
