--- /dev/null
+++ b/src/comfreysill/claims/__init__.py
@@ -0,0 +1,1 @@
+"""Claims on requests: which entry may place the tasks of a request."""
--- /dev/null
+++ b/src/comfreysill/claims/registry.py
@@ -0,0 +1,269 @@
+"""The claims that a registrar keeps: one holder for each request, and who waits for its release.
+
+A registrar keeps them in memory alone. A claim whose holder is out of reach lasts until nothing can
+run any more of what the holder has placed.
+"""
+
+import math
+from collections import deque
+
+from comfreysill.exchange.claims import ClaimRelease, ClaimReply, ClaimRequest, ClaimStatus
+from comfreysill.request.types import Verdict
+
+# The final verdict of a request is kept this long for claims that come after its end.
+ENDED_CLAIM_SECONDS = 10.0
+
+
+class Claimant:
+    """An entry that claims a request.
+
+    Attributes:
+        entry: Name of the entry, `instance@lifetime`.
+        number: Number of the claim at the entry.
+        expires_at: Boot-clock time in seconds after which nothing runs of what it has placed,
+            infinite if unknown.
+    """
+
+    __slots__ = ("entry", "number", "expires_at")
+
+    def __init__(self, *, entry: str, number: int, expires_at: float) -> None:
+        self.entry = entry
+        self.number = number
+        self.expires_at = expires_at
+
+
+class Claim:
+    """The claim of one request.
+
+    Attributes:
+        holder: The claimant that may place the request's tasks.
+        waiters: Claimants that wait for its release, in the order of their claims.
+    """
+
+    __slots__ = ("holder", "waiters")
+
+    def __init__(self, *, holder: Claimant) -> None:
+        self.holder = holder
+        self.waiters: list[Claimant] = []
+
+
+class EndedClaim:
+    """The final verdict of a request, kept until `expires_at` (boot clock in seconds)."""
+
+    __slots__ = ("verdict", "expires_at")
+
+    def __init__(self, *, verdict: Verdict, expires_at: float) -> None:
+        self.verdict = verdict
+        self.expires_at = expires_at
+
+
+class AddressedReply:
+    """A reply to a claimant's earlier claim, for the entry with the name `entry`."""
+
+    __slots__ = ("entry", "reply")
+
+    def __init__(self, *, entry: str, reply: ClaimReply) -> None:
+        self.entry = entry
+        self.reply = reply
+
+
+class ClaimRegistry:
+    """The claims of one registrar, changed by the functions of this module.
+
+    Attributes:
+        claims: Open claims by request id.
+        ended: Final verdicts by request id.
+        ended_ids: Request ids of final verdicts, oldest first.
+        heard_at: Boot-clock times in seconds of the last frames of claimants with an open session,
+            by entry name.
+        absent_since: Boot-clock times in seconds at which the sessions of claimants were closed, by
+            entry name; entries with an open session are missing.
+        late_replies: Replies to claims that had to wait, for the process to send.
+    """
+
+    __slots__ = ("claims", "ended", "ended_ids", "heard_at", "absent_since", "late_replies")
+
+    def __init__(self) -> None:
+        self.claims: dict[str, Claim] = {}
+        self.ended: dict[str, EndedClaim] = {}
+        self.ended_ids: deque[str] = deque()
+        self.heard_at: dict[str, float] = {}
+        self.absent_since: dict[str, float] = {}
+        self.late_replies: list[AddressedReply] = []
+
+
+def receive_claim(
+    registry: ClaimRegistry, entry: str, request: ClaimRequest, now: float
+) -> ClaimReply:
+    """Processes a claim; returns the reply to send at once."""
+    request_id = request.request_id
+    expires_at = now + request.seconds
+    claimant = Claimant(entry=entry, number=request.number, expires_at=expires_at)
+    claim = registry.claims.get(request_id)
+    if claim is None:
+        ended = registry.ended.get(request_id)
+        if ended is not None and ended.expires_at > now:
+            return _build_reply(claimant, request_id, ClaimStatus.ENDED, verdict=ended.verdict)
+        registry.claims[request_id] = Claim(holder=claimant)
+        return _build_reply(claimant, request_id, ClaimStatus.GRANTED)
+    if claim.holder.entry == entry:
+        claimant.expires_at = max(expires_at, claim.holder.expires_at)
+        claim.holder = claimant
+        return _build_reply(claimant, request_id, ClaimStatus.GRANTED)
+    _remove_waiter(claim, entry, math.inf)
+    claim.waiters.append(claimant)
+    return _build_reply(claimant, request_id, ClaimStatus.HELD, holder=claim.holder.entry)
+
+
+def receive_release(registry: ClaimRegistry, entry: str, release: ClaimRelease, now: float) -> None:
+    """Processes the end of a claim; queues the replies to those that wait for it."""
+    claim = registry.claims.get(release.request_id)
+    if claim is None:
+        return
+    _remove_waiter(claim, entry, release.number)
+    if claim.holder.entry != entry or claim.holder.number > release.number:
+        return
+    if release.verdict is None:
+        _grant_next(registry, release.request_id, claim)
+        return
+    del registry.claims[release.request_id]
+    registry.ended[release.request_id] = EndedClaim(
+        verdict=release.verdict, expires_at=now + ENDED_CLAIM_SECONDS
+    )
+    registry.ended_ids.append(release.request_id)
+    for waiter in claim.waiters:
+        _queue_reply(
+            registry, waiter, release.request_id, ClaimStatus.ENDED, verdict=release.verdict
+        )
+
+
+def record_session(registry: ClaimRegistry, entry: str, request_ids: set[str], now: float) -> None:
+    """Records a new session of a claimant, and ends the claims that it doesn't repeat.
+
+    Earlier lifetimes of its process have ended.
+
+    Args:
+        registry: The registry.
+        entry: Name of the claimant.
+        request_ids: Ids of the requests that it claims.
+        now: Boot-clock time in seconds.
+    """
+    instance = get_instance(entry)
+    for other in list(registry.heard_at):
+        if other != entry and get_instance(other) == instance:
+            record_absence(registry, other, now)
+    registry.absent_since.pop(entry, None)
+    record_frame(registry, entry, now)
+    for request_id, claim in list(registry.claims.items()):
+        if request_id in request_ids:
+            continue
+        _remove_waiter(claim, entry, math.inf)
+        if claim.holder.entry == entry:
+            _grant_next(registry, request_id, claim)
+
+
+def record_frame(registry: ClaimRegistry, entry: str, now: float) -> None:
+    """Records that a claimant was heard in its open session."""
+    registry.heard_at[entry] = now
+
+
+def record_absence(registry: ClaimRegistry, entry: str, now: float) -> None:
+    """Records that the session of a claimant was closed, as its process ended or is cut off."""
+    if registry.heard_at.pop(entry, None) is None:
+        return
+    registry.absent_since[entry] = now
+    for claim in registry.claims.values():
+        _remove_waiter(claim, entry, math.inf)
+
+
+def expire_claims(registry: ClaimRegistry, now: float, expiry_seconds: float) -> None:
+    """Ends the claims of holders of which nothing can run any more, and forgets old verdicts.
+
+    Args:
+        registry: The registry.
+        now: Boot-clock time in seconds.
+        expiry_seconds: Seconds from the end of an entry until nothing runs of what it has placed.
+    """
+    for request_id, claim in list(registry.claims.items()):
+        if now >= _find_end(registry, claim.holder, expiry_seconds):
+            _grant_next(registry, request_id, claim)
+    _forget_absent(registry, now, expiry_seconds)
+    _forget_ended(registry, now)
+
+
+def _find_end(registry: ClaimRegistry, holder: Claimant, expiry_seconds: float) -> float:
+    """Returns the boot-clock time in seconds after which nothing of a holder runs.
+
+    A silent holder may run on for a caller that waits, unless its process is known to have ended.
+    """
+    absent_since = registry.absent_since.get(holder.entry, math.inf)
+    if holder.expires_at == math.inf:
+        absent_since = min(absent_since, registry.heard_at.get(holder.entry, math.inf))
+    return min(holder.expires_at, absent_since + expiry_seconds)
+
+
+def take_late_replies(registry: ClaimRegistry) -> list[AddressedReply]:
+    """Returns the queued replies, and removes them."""
+    replies, registry.late_replies = registry.late_replies, []
+    return replies
+
+
+def _forget_absent(registry: ClaimRegistry, now: float, expiry_seconds: float) -> None:
+    """Forgets absent claimants whose claims have expired."""
+    for entry, absent_since in list(registry.absent_since.items()):
+        if now >= absent_since + expiry_seconds:
+            del registry.absent_since[entry]
+
+
+def _forget_ended(registry: ClaimRegistry, now: float) -> None:
+    while registry.ended_ids:
+        ended = registry.ended.get(registry.ended_ids[0])
+        if ended is not None and ended.expires_at > now:
+            return
+        registry.ended.pop(registry.ended_ids.popleft(), None)
+
+
+def get_instance(entry: str) -> str:
+    """Returns the name of an entry's instance; the entry's name is `instance@lifetime`."""
+    return entry.partition("@")[0]
+
+
+def _grant_next(registry: ClaimRegistry, request_id: str, claim: Claim) -> None:
+    if not claim.waiters:
+        del registry.claims[request_id]
+        return
+    claim.holder = claim.waiters.pop(0)
+    _queue_reply(registry, claim.holder, request_id, ClaimStatus.GRANTED)
+
+
+def _remove_waiter(claim: Claim, entry: str, number: float) -> None:
+    claim.waiters = [
+        waiter for waiter in claim.waiters if waiter.entry != entry or waiter.number > number
+    ]
+
+
+def _queue_reply(
+    registry: ClaimRegistry,
+    claimant: Claimant,
+    request_id: str,
+    status: ClaimStatus,
+    verdict: Verdict | None = None,
+) -> None:
+    reply = _build_reply(claimant, request_id, status, verdict=verdict)
+    registry.late_replies.append(AddressedReply(entry=claimant.entry, reply=reply))
+
+
+def _build_reply(
+    claimant: Claimant,
+    request_id: str,
+    status: ClaimStatus,
+    holder: str = "",
+    verdict: Verdict | None = None,
+) -> ClaimReply:
+    return ClaimReply(
+        request_id=request_id,
+        number=claimant.number,
+        status=status,
+        holder=holder,
+        verdict=verdict,
+    )
--- /dev/null
+++ b/src/comfreysill/exchange/claims.py
@@ -0,0 +1,128 @@
+"""Messages between entries on the claims of requests.
+
+A claimant asks a registrar for the claim of a request before it places the first task of it.
+"""
+
+import enum
+
+from comfreysill.request.types import Verdict
+
+
+class ClaimStatus(enum.IntEnum):
+    """Status of a claim at a registrar.
+
+    After HELD another reply to the same claim follows, once the holder has released the request.
+    """
+
+    GRANTED = 0
+    HELD = 1
+    ENDED = 2
+
+
+class ClaimRequest:
+    """A claim of a request.
+
+    Attributes:
+        request_id: Id of the request.
+        number: Number of the claim at its claimant; it rises.
+        seconds: Time in seconds after which nothing runs of the submission, infinite if unknown.
+    """
+
+    __slots__ = ("request_id", "number", "seconds")
+
+    def __init__(self, *, request_id: str, number: int, seconds: float) -> None:
+        self.request_id = request_id
+        self.number = number
+        self.seconds = seconds
+
+
+class ClaimRelease:
+    """The end of a claim: nothing runs any more of what its claimant has placed.
+
+    Attributes:
+        request_id: Id of the request.
+        number: Number of the claim at its claimant.
+        verdict: COMPLETED or FAILED, None if the request has ended without a final verdict.
+    """
+
+    __slots__ = ("request_id", "number", "verdict")
+
+    def __init__(self, *, request_id: str, number: int, verdict: Verdict | None) -> None:
+        self.request_id = request_id
+        self.number = number
+        self.verdict = verdict
+
+
+class ClaimsFrame:
+    """A frame from a claimant to a registrar.
+
+    Attributes:
+        entry: Name of the claimant, `instance@lifetime`.
+        session: Number of the session; each connection is a new one.
+        opening: True in the first frame of a session, which repeats the claimant's open claims.
+        claims: Claims, in order.
+        releases: Ended claims; they come before `claims`.
+    """
+
+    __slots__ = ("entry", "session", "opening", "claims", "releases")
+
+    def __init__(
+        self,
+        *,
+        entry: str,
+        session: int,
+        opening: bool,
+        claims: list[ClaimRequest],
+        releases: list[ClaimRelease],
+    ) -> None:
+        self.entry = entry
+        self.session = session
+        self.opening = opening
+        self.claims = claims
+        self.releases = releases
+
+
+class ClaimReply:
+    """A registrar's reply to a claim.
+
+    Attributes:
+        request_id: Id of the request.
+        number: Number of the claim at its claimant.
+        status: Status of the claim.
+        holder: Name of the entry that holds the claim, empty unless the status is HELD.
+        verdict: Final verdict of the request, None unless the status is ENDED.
+    """
+
+    __slots__ = ("request_id", "number", "status", "holder", "verdict")
+
+    def __init__(
+        self,
+        *,
+        request_id: str,
+        number: int,
+        status: ClaimStatus,
+        holder: str = "",
+        verdict: Verdict | None = None,
+    ) -> None:
+        self.request_id = request_id
+        self.number = number
+        self.status = status
+        self.holder = holder
+        self.verdict = verdict
+
+
+class ClaimRepliesFrame:
+    """A frame from a registrar to a claimant; the first of a session answers the opening frame.
+
+    Attributes:
+        entry: Name of the registrar, `instance@lifetime`.
+        session: Number of the claimant's session.
+        replies: Replies, in order.
+    """
+
+    __slots__ = ("entry", "session", "replies")
+
+    def __init__(self, *, entry: str, session: int, replies: list[ClaimReply]) -> None:
+        self.entry = entry
+        self.session = session
+        self.replies = replies
--- a/src/comfreysill/exchange/messages.py
+++ b/src/comfreysill/exchange/messages.py
@@ -16,6 +16,8 @@
 MAX_RUN_LEASE_SECONDS = 1.0
 # Allows for a runner's clock that is 2% slow, and for the time that a stop takes.
 LEASE_MARGIN_SECONDS = 0.07
+# Nothing that an entry has placed on an agent runs this long after they have lost each other.
+RUN_EXPIRY_SECONDS = LINK_LEASE_SECONDS + RUN_LEASE_SECONDS + LEASE_MARGIN_SECONDS
 # A run that hasn't ended this long after its caller has stopped waiting is left without a lease.
 STOP_GRACE_SECONDS = 0.2
 # An agent with runs looks for those that have to stop at least this often.
--- a/src/comfreysill/execution/frame_handling.py
+++ b/src/comfreysill/execution/frame_handling.py
@@ -1,9 +1,8 @@
 """Handling of frames from entries: sessions, tasks to start and tasks to stop."""
 
 from comfreysill.exchange.messages import (
-    LEASE_MARGIN_SECONDS,
     LINK_LEASE_SECONDS,
-    RUN_LEASE_SECONDS,
+    RUN_EXPIRY_SECONDS,
     STOP_GRACE_SECONDS,
     Batch,
     EntryFrame,
@@ -28,7 +27,7 @@
 
 # A run that keeps an order of another entry from the target has ended this long after, or the order
 # is refused again: the run's entry is silent, or its caller has left, as the other one was asked.
-OTHER_RUN_SECONDS = LINK_LEASE_SECONDS + RUN_LEASE_SECONDS + LEASE_MARGIN_SECONDS
+OTHER_RUN_SECONDS = RUN_EXPIRY_SECONDS
 
 
 def receive_frame(agent: AgentState, frame: EntryFrame, now: float) -> bool:
--- a/src/comfreysill/gateway/messages.py
+++ b/src/comfreysill/gateway/messages.py
@@ -1,7 +1,9 @@
 """Messages to the state task of an entry on the platform, and its replies to callers."""
 
 from comfreysill.crashes.report import CrashReport
+from comfreysill.exchange.claims import ClaimRepliesFrame, ClaimsFrame
 from comfreysill.exchange.messages import AgentFrame, Member
+from comfreysill.mailbox import Mailbox
 from comfreysill.request.types import CallerWait, Specification, Verdict
 from comfreysill.routes.table import RouteTable
 
@@ -92,6 +94,62 @@
         self.frame = frame
 
 
+class PeerSessionOpened:
+    """A session with the registrar at an address was opened; the state task numbers it."""
+
+    __slots__ = ("address",)
+
+    def __init__(self, *, address: str) -> None:
+        self.address = address
+
+
+class PeerSessionClosed:
+    """A session with a registrar was closed or has failed, or could not be opened.
+
+    `session` is the number of the newest session, 0 before the first.
+    """
+
+    __slots__ = ("address", "session")
+
+    def __init__(self, *, address: str, session: int) -> None:
+        self.address = address
+        self.session = session
+
+
+class ClaimRepliesReceived:
+    """A frame was received from the registrar at an address."""
+
+    __slots__ = ("address", "frame")
+
+    def __init__(self, *, address: str, frame: ClaimRepliesFrame) -> None:
+        self.address = address
+        self.frame = frame
+
+
+class ClaimsReceived:
+    """A frame was received from a claimant.
+
+    Attributes:
+        frame: The frame.
+        outbox: Frames to send on the same connection; None closes it.
+    """
+
+    __slots__ = ("frame", "outbox")
+
+    def __init__(self, *, frame: ClaimsFrame, outbox: Mailbox[ClaimRepliesFrame | None]) -> None:
+        self.frame = frame
+        self.outbox = outbox
+
+
+class ClaimantDisconnected:
+    """The connection of a claimant, known by its `outbox`, has ended."""
+
+    __slots__ = ("outbox",)
+
+    def __init__(self, *, outbox: Mailbox[ClaimRepliesFrame | None]) -> None:
+        self.outbox = outbox
+
+
 class MembersDiscovered:
     """Members were read from the store, announced, or named by another entry.
 
@@ -163,6 +221,11 @@
     | SessionOpened
     | SessionClosed
     | AgentFrameReceived
+    | PeerSessionOpened
+    | PeerSessionClosed
+    | ClaimRepliesReceived
+    | ClaimsReceived
+    | ClaimantDisconnected
     | MembersDiscovered
     | MemberRemoved
     | EntriesDiscovered
--- a/src/comfreysill/placement/agents.py
+++ b/src/comfreysill/placement/agents.py
@@ -2,11 +2,9 @@
 
 from comfreysill.exchange.messages import (
     DEMAND_INTERVAL_SECONDS,
-    LEASE_MARGIN_SECONDS,
-    LINK_LEASE_SECONDS,
     MAX_CALL_DELAY_SECONDS,
     MAX_RUN_LEASE_SECONDS,
-    RUN_LEASE_SECONDS,
+    RUN_EXPIRY_SECONDS,
     AgentFrame,
     Ended,
     EntryFrame,
@@ -32,7 +30,7 @@
 LINK_TIMEOUT_MARGIN_SECONDS = 0.2
 # Once an agent has sent no frame for this long, none of its tasks can still run: the agent has
 # stopped them, or their leases at the runner have expired.
-AGENT_EXPIRY_SECONDS = LINK_LEASE_SECONDS + RUN_LEASE_SECONDS + LEASE_MARGIN_SECONDS
+AGENT_EXPIRY_SECONDS = RUN_EXPIRY_SECONDS
 # A start that a silent agent had no answer to isn't carried out any more after this time.
 LATE_START_SECONDS = AGENT_EXPIRY_SECONDS + MAX_CALL_DELAY_SECONDS + MAX_RUN_LEASE_SECONDS
 # After a longer gap between ticks, this process was itself suspended: it processes the frames that
@@ -274,6 +272,7 @@
     is_first = not state.ticked_at
     state.ticked_at = now
     if gap_seconds > MAX_TICK_GAP_SECONDS:
+        state.resumed_at = now
         if not is_first:
             count(state, "suspensions")
             note_event(state, "entry was suspended or busy", seconds=round(gap_seconds, 3))
--- /dev/null
+++ b/src/comfreysill/placement/claims.py
@@ -0,0 +1,498 @@
+"""Claims of an entry: no task of a request is placed before its registrars know of it.
+
+Callers may send a request again to another entry, and this one may not hear that they have left, or
+read a request long after its sending. So each request has two registrars among the entries that can
+be reached, which all entries choose alike. Another entry that has the claim is waited for. One
+that doesn't answer is left out; callers' waits and the leases bound what runs then.
+"""
+
+import math
+from itertools import takewhile
+
+from comfreysill.claims.registry import (
+    expire_claims,
+    get_instance,
+    receive_claim,
+    receive_release,
+    record_absence,
+    record_frame,
+    record_session,
+    take_late_replies,
+)
+from comfreysill.exchange.claims import (
+    ClaimRelease,
+    ClaimRepliesFrame,
+    ClaimReply,
+    ClaimRequest,
+    ClaimsFrame,
+    ClaimStatus,
+)
+from comfreysill.exchange.messages import MAX_STOP_SECONDS, RUN_EXPIRY_SECONDS
+from comfreysill.placement.effects import (
+    ClosePeerSession,
+    OpenPeerLink,
+    RemovePeerLink,
+    SendClaimReplies,
+    SendClaims,
+)
+from comfreysill.placement.peers import (
+    MAX_PEERS,
+    PEER_FAILURE_SECONDS,
+    OwnClaim,
+    Peer,
+    RemoteEnd,
+    Replica,
+    ReplicaState,
+    rank_peer,
+    rank_registrar,
+)
+from comfreysill.placement.queue import push_request
+from comfreysill.placement.state import EntryState, count, note_event
+from comfreysill.request.request import Request
+from comfreysill.request.types import Verdict
+
+# Number of registrars of a request.
+REGISTRARS = 2
+# A registrar that hasn't answered a claim for this long counts as out of reach.
+CLAIM_TIMEOUT_SECONDS = 0.2
+# An entry that starts waits this long for the links to its peers before it places tasks.
+LINKING_SECONDS = 0.5
+# A registrar is sent a frame at least this often while it keeps a claim of this entry.
+HEARTBEAT_SECONDS = 0.4
+# Overdue replies are looked for only this long after a suspension of this process.
+RESUMPTION_SECONDS = 0.15
+ANSWERED_STATES = frozenset({ReplicaState.GRANTED, ReplicaState.LOST})
+FINAL_VERDICTS = frozenset({Verdict.COMPLETED, Verdict.FAILED})
+
+
+def claim_request(state: EntryState, request: Request, now: float) -> None:
+    """Claims a request; it is queued for placement once all of its registrars have granted it."""
+    claim = OwnClaim(request=request)
+    state.claims[request.specification.request_id] = claim
+    if not _is_linking(state, now):
+        _begin_claim(state, claim, now)
+
+
+def _is_linking(state: EntryState, now: float) -> bool:
+    """Returns whether this entry has just started and may soon be linked to its first peers."""
+    return now < state.linking_until and not all(peer.usable for peer in state.peers.values())
+
+
+def _begin_claim(state: EntryState, claim: OwnClaim, now: float) -> None:
+    claim.begun = True
+    addresses = _rank_registrars(state, claim.request.specification.request_id)
+    claim.replicas = [Replica(address=address) for address in addresses[:REGISTRARS]]
+    for number, replica in enumerate(claim.replicas):
+        _send_claim(state, claim, replica, now)
+        if replica.state == ReplicaState.HELD:
+            for following in claim.replicas[number + 1 :]:
+                following.state = ReplicaState.WITHDRAWN
+            return
+    _settle(state, claim, now)
+
+
+def renew_claim(state: EntryState, request: Request, now: float) -> None:
+    """Tells the registrars of a request that its tasks may run for longer than they were told."""
+    claim = state.claims.get(request.specification.request_id)
+    if claim is None:
+        return
+    for replica in claim.replicas:
+        if replica.state in (ReplicaState.GRANTED, ReplicaState.HELD):
+            _post_claim(state, claim, replica, now)
+
+
+def release_claim(state: EntryState, request: Request, now: float) -> None:
+    """Ends the claim of a request of which nothing runs any more, if there is one."""
+    request_id = request.specification.request_id
+    claim = state.claims.get(request_id)
+    if claim is None or claim.request is not request:
+        return
+    del state.claims[request_id]
+    verdict = request.verdict if request.verdict in FINAL_VERDICTS else None
+    for replica in claim.replicas:
+        if replica.state != ReplicaState.WITHDRAWN:
+            _send_release(state, request_id, replica, verdict, now)
+
+
+def is_contested(state: EntryState, request: Request) -> bool:
+    """Returns whether another entry had the claim of an open request."""
+    claim = state.claims.get(request.specification.request_id)
+    return claim is not None and claim.contested
+
+
+def _rank_registrars(state: EntryState, request_id: str) -> list[str]:
+    """Returns the addresses of the entries that can keep a claim, in the order of their choice.
+
+    The address of this entry itself is empty.
+    """
+    addresses = {peer.name: peer.address for peer in state.peers.values() if peer.usable}
+    addresses[get_instance(state.name)] = ""
+    ranked = sorted(addresses, key=lambda instance: rank_registrar(instance, request_id))
+    return [addresses[instance] for instance in ranked]
+
+
+def _send_claim(state: EntryState, claim: OwnClaim, replica: Replica, now: float) -> None:
+    state.last_claim_number += 1
+    replica.number = state.last_claim_number
+    replica.state = ReplicaState.PENDING
+    replica.timeout_at = now + CLAIM_TIMEOUT_SECONDS
+    _post_claim(state, claim, replica, now)
+
+
+def _post_claim(state: EntryState, claim: OwnClaim, replica: Replica, now: float) -> None:
+    request = _build_claim(claim, replica, now)
+    if not replica.address:
+        _apply_reply(state, claim, replica, receive_claim(state.registry, state.name, request, now))
+        return
+    peer = state.peers.get(replica.address)
+    if peer is not None and peer.usable:
+        peer.claims.append(request)
+
+
+def _build_claim(claim: OwnClaim, replica: Replica, now: float) -> ClaimRequest:
+    return ClaimRequest(
+        request_id=claim.request.specification.request_id,
+        number=replica.number,
+        seconds=max(0.0, claim.request.stop_at + MAX_STOP_SECONDS - now),
+    )
+
+
+def _send_release(
+    state: EntryState, request_id: str, replica: Replica, verdict: Verdict | None, now: float
+) -> None:
+    release = ClaimRelease(request_id=request_id, number=replica.number, verdict=verdict)
+    if not replica.address:
+        receive_release(state.registry, state.name, release, now)
+        return
+    peer = state.peers.get(replica.address)
+    if peer is None or not peer.usable:
+        return
+    unsent = [item for item in peer.claims if item.number == replica.number]
+    peer.claims = [item for item in peer.claims if item.number != replica.number]
+    # Without a reply it was sent for the first time.
+    if not unsent or replica.state != ReplicaState.PENDING:
+        peer.releases.append(release)
+
+
+def receive_replies(state: EntryState, address: str, frame: ClaimRepliesFrame, now: float) -> None:
+    """Processes a frame from the registrar at an address."""
+    peer = state.peers.get(address)
+    if peer is None or frame.session != peer.session:
+        count(state, "frames_stale")
+        return
+    if not peer.usable:
+        _begin_use(state, peer, frame, now)
+    for reply in frame.replies:
+        _receive_reply(state, address, reply, now)
+
+
+def _begin_use(state: EntryState, peer: Peer, frame: ClaimRepliesFrame, now: float) -> None:
+    peer.name = get_instance(frame.entry)
+    # This entry may be known under several addresses.
+    if peer.name == get_instance(state.name):
+        return
+    peer.usable = True
+    peer.unreachable_since = 0.0
+    note_event(state, "peer linked", peer=frame.entry, address=peer.address)
+    for claim in state.claims.values():
+        _add_replica(state, claim, peer, now)
+    _begin_claims(state, now)
+
+
+def _begin_claims(state: EntryState, now: float) -> None:
+    """Begins the claims that have waited for the links to the first peers."""
+    if _is_linking(state, now):
+        return
+    for claim in state.claims.values():
+        if not claim.begun:
+            _begin_claim(state, claim, now)
+
+
+def _add_replica(state: EntryState, claim: OwnClaim, peer: Peer, now: float) -> None:
+    """Claims a request at a registrar that could not be reached before."""
+    known = {replica.address for replica in claim.replicas}
+    chosen = _rank_registrars(state, claim.request.specification.request_id)[:REGISTRARS]
+    if claim.settled and peer.address in chosen and peer.address not in known:
+        replica = Replica(address=peer.address)
+        claim.replicas.append(replica)
+        _send_claim(state, claim, replica, now)
+
+
+def _receive_reply(state: EntryState, address: str, reply: ClaimReply, now: float) -> None:
+    claim = state.claims.get(reply.request_id)
+    if claim is None:
+        return
+    for replica in claim.replicas:
+        is_meant = replica.address == address and replica.number == reply.number
+        if is_meant and replica.state != ReplicaState.WITHDRAWN:
+            _apply_reply(state, claim, replica, reply)
+            _advance(state, claim, now)
+            return
+
+
+def _apply_reply(state: EntryState, claim: OwnClaim, replica: Replica, reply: ClaimReply) -> None:
+    replica.timeout_at = math.inf
+    if reply.status == ClaimStatus.GRANTED:
+        replica.state = ReplicaState.GRANTED
+        return
+    replica.state = ReplicaState.HELD
+    if reply.status == ClaimStatus.ENDED:
+        end = RemoteEnd(
+            request=claim.request, verdict=reply.verdict, detail="another entry has served it"
+        )
+        state.remote_ends.append(end)
+        return
+    count(state, "claims_held")
+    claim.contested = True
+    request_id = claim.request.specification.request_id
+    text = "claim lost to another entry" if claim.settled else "request waits: another entry has it"
+    note_event(state, text, request=request_id, holder=reply.holder)
+    is_granted = any(other.state == ReplicaState.GRANTED for other in claim.replicas)
+    if claim.settled and not is_granted:
+        detail = "another entry has taken it over"
+        end = RemoteEnd(request=claim.request, verdict=Verdict.MAY_HAVE_RUN, detail=detail)
+        state.remote_ends.append(end)
+
+
+def _advance(state: EntryState, claim: OwnClaim, now: float) -> None:
+    """Withdraws or repeats claims behind one that is held, and settles the claim if it can."""
+    if claim.settled or not claim.begun:
+        return
+    _replace_lost(state, claim)
+    granted = list(takewhile(lambda replica: replica.state in ANSWERED_STATES, claim.replicas))
+    following = claim.replicas[len(granted) :]
+    if following and following[0].state == ReplicaState.HELD:
+        _withdraw(state, claim, following[1:], now)
+    elif following and following[0].state == ReplicaState.WITHDRAWN:
+        _send_claim(state, claim, following[0], now)
+    _settle(state, claim, now)
+
+
+def _replace_lost(state: EntryState, claim: OwnClaim) -> None:
+    """Adds the next registrars in rank for those that are out of reach."""
+    known = {replica.address for replica in claim.replicas}
+    missing = REGISTRARS - sum(replica.state != ReplicaState.LOST for replica in claim.replicas)
+    if missing <= 0:
+        return
+    request_id = claim.request.specification.request_id
+    others = [item for item in _rank_registrars(state, request_id) if item not in known]
+    for address in others[:missing]:
+        replica = Replica(address=address)
+        # It is claimed as soon as those before it are granted.
+        replica.state = ReplicaState.WITHDRAWN
+        claim.replicas.append(replica)
+
+
+def _withdraw(state: EntryState, claim: OwnClaim, replicas: list[Replica], now: float) -> None:
+    for replica in replicas:
+        if replica.state not in (ReplicaState.WITHDRAWN, ReplicaState.LOST):
+            request_id = claim.request.specification.request_id
+            _send_release(state, request_id, replica, None, now)
+            replica.state = ReplicaState.WITHDRAWN
+            replica.timeout_at = math.inf
+
+
+def _settle(state: EntryState, claim: OwnClaim, now: float) -> None:
+    if claim.settled or not claim.begun:
+        return
+    if any(replica.state not in ANSWERED_STATES for replica in claim.replicas):
+        return
+    claim.settled = True
+    if claim.contested:
+        request_id = claim.request.specification.request_id
+        note_event(state, "request goes on: its claim was released", request=request_id)
+    if claim.request.verdict is None:
+        push_request(state, claim.request, now)
+
+
+def receive_claims(state: EntryState, frame: ClaimsFrame, now: float) -> None:
+    """Processes a frame from a claimant, as a registrar."""
+    newest = state.claimants.get(frame.entry, 0)
+    if frame.opening and frame.session > newest:
+        state.claimants[frame.entry] = frame.session
+        request_ids = {item.request_id for item in frame.claims}
+        record_session(state.registry, frame.entry, request_ids, now)
+    elif frame.session != newest:
+        count(state, "frames_stale")
+        return
+    record_frame(state.registry, frame.entry, now)
+    for release in frame.releases:
+        receive_release(state.registry, frame.entry, release, now)
+    replies = [receive_claim(state.registry, frame.entry, item, now) for item in frame.claims]
+    for reply in replies:
+        if reply.status != ClaimStatus.GRANTED:
+            note_event(
+                state,
+                "claim contested",
+                request=reply.request_id,
+                entry=frame.entry,
+                holder=reply.holder,
+                status=reply.status.name,
+            )
+    if replies or frame.opening:
+        _reply(state, frame.entry, replies)
+
+
+def _reply(state: EntryState, entry: str, replies: list[ClaimReply]) -> None:
+    session = state.claimants.get(entry, 0)
+    if session:
+        frame = ClaimRepliesFrame(entry=state.name, session=session, replies=replies)
+        state.effects.append(SendClaimReplies(entry=entry, frame=frame))
+
+
+def close_claimant_session(state: EntryState, entry: str, session: int, now: float) -> None:
+    """Records that the session of a claimant was closed."""
+    if state.claimants.get(entry) == session:
+        del state.claimants[entry]
+        record_absence(state.registry, entry, now)
+
+
+def deliver_late_replies(state: EntryState, now: float) -> None:
+    """Hands on the replies to claims that had to wait."""
+    for item in take_late_replies(state.registry):
+        if item.entry == state.name:
+            _receive_reply(state, "", item.reply, now)
+        else:
+            _reply(state, item.entry, [item.reply])
+
+
+def update_peers(state: EntryState, now: float) -> None:
+    """Requests links to the entries that are to keep claims, and removes the others.
+
+    This entry's own address is the first in `state.entries`.
+    """
+    if not state.linking_until:
+        state.linking_until = now + LINKING_SECONDS
+    chosen = _choose_peers(state, now)
+    for address in chosen:
+        if address not in state.peers:
+            state.peers[address] = Peer(address=address, now=now)
+            state.effects.append(OpenPeerLink(address=address))
+    for address in [address for address in state.peers if address not in chosen]:
+        _lose_replicas(state, address, now)
+        del state.peers[address]
+        state.effects.append(RemovePeerLink(address=address))
+
+
+def _choose_peers(state: EntryState, now: float) -> set[str]:
+    chosen = set()
+    needed_count = MAX_PEERS
+    for address in sorted(state.entries[1:], key=rank_peer):
+        if needed_count <= 0:
+            break
+        chosen.add(address)
+        peer = state.peers.get(address)
+        needed_count -= peer is None or not _is_failing(peer, now)
+    return chosen
+
+
+def _is_failing(peer: Peer, now: float) -> bool:
+    return not peer.usable and now - peer.unreachable_since > PEER_FAILURE_SECONDS
+
+
+def begin_peer_session(state: EntryState, address: str, now: float) -> int:
+    """Records that a session with a registrar was opened; queues the first frame.
+
+    Returns:
+        The session number, which each frame carries.
+    """
+    peer = state.peers[address]
+    peer.session += 1
+    peer.usable = False
+    peer.sent_at = now
+    peer.claims.clear()
+    peer.releases.clear()
+    open_claims = [
+        _build_claim(claim, replica, now)
+        for claim in state.claims.values()
+        for replica in claim.replicas
+        if replica.address == address and replica.state != ReplicaState.WITHDRAWN
+    ]
+    frame = ClaimsFrame(
+        entry=state.name, session=peer.session, opening=True, claims=open_claims, releases=[]
+    )
+    state.effects.append(SendClaims(address=address, frame=frame))
+    return peer.session
+
+
+def end_peer_session(state: EntryState, address: str, session: int, now: float) -> None:
+    """Records that a session with a registrar was closed."""
+    peer = state.peers.get(address)
+    if peer is None or peer.session != session:
+        return
+    if peer.usable:
+        peer.unreachable_since = now
+        note_event(state, "peer lost", peer=peer.name, address=address)
+    peer.usable = False
+    _lose_replicas(state, address, now)
+
+
+def _lose_replicas(state: EntryState, address: str, now: float) -> None:
+    """Leaves out a registrar that can't be reached.
+
+    While another entry has a claim there, it is waited for until that one's tasks have ended if its
+    process has.
+    """
+    for claim in state.claims.values():
+        for replica in claim.replicas:
+            if replica.address != address:
+                continue
+            if replica.state == ReplicaState.PENDING:
+                replica.state = ReplicaState.LOST
+            elif replica.state == ReplicaState.HELD:
+                replica.timeout_at = min(replica.timeout_at, now + RUN_EXPIRY_SECONDS)
+        _advance(state, claim, now)
+
+
+def expire_replies(state: EntryState, now: float) -> None:
+    """Leaves out the registrars that owe a reply for too long; ends old claims of the registry."""
+    if now - state.resumed_at < RESUMPTION_SECONDS:
+        return
+    expire_claims(state.registry, now, RUN_EXPIRY_SECONDS)
+    _begin_claims(state, now)
+    silent = set()
+    for claim in state.claims.values():
+        for replica in claim.replicas:
+            if now >= replica.timeout_at:
+                replica.timeout_at = math.inf
+                replica.state = ReplicaState.LOST
+                silent.add(replica.address)
+        _advance(state, claim, now)
+    _mark_heartbeats(state, now)
+    for address in silent:
+        _close_silent_peer(state, address, now)
+
+
+def _mark_heartbeats(state: EntryState, now: float) -> None:
+    kept = {replica.address for claim in state.claims.values() for replica in claim.replicas}
+    for peer in state.peers.values():
+        peer.heartbeat_due = peer.address in kept and now - peer.sent_at >= HEARTBEAT_SECONDS
+
+
+def _close_silent_peer(state: EntryState, address: str, now: float) -> None:
+    peer = state.peers.get(address)
+    if peer is None or not peer.usable:
+        return
+    count(state, "peers_silent")
+    note_event(state, "peer is silent", peer=peer.name, address=address)
+    state.effects.append(ClosePeerSession(address=address, session=peer.session))
+    end_peer_session(state, address, peer.session, now)
+
+
+def collect_claims(state: EntryState, now: float) -> None:
+    """Queues the frames to registrars, and the late replies to claimants."""
+    deliver_late_replies(state, now)
+    for peer in state.peers.values():
+        if not peer.usable or not (peer.claims or peer.releases or peer.heartbeat_due):
+            continue
+        peer.sent_at = now
+        peer.heartbeat_due = False
+        frame = ClaimsFrame(
+            entry=state.name,
+            session=peer.session,
+            opening=False,
+            claims=peer.claims,
+            releases=peer.releases,
+        )
+        peer.claims, peer.releases = [], []
+        state.effects.append(SendClaims(address=peer.address, frame=frame))
--- a/src/comfreysill/placement/effects.py
+++ b/src/comfreysill/placement/effects.py
@@ -1,5 +1,6 @@
 """Effects of an entry's decisions, for its process to carry out."""
 
+from comfreysill.exchange.claims import ClaimRepliesFrame, ClaimsFrame
 from comfreysill.exchange.messages import EntryFrame
 from comfreysill.request.types import Verdict
 
@@ -74,4 +75,64 @@
         self.address = address
 
 
-Effect = SendVerdict | SendFrame | CloseSession | OpenLink | RemoveLink | FetchRoutes
+class OpenPeerLink:
+    """Effect: connects a link to another entry; it is reconnected after each failure."""
+
+    __slots__ = ("address",)
+
+    def __init__(self, *, address: str) -> None:
+        self.address = address
+
+
+class RemovePeerLink:
+    """Effect: disconnects the link to another entry without reconnecting it."""
+
+    __slots__ = ("address",)
+
+    def __init__(self, *, address: str) -> None:
+        self.address = address
+
+
+class ClosePeerSession:
+    """Effect: closes a session with another entry that timed out; the link is then reconnected."""
+
+    __slots__ = ("address", "session")
+
+    def __init__(self, *, address: str, session: int) -> None:
+        self.address = address
+        self.session = session
+
+
+class SendClaims:
+    """Effect: sends a frame to the registrar at an address."""
+
+    __slots__ = ("address", "frame")
+
+    def __init__(self, *, address: str, frame: ClaimsFrame) -> None:
+        self.address = address
+        self.frame = frame
+
+
+class SendClaimReplies:
+    """Effect: sends a frame to a claimant, on its newest session; `entry` is its name."""
+
+    __slots__ = ("entry", "frame")
+
+    def __init__(self, *, entry: str, frame: ClaimRepliesFrame) -> None:
+        self.entry = entry
+        self.frame = frame
+
+
+Effect = (
+    SendVerdict
+    | SendFrame
+    | CloseSession
+    | OpenLink
+    | RemoveLink
+    | FetchRoutes
+    | OpenPeerLink
+    | RemovePeerLink
+    | ClosePeerSession
+    | SendClaims
+    | SendClaimReplies
+)
--- /dev/null
+++ b/src/comfreysill/placement/peers.py
@@ -0,0 +1,136 @@
+"""Other entries as one entry sees them, and the claims that it has made at them."""
+
+import enum
+import math
+import zlib
+
+from comfreysill.exchange.claims import ClaimRelease, ClaimRequest
+from comfreysill.request.request import Request
+from comfreysill.request.types import Verdict
+
+# Links are kept to so many other entries that can be reached; all entries choose the same ones as
+# far as they know the same ones.
+MAX_PEERS = 16
+# A peer that could not be reached for so long is no longer counted among MAX_PEERS.
+PEER_FAILURE_SECONDS = 5.0
+
+
+class Peer:
+    """Another entry, which keeps claims for this one.
+
+    Attributes:
+        address: Address of its services, `host:port`.
+        name: Name of its instance, empty before its first frame.
+        session: Number of the newest session of the link, 0 before the first.
+        usable: True from the first frame of a session until it ends or a reply is overdue.
+        unreachable_since: Boot-clock time in seconds since which it is not usable, 0 while it is.
+        sent_at: Boot-clock time in seconds of the last frame sent to it, 0 before the first.
+        heartbeat_due: True if a frame is to be sent though there is nothing to tell.
+        claims: Claims for the next frame.
+        releases: Ended claims for the next frame.
+    """
+
+    __slots__ = (
+        "address",
+        "name",
+        "session",
+        "usable",
+        "unreachable_since",
+        "sent_at",
+        "heartbeat_due",
+        "claims",
+        "releases",
+    )
+
+    def __init__(self, *, address: str, now: float) -> None:
+        self.address = address
+        self.name = ""
+        self.session = 0
+        self.usable = False
+        self.unreachable_since = now
+        self.sent_at = 0.0
+        self.heartbeat_due = False
+        self.claims: list[ClaimRequest] = []
+        self.releases: list[ClaimRelease] = []
+
+
+class ReplicaState(enum.IntEnum):
+    """State of a claim at one registrar.
+
+    WITHDRAWN is one that is released there until the claim is granted at a registrar before it, so
+    that two claimants never wait for each other. LOST is one whose registrar is out of reach.
+    """
+
+    PENDING = 0
+    GRANTED = 1
+    HELD = 2
+    WITHDRAWN = 3
+    LOST = 4
+
+
+class Replica:
+    """A claim at one of its registrars.
+
+    Attributes:
+        address: Address of the registrar, empty for this entry itself.
+        number: Number of the claim there; it rises from claim to claim.
+        state: State of the claim there.
+        timeout_at: Boot-clock time in seconds at which it becomes LOST; infinite while its
+            registrar is known to have it.
+    """
+
+    __slots__ = ("address", "number", "state", "timeout_at")
+
+    def __init__(self, *, address: str) -> None:
+        self.address = address
+        self.number = 0
+        self.state = ReplicaState.PENDING
+        self.timeout_at = math.inf
+
+
+class OwnClaim:
+    """A claim of this entry.
+
+    Attributes:
+        request: The request.
+        begun: True once its registrars were chosen.
+        replicas: The claim at its registrars, in the order in which all entries rank them.
+        settled: True once this entry may place the request's tasks.
+        contested: True if another entry had the claim when it was made.
+    """
+
+    __slots__ = ("request", "begun", "replicas", "settled", "contested")
+
+    def __init__(self, *, request: Request) -> None:
+        self.request = request
+        self.begun = False
+        self.replicas: list[Replica] = []
+        self.settled = False
+        self.contested = False
+
+
+class RemoteEnd:
+    """The end of a request by what another entry has done with it.
+
+    Attributes:
+        request: The request.
+        verdict: Its verdict here.
+        detail: Human-readable reason.
+    """
+
+    __slots__ = ("request", "verdict", "detail")
+
+    def __init__(self, *, request: Request, verdict: Verdict, detail: str) -> None:
+        self.request = request
+        self.verdict = verdict
+        self.detail = detail
+
+
+def rank_peer(address: str) -> int:
+    """Returns the rank of an address in the choice of the entries that keep claims."""
+    return zlib.crc32(address.encode())
+
+
+def rank_registrar(instance: str, request_id: str) -> int:
+    """Returns the rank of an instance in the choice of the registrars of a request."""
+    return zlib.crc32(f"{instance} {request_id}".encode())
--- a/src/comfreysill/placement/requests.py
+++ b/src/comfreysill/placement/requests.py
@@ -6,6 +6,13 @@
 from comfreysill.crashes.ledger import find_deadly_task, is_suspect
 from comfreysill.exchange.messages import Outcome
 from comfreysill.placement.bindings import choose_refusal
+from comfreysill.placement.claims import (
+    claim_request,
+    deliver_late_replies,
+    is_contested,
+    release_claim,
+    renew_claim,
+)
 from comfreysill.placement.confinement import record_demand
 from comfreysill.placement.deadlines import (
     compute_stop_at,
@@ -58,7 +65,7 @@
     request = state.requests.get(request_id)
     if request is not None:
         waiter = Waiter(caller=caller, specification=specification, wait=wait)
-        _join_request(state, request, waiter, stop_at)
+        _join_request(state, request, waiter, stop_at, now)
         return
     if now >= stop_at:
         _refuse_unread(state, caller, specification, now, wait)
@@ -74,13 +81,16 @@
     _accept_request(state, caller, request, now)
 
 
-def _join_request(state: EntryState, request: Request, waiter: Waiter, stop_at: float) -> None:
+def _join_request(
+    state: EntryState, request: Request, waiter: Waiter, stop_at: float, now: float
+) -> None:
     request_id = request.specification.request_id
     count(state, "requests_joined")
     state.callers[waiter.caller] = request_id
     if request.verdict is None:
         request.callers.add(waiter.caller)
         extend_request(state, request, stop_at)
+        renew_claim(state, request, now)
     else:
         state.waiters.setdefault(request_id, []).append(waiter)
 
@@ -134,7 +144,17 @@
     if deadly_task:
         give_up_request(state, request, deadly_task, now)
     else:
-        push_request(state, request, now)
+        claim_request(state, request, now)
+
+
+def conclude_remote_ends(state: EntryState, now: float) -> None:
+    """Concludes the requests that have ended by what another entry did; precedes each placement."""
+    deliver_late_replies(state, now)
+    while state.remote_ends:
+        ends, state.remote_ends = state.remote_ends, []
+        for end in ends:
+            conclude_request(state, end.request, end.verdict, end.detail, now)
+        deliver_late_replies(state, now)
 
 
 def suspect_tasks(state: EntryState, request: Request) -> None:
@@ -182,8 +202,13 @@
 
 
 def refuse_request(state: EntryState, request: Request, detail: str, now: float) -> None:
-    """Concludes a request of which no task was placed here; see `choose_refusal`."""
+    """Concludes a request of which no task was placed here; see `choose_refusal`.
+
+    If another entry had it, it may have run there.
+    """
     verdict = choose_refusal(state, request.specification.request_id, now)
+    if is_contested(state, request):
+        verdict = Verdict.MAY_HAVE_RUN
     conclude_request(state, request, verdict, detail, now)
 
 
@@ -237,6 +262,7 @@
         return
     request_id = request.specification.request_id
     state.requests.pop(request_id, None)
+    release_claim(state, request, now)
     waiters = state.waiters.pop(request_id, None)
     if not waiters:
         return
--- a/src/comfreysill/placement/state.py
+++ b/src/comfreysill/placement/state.py
@@ -5,9 +5,11 @@
 
 from collections import deque
 
+from comfreysill.claims.registry import ClaimRegistry
 from comfreysill.crashes.ledger import CrashLedger
 from comfreysill.exchange.messages import Batch, Load, Profile
 from comfreysill.placement.effects import Effect
+from comfreysill.placement.peers import OwnClaim, Peer, RemoteEnd
 from comfreysill.request.request import Request, Task
 from comfreysill.request.types import CallerWait, Specification, Verdict
 from comfreysill.routes.table import NO_ROUTES
@@ -243,6 +245,14 @@
         remote_factor: Factor on the run time of a task outside the rack of its data.
         subset_due_at: Boot-clock time in seconds at which the subset is chosen again.
         entries: Addresses of entries, its own first; sent to agents for their announcements.
+        peers: Other entries to which a link was requested, by address.
+        linking_until: Boot-clock time in seconds until which requests wait for the links to the
+            first of them, 0 before these were requested.
+        registry: Claims that this entry keeps for all entries.
+        claimants: Numbers of the newest open sessions of other entries with `registry`, by name.
+        claims: Claims of this entry, by request id.
+        last_claim_number: Number of its newest claim, 0 before the first.
+        remote_ends: Requests that have ended by what another entry did, not concluded yet.
         requests: Requests without a verdict or with tasks still placed, by request id.
         cached: Final verdicts for repeated requests, by request id.
         cached_ids: Request ids of cached verdicts, oldest first.
@@ -256,6 +266,7 @@
         queues: Heap of (band, priority, due time, enqueue count, request) for each service; for the
             bands see `ON_TIME` in `queue`.
         ticked_at: Boot-clock time in seconds of the last tick.
+        resumed_at: Boot-clock time in seconds of the last tick after a suspension.
         enqueue_count: Number of requests queued so far; puts otherwise equal ones in order.
         effects: Effects to carry out, drained by the process.
         events: Texts and fields of log lines, drained by the process.
@@ -275,6 +286,13 @@
         "remote_factor",
         "subset_due_at",
         "entries",
+        "peers",
+        "linking_until",
+        "registry",
+        "claimants",
+        "claims",
+        "last_claim_number",
+        "remote_ends",
         "requests",
         "cached",
         "cached_ids",
@@ -287,6 +305,7 @@
         "deadline_count",
         "queues",
         "ticked_at",
+        "resumed_at",
         "enqueue_count",
         "effects",
         "events",
@@ -315,6 +334,13 @@
         self.remote_factor = remote_factor
         self.subset_due_at = 0.0
         self.entries: list[str] = []
+        self.peers: dict[str, Peer] = {}
+        self.linking_until = 0.0
+        self.registry = ClaimRegistry()
+        self.claimants: dict[str, int] = {}
+        self.claims: dict[str, OwnClaim] = {}
+        self.last_claim_number = 0
+        self.remote_ends: list[RemoteEnd] = []
         self.requests: dict[str, Request] = {}
         self.cached: dict[str, CachedVerdict] = {}
         self.cached_ids: deque[str] = deque()
@@ -327,6 +353,7 @@
         self.deadline_count = 0
         self.queues: dict[str, list[tuple[int, int, float, int, Request]]] = {}
         self.ticked_at = 0.0
+        self.resumed_at = 0.0
         self.enqueue_count = 0
         self.effects: list[Effect] = []
         self.events: list[tuple[str, dict[str, object]]] = []
--- a/tests/platform_world.py
+++ b/tests/platform_world.py
@@ -46,10 +46,32 @@
     expire_agents,
     receive_agent_frame,
 )
+from comfreysill.placement.claims import (
+    begin_peer_session,
+    close_claimant_session,
+    collect_claims,
+    end_peer_session,
+    expire_replies,
+    receive_claims,
+    receive_replies,
+    update_peers,
+)
 from comfreysill.placement.crashes import judge_crashes, receive_crash
-from comfreysill.placement.effects import CloseSession, OpenLink, RemoveLink, SendFrame
+from comfreysill.placement.effects import (
+    ClosePeerSession,
+    CloseSession,
+    OpenLink,
+    OpenPeerLink,
+    RemoveLink,
+    RemovePeerLink,
+    SendClaimReplies,
+    SendClaims,
+    SendFrame,
+    SendVerdict,
+)
 from comfreysill.placement.placement import place_waiting, refuse_unmeetable
 from comfreysill.placement.requests import (
+    conclude_remote_ends,
     disconnect_caller,
     expire_cached_verdicts,
     expire_requests,
@@ -283,6 +305,8 @@
         # Newest report of each lifetime of a runner, the earliest lifetime first.
         self.reports = {name: [] for name in self.agents}
         self.links = {}
+        # Sessions of entries with registrars, as (session, lifetimes) by their names.
+        self.peer_links = {}
         self.cut_until = {}
         # Probability that a call gets no answer and is carried out late; see `delay_call`.
         self.call_loss_probability = 0.0
@@ -309,6 +333,12 @@
         # Tests replace it: seconds from the end of a caller's wait until the end of its connection
         # is seen, NEVER if it isn't.
         self.draw_end_delay = lambda: HOP_SECONDS
+        # Tests replace it: seconds for which the path from a caller holds its request and the end
+        # of its connection.
+        self.draw_path_delay = lambda entry: 0.0
+        # Tests replace it: seconds from the sending until the connection breaks at its caller,
+        # NEVER if it doesn't. The entry isn't told before `draw_end_delay` says so.
+        self.draw_break_delay = lambda: NEVER
         # Whether a process that wakes reads from agents first, and from callers after that.
         self.reads_callers_last = False
         self.callers = {}
@@ -345,6 +375,8 @@
         for entry in self.entries:
             for agent in self.agents:
                 self.connect(entry, agent)
+            for other in self.entries:
+                self.connect_peer(entry, other)
 
     def run_or_defer(self, process, action, *arguments):
         """Runs an action in a process, or defers it while the process is frozen.
@@ -380,7 +412,7 @@
             unix_offset=0.0,
             retry_seconds=RESEND_DELAY_SECONDS,
         )
-        process.state.entries = list(self.entries)
+        process.state.entries = [name, *(other for other in self.entries if other != name)]
         for agent in self.agents:
             discover_agent(process.state, agent, agent)
         for report in self.stored_crashes:
@@ -429,6 +461,7 @@
 
     def tick_entry(self, process):
         expire_agents(process.state, self.now)
+        expire_replies(process.state, self.now)
         expire_cached_verdicts(process.state, self.now)
         judge_crashes(process.state, self.now)
         expire_crashes(process.state.crashes, self.now)
@@ -445,20 +478,36 @@
     def flush_entry(self, process):
         state = process.state
         update_subset(state, self.now)
+        update_peers(state, self.now)
+        conclude_remote_ends(state, self.now)
         expire_requests(state, self.now)
         place_waiting(state, self.now)
         collect_frames(state, self.now)
+        collect_claims(state, self.now)
         effects, state.effects = state.effects, []
         state.events.clear()
         for effect in effects:
-            if isinstance(effect, SendFrame):
-                self.send(process.name, effect.agent, effect.frame)
-            elif isinstance(effect, CloseSession | RemoveLink):
-                self.drop_link(process.name, effect.agent)
-            elif isinstance(effect, OpenLink):
-                self.connect(process.name, effect.agent)
-            else:
-                self.handle_verdict(process.name, effect)
+            self.carry_out(process, effect)
+
+    def carry_out(self, process, effect):
+        if isinstance(effect, SendFrame):
+            self.send(process.name, effect.agent, effect.frame)
+        elif isinstance(effect, CloseSession | RemoveLink):
+            self.drop_link(process.name, effect.agent)
+        elif isinstance(effect, OpenLink):
+            self.connect(process.name, effect.agent)
+        elif isinstance(effect, SendClaims):
+            self.send_to_peer(process.name, effect.address, self.handle_claims, effect.frame)
+        elif isinstance(effect, SendClaimReplies):
+            claimant = effect.entry.partition("@")[0]
+            if self.entries[claimant].state.name == effect.entry:
+                self.send_to_peer(process.name, claimant, self.handle_replies, effect.frame)
+        elif isinstance(effect, ClosePeerSession | RemovePeerLink):
+            self.drop_peer_link(process.name, effect.address)
+        elif isinstance(effect, OpenPeerLink):
+            self.connect_peer(process.name, effect.address)
+        elif isinstance(effect, SendVerdict):
+            self.handle_verdict(process.name, effect)
 
     def flush_agent(self, process):
         agent = process.state
@@ -547,6 +596,63 @@
         receive_agent_frame(process.state, frame, self.now)
         self.flush_entry(process)
 
+    # --- links between entries --------------------------------------------------------------
+    def connect_peer(self, claimant, registrar):
+        """Opens the session of an entry with a registrar, unless there is one."""
+        process, other = self.entries[claimant], self.entries[registrar]
+        frozen = max(process.frozen_until, other.frozen_until) > self.now
+        if not process.alive or not other.alive or frozen:
+            return
+        if (claimant, registrar) in self.peer_links or registrar not in process.state.peers:
+            return
+        if self.is_cut(claimant, registrar) or self.is_cut(registrar, claimant):
+            return
+        session = begin_peer_session(process.state, registrar, self.now)
+        self.peer_links[claimant, registrar] = (session, process.lifetime, other.lifetime)
+        self.flush_entry(process)
+
+    def drop_peer_link(self, claimant, registrar):
+        link = self.peer_links.pop((claimant, registrar), None)
+        if link is None:
+            return
+        process, other = self.entries[claimant], self.entries[registrar]
+        session, lifetime, other_lifetime = link
+        if process.lifetime == lifetime:
+            self.run_or_defer(process, self.end_peer, process, registrar, session)
+        if other.lifetime == other_lifetime:
+            name = f"{claimant}@{lifetime}"
+            cut_seconds = max(0.0, self.cut_until.get((claimant, registrar), 0.0) - self.now)
+            self.schedule(cut_seconds, self.deliver_end, other, other_lifetime, name, session)
+
+    def deliver_end(self, process, lifetime, name, session):
+        if process.lifetime == lifetime:
+            self.run_or_defer(process, self.end_claimant, process, name, session)
+
+    def end_peer(self, process, registrar, session):
+        end_peer_session(process.state, registrar, session, self.now)
+
+    def end_claimant(self, process, name, session):
+        close_claimant_session(process.state, name, session, self.now)
+
+    def send_to_peer(self, sender, receiver, handle, frame):
+        cut_seconds = self.cut_until.get((sender, receiver), 0.0) - self.now
+        lifetime = self.entries[receiver].lifetime
+        delay = HOP_SECONDS + max(0.0, cut_seconds)
+        self.schedule(delay, self.deliver_to_peer, sender, receiver, lifetime, handle, frame)
+
+    def deliver_to_peer(self, sender, receiver, lifetime, handle, frame):
+        process = self.entries[receiver]
+        if process.lifetime == lifetime:
+            self.run_or_defer(process, handle, process, sender, frame)
+
+    def handle_claims(self, process, sender, frame):
+        receive_claims(process.state, frame, self.now)
+        self.flush_entry(process)
+
+    def handle_replies(self, process, sender, frame):
+        receive_replies(process.state, sender, frame, self.now)
+        self.flush_entry(process)
+
     # --- the runner -------------------------------------------------------------------------
     def draw_call_delay(self, process, call):
         """Returns how many seconds late a call is carried out without an answer, None if it isn't.
@@ -670,10 +776,19 @@
         caller = self.next_caller
         self.next_caller += 1
         self.callers[caller] = (request_id, entry)
-        wait = self.waits.get(request_id, NEVER)
+        wait = min(self.waits.get(request_id, NEVER), self.draw_break_delay())
+        path_delay = self.draw_path_delay(entry)
         if wait != NEVER:
-            self.schedule(wait, self.stop_waiting, caller)
-        self.run_or_defer(process, self.handle_request, process, caller, request_id, self.now)
+            self.schedule(wait, self.stop_waiting, caller, path_delay)
+        if path_delay:
+            lifetime = process.lifetime
+            self.schedule(path_delay, self.deliver_request, process, lifetime, caller, request_id)
+        else:
+            self.run_or_defer(process, self.handle_request, process, caller, request_id, self.now)
+
+    def deliver_request(self, process, lifetime, caller, request_id):
+        if process.lifetime == lifetime:
+            self.run_or_defer(process, self.handle_request, process, caller, request_id, self.now)
 
     def handle_request(self, process, caller, request_id, sent_at):
         unread_seconds = POLL_SECONDS
@@ -694,7 +809,7 @@
     def choose_entry(self):
         return self.random.choice(sorted(self.entries))
 
-    def stop_waiting(self, caller):
+    def stop_waiting(self, caller, path_delay=0.0):
         """Lets a caller without an answer close its connection, and send its request again."""
         if caller not in self.callers:
             return
@@ -703,7 +818,9 @@
         if end_delay != NEVER:
             process = self.entries[entry]
             lifetime = process.lifetime
-            self.schedule(end_delay, self.deliver_disconnect, process, lifetime, caller)
+            self.schedule(
+                path_delay + end_delay, self.deliver_disconnect, process, lifetime, caller
+            )
         self.schedule(RESEND_DELAY_SECONDS, self.send_request, request_id, self.choose_entry())
 
     def deliver_disconnect(self, process, lifetime, caller):
@@ -732,6 +849,12 @@
                 self.links.pop((name, agent), None)
             else:
                 self.drop_link(name, agent)
+        for other in self.entries:
+            for claimant, registrar in ((name, other), (other, name)):
+                if silent:
+                    self.peer_links.pop((claimant, registrar), None)
+                else:
+                    self.drop_peer_link(claimant, registrar)
         for caller, (request_id, entry) in list(self.callers.items()):
             if entry == name:
                 del self.callers[caller]
