--- a/src/comfreysill/gateway/actor.py
+++ b/src/comfreysill/gateway/actor.py
@@ -9,17 +9,22 @@
 from comfreysill.containment import MessageFailures, contain_nothing, handle_contained
 from comfreysill.crashes.ledger import expire_crashes
 from comfreysill.exchange.messages import Member, Role
-from comfreysill.gateway.links import Link, run_link
+from comfreysill.gateway.links import Link, build_agent_link, build_peer_link, run_link
 from comfreysill.gateway.messages import (
     AgentFrameReceived,
     CallerDisconnected,
     Cancel,
+    ClaimantDisconnected,
+    ClaimRepliesReceived,
+    ClaimsReceived,
     ConcludeRequests,
     CrashesRead,
     EntriesDiscovered,
     EntryStateMessage,
     MemberRemoved,
     MembersDiscovered,
+    PeerSessionClosed,
+    PeerSessionOpened,
     Reply,
     RoutesRead,
     SessionClosed,
@@ -27,6 +32,7 @@
     Submit,
     Tick,
 )
+from comfreysill.gateway.registrar import ClaimantSession
 from comfreysill.mailbox import Mailbox
 from comfreysill.placement.agents import (
     begin_session,
@@ -39,18 +45,34 @@
     receive_agent_frame,
     release_agent,
 )
+from comfreysill.placement.claims import (
+    begin_peer_session,
+    close_claimant_session,
+    collect_claims,
+    end_peer_session,
+    expire_replies,
+    receive_claims,
+    receive_replies,
+    update_peers,
+)
 from comfreysill.placement.crashes import judge_crashes, receive_crash
 from comfreysill.placement.effects import (
+    ClosePeerSession,
     CloseSession,
     Effect,
     FetchRoutes,
     OpenLink,
+    OpenPeerLink,
     RemoveLink,
+    RemovePeerLink,
+    SendClaimReplies,
+    SendClaims,
     SendFrame,
     SendVerdict,
 )
 from comfreysill.placement.placement import is_usable, place_waiting, refuse_unmeetable
 from comfreysill.placement.requests import (
+    conclude_remote_ends,
     conclude_request,
     disconnect_caller,
     expire_cached_verdicts,
@@ -68,12 +90,15 @@
 class Actor:
     """State, mailbox and links of an entry.
 
-    Only the state task, the asyncio task that runs `run_state_task`, changes `state` and `links`.
+    Only the state task, the asyncio task that runs `run_state_task`, changes the state, the links
+    and the claimants.
 
     Attributes:
         state: Requests and agents of the entry.
         inbox: Messages from the other asyncio tasks of the process.
         links: Links by the agent's name, connected or connecting.
+        peer_links: Links to other entries by address, connected or connecting.
+        claimants: Open sessions of other entries, by name.
         pending_replies: Futures of replies, by number of the waiting caller.
         last_caller_number: Number of the newest caller, 0 before the first.
         routes_text: Undecoded routing document in use, empty if there is none.
@@ -86,6 +111,8 @@
         "state",
         "inbox",
         "links",
+        "peer_links",
+        "claimants",
         "pending_replies",
         "last_caller_number",
         "routes_text",
@@ -98,6 +125,8 @@
         self.state = state
         self.inbox: Mailbox[EntryStateMessage] = Mailbox()
         self.links: dict[str, Link] = {}
+        self.peer_links: dict[str, Link] = {}
+        self.claimants: dict[str, ClaimantSession] = {}
         self.pending_replies: dict[int, asyncio.Future[Reply]] = {}
         self.last_caller_number = 0
         self.routes_text = b""
@@ -196,6 +225,41 @@
     receive_agent_frame(actor.state, message.frame, now)
 
 
+def _receive_peer_opened(actor: Actor, message: PeerSessionOpened, now: float) -> None:
+    link = actor.peer_links.get(message.address)
+    if link is not None:
+        link.session = begin_peer_session(actor.state, message.address, now)
+
+
+def _receive_peer_closed(actor: Actor, message: PeerSessionClosed, now: float) -> None:
+    end_peer_session(actor.state, message.address, message.session, now)
+
+
+def _receive_claim_replies(actor: Actor, message: ClaimRepliesReceived, now: float) -> None:
+    receive_replies(actor.state, message.address, message.frame, now)
+
+
+def _receive_claims(actor: Actor, message: ClaimsReceived, now: float) -> None:
+    frame = message.frame
+    session = actor.claimants.get(frame.entry)
+    if session is None or session.number < frame.session:
+        if session is not None:
+            session.outbox.post(None)
+        session = ClaimantSession(number=frame.session, outbox=message.outbox)
+        actor.claimants[frame.entry] = session
+    if session.outbox is message.outbox:
+        receive_claims(actor.state, frame, now)
+    else:
+        message.outbox.post(None)
+
+
+def _receive_claimant_closed(actor: Actor, message: ClaimantDisconnected, now: float) -> None:
+    for entry, session in list(actor.claimants.items()):
+        if session.outbox is message.outbox:
+            del actor.claimants[entry]
+            close_claimant_session(actor.state, entry, session.number, now)
+
+
 def _receive_members(actor: Actor, message: MembersDiscovered, now: float) -> None:
     for member in message.members:
         if member.role == Role.ENTRY:
@@ -240,6 +304,7 @@
 
 def _receive_tick(actor: Actor, message: Tick, now: float) -> None:
     expire_agents(actor.state, now)
+    expire_replies(actor.state, now)
     expire_cached_verdicts(actor.state, now)
     judge_crashes(actor.state, now)
     expire_crashes(actor.state.crashes, now)
@@ -259,6 +324,11 @@
     SessionOpened: _receive_session_opened,
     SessionClosed: _receive_session_closed,
     AgentFrameReceived: _receive_frame,
+    PeerSessionOpened: _receive_peer_opened,
+    PeerSessionClosed: _receive_peer_closed,
+    ClaimRepliesReceived: _receive_claim_replies,
+    ClaimsReceived: _receive_claims,
+    ClaimantDisconnected: _receive_claimant_closed,
     MembersDiscovered: _receive_members,
     MemberRemoved: _receive_member_removed,
     EntriesDiscovered: _receive_entries,
@@ -284,9 +354,22 @@
     contain_failed_frame(actor.state, message.agent, now)
 
 
+def _contain_replies(actor: Actor, message: ClaimRepliesReceived, now: float) -> None:
+    # The first frame of the next session repeats the claims.
+    link = actor.peer_links.get(message.address)
+    if link is not None:
+        link.outbox.post(None)
+
+
+def _contain_claims(actor: Actor, message: ClaimsReceived, now: float) -> None:
+    message.outbox.post(None)
+
+
 CONTAINMENT: dict[type, Callable[[Actor, EntryStateMessage, float], None]] = {
     Submit: _contain_submit,
     AgentFrameReceived: _contain_frame,
+    ClaimRepliesReceived: _contain_replies,
+    ClaimsReceived: _contain_claims,
     MembersDiscovered: contain_nothing,
     MemberRemoved: contain_nothing,
     EntriesDiscovered: contain_nothing,
@@ -298,9 +381,12 @@
 def _flush(actor: Actor, now: float) -> None:
     state = actor.state
     update_subset(state, now)
+    update_peers(state, now)
+    conclude_remote_ends(state, now)
     expire_requests(state, now)
     place_waiting(state, now)
     collect_frames(state, now)
+    collect_claims(state, now)
     effects, state.effects = state.effects, []
     for effect in effects:
         EFFECTS[type(effect)](actor, effect, now)
@@ -316,7 +402,7 @@
 
 
 def _open_link(actor: Actor, effect: OpenLink, now: float) -> None:
-    link = Link(agent=effect.agent, address=effect.address, inbox=actor.inbox)
+    link = build_agent_link(effect.agent, effect.address, actor.inbox)
     link.task = asyncio.create_task(run_link(link))
     actor.links[effect.agent] = link
 
@@ -334,6 +420,36 @@
         link.outbox.post(None)
 
 
+def _open_peer_link(actor: Actor, effect: OpenPeerLink, now: float) -> None:
+    link = build_peer_link(effect.address, actor.inbox)
+    link.task = asyncio.create_task(run_link(link))
+    actor.peer_links[effect.address] = link
+
+
+def _remove_peer_link(actor: Actor, effect: RemovePeerLink, now: float) -> None:
+    link = actor.peer_links.pop(effect.address, None)
+    if link is not None:
+        link.task.cancel()
+
+
+def _close_peer_session(actor: Actor, effect: ClosePeerSession, now: float) -> None:
+    link = actor.peer_links.get(effect.address)
+    if link is not None and link.session == effect.session:
+        link.outbox.post(None)
+
+
+def _send_claims(actor: Actor, effect: SendClaims, now: float) -> None:
+    link = actor.peer_links.get(effect.address)
+    if link is not None:
+        link.outbox.post(effect.frame)
+
+
+def _send_claim_replies(actor: Actor, effect: SendClaimReplies, now: float) -> None:
+    session = actor.claimants.get(effect.entry)
+    if session is not None and session.number == effect.frame.session:
+        session.outbox.post(effect.frame)
+
+
 def _queue_routes_fetch(actor: Actor, effect: FetchRoutes, now: float) -> None:
     actor.routes_sources.post(effect.address)
 
@@ -355,4 +471,9 @@
     OpenLink: _open_link,
     RemoveLink: _remove_link,
     FetchRoutes: _queue_routes_fetch,
+    OpenPeerLink: _open_peer_link,
+    RemovePeerLink: _remove_peer_link,
+    ClosePeerSession: _close_peer_session,
+    SendClaims: _send_claims,
+    SendClaimReplies: _send_claim_replies,
 }
--- a/src/comfreysill/gateway/program.py
+++ b/src/comfreysill/gateway/program.py
@@ -24,6 +24,7 @@
     watch_routes,
 )
 from comfreysill.gateway.messages import Cancel, ConcludeRequests, EntriesDiscovered, Tick
+from comfreysill.gateway.registrar import RegistrarService
 from comfreysill.gateway.roster import RosterService, fetch_routes
 from comfreysill.listeners import Listeners
 from comfreysill.membership import register_member
@@ -82,7 +83,8 @@
         get_members=lambda: list_members(actor),
         rejections=store.rejections,
     )
-    grpc_server = await start_grpc_on_socket([roster_service], listeners.link)
+    registrar_service = RegistrarService(inbox=actor.inbox)
+    grpc_server = await start_grpc_on_socket([roster_service, registrar_service], listeners.link)
     callers_task = asyncio.create_task(_serve_callers(actor, callers_server, listeners.http))
     member = Member(name=settings.name, role=Role.ENTRY, address=settings.advertised)
     tasks = [
@@ -93,7 +95,8 @@
     logger.info("entry started", extra={"fields": {"name": name}})
     await await_stop(stop, [callers_task, *tasks], [registration])
     await _shut_down(actor, settings, callers_server, callers_task, poll_times)
-    for task in [registration, *tasks, *(link.task for link in actor.links.values())]:
+    links = [*actor.links.values(), *actor.peer_links.values()]
+    for task in [registration, *tasks, *(link.task for link in links)]:
         task.cancel()
     grpc_server.close()
     await store.session.close()
@@ -213,6 +216,9 @@
         "requests": len(state.requests),
         "callers": len(actor.pending_replies),
         "agents": sum(agent.connected for agent in state.agents.values()),
+        "peers": sum(peer.usable for peer in state.peers.values()),
+        "claims": len(state.claims),
+        "claims_kept": len(state.registry.claims),
         "routes_version": state.routes.version,
         "crashes_known": len(state.crashes.crash_ids),
         "routes_confined": len(state.crashes.confined_until),
--- a/src/comfreysill/placement/claims.py
+++ b/src/comfreysill/placement/claims.py
@@ -75,7 +75,8 @@
 
 def _is_linking(state: EntryState, now: float) -> bool:
     """Returns whether this entry has just started and may soon be linked to its first peers."""
-    return now < state.linking_until and not all(peer.usable for peer in state.peers.values())
+    is_linked = all(peer.usable or peer.duplicate for peer in state.peers.values())
+    return now < state.linking_until and not is_linked
 
 
 def _begin_claim(state: EntryState, claim: OwnClaim, now: float) -> None:
@@ -188,9 +189,14 @@
 
 def _begin_use(state: EntryState, peer: Peer, frame: ClaimRepliesFrame, now: float) -> None:
     peer.name = get_instance(frame.entry)
-    # This entry may be known under several addresses.
     if peer.name == get_instance(state.name):
+        _drop_duplicate(state, peer)
         return
+    for other in state.peers.values():
+        if other.name == peer.name and other.usable:
+            # The registrar has replaced that session by this one.
+            _drop_duplicate(state, other)
+            _move_replicas(state, other, peer, now)
     peer.usable = True
     peer.unreachable_since = 0.0
     note_event(state, "peer linked", peer=frame.entry, address=peer.address)
@@ -199,6 +205,25 @@
     _begin_claims(state, now)
 
 
+def _drop_duplicate(state: EntryState, peer: Peer) -> None:
+    """Removes the link to an entry that is this one itself, or is reached at another address."""
+    peer.usable = False
+    peer.duplicate = True
+    state.effects.append(RemovePeerLink(address=peer.address))
+
+
+def _move_replicas(state: EntryState, before: Peer, after: Peer, now: float) -> None:
+    """Repeats the claims at a registrar that is reached at another address from now on."""
+    after.usable = True
+    for claim in state.claims.values():
+        for replica in claim.replicas:
+            if replica.address != before.address:
+                continue
+            replica.address = after.address
+            if replica.state != ReplicaState.WITHDRAWN:
+                _send_claim(state, claim, replica, now)
+
+
 def _begin_claims(state: EntryState, now: float) -> None:
     """Begins the claims that have waited for the links to the first peers."""
     if _is_linking(state, now):
@@ -308,6 +333,11 @@
 def receive_claims(state: EntryState, frame: ClaimsFrame, now: float) -> None:
     """Processes a frame from a claimant, as a registrar."""
     newest = state.claimants.get(frame.entry, 0)
+    if frame.entry == state.name:
+        # Claims that it makes at itself need no session; the reply tells it whom it has reached.
+        state.claimants[frame.entry] = frame.session
+        _reply(state, frame.entry, [])
+        return
     if frame.opening and frame.session > newest:
         state.claimants[frame.entry] = frame.session
         request_ids = {item.request_id for item in frame.claims}
@@ -382,7 +412,7 @@
             break
         chosen.add(address)
         peer = state.peers.get(address)
-        needed_count -= peer is None or not _is_failing(peer, now)
+        needed_count -= peer is None or not (peer.duplicate or _is_failing(peer, now))
     return chosen
 
 
@@ -397,7 +427,8 @@
         The session number, which each frame carries.
     """
     peer = state.peers[address]
-    peer.session += 1
+    state.last_peer_session += 1
+    peer.session = state.last_peer_session
     peer.usable = False
     peer.sent_at = now
     peer.claims.clear()
@@ -425,6 +456,14 @@
         note_event(state, "peer lost", peer=peer.name, address=address)
     peer.usable = False
     _lose_replicas(state, address, now)
+    _forget_duplicates(state, peer)
+
+
+def _forget_duplicates(state: EntryState, peer: Peer) -> None:
+    """Lets the other addresses of an entry that was lost be tried again."""
+    for other in list(state.peers.values()):
+        if other.duplicate and other.name == peer.name:
+            del state.peers[other.address]
 
 
 def _lose_replicas(state: EntryState, address: str, now: float) -> None:
--- a/src/comfreysill/placement/peers.py
+++ b/src/comfreysill/placement/peers.py
@@ -21,7 +21,9 @@
     Attributes:
         address: Address of its services, `host:port`.
         name: Name of its instance, empty before its first frame.
-        session: Number of the newest session of the link, 0 before the first.
+        session: Number of the newest session of the link, 0 before the first; the sessions of all
+            links of this entry are numbered together.
+        duplicate: True if the same entry is reached at another address, and no link is kept here.
         usable: True from the first frame of a session until it ends or a reply is overdue.
         unreachable_since: Boot-clock time in seconds since which it is not usable, 0 while it is.
         sent_at: Boot-clock time in seconds of the last frame sent to it, 0 before the first.
@@ -34,6 +36,7 @@
         "address",
         "name",
         "session",
+        "duplicate",
         "usable",
         "unreachable_since",
         "sent_at",
@@ -46,6 +49,7 @@
         self.address = address
         self.name = ""
         self.session = 0
+        self.duplicate = False
         self.usable = False
         self.unreachable_since = now
         self.sent_at = 0.0
--- a/src/comfreysill/placement/state.py
+++ b/src/comfreysill/placement/state.py
@@ -246,6 +246,7 @@
         subset_due_at: Boot-clock time in seconds at which the subset is chosen again.
         entries: Addresses of entries, its own first; sent to agents for their announcements.
         peers: Other entries to which a link was requested, by address.
+        last_peer_session: Number of the newest session with any of them, 0 before the first.
         linking_until: Boot-clock time in seconds until which requests wait for the links to the
             first of them, 0 before these were requested.
         registry: Claims that this entry keeps for all entries.
@@ -287,6 +288,7 @@
         "subset_due_at",
         "entries",
         "peers",
+        "last_peer_session",
         "linking_until",
         "registry",
         "claimants",
@@ -335,6 +337,7 @@
         self.subset_due_at = 0.0
         self.entries: list[str] = []
         self.peers: dict[str, Peer] = {}
+        self.last_peer_session = 0
         self.linking_until = 0.0
         self.registry = ClaimRegistry()
         self.claimants: dict[str, int] = {}
--- /dev/null
+++ b/src/comfreysill/wire/claims.py
@@ -0,0 +1,138 @@
+"""Conversion of the frames in `comfreysill.exchange.claims` to and from their protobuf form."""
+
+import math
+
+from comfreysill.exchange.claims import (
+    ClaimRelease,
+    ClaimRepliesFrame,
+    ClaimReply,
+    ClaimRequest,
+    ClaimsFrame,
+    ClaimStatus,
+)
+from comfreysill.request.types import Verdict
+from comfreysill.wire import exchange_pb2 as pb
+from comfreysill.wire.errors import FrameError, decode_enum
+from comfreysill.wire.exchange import check_name, check_number
+
+MIN_SECONDS = 0.001
+# 0 stands for no verdict; the others are their values plus this.
+VERDICT_OFFSET = 1
+
+
+def encode_claims(frame: ClaimsFrame) -> pb.Claims:
+    """Encodes a frame from a claimant to a registrar."""
+    return pb.Claims(
+        entry=frame.entry,
+        session=frame.session,
+        opening=frame.opening,
+        claims=[_encode_claim(claim) for claim in frame.claims],
+        releases=[
+            pb.Release(
+                request_id=release.request_id,
+                number=release.number,
+                verdict=_encode_verdict(release.verdict),
+            )
+            for release in frame.releases
+        ],
+    )
+
+
+def _encode_claim(claim: ClaimRequest) -> pb.Claim:
+    # 0 stands for an unknown time.
+    seconds = max(claim.seconds, MIN_SECONDS) if claim.seconds < math.inf else 0.0
+    return pb.Claim(request_id=claim.request_id, number=claim.number, seconds=seconds)
+
+
+def decode_claims(message: pb.Claims) -> ClaimsFrame:
+    """Decodes a frame from a claimant to a registrar.
+
+    Raises:
+        FrameError: A field is out of range.
+    """
+    return ClaimsFrame(
+        entry=check_name(message.entry, "entry"),
+        session=message.session,
+        opening=message.opening,
+        claims=[_decode_claim(claim) for claim in message.claims],
+        releases=[
+            ClaimRelease(
+                request_id=check_name(release.request_id, "releases.request_id"),
+                number=release.number,
+                verdict=_decode_verdict(release.verdict, "releases.verdict"),
+            )
+            for release in message.releases
+        ],
+    )
+
+
+def _decode_claim(message: pb.Claim) -> ClaimRequest:
+    seconds = check_number(message.seconds, "claims.seconds")
+    return ClaimRequest(
+        request_id=check_name(message.request_id, "claims.request_id"),
+        number=message.number,
+        seconds=seconds or math.inf,
+    )
+
+
+def encode_replies(frame: ClaimRepliesFrame) -> pb.ClaimReplies:
+    """Encodes a frame from a registrar to a claimant."""
+    return pb.ClaimReplies(
+        entry=frame.entry,
+        session=frame.session,
+        replies=[
+            pb.ClaimReply(
+                request_id=reply.request_id,
+                number=reply.number,
+                status=int(reply.status),
+                holder=reply.holder,
+                verdict=_encode_verdict(reply.verdict),
+            )
+            for reply in frame.replies
+        ],
+    )
+
+
+def decode_replies(message: pb.ClaimReplies) -> ClaimRepliesFrame:
+    """Decodes a frame from a registrar to a claimant.
+
+    Raises:
+        FrameError: A field is out of range.
+    """
+    return ClaimRepliesFrame(
+        entry=check_name(message.entry, "entry"),
+        session=message.session,
+        replies=[_decode_reply(reply) for reply in message.replies],
+    )
+
+
+def _decode_reply(message: pb.ClaimReply) -> ClaimReply:
+    status = decode_enum(ClaimStatus, message.status, "replies.status")
+    verdict = _decode_verdict(message.verdict, "replies.verdict")
+    if (status == ClaimStatus.ENDED) != (verdict is not None):
+        raise FrameError(f"replies.verdict: {message.verdict} with {status.name}")
+    return ClaimReply(
+        request_id=check_name(message.request_id, "replies.request_id"),
+        number=message.number,
+        status=status,
+        holder=check_name(message.holder, "replies.holder") if message.holder else "",
+        verdict=verdict,
+    )
+
+
+def _encode_verdict(verdict: Verdict | None) -> int:
+    return 0 if verdict is None else int(verdict) + VERDICT_OFFSET
+
+
+def _decode_verdict(value: int, field: str) -> Verdict | None:
+    """Returns a final verdict, None for none.
+
+    Raises:
+        FrameError: The verdict is unknown or not final.
+    """
+    if not value:
+        return None
+    verdict = decode_enum(Verdict, value - VERDICT_OFFSET, field)
+    if verdict not in (Verdict.COMPLETED, Verdict.FAILED):
+        raise FrameError(f"{field}: {verdict.name} is not final")
+    return verdict
--- a/src/comfreysill/wire/exchange.py
+++ b/src/comfreysill/wire/exchange.py
@@ -58,10 +58,10 @@
         FrameError: A field is out of range.
     """
     return EntryFrame(
-        entry=_check_name(message.entry, "entry"),
+        entry=check_name(message.entry, "entry"),
         session=message.session,
         number=message.number,
-        echo=_check_number(message.echo, "echo"),
+        echo=check_number(message.echo, "echo"),
         demand_rank=message.hunger,
         ended_seen=message.ended_seen,
         batches=[_decode_batch(batch) for batch in message.batches],
@@ -96,21 +96,21 @@
     if len(message.orders) > MAX_ORDERS:
         raise FrameError(f"batches.orders: {len(message.orders)} orders")
     return Batch(
-        request_id=_check_name(message.request_id, "batches.request_id"),
+        request_id=check_name(message.request_id, "batches.request_id"),
         payload=message.payload,
         priority=message.priority,
-        due=_check_number(message.due, "batches.due"),
+        due=check_number(message.due, "batches.due"),
         cpu=_check_amount(message.cpu, "batches.cpu"),
         memory_mb=_check_amount(message.memory_mb, "batches.memory_mb"),
         gpus=_check_amount(message.gpus, "batches.gpus"),
-        estimate=_check_number(message.estimate, "batches.estimate"),
+        estimate=check_number(message.estimate, "batches.estimate"),
         orders=[
             Order(step=order.step, index=order.index, attempt=order.attempt, moves=order.moves)
             for order in message.orders
         ],
         isolated=message.isolated,
         route=message.route[:MAX_NAME_CHARS],
-        stop_at=_check_number(message.stop_at, "batches.stop_at") or math.inf,
+        stop_at=check_number(message.stop_at, "batches.stop_at") or math.inf,
     )
 
 
@@ -148,11 +148,11 @@
     if message.opening and not message.HasField("profile"):
         raise FrameError("profile: the first frame of a session has none")
     return AgentFrame(
-        agent=_check_name(message.agent, "agent"),
-        lifetime=_check_name(message.lifetime, "lifetime"),
+        agent=check_name(message.agent, "agent"),
+        lifetime=check_name(message.lifetime, "lifetime"),
         session=message.session,
         seen=message.seen,
-        stamp=_check_number(message.stamp, "stamp"),
+        stamp=check_number(message.stamp, "stamp"),
         load=_decode_load(message.load),
         profile=_decode_profile(message.profile) if message.HasField("profile") else None,
         ended=[_decode_end(end) for end in message.ended],
@@ -161,7 +161,7 @@
         opening=message.opening,
         routes_version=message.routes_version,
         routes_holder=_check_optional_address(message.routes_holder, "routes_holder"),
-        next_seconds=_check_number(message.next_seconds, "next_seconds"),
+        next_seconds=check_number(message.next_seconds, "next_seconds"),
         crashes=tuple(_decode_crash(crash) for crash in message.crashes),
         late_starts=tuple(_decode_late_start(item) for item in message.late_starts),
     )
@@ -179,7 +179,7 @@
         FrameError: The name or the address is invalid.
     """
     return Member(
-        name=_check_name(message.agent, "agent"),
+        name=check_name(message.agent, "agent"),
         role=Role.AGENT,
         address=_check_address(message.address, "address"),
         service=message.service[:MAX_NAME_CHARS],
@@ -220,14 +220,19 @@
 
 def _decode_member(message: pb.Member) -> Member:
     return Member(
-        name=_check_name(message.name, "members.name"),
+        name=check_name(message.name, "members.name"),
         role=Role(message.role),
         address=_check_address(message.address, "members.address"),
         service=message.service[:MAX_NAME_CHARS],
     )
 
 
-def _check_name(text: str, field: str) -> str:
+def check_name(text: str, field: str) -> str:
+    """Returns a name that is neither empty nor too long.
+
+    Raises:
+        FrameError: It is.
+    """
     if not 0 < len(text) <= MAX_NAME_CHARS:
         raise FrameError(f"{field}: a name of {len(text)} characters")
     return text
@@ -245,8 +250,12 @@
     return _check_address(text, field) if text else text
 
 
-def _check_number(value: float, field: str) -> float:
-    """Returns a number that is neither negative nor too large; NaN fails as well."""
+def check_number(value: float, field: str) -> float:
+    """Returns a number that is neither negative nor too large; NaN fails as well.
+
+    Raises:
+        FrameError: It is.
+    """
     if not 0 <= value <= MAX_NUMBER:
         raise FrameError(f"{field}: {value}")
     return value
@@ -275,7 +284,7 @@
         cpu=message.cpu,
         memory_mb=message.memory_mb,
         gpus=message.gpus,
-        slowness=_check_number(message.slowness, "load.slowness"),
+        slowness=check_number(message.slowness, "load.slowness"),
         isolating=message.isolating,
     )
 
@@ -288,16 +297,16 @@
     if len(message.tasks) > MAX_CRASHED_TASKS:
         raise FrameError(f"crashes.tasks: {len(message.tasks)} tasks")
     return CrashReport(
-        crash_id=_check_name(message.crash_id, "crashes.crash_id"),
-        tasks=tuple(_check_name(task, "crashes.tasks") for task in message.tasks),
+        crash_id=check_name(message.crash_id, "crashes.crash_id"),
+        tasks=tuple(check_name(task, "crashes.tasks") for task in message.tasks),
         route=message.route[:MAX_NAME_CHARS],
     )
 
 
 def _decode_late_start(message: pb.LateStart) -> LateStart:
     return LateStart(
-        task=_check_name(message.task, "late_starts.task"),
-        seconds=_check_number(message.seconds, "late_starts.seconds"),
+        task=check_name(message.task, "late_starts.task"),
+        seconds=check_number(message.seconds, "late_starts.seconds"),
     )
 
 
@@ -343,7 +352,7 @@
         task=message.task,
         attempt=message.attempt,
         outcome=Outcome(message.outcome),
-        seconds=_check_number(message.seconds, "ended.seconds"),
+        seconds=check_number(message.seconds, "ended.seconds"),
         detail=message.detail,
-        late_seconds=_check_number(message.late_seconds, "ended.late_seconds"),
+        late_seconds=check_number(message.late_seconds, "ended.late_seconds"),
     )
--- a/src/comfreysill/wire/exchange_grpc.py
+++ b/src/comfreysill/wire/exchange_grpc.py
@@ -98,3 +98,31 @@
             comfreysill.wire.exchange_pb2.Members,
             comfreysill.wire.exchange_pb2.Members,
         )
+
+
+class RegistrarBase(abc.ABC):
+
+    @abc.abstractmethod
+    async def Serve(self, stream: 'grpclib.server.Stream[comfreysill.wire.exchange_pb2.Claims, comfreysill.wire.exchange_pb2.ClaimReplies]') -> None:
+        pass
+
+    def __mapping__(self) -> typing.Dict[str, grpclib.const.Handler]:
+        return {
+            '/comfreysill.Registrar/Serve': grpclib.const.Handler(
+                self.Serve,
+                grpclib.const.Cardinality.STREAM_STREAM,
+                comfreysill.wire.exchange_pb2.Claims,
+                comfreysill.wire.exchange_pb2.ClaimReplies,
+            ),
+        }
+
+
+class RegistrarStub:
+
+    def __init__(self, channel: grpclib.client.Channel) -> None:
+        self.Serve = grpclib.client.StreamStreamMethod(
+            channel,
+            '/comfreysill.Registrar/Serve',
+            comfreysill.wire.exchange_pb2.Claims,
+            comfreysill.wire.exchange_pb2.ClaimReplies,
+        )
--- a/tests/test_containment.py
+++ b/tests/test_containment.py
@@ -9,7 +9,7 @@
 from comfreysill.gateway import actor as gateway
 from comfreysill.gateway import messages as gateway_messages
 from comfreysill.mailbox import Mailbox
-from comfreysill.placement import agents, requests
+from comfreysill.placement import agents, claims
 from comfreysill.placement.agents import begin_session
 from comfreysill.placement.effects import CloseSession, SendVerdict
 from comfreysill.request.types import Verdict
@@ -43,7 +43,7 @@
         message = gateway_messages.Submit(
             caller=7, specification=build_request(), wait=build_wait(self.now)
         )
-        with mock.patch.object(requests, "push_request", fail):
+        with mock.patch.object(claims, "push_request", fail):
             self.handle(message)
         verdicts = [effect for effect in self.state.effects if isinstance(effect, SendVerdict)]
         self.assertEqual({effect.caller for effect in verdicts}, {7})
