--- a/src/comfreysill/placement/claims.py
+++ b/src/comfreysill/placement/claims.py
@@ -9,41 +9,15 @@
 import math
 from itertools import takewhile
 
-from comfreysill.claims.registry import (
-    expire_claims,
-    get_instance,
-    receive_claim,
-    receive_release,
-    record_absence,
-    record_frame,
-    record_session,
-    take_late_replies,
-)
-from comfreysill.exchange.claims import (
-    ClaimRelease,
-    ClaimRepliesFrame,
-    ClaimReply,
-    ClaimRequest,
-    ClaimsFrame,
-    ClaimStatus,
-)
+from comfreysill.claims.registry import get_instance, receive_claim, receive_release
+from comfreysill.exchange.claims import ClaimRelease, ClaimReply, ClaimRequest, ClaimStatus
 from comfreysill.exchange.messages import MAX_STOP_SECONDS, RUN_EXPIRY_SECONDS
-from comfreysill.placement.effects import (
-    ClosePeerSession,
-    OpenPeerLink,
-    RemovePeerLink,
-    SendClaimReplies,
-    SendClaims,
-)
 from comfreysill.placement.peers import (
-    MAX_PEERS,
-    PEER_FAILURE_SECONDS,
     OwnClaim,
     Peer,
     RemoteEnd,
     Replica,
     ReplicaState,
-    rank_peer,
     rank_registrar,
 )
 from comfreysill.placement.queue import push_request
@@ -55,12 +29,6 @@
 REGISTRARS = 2
 # A registrar that hasn't answered a claim for this long counts as out of reach.
 CLAIM_TIMEOUT_SECONDS = 0.2
-# An entry that starts waits this long for the links to its peers before it places tasks.
-LINKING_SECONDS = 0.5
-# A registrar is sent a frame at least this often while it keeps a claim of this entry.
-HEARTBEAT_SECONDS = 0.4
-# Overdue replies are looked for only this long after a suspension of this process.
-RESUMPTION_SECONDS = 0.15
 ANSWERED_STATES = frozenset({ReplicaState.GRANTED, ReplicaState.LOST})
 FINAL_VERDICTS = frozenset({Verdict.COMPLETED, Verdict.FAILED})
 
@@ -79,6 +47,15 @@
     return now < state.linking_until and not is_linked
 
 
+def begin_claims(state: EntryState, now: float) -> None:
+    """Begins the claims that wait for the links to the first peers, unless they still may."""
+    if _is_linking(state, now):
+        return
+    for claim in state.claims.values():
+        if not claim.begun:
+            _begin_claim(state, claim, now)
+
+
 def _begin_claim(state: EntryState, claim: OwnClaim, now: float) -> None:
     claim.begun = True
     addresses = _rank_registrars(state, claim.request.specification.request_id)
@@ -141,7 +118,7 @@
 
 
 def _post_claim(state: EntryState, claim: OwnClaim, replica: Replica, now: float) -> None:
-    request = _build_claim(claim, replica, now)
+    request = build_claim(claim, replica, now)
     if not replica.address:
         _apply_reply(state, claim, replica, receive_claim(state.registry, state.name, request, now))
         return
@@ -150,7 +127,8 @@
         peer.claims.append(request)
 
 
-def _build_claim(claim: OwnClaim, replica: Replica, now: float) -> ClaimRequest:
+def build_claim(claim: OwnClaim, replica: Replica, now: float) -> ClaimRequest:
+    """Builds what a registrar is told of a claim."""
     return ClaimRequest(
         request_id=claim.request.specification.request_id,
         number=replica.number,
@@ -175,75 +153,8 @@
         peer.releases.append(release)
 
 
-def receive_replies(state: EntryState, address: str, frame: ClaimRepliesFrame, now: float) -> None:
-    """Processes a frame from the registrar at an address."""
-    peer = state.peers.get(address)
-    if peer is None or frame.session != peer.session:
-        count(state, "frames_stale")
-        return
-    if not peer.usable:
-        _begin_use(state, peer, frame, now)
-    for reply in frame.replies:
-        _receive_reply(state, address, reply, now)
-
-
-def _begin_use(state: EntryState, peer: Peer, frame: ClaimRepliesFrame, now: float) -> None:
-    peer.name = get_instance(frame.entry)
-    if peer.name == get_instance(state.name):
-        _drop_duplicate(state, peer)
-        return
-    for other in state.peers.values():
-        if other.name == peer.name and other.usable:
-            # The registrar has replaced that session by this one.
-            _drop_duplicate(state, other)
-            _move_replicas(state, other, peer, now)
-    peer.usable = True
-    peer.unreachable_since = 0.0
-    note_event(state, "peer linked", peer=frame.entry, address=peer.address)
-    for claim in state.claims.values():
-        _add_replica(state, claim, peer, now)
-    _begin_claims(state, now)
-
-
-def _drop_duplicate(state: EntryState, peer: Peer) -> None:
-    """Removes the link to an entry that is this one itself, or is reached at another address."""
-    peer.usable = False
-    peer.duplicate = True
-    state.effects.append(RemovePeerLink(address=peer.address))
-
-
-def _move_replicas(state: EntryState, before: Peer, after: Peer, now: float) -> None:
-    """Repeats the claims at a registrar that is reached at another address from now on."""
-    after.usable = True
-    for claim in state.claims.values():
-        for replica in claim.replicas:
-            if replica.address != before.address:
-                continue
-            replica.address = after.address
-            if replica.state != ReplicaState.WITHDRAWN:
-                _send_claim(state, claim, replica, now)
-
-
-def _begin_claims(state: EntryState, now: float) -> None:
-    """Begins the claims that have waited for the links to the first peers."""
-    if _is_linking(state, now):
-        return
-    for claim in state.claims.values():
-        if not claim.begun:
-            _begin_claim(state, claim, now)
-
-
-def _add_replica(state: EntryState, claim: OwnClaim, peer: Peer, now: float) -> None:
-    """Claims a request at a registrar that could not be reached before."""
-    known = {replica.address for replica in claim.replicas}
-    chosen = _rank_registrars(state, claim.request.specification.request_id)[:REGISTRARS]
-    if claim.settled and peer.address in chosen and peer.address not in known:
-        replica = Replica(address=peer.address)
-        claim.replicas.append(replica)
-        _send_claim(state, claim, replica, now)
-
-
-def _receive_reply(state: EntryState, address: str, reply: ClaimReply, now: float) -> None:
+def receive_reply(state: EntryState, address: str, reply: ClaimReply, now: float) -> None:
+    """Processes a reply of the registrar at an address, which is empty for this entry itself."""
     claim = state.claims.get(reply.request_id)
     if claim is None:
         return
@@ -330,143 +241,29 @@
         push_request(state, claim.request, now)
 
 
-def receive_claims(state: EntryState, frame: ClaimsFrame, now: float) -> None:
-    """Processes a frame from a claimant, as a registrar."""
-    newest = state.claimants.get(frame.entry, 0)
-    if frame.entry == state.name:
-        # Claims that it makes at itself need no session; the reply tells it whom it has reached.
-        state.claimants[frame.entry] = frame.session
-        _reply(state, frame.entry, [])
-        return
-    if frame.opening and frame.session > newest:
-        state.claimants[frame.entry] = frame.session
-        request_ids = {item.request_id for item in frame.claims}
-        record_session(state.registry, frame.entry, request_ids, now)
-    elif frame.session != newest:
-        count(state, "frames_stale")
-        return
-    record_frame(state.registry, frame.entry, now)
-    for release in frame.releases:
-        receive_release(state.registry, frame.entry, release, now)
-    replies = [receive_claim(state.registry, frame.entry, item, now) for item in frame.claims]
-    for reply in replies:
-        if reply.status != ClaimStatus.GRANTED:
-            note_event(
-                state,
-                "claim contested",
-                request=reply.request_id,
-                entry=frame.entry,
-                holder=reply.holder,
-                status=reply.status.name,
-            )
-    if replies or frame.opening:
-        _reply(state, frame.entry, replies)
-
-
-def _reply(state: EntryState, entry: str, replies: list[ClaimReply]) -> None:
-    session = state.claimants.get(entry, 0)
-    if session:
-        frame = ClaimRepliesFrame(entry=state.name, session=session, replies=replies)
-        state.effects.append(SendClaimReplies(entry=entry, frame=frame))
-
-
-def close_claimant_session(state: EntryState, entry: str, session: int, now: float) -> None:
-    """Records that the session of a claimant was closed."""
-    if state.claimants.get(entry) == session:
-        del state.claimants[entry]
-        record_absence(state.registry, entry, now)
-
-
-def deliver_late_replies(state: EntryState, now: float) -> None:
-    """Hands on the replies to claims that had to wait."""
-    for item in take_late_replies(state.registry):
-        if item.entry == state.name:
-            _receive_reply(state, "", item.reply, now)
-        else:
-            _reply(state, item.entry, [item.reply])
-
-
-def update_peers(state: EntryState, now: float) -> None:
-    """Requests links to the entries that are to keep claims, and removes the others.
-
-    This entry's own address is the first in `state.entries`.
-    """
-    if not state.linking_until:
-        state.linking_until = now + LINKING_SECONDS
-    chosen = _choose_peers(state, now)
-    for address in chosen:
-        if address not in state.peers:
-            state.peers[address] = Peer(address=address, now=now)
-            state.effects.append(OpenPeerLink(address=address))
-    for address in [address for address in state.peers if address not in chosen]:
-        _lose_replicas(state, address, now)
-        del state.peers[address]
-        state.effects.append(RemovePeerLink(address=address))
-
-
-def _choose_peers(state: EntryState, now: float) -> set[str]:
-    chosen = set()
-    needed_count = MAX_PEERS
-    for address in sorted(state.entries[1:], key=rank_peer):
-        if needed_count <= 0:
-            break
-        chosen.add(address)
-        peer = state.peers.get(address)
-        needed_count -= peer is None or not (peer.duplicate or _is_failing(peer, now))
-    return chosen
-
-
-def _is_failing(peer: Peer, now: float) -> bool:
-    return not peer.usable and now - peer.unreachable_since > PEER_FAILURE_SECONDS
-
-
-def begin_peer_session(state: EntryState, address: str, now: float) -> int:
-    """Records that a session with a registrar was opened; queues the first frame.
-
-    Returns:
-        The session number, which each frame carries.
-    """
-    peer = state.peers[address]
-    state.last_peer_session += 1
-    peer.session = state.last_peer_session
-    peer.usable = False
-    peer.sent_at = now
-    peer.claims.clear()
-    peer.releases.clear()
-    open_claims = [
-        _build_claim(claim, replica, now)
-        for claim in state.claims.values()
-        for replica in claim.replicas
-        if replica.address == address and replica.state != ReplicaState.WITHDRAWN
-    ]
-    frame = ClaimsFrame(
-        entry=state.name, session=peer.session, opening=True, claims=open_claims, releases=[]
-    )
-    state.effects.append(SendClaims(address=address, frame=frame))
-    return peer.session
-
-
-def end_peer_session(state: EntryState, address: str, session: int, now: float) -> None:
-    """Records that a session with a registrar was closed."""
-    peer = state.peers.get(address)
-    if peer is None or peer.session != session:
-        return
-    if peer.usable:
-        peer.unreachable_since = now
-        note_event(state, "peer lost", peer=peer.name, address=address)
-    peer.usable = False
-    _lose_replicas(state, address, now)
-    _forget_duplicates(state, peer)
+def add_replica(state: EntryState, claim: OwnClaim, peer: Peer, now: float) -> None:
+    """Claims a request at a registrar that could not be reached before."""
+    known = {replica.address for replica in claim.replicas}
+    chosen = _rank_registrars(state, claim.request.specification.request_id)[:REGISTRARS]
+    if claim.settled and peer.address in chosen and peer.address not in known:
+        replica = Replica(address=peer.address)
+        claim.replicas.append(replica)
+        _send_claim(state, claim, replica, now)
 
 
-def _forget_duplicates(state: EntryState, peer: Peer) -> None:
-    """Lets the other addresses of an entry that was lost be tried again."""
-    for other in list(state.peers.values()):
-        if other.duplicate and other.name == peer.name:
-            del state.peers[other.address]
+def move_replicas(state: EntryState, before: Peer, after: Peer, now: float) -> None:
+    """Repeats the claims at a registrar that is reached at another address from now on."""
+    after.usable = True
+    for claim in state.claims.values():
+        for replica in claim.replicas:
+            if replica.address != before.address:
+                continue
+            replica.address = after.address
+            if replica.state != ReplicaState.WITHDRAWN:
+                _send_claim(state, claim, replica, now)
 
 
-def _lose_replicas(state: EntryState, address: str, now: float) -> None:
+def lose_replicas(state: EntryState, address: str, now: float) -> None:
     """Leaves out a registrar that can't be reached.
 
     While another entry has a claim there, it is waited for until that one's tasks have ended if its
@@ -483,12 +280,8 @@
         _advance(state, claim, now)
 
 
-def expire_replies(state: EntryState, now: float) -> None:
-    """Leaves out the registrars that owe a reply for too long; ends old claims of the registry."""
-    if now - state.resumed_at < RESUMPTION_SECONDS:
-        return
-    expire_claims(state.registry, now, RUN_EXPIRY_SECONDS)
-    _begin_claims(state, now)
+def expire_replicas(state: EntryState, now: float) -> set[str]:
+    """Leaves out the registrars that owe a reply for too long; returns their addresses."""
     silent = set()
     for claim in state.claims.values():
         for replica in claim.replicas:
@@ -497,41 +290,4 @@
                 replica.state = ReplicaState.LOST
                 silent.add(replica.address)
         _advance(state, claim, now)
-    _mark_heartbeats(state, now)
-    for address in silent:
-        _close_silent_peer(state, address, now)
-
-
-def _mark_heartbeats(state: EntryState, now: float) -> None:
-    kept = {replica.address for claim in state.claims.values() for replica in claim.replicas}
-    for peer in state.peers.values():
-        peer.heartbeat_due = peer.address in kept and now - peer.sent_at >= HEARTBEAT_SECONDS
-
-
-def _close_silent_peer(state: EntryState, address: str, now: float) -> None:
-    peer = state.peers.get(address)
-    if peer is None or not peer.usable:
-        return
-    count(state, "peers_silent")
-    note_event(state, "peer is silent", peer=peer.name, address=address)
-    state.effects.append(ClosePeerSession(address=address, session=peer.session))
-    end_peer_session(state, address, peer.session, now)
-
-
-def collect_claims(state: EntryState, now: float) -> None:
-    """Queues the frames to registrars, and the late replies to claimants."""
-    deliver_late_replies(state, now)
-    for peer in state.peers.values():
-        if not peer.usable or not (peer.claims or peer.releases or peer.heartbeat_due):
-            continue
-        peer.sent_at = now
-        peer.heartbeat_due = False
-        frame = ClaimsFrame(
-            entry=state.name,
-            session=peer.session,
-            opening=False,
-            claims=peer.claims,
-            releases=peer.releases,
-        )
-        peer.claims, peer.releases = [], []
-        state.effects.append(SendClaims(address=peer.address, frame=frame))
+    return silent
--- /dev/null
+++ b/src/comfreysill/placement/peer_links.py
@@ -0,0 +1,198 @@
+"""Links of an entry to the entries that keep its claims: sessions, and the frames to each."""
+
+from comfreysill.claims.registry import expire_claims, get_instance
+from comfreysill.exchange.claims import ClaimRepliesFrame, ClaimsFrame
+from comfreysill.exchange.messages import RUN_EXPIRY_SECONDS
+from comfreysill.placement.claims import (
+    add_replica,
+    begin_claims,
+    build_claim,
+    expire_replicas,
+    lose_replicas,
+    move_replicas,
+    receive_reply,
+)
+from comfreysill.placement.effects import (
+    ClosePeerSession,
+    OpenPeerLink,
+    RemovePeerLink,
+    SendClaims,
+)
+from comfreysill.placement.peers import Peer, ReplicaState, rank_peer
+from comfreysill.placement.registrar import deliver_late_replies
+from comfreysill.placement.state import EntryState, count, note_event
+
+# Links are kept to so many other entries that can be reached; all entries choose the same ones as
+# far as they know the same ones.
+MAX_PEERS = 16
+# A peer that could not be reached for so long is no longer counted among MAX_PEERS.
+PEER_FAILURE_SECONDS = 5.0
+# An entry that starts waits this long for the links to its peers before it places tasks.
+LINKING_SECONDS = 0.5
+# A registrar is sent a frame at least this often while it keeps a claim of this entry.
+HEARTBEAT_SECONDS = 0.4
+# Overdue replies are not looked for until so long after a suspension of this process.
+RESUMPTION_SECONDS = 0.15
+
+
+def update_peers(state: EntryState, now: float) -> None:
+    """Requests links to the entries that are to keep claims, and removes the others.
+
+    This entry's own address is the first in `state.entries`.
+    """
+    if not state.linking_until:
+        state.linking_until = now + LINKING_SECONDS
+    chosen = _choose_peers(state, now)
+    for address in chosen:
+        if address not in state.peers:
+            state.peers[address] = Peer(address=address, now=now)
+            state.effects.append(OpenPeerLink(address=address))
+    for address in [address for address in state.peers if address not in chosen]:
+        lose_replicas(state, address, now)
+        del state.peers[address]
+        state.effects.append(RemovePeerLink(address=address))
+
+
+def _choose_peers(state: EntryState, now: float) -> set[str]:
+    chosen = set()
+    needed_count = MAX_PEERS
+    for address in sorted(state.entries[1:], key=rank_peer):
+        if needed_count <= 0:
+            break
+        chosen.add(address)
+        peer = state.peers.get(address)
+        needed_count -= peer is None or not (peer.duplicate or _is_failing(peer, now))
+    return chosen
+
+
+def _is_failing(peer: Peer, now: float) -> bool:
+    return not peer.usable and now - peer.unreachable_since > PEER_FAILURE_SECONDS
+
+
+def begin_peer_session(state: EntryState, address: str, now: float) -> int:
+    """Records that a session with a registrar was opened; queues the first frame.
+
+    Returns:
+        The session number, which each frame carries.
+    """
+    peer = state.peers[address]
+    state.last_peer_session += 1
+    peer.session = state.last_peer_session
+    peer.usable = False
+    peer.sent_at = now
+    peer.claims.clear()
+    peer.releases.clear()
+    open_claims = [
+        build_claim(claim, replica, now)
+        for claim in state.claims.values()
+        for replica in claim.replicas
+        if replica.address == address and replica.state != ReplicaState.WITHDRAWN
+    ]
+    frame = ClaimsFrame(
+        entry=state.name, session=peer.session, opening=True, claims=open_claims, releases=[]
+    )
+    state.effects.append(SendClaims(address=address, frame=frame))
+    return peer.session
+
+
+def receive_replies(state: EntryState, address: str, frame: ClaimRepliesFrame, now: float) -> None:
+    """Processes a frame from the registrar at an address."""
+    peer = state.peers.get(address)
+    if peer is None or frame.session != peer.session:
+        count(state, "frames_stale")
+        return
+    if not peer.usable:
+        _begin_use(state, peer, frame, now)
+    for reply in frame.replies:
+        receive_reply(state, address, reply, now)
+
+
+def _begin_use(state: EntryState, peer: Peer, frame: ClaimRepliesFrame, now: float) -> None:
+    peer.name = get_instance(frame.entry)
+    if peer.name == get_instance(state.name):
+        _drop_duplicate(state, peer)
+        return
+    for other in state.peers.values():
+        if other.name == peer.name and other.usable:
+            # The registrar has replaced that session by this one.
+            _drop_duplicate(state, other)
+            move_replicas(state, other, peer, now)
+    peer.usable = True
+    peer.unreachable_since = 0.0
+    note_event(state, "peer linked", peer=frame.entry, address=peer.address)
+    for claim in state.claims.values():
+        add_replica(state, claim, peer, now)
+    begin_claims(state, now)
+
+
+def _drop_duplicate(state: EntryState, peer: Peer) -> None:
+    """Removes the link to an entry that is this one itself, or is reached at another address."""
+    peer.usable = False
+    peer.duplicate = True
+    state.effects.append(RemovePeerLink(address=peer.address))
+
+
+def end_peer_session(state: EntryState, address: str, session: int, now: float) -> None:
+    """Records that a session with a registrar was closed."""
+    peer = state.peers.get(address)
+    if peer is None or peer.session != session:
+        return
+    if peer.usable:
+        peer.unreachable_since = now
+        note_event(state, "peer lost", peer=peer.name, address=address)
+    peer.usable = False
+    lose_replicas(state, address, now)
+    _forget_duplicates(state, peer)
+
+
+def _forget_duplicates(state: EntryState, peer: Peer) -> None:
+    """Lets the other addresses of an entry that was lost be tried again."""
+    for other in list(state.peers.values()):
+        if other.duplicate and other.name == peer.name:
+            del state.peers[other.address]
+
+
+def expire_replies(state: EntryState, now: float) -> None:
+    """Leaves out the registrars that owe a reply for too long; ends old claims of the registry."""
+    if now - state.resumed_at < RESUMPTION_SECONDS:
+        return
+    expire_claims(state.registry, now, RUN_EXPIRY_SECONDS)
+    begin_claims(state, now)
+    for address in expire_replicas(state, now):
+        _close_silent_peer(state, address, now)
+    _mark_heartbeats(state, now)
+
+
+def _close_silent_peer(state: EntryState, address: str, now: float) -> None:
+    peer = state.peers.get(address)
+    if peer is None or not peer.usable:
+        return
+    count(state, "peers_silent")
+    note_event(state, "peer is silent", peer=peer.name, address=address)
+    state.effects.append(ClosePeerSession(address=address, session=peer.session))
+    end_peer_session(state, address, peer.session, now)
+
+
+def _mark_heartbeats(state: EntryState, now: float) -> None:
+    kept = {replica.address for claim in state.claims.values() for replica in claim.replicas}
+    for peer in state.peers.values():
+        peer.heartbeat_due = peer.address in kept and now - peer.sent_at >= HEARTBEAT_SECONDS
+
+
+def collect_claims(state: EntryState, now: float) -> None:
+    """Queues the frames to registrars, and the late replies to claimants."""
+    deliver_late_replies(state, now)
+    for peer in state.peers.values():
+        if not peer.usable or not (peer.claims or peer.releases or peer.heartbeat_due):
+            continue
+        peer.sent_at = now
+        peer.heartbeat_due = False
+        frame = ClaimsFrame(
+            entry=state.name,
+            session=peer.session,
+            opening=False,
+            claims=peer.claims,
+            releases=peer.releases,
+        )
+        peer.claims, peer.releases = [], []
+        state.effects.append(SendClaims(address=peer.address, frame=frame))
--- a/src/comfreysill/placement/peers.py
+++ b/src/comfreysill/placement/peers.py
@@ -8,12 +8,6 @@
 from comfreysill.request.request import Request
 from comfreysill.request.types import Verdict
 
-# Links are kept to so many other entries that can be reached; all entries choose the same ones as
-# far as they know the same ones.
-MAX_PEERS = 16
-# A peer that could not be reached for so long is no longer counted among MAX_PEERS.
-PEER_FAILURE_SECONDS = 5.0
-
 
 class Peer:
     """Another entry, which keeps claims for this one.
--- /dev/null
+++ b/src/comfreysill/placement/registrar.py
@@ -0,0 +1,70 @@
+"""What an entry does as a registrar: it keeps the claims of all entries, and its own."""
+
+from comfreysill.claims.registry import (
+    receive_claim,
+    receive_release,
+    record_absence,
+    record_frame,
+    record_session,
+    take_late_replies,
+)
+from comfreysill.exchange.claims import ClaimRepliesFrame, ClaimReply, ClaimsFrame, ClaimStatus
+from comfreysill.placement.claims import receive_reply
+from comfreysill.placement.effects import SendClaimReplies
+from comfreysill.placement.state import EntryState, count, note_event
+
+
+def receive_claims(state: EntryState, frame: ClaimsFrame, now: float) -> None:
+    """Processes a frame from a claimant, as a registrar."""
+    newest = state.claimants.get(frame.entry, 0)
+    if frame.entry == state.name:
+        # Claims that it makes at itself need no session; the reply tells it whom it has reached.
+        state.claimants[frame.entry] = frame.session
+        _reply(state, frame.entry, [])
+        return
+    if frame.opening and frame.session > newest:
+        state.claimants[frame.entry] = frame.session
+        request_ids = {item.request_id for item in frame.claims}
+        record_session(state.registry, frame.entry, request_ids, now)
+    elif frame.session != newest:
+        count(state, "frames_stale")
+        return
+    record_frame(state.registry, frame.entry, now)
+    for release in frame.releases:
+        receive_release(state.registry, frame.entry, release, now)
+    replies = [receive_claim(state.registry, frame.entry, item, now) for item in frame.claims]
+    for reply in replies:
+        if reply.status != ClaimStatus.GRANTED:
+            note_event(
+                state,
+                "claim contested",
+                request=reply.request_id,
+                entry=frame.entry,
+                holder=reply.holder,
+                status=reply.status.name,
+            )
+    if replies or frame.opening:
+        _reply(state, frame.entry, replies)
+
+
+def _reply(state: EntryState, entry: str, replies: list[ClaimReply]) -> None:
+    session = state.claimants.get(entry, 0)
+    if session:
+        frame = ClaimRepliesFrame(entry=state.name, session=session, replies=replies)
+        state.effects.append(SendClaimReplies(entry=entry, frame=frame))
+
+
+def close_claimant_session(state: EntryState, entry: str, session: int, now: float) -> None:
+    """Records that the session of a claimant was closed."""
+    if state.claimants.get(entry) == session:
+        del state.claimants[entry]
+        record_absence(state.registry, entry, now)
+
+
+def deliver_late_replies(state: EntryState, now: float) -> None:
+    """Hands on the replies to claims that had to wait."""
+    for item in take_late_replies(state.registry):
+        if item.entry == state.name:
+            receive_reply(state, "", item.reply, now)
+        else:
+            _reply(state, item.entry, [item.reply])
--- a/src/comfreysill/placement/requests.py
+++ b/src/comfreysill/placement/requests.py
@@ -8,7 +8,6 @@
 from comfreysill.placement.bindings import choose_refusal
 from comfreysill.placement.claims import (
     claim_request,
-    deliver_late_replies,
     is_contested,
     release_claim,
     renew_claim,
@@ -22,6 +21,7 @@
 )
 from comfreysill.placement.effects import SendVerdict
 from comfreysill.placement.queue import push_request
+from comfreysill.placement.registrar import deliver_late_replies
 from comfreysill.placement.state import CachedVerdict, EntryState, Waiter, count, note_event
 from comfreysill.request.request import (
     Request,
--- a/tests/platform_world.py
+++ b/tests/platform_world.py
@@ -46,16 +46,6 @@
     expire_agents,
     receive_agent_frame,
 )
-from comfreysill.placement.claims import (
-    begin_peer_session,
-    close_claimant_session,
-    collect_claims,
-    end_peer_session,
-    expire_replies,
-    receive_claims,
-    receive_replies,
-    update_peers,
-)
 from comfreysill.placement.crashes import judge_crashes, receive_crash
 from comfreysill.placement.effects import (
     ClosePeerSession,
@@ -69,7 +59,16 @@
     SendFrame,
     SendVerdict,
 )
+from comfreysill.placement.peer_links import (
+    begin_peer_session,
+    collect_claims,
+    end_peer_session,
+    expire_replies,
+    receive_replies,
+    update_peers,
+)
 from comfreysill.placement.placement import place_waiting, refuse_unmeetable
+from comfreysill.placement.registrar import close_claimant_session, receive_claims
 from comfreysill.placement.requests import (
     conclude_remote_ends,
     disconnect_caller,
