The cancelling of a request is decided in placement

`gateway` decided about DELETE by itself: whether the entry knows the request was read beside the state task, and the cancelling was posted to it without an answer. Now the state task decides and answers (`SendCancelReply`), so that the simulated deployment can play it, and an answer may come later than the call. What callers see is unchanged.

--- a/src/comfreysill/gateway/actor.py
+++ b/src/comfreysill/gateway/actor.py
@@ -45,6 +45,7 @@
     receive_agent_frame,
     release_agent,
 )
+from comfreysill.placement.cancelling import begin_cancellation
 from comfreysill.placement.crashes import judge_crashes, receive_crash
 from comfreysill.placement.effects import (
     ClosePeerSession,
@@ -55,6 +56,7 @@
     OpenPeerLink,
     RemoveLink,
     RemovePeerLink,
+    SendCancelReply,
     SendClaimReplies,
     SendClaims,
     SendFrame,
@@ -80,7 +82,7 @@
 )
 from comfreysill.placement.state import EntryState
 from comfreysill.placement.subset import update_subset
-from comfreysill.request.types import CallerWait, Specification, Verdict
+from comfreysill.request.types import CallerWait, CancelOutcome, Specification, Verdict
 from comfreysill.routes.table import choose_newer
 
 logger = logging.getLogger(__name__)
@@ -99,6 +101,7 @@
         peer_links: Links to other entries by address, connected or connecting.
         claimants: Open sessions of other entries, by name.
         pending_replies: Futures of replies, by number of the waiting caller.
+        pending_cancels: Futures of answers to callers that have cancelled a request, by number.
         last_caller_number: Number of the newest caller, 0 before the first.
         routes_text: Undecoded routing document in use, empty if there is none.
         routes_sources: Addresses of entries to fetch the routing document from.
@@ -113,6 +116,7 @@
         "peer_links",
         "claimants",
         "pending_replies",
+        "pending_cancels",
         "last_caller_number",
         "routes_text",
         "routes_sources",
@@ -127,6 +131,7 @@
         self.peer_links: dict[str, Link] = {}
         self.claimants: dict[str, ClaimantSession] = {}
         self.pending_replies: dict[int, asyncio.Future[Reply]] = {}
+        self.pending_cancels: dict[int, asyncio.Future[CancelOutcome]] = {}
         self.last_caller_number = 0
         self.routes_text = b""
         self.routes_sources: Mailbox[str] = Mailbox()
@@ -152,6 +157,16 @@
     actor.inbox.post(CallerDisconnected(caller=caller))
 
 
+def cancel(actor: Actor, request_id: str) -> asyncio.Future[CancelOutcome]:
+    """Queues the cancelling of a request; returns the future of its outcome."""
+    actor.last_caller_number += 1
+    canceller = actor.last_caller_number
+    future: asyncio.Future[CancelOutcome] = asyncio.get_running_loop().create_future()
+    actor.pending_cancels[canceller] = future
+    actor.inbox.post(Cancel(canceller=canceller, request_id=request_id))
+    return future
+
+
 def list_members(actor: Actor) -> list[Member]:
     """Returns the entries and agents that this entry knows."""
     state = actor.state
@@ -198,11 +213,7 @@
 
 
 def _receive_cancel(actor: Actor, message: Cancel, now: float) -> None:
-    request = actor.state.requests.get(message.request_id)
-    if request is not None:
-        # Whether a task was placed isn't checked, so NOT_RUN can't be guaranteed.
-        detail = "it was cancelled"
-        conclude_request(actor.state, request, Verdict.MAY_HAVE_RUN, detail, now)
+    begin_cancellation(actor.state, message.canceller, message.request_id, now)
 
 
 def _receive_session_opened(actor: Actor, message: SessionOpened, now: float) -> None:
@@ -463,8 +474,15 @@
     )
 
 
+def _send_cancel_reply(actor: Actor, effect: SendCancelReply, now: float) -> None:
+    future = actor.pending_cancels.pop(effect.canceller, None)
+    if future is not None and not future.done():
+        future.set_result(effect.outcome)
+
+
 EFFECTS: dict[type, Callable[[Actor, Effect, float], None]] = {
     SendVerdict: _send_verdict,
+    SendCancelReply: _send_cancel_reply,
     SendFrame: _send_frame,
     CloseSession: _close_session,
     OpenLink: _open_link,
--- a/src/comfreysill/gateway/messages.py
+++ b/src/comfreysill/gateway/messages.py
@@ -53,11 +53,12 @@
 
 
 class Cancel:
-    """A caller has cancelled a request."""
+    """The caller with the number `canceller` has cancelled a request."""
 
-    __slots__ = ("request_id",)
+    __slots__ = ("canceller", "request_id")
 
-    def __init__(self, *, request_id: str) -> None:
+    def __init__(self, *, canceller: int, request_id: str) -> None:
+        self.canceller = canceller
         self.request_id = request_id
 
 
--- a/src/comfreysill/gateway/program.py
+++ b/src/comfreysill/gateway/program.py
@@ -11,6 +11,7 @@
 from comfreysill.exchange.messages import Member, Role
 from comfreysill.gateway.actor import (
     Actor,
+    cancel,
     is_ready,
     list_members,
     report_disconnect,
@@ -23,7 +24,7 @@
     watch_members,
     watch_routes,
 )
-from comfreysill.gateway.messages import Cancel, ConcludeRequests, EntriesDiscovered, Tick
+from comfreysill.gateway.messages import ConcludeRequests, EntriesDiscovered, Tick
 from comfreysill.gateway.registrar import RegistrarService
 from comfreysill.gateway.roster import RosterService, fetch_routes
 from comfreysill.listeners import Listeners
@@ -242,11 +243,6 @@
         cached = state.cached.get(request_id)
         return cached.verdict if cached is not None else None
 
-    def cancel(request_id: str) -> bool:
-        known = request_id in state.requests
-        actor.inbox.post(Cancel(request_id=request_id))
-        return known
-
     def count_waiting(route: str) -> int:
         return sum(
             request.specification.route == route and not request.begun
@@ -258,7 +254,7 @@
         submit=lambda specification, wait: submit(actor, specification, wait),
         report_disconnect=lambda caller: report_disconnect(actor, caller),
         find_state=find_state,
-        cancel=cancel,
+        cancel=lambda request_id: cancel(actor, request_id),
         count_waiting=count_waiting,
         is_closing=lambda: actor.stopping,
     )
--- a/src/comfreysill/placement/effects.py
+++ b/src/comfreysill/placement/effects.py
@@ -2,7 +2,7 @@
 
 from comfreysill.exchange.claims import ClaimRepliesFrame, ClaimsFrame
 from comfreysill.exchange.messages import EntryFrame
-from comfreysill.request.types import Verdict
+from comfreysill.request.types import CancelOutcome, Verdict
 
 
 class SendVerdict:
@@ -27,6 +27,16 @@
         self.retry_at = retry_at
 
 
+class SendCancelReply:
+    """Effect: answers a caller that has cancelled a request; `canceller` is its number."""
+
+    __slots__ = ("canceller", "outcome")
+
+    def __init__(self, *, canceller: int, outcome: CancelOutcome) -> None:
+        self.canceller = canceller
+        self.outcome = outcome
+
+
 class SendFrame:
     """Effect: sends a frame to an agent."""
 
@@ -125,6 +135,7 @@
 
 Effect = (
     SendVerdict
+    | SendCancelReply
     | SendFrame
     | CloseSession
     | OpenLink
--- a/src/comfreysill/platform/ingress.py
+++ b/src/comfreysill/platform/ingress.py
@@ -11,7 +11,7 @@
 from comfreysill.platform.bodies import read_body
 from comfreysill.platform.documents import encode_document
 from comfreysill.platform.submission import Rejection, decode_submission
-from comfreysill.request.types import CallerWait, Specification, Verdict
+from comfreysill.request.types import CallerWait, CancelOutcome, Specification, Verdict
 from comfreysill.routes.table import Route, RouteTable, find_route
 from comfreysill.servers import ARRIVAL_EXTENSION
 
@@ -19,6 +19,7 @@
 WAIT_HEADER = b"x-deadline-ms"
 # Longer waits count as unknown, like values that can't be read.
 MAX_WAIT_MS = 86_400_000.0
+CANCEL_STATUSES = {CancelOutcome.ENDED: 200, CancelOutcome.UNKNOWN: 410}
 STATE_NAMES = {Verdict.COMPLETED: "completed", Verdict.FAILED: "failed"}
 
 
@@ -31,8 +32,7 @@
         report_disconnect: Reports that the caller with this number has disconnected.
         find_state: Returns `queued`, `running`, a cached final verdict, or None for an unknown
             request id.
-        cancel: Cancels a request; returns False if it is unknown, or has ended and none of its
-            tasks is placed.
+        cancel: Cancels a request; returns the future outcome.
         count_waiting: Returns the number of requests of a route for which no task was placed yet.
         is_closing: Returns whether responses have to close their connections.
     """
@@ -54,7 +54,7 @@
         submit: Callable[[Specification, CallerWait], tuple[int, asyncio.Future[Reply]]],
         report_disconnect: Callable[[int], None],
         find_state: Callable[[str], "str | Verdict | None"],
-        cancel: Callable[[str], bool],
+        cancel: Callable[[str], asyncio.Future[CancelOutcome]],
         count_waiting: Callable[[str], int],
         is_closing: Callable[[], bool],
     ) -> None:
@@ -192,8 +192,8 @@
         else:
             await _send_json(operations, send, 200, {"state": name})
     elif request_id and method == "DELETE":
-        was_known = operations.cancel(request_id)
-        await _send_json(operations, send, 200 if was_known else 410, {})
+        outcome = await operations.cancel(request_id)
+        await _send_json(operations, send, CANCEL_STATUSES[outcome], {})
     else:
         await _send_json(operations, send, 405, {"error": "no such call"})
 
--- a/src/comfreysill/request/types.py
+++ b/src/comfreysill/request/types.py
@@ -18,6 +18,16 @@
     MAY_HAVE_RUN = 3
 
 
+class CancelOutcome(enum.IntEnum):
+    """Answer to a caller that has cancelled a request.
+
+    After ENDED nothing of it is placed any more. UNKNOWN says that there is no such request.
+    """
+
+    ENDED = 0
+    UNKNOWN = 1
+
+
 class Step:
     """A step of a request: a number of identical tasks.
 
--- a/tests/platform_world.py
+++ b/tests/platform_world.py
@@ -46,6 +46,7 @@
     expire_agents,
     receive_agent_frame,
 )
+from comfreysill.placement.cancelling import begin_cancellation
 from comfreysill.placement.crashes import judge_crashes, receive_crash
 from comfreysill.placement.effects import (
     ClosePeerSession,
@@ -54,6 +55,7 @@
     OpenPeerLink,
     RemoveLink,
     RemovePeerLink,
+    SendCancelReply,
     SendClaimReplies,
     SendClaims,
     SendFrame,
@@ -78,7 +80,7 @@
 )
 from comfreysill.placement.state import EntryState
 from comfreysill.placement.subset import update_subset
-from comfreysill.request.types import Specification, Step, Verdict
+from comfreysill.request.types import CancelOutcome, Specification, Step, Verdict
 from tests.waits import build_wait
 
 HOP_SECONDS = 0.001
@@ -108,6 +110,8 @@
 # After so many crashes under one task, so many more starts of it are a violation.
 MAX_CRASHES_PER_TASK = 3
 MAX_STARTS_AFTER_CRASHES = 3
+# A request may be started for so long after its cancelling was answered.
+CANCEL_SECONDS = 1.0
 
 
 class ModelRunner:
@@ -341,6 +345,10 @@
         # Whether a process that wakes reads from agents first, and from callers after that.
         self.reads_callers_last = False
         self.callers = {}
+        # Request ids by number of the canceller, for each one not answered yet.
+        self.cancellers = {}
+        # Answers to those that have cancelled a request, as (time, outcome), by request id.
+        self.cancel_replies = {}
         self.verdicts = {}
         self.next_caller = 1
         self.starts = 0
@@ -507,6 +515,8 @@
             self.connect_peer(process.name, effect.address)
         elif isinstance(effect, SendVerdict):
             self.handle_verdict(process.name, effect)
+        elif isinstance(effect, SendCancelReply):
+            self.handle_cancel_reply(effect)
 
     def flush_agent(self, process):
         agent = process.state
@@ -723,6 +733,7 @@
                 self.violations.append(
                     f"{self.now:.3f} double start: {task} {other.name} {runner.name}"
                 )
+        self.check_cancelled(task.partition("/")[0])
         if len(self.crashes.get(task, ())) >= MAX_CRASHES_PER_TASK:
             starts = self.starts_after_crashes[task] = self.starts_after_crashes.get(task, 0) + 1
             if starts >= MAX_STARTS_AFTER_CRASHES:
@@ -731,6 +742,13 @@
         if used > runner.get_capacity_limit(self.now):
             self.violations.append(f"{self.now:.3f} capacity exceeded: {runner.name} {used}")
 
+    def check_cancelled(self, request_id):
+        """Lists a start of a request whose cancelling was answered CANCEL_SECONDS ago."""
+        for at, outcome in self.cancel_replies.get(request_id, ()):
+            is_answer = outcome in (CancelOutcome.ENDED, CancelOutcome.UNKNOWN)
+            if is_answer and self.now - at > CANCEL_SECONDS:
+                self.violations.append(f"{self.now:.3f} start after cancelling: {request_id}")
+
     def get_cpu_demand(self, task):
         return self.requests[task.partition("/")[0]].steps[0].cpu
 
@@ -805,6 +823,22 @@
         if effect.verdict == Verdict.MAY_HAVE_RUN:
             self.schedule(RESEND_DELAY_SECONDS, self.send_request, request_id, self.choose_entry())
 
+    def cancel(self, request_id, entry):
+        """Cancels a request at an entry that is up; see `cancel_replies`."""
+        process = self.entries[entry]
+        canceller = self.next_caller
+        self.next_caller += 1
+        self.cancellers[canceller] = request_id
+        self.run_or_defer(process, self.handle_cancel, process, canceller, request_id)
+
+    def handle_cancel(self, process, canceller, request_id):
+        begin_cancellation(process.state, canceller, request_id, self.now)
+        self.flush_entry(process)
+
+    def handle_cancel_reply(self, effect):
+        request_id = self.cancellers.pop(effect.canceller)
+        self.cancel_replies.setdefault(request_id, []).append((self.now, effect.outcome))
+
     def choose_entry(self):
         return self.random.choice(sorted(self.entries))
 
