A cancelled job is answered as cancelled, and isn't run again

Callers saw: a DELETE was answered 200 and its tasks were stopped; the open POST of the job was then answered 504.

Cause: a cancelled request was concluded as MAY_HAVE_RUN, which is no final verdict. Nothing kept that it was cancelled, neither at the entry nor at the registrars of its claim.

Change: CANCELLED is a final verdict. `failed` would be untrue, 410 and 503 say that it doesn't exist or never ran. The entry and, by the release of the claim, its registrars keep the cancelling for 120 s, 100,000 at most (gauges `cancellations_kept` and `cancellations_dropped`): a repetition at any entry gets the same answer.

--- a/src/comfreysill/claims/registry.py
+++ b/src/comfreysill/claims/registry.py
@@ -7,6 +7,12 @@
 import math
 from collections import deque
 
+from comfreysill.claims.cancellations import (
+    CancellationMemory,
+    expire_cancellations,
+    is_cancelled,
+    keep_cancellation,
+)
 from comfreysill.exchange.claims import ClaimRelease, ClaimReply, ClaimRequest, ClaimStatus
 from comfreysill.request.types import Verdict
 
@@ -74,6 +80,7 @@
         claims: Open claims by request id.
         ended: Final verdicts by request id.
         ended_ids: Request ids of final verdicts, oldest first.
+        cancelled: Requests that were cancelled; their claims are refused.
         heard_at: Boot-clock times in seconds of the last frames of claimants with an open session,
             by entry name.
         absent_since: Boot-clock times in seconds at which the sessions of claimants were closed, by
@@ -81,12 +88,21 @@
         late_replies: Replies to claims that had to wait, for the process to send.
     """
 
-    __slots__ = ("claims", "ended", "ended_ids", "heard_at", "absent_since", "late_replies")
+    __slots__ = (
+        "claims",
+        "ended",
+        "ended_ids",
+        "cancelled",
+        "heard_at",
+        "absent_since",
+        "late_replies",
+    )
 
     def __init__(self) -> None:
         self.claims: dict[str, Claim] = {}
         self.ended: dict[str, EndedClaim] = {}
         self.ended_ids: deque[str] = deque()
+        self.cancelled = CancellationMemory()
         self.heard_at: dict[str, float] = {}
         self.absent_since: dict[str, float] = {}
         self.late_replies: list[AddressedReply] = []
@@ -104,6 +120,9 @@
         ended = registry.ended.get(request_id)
         if ended is not None and ended.expires_at > now:
             return _build_reply(claimant, request_id, ClaimStatus.ENDED, verdict=ended.verdict)
+    if is_cancelled(registry.cancelled, request_id, now):
+        return _build_reply(claimant, request_id, ClaimStatus.ENDED, verdict=Verdict.CANCELLED)
+    if claim is None:
         registry.claims[request_id] = Claim(holder=claimant)
         return _build_reply(claimant, request_id, ClaimStatus.GRANTED)
     if claim.holder.entry == entry:
@@ -117,6 +136,8 @@
 
 def receive_release(registry: ClaimRegistry, entry: str, release: ClaimRelease, now: float) -> None:
     """Processes the end of a claim; queues the replies to those that wait for it."""
+    if release.verdict == Verdict.CANCELLED:
+        keep_cancellation(registry.cancelled, release.request_id, now)
     claim = registry.claims.get(release.request_id)
     if claim is None:
         return
@@ -189,6 +210,7 @@
             _grant_next(registry, request_id, claim)
     _forget_absent(registry, now, expiry_seconds)
     _forget_ended(registry, now)
+    expire_cancellations(registry.cancelled, now)
 
 
 def _find_end(registry: ClaimRegistry, holder: Claimant, expiry_seconds: float) -> float:
--- a/src/comfreysill/exchange/claims.py
+++ b/src/comfreysill/exchange/claims.py
@@ -42,7 +42,7 @@
     Attributes:
         request_id: Id of the request.
         number: Number of the claim at its claimant.
-        verdict: COMPLETED or FAILED, None if the request has ended without a final verdict.
+        verdict: Final verdict of the request, None if it has ended without one.
     """
 
     __slots__ = ("request_id", "number", "verdict")
--- a/src/comfreysill/gateway/program.py
+++ b/src/comfreysill/gateway/program.py
@@ -220,6 +220,8 @@
         "peers": sum(peer.usable for peer in state.peers.values()),
         "claims": len(state.claims),
         "claims_kept": len(state.registry.claims),
+        "cancellations_kept": len(state.registry.cancelled.expires_at),
+        "cancellations_dropped": state.registry.cancelled.dropped,
         "routes_version": state.routes.version,
         "crashes_known": len(state.crashes.crash_ids),
         "routes_confined": len(state.crashes.confined_until),
--- a/src/comfreysill/placement/cancelling.py
+++ b/src/comfreysill/placement/cancelling.py
@@ -11,6 +11,5 @@
     request = state.requests.get(request_id)
     outcome = CancelOutcome.UNKNOWN if request is None else CancelOutcome.ENDED
     if request is not None:
-        # Whether a task was placed isn't checked, so NOT_RUN can't be guaranteed.
-        conclude_request(state, request, Verdict.MAY_HAVE_RUN, "it was cancelled", now)
+        conclude_request(state, request, Verdict.CANCELLED, "it was cancelled", now)
     state.effects.append(SendCancelReply(canceller=canceller, outcome=outcome))
--- a/src/comfreysill/placement/claims.py
+++ b/src/comfreysill/placement/claims.py
@@ -23,14 +23,13 @@
 from comfreysill.placement.queue import push_request
 from comfreysill.placement.state import EntryState, count, note_event
 from comfreysill.request.request import Request
-from comfreysill.request.types import Verdict
+from comfreysill.request.types import FINAL_VERDICTS, Verdict
 
 # Number of registrars of a request.
 REGISTRARS = 2
 # A registrar that hasn't answered a claim for this long counts as out of reach.
 CLAIM_TIMEOUT_SECONDS = 0.2
 ANSWERED_STATES = frozenset({ReplicaState.GRANTED, ReplicaState.LOST})
-FINAL_VERDICTS = frozenset({Verdict.COMPLETED, Verdict.FAILED})
 
 
 def claim_request(state: EntryState, request: Request, now: float) -> None:
@@ -173,10 +172,11 @@
         return
     replica.state = ReplicaState.HELD
     if reply.status == ClaimStatus.ENDED:
-        end = RemoteEnd(
-            request=claim.request, verdict=reply.verdict, detail="another entry has served it"
+        was_cancelled = reply.verdict == Verdict.CANCELLED
+        detail = "it was cancelled" if was_cancelled else "another entry has served it"
+        state.remote_ends.append(
+            RemoteEnd(request=claim.request, verdict=reply.verdict, detail=detail)
         )
-        state.remote_ends.append(end)
         return
     count(state, "claims_held")
     claim.contested = True
--- a/src/comfreysill/placement/requests.py
+++ b/src/comfreysill/placement/requests.py
@@ -3,6 +3,7 @@
 import math
 import zlib
 
+from comfreysill.claims.cancellations import is_cancelled, keep_cancellation
 from comfreysill.crashes.ledger import find_deadly_task, is_suspect
 from comfreysill.exchange.messages import Outcome
 from comfreysill.placement.bindings import choose_refusal
@@ -32,7 +33,7 @@
     set_verdict,
     suspect_task,
 )
-from comfreysill.request.types import CallerWait, Specification, Verdict
+from comfreysill.request.types import FINAL_VERDICTS, CallerWait, Specification, Verdict
 
 # A final verdict is cached this long to answer repetitions of the request.
 VERDICT_CACHE_SECONDS = 10.0
@@ -50,10 +51,10 @@
 ) -> None:
     """Accepts a request, unless there is one with its id or its caller may have left.
 
-    The caller joins an open request with this id, or gets a cached verdict. If the earlier request
-    has ended without a cached verdict and tasks of it are still placed, the caller waits until
-    those have ended. A request that was read so late that its caller may have sent it again is
-    refused at once.
+    The caller joins an open request with this id, or gets a cached verdict. A request that was
+    cancelled isn't run. If the earlier request has ended without a cached verdict and tasks of it
+    are still placed, the caller waits until those have ended. A request that was read so late that
+    its caller may have sent it again is refused at once.
     """
     request_id = specification.request_id
     stop_at = compute_stop_at(wait, state.retry_seconds)
@@ -67,6 +68,13 @@
         waiter = Waiter(caller=caller, specification=specification, wait=wait)
         _join_request(state, request, waiter, stop_at, now)
         return
+    if is_cancelled(state.registry.cancelled, request_id, now):
+        count(state, "requests_repeated")
+        note_event(state, "request not taken: it was cancelled", request=request_id)
+        state.effects.append(
+            SendVerdict(caller=caller, verdict=Verdict.CANCELLED, detail="it was cancelled")
+        )
+        return
     if now >= stop_at:
         _refuse_unread(state, caller, specification, now, wait)
         return
@@ -218,11 +226,13 @@
     verdict = request.verdict
     count(state, f"requests_{verdict.name.lower()}")
     state.observe("request_seconds", now - request.received_at, request.specification.route)
-    if verdict in (Verdict.COMPLETED, Verdict.FAILED):
+    if verdict in FINAL_VERDICTS:
         state.cached[request_id] = CachedVerdict(
             verdict=verdict, expires_at=now + VERDICT_CACHE_SECONDS
         )
         state.cached_ids.append(request_id)
+    if verdict == Verdict.CANCELLED:
+        keep_cancellation(state.registry.cancelled, request_id, now)
     note_event(
         state,
         "request ended",
@@ -233,7 +243,7 @@
         late=now > request.due_at,
     )
     retry_at = 0.0
-    if verdict not in (Verdict.COMPLETED, Verdict.FAILED):
+    if verdict not in FINAL_VERDICTS:
         retry_at = _choose_retry_time(request_id, now)
     for caller in request.callers:
         state.callers.pop(caller, None)
--- a/src/comfreysill/platform/ingress.py
+++ b/src/comfreysill/platform/ingress.py
@@ -20,7 +20,11 @@
 # Longer waits count as unknown, like values that can't be read.
 MAX_WAIT_MS = 86_400_000.0
 CANCEL_STATUSES = {CancelOutcome.ENDED: 200, CancelOutcome.UNKNOWN: 410}
-STATE_NAMES = {Verdict.COMPLETED: "completed", Verdict.FAILED: "failed"}
+STATE_NAMES = {
+    Verdict.COMPLETED: "completed",
+    Verdict.FAILED: "failed",
+    Verdict.CANCELLED: "cancelled",
+}
 
 
 class EntryOperations:
--- a/src/comfreysill/request/types.py
+++ b/src/comfreysill/request/types.py
@@ -6,8 +6,9 @@
 class Verdict(enum.IntEnum):
     """Outcome of a request, as reported to its callers.
 
-    COMPLETED and FAILED are final: the entry caches them for a time to answer repetitions of the
-    request. After the others it has no result, and the caller may repeat it to run it again.
+    COMPLETED, FAILED and CANCELLED are final: the entry caches them for a time to answer
+    repetitions of the request. CANCELLED is one that its owner has cancelled; it isn't run again.
+    After the others the entry has no result, and the caller may repeat it to run it again.
     NOT_RUN guarantees that no task ran or will run. MAY_HAVE_RUN doesn't, but may be set although
     no task was placed.
     """
@@ -16,6 +17,10 @@
     FAILED = 1
     NOT_RUN = 2
     MAY_HAVE_RUN = 3
+    CANCELLED = 4
+
+
+FINAL_VERDICTS = frozenset({Verdict.COMPLETED, Verdict.FAILED, Verdict.CANCELLED})
 
 
 class CancelOutcome(enum.IntEnum):
--- a/src/comfreysill/wire/claims.py
+++ b/src/comfreysill/wire/claims.py
@@ -10,7 +10,7 @@
     ClaimsFrame,
     ClaimStatus,
 )
-from comfreysill.request.types import Verdict
+from comfreysill.request.types import FINAL_VERDICTS, Verdict
 from comfreysill.wire import exchange_pb2 as pb
 from comfreysill.wire.errors import FrameError, decode_enum
 from comfreysill.wire.exchange import check_name, check_number
@@ -133,6 +133,6 @@
     if not value:
         return None
     verdict = decode_enum(Verdict, value - VERDICT_OFFSET, field)
-    if verdict not in (Verdict.COMPLETED, Verdict.FAILED):
+    if verdict not in FINAL_VERDICTS:
         raise FrameError(f"{field}: {verdict.name} is not final")
     return verdict
--- a/tests/platform_world.py
+++ b/tests/platform_world.py
@@ -345,7 +345,7 @@
         # Whether a process that wakes reads from agents first, and from callers after that.
         self.reads_callers_last = False
         self.callers = {}
-        # Request ids by number of the canceller, for each one not answered yet.
+        # Request and entry by number of the canceller, for each one not answered yet.
         self.cancellers = {}
         # Answers to those that have cancelled a request, as (time, outcome), by request id.
         self.cancel_replies = {}
@@ -824,11 +824,14 @@
             self.schedule(RESEND_DELAY_SECONDS, self.send_request, request_id, self.choose_entry())
 
     def cancel(self, request_id, entry):
-        """Cancels a request at an entry that is up; see `cancel_replies`."""
+        """Cancels a request at an entry; the caller repeats it until it is acknowledged."""
         process = self.entries[entry]
+        if not process.alive:
+            self.schedule(RESEND_DELAY_SECONDS, self.cancel, request_id, self.choose_entry())
+            return
         canceller = self.next_caller
         self.next_caller += 1
-        self.cancellers[canceller] = request_id
+        self.cancellers[canceller] = (request_id, entry)
         self.run_or_defer(process, self.handle_cancel, process, canceller, request_id)
 
     def handle_cancel(self, process, canceller, request_id):
@@ -836,7 +839,7 @@
         self.flush_entry(process)
 
     def handle_cancel_reply(self, effect):
-        request_id = self.cancellers.pop(effect.canceller)
+        request_id, _ = self.cancellers.pop(effect.canceller)
         self.cancel_replies.setdefault(request_id, []).append((self.now, effect.outcome))
 
     def choose_entry(self):
@@ -894,6 +897,10 @@
                 self.schedule(
                     RESEND_DELAY_SECONDS, self.send_request, request_id, self.choose_entry()
                 )
+        for canceller, (request_id, entry) in list(self.cancellers.items()):
+            if entry == name:
+                del self.cancellers[canceller]
+                self.schedule(RESEND_DELAY_SECONDS, self.cancel, request_id, self.choose_entry())
         self.schedule(down_seconds, self.start_entry, name)
 
     def kill_agent(self, name, down_seconds=0.5, silent=False):
