A DELETE at any entry cancels the job wherever it runs

The platform sends a client's next channel to another entry by design.

Cause: an entry looked at its own requests only.

Change: the entry that is asked tells all entries that it is linked to, on the links of the claims. Each keeps the cancelling in mind, ends the request if it has it, and as a registrar hands it on to the holder of the claim and to all that wait for it, as an answer to their claims. A new link repeats the newest cancellings, so that an entry that was cut off or restarted learns them. An id that can't be a job's is answered 410 at once.

--- a/src/comfreysill/claims/cancellations.py
+++ b/src/comfreysill/claims/cancellations.py
@@ -1,5 +1,7 @@
 """Cancelled requests that an entry keeps in mind, so that no later submission of them is run."""
 
+from itertools import islice
+
 # Longer than callers wait for an answer and then send a request again.
 CANCELLATION_SECONDS = 120.0
 # About 15 MB; at 1,000 cancellings a second the oldest is forgotten after 100 s.
@@ -42,6 +44,12 @@
     return memory.expires_at.get(request_id, now) > now
 
 
+def list_newest(memory: CancellationMemory, now: float, limit: int) -> list[tuple[str, float]]:
+    """Returns at most `limit` cancelled requests, as (request id, seconds to keep it)."""
+    newest = islice(reversed(memory.expires_at.items()), limit)
+    return [(request_id, expires_at - now) for request_id, expires_at in newest if expires_at > now]
+
+
 def expire_cancellations(memory: CancellationMemory, now: float) -> None:
     """Forgets cancelled requests whose time is over."""
     while memory.expires_at:
--- a/src/comfreysill/claims/registry.py
+++ b/src/comfreysill/claims/registry.py
@@ -13,7 +13,15 @@
     is_cancelled,
     keep_cancellation,
 )
-from comfreysill.exchange.claims import ClaimRelease, ClaimReply, ClaimRequest, ClaimStatus
+from comfreysill.exchange.claims import (
+    Cancellation,
+    CancellationReply,
+    CancellationStatus,
+    ClaimRelease,
+    ClaimReply,
+    ClaimRequest,
+    ClaimStatus,
+)
 from comfreysill.request.types import Verdict
 
 # The final verdict of a request is kept this long for claims that come after its end.
@@ -38,19 +46,31 @@
         self.expires_at = expires_at
 
 
+class Canceller:
+    """An entry with the name `entry` that cancels a request; `number` is that of its cancelling."""
+
+    __slots__ = ("entry", "number")
+
+    def __init__(self, *, entry: str, number: int) -> None:
+        self.entry = entry
+        self.number = number
+
+
 class Claim:
     """The claim of one request.
 
     Attributes:
         holder: The claimant that may place the request's tasks.
         waiters: Claimants that wait for its release, in the order of their claims.
+        cancellers: Entries that cancel the request and wait for its release.
     """
 
-    __slots__ = ("holder", "waiters")
+    __slots__ = ("holder", "waiters", "cancellers")
 
     def __init__(self, *, holder: Claimant) -> None:
         self.holder = holder
         self.waiters: list[Claimant] = []
+        self.cancellers: list[Canceller] = []
 
 
 class EndedClaim:
@@ -64,11 +84,11 @@
 
 
 class AddressedReply:
-    """A reply to a claimant's earlier claim, for the entry with the name `entry`."""
+    """A later reply to a claim or a cancelling, for the entry with the name `entry`."""
 
     __slots__ = ("entry", "reply")
 
-    def __init__(self, *, entry: str, reply: ClaimReply) -> None:
+    def __init__(self, *, entry: str, reply: ClaimReply | CancellationReply) -> None:
         self.entry = entry
         self.reply = reply
 
@@ -85,7 +105,7 @@
             by entry name.
         absent_since: Boot-clock times in seconds at which the sessions of claimants were closed, by
             entry name; entries with an open session are missing.
-        late_replies: Replies to claims that had to wait, for the process to send.
+        late_replies: Replies to claims and cancellings that had to wait, for the process to send.
     """
 
     __slots__ = (
@@ -148,6 +168,7 @@
         _grant_next(registry, release.request_id, claim)
         return
     del registry.claims[release.request_id]
+    _answer_cancellers(registry, release.request_id, claim)
     registry.ended[release.request_id] = EndedClaim(
         verdict=release.verdict, expires_at=now + ENDED_CLAIM_SECONDS
     )
@@ -158,6 +179,36 @@
         )
 
 
+def receive_cancellation(
+    registry: ClaimRegistry, entry: str, cancellation: Cancellation, now: float
+) -> CancellationReply:
+    """Processes the cancelling of a request; returns the reply to send at once.
+
+    The holder of its claim and all that wait for it are told that it has ended.
+    """
+    request_id = cancellation.request_id
+    keep_cancellation(registry.cancelled, request_id, now, cancellation.seconds)
+    claim = registry.claims.get(request_id)
+    if claim is None:
+        ended = registry.ended.get(request_id)
+        status = CancellationStatus.UNKNOWN
+        if ended is not None and ended.expires_at > now:
+            was_cancelled = ended.verdict == Verdict.CANCELLED
+            status = CancellationStatus.KNOWN if was_cancelled else CancellationStatus.ENDED
+        return CancellationReply(request_id=request_id, number=cancellation.number, status=status)
+    for claimant in (claim.holder, *claim.waiters):
+        _queue_reply(registry, claimant, request_id, ClaimStatus.ENDED, verdict=Verdict.CANCELLED)
+    claim.waiters.clear()
+    if cancellation.number:
+        claim.cancellers.append(Canceller(entry=entry, number=cancellation.number))
+    return CancellationReply(
+        request_id=request_id,
+        number=cancellation.number,
+        status=CancellationStatus.HANDED_ON,
+        holder=claim.holder.entry,
+    )
+
+
 def record_session(registry: ClaimRegistry, entry: str, request_ids: set[str], now: float) -> None:
     """Records a new session of a claimant, and ends the claims that it doesn't repeat.
 
@@ -250,7 +301,18 @@
     return entry.partition("@")[0]
 
 
+def _answer_cancellers(registry: ClaimRegistry, request_id: str, claim: Claim) -> None:
+    """Queues the replies to those that cancel a request whose holder has ended."""
+    for canceller in claim.cancellers:
+        reply = CancellationReply(
+            request_id=request_id, number=canceller.number, status=CancellationStatus.KNOWN
+        )
+        registry.late_replies.append(AddressedReply(entry=canceller.entry, reply=reply))
+    claim.cancellers.clear()
+
+
 def _grant_next(registry: ClaimRegistry, request_id: str, claim: Claim) -> None:
+    _answer_cancellers(registry, request_id, claim)
     if not claim.waiters:
         del registry.claims[request_id]
         return
--- a/src/comfreysill/exchange/claims.py
+++ b/src/comfreysill/exchange/claims.py
@@ -53,6 +53,39 @@
         self.verdict = verdict
 
 
+class CancellationStatus(enum.IntEnum):
+    """What an entry knows of a request that it is told to cancel.
+
+    Attributes:
+        UNKNOWN: It knows of no such request.
+        KNOWN: It knows of it, and nothing of it runs there.
+        ENDED: The request could run there and has ended, or has a result.
+        HANDED_ON: Another entry holds its claim and was told; KNOWN follows when it is released.
+    """
+
+    UNKNOWN = 0
+    KNOWN = 1
+    ENDED = 2
+    HANDED_ON = 3
+
+
+class Cancellation:
+    """A cancelled request.
+
+    Attributes:
+        request_id: Id of the request.
+        number: Number of the cancelling at the sender, 0 if no reply is expected.
+        seconds: Time in seconds for which it is kept in mind.
+    """
+
+    __slots__ = ("request_id", "number", "seconds")
+
+    def __init__(self, *, request_id: str, number: int, seconds: float) -> None:
+        self.request_id = request_id
+        self.number = number
+        self.seconds = seconds
+
+
 class ClaimsFrame:
     """A frame from a claimant to a registrar.
 
@@ -62,9 +95,10 @@
         opening: True in the first frame of a session, which repeats the claimant's open claims.
         claims: Claims, in order.
         releases: Ended claims; they come before `claims`.
+        cancellations: Cancelled requests; they come before `claims` and after `releases`.
     """
 
-    __slots__ = ("entry", "session", "opening", "claims", "releases")
+    __slots__ = ("entry", "session", "opening", "claims", "releases", "cancellations")
 
     def __init__(
         self,
@@ -74,12 +108,14 @@
         opening: bool,
         claims: list[ClaimRequest],
         releases: list[ClaimRelease],
+        cancellations: list[Cancellation],
     ) -> None:
         self.entry = entry
         self.session = session
         self.opening = opening
         self.claims = claims
         self.releases = releases
+        self.cancellations = cancellations
 
 
 class ClaimReply:
@@ -111,18 +147,48 @@
         self.verdict = verdict
 
 
+class CancellationReply:
+    """An entry's reply to a cancelling.
+
+    Attributes:
+        request_id: Id of the request.
+        number: Number of the cancelling at the entry that has told of it.
+        status: What the replying entry knows of the request.
+        holder: Name of the entry that holds the claim, empty unless the status is HANDED_ON.
+    """
+
+    __slots__ = ("request_id", "number", "status", "holder")
+
+    def __init__(
+        self, *, request_id: str, number: int, status: CancellationStatus, holder: str = ""
+    ) -> None:
+        self.request_id = request_id
+        self.number = number
+        self.status = status
+        self.holder = holder
+
+
 class ClaimRepliesFrame:
     """A frame from a registrar to a claimant; the first of a session answers the opening frame.
 
     Attributes:
         entry: Name of the registrar, `instance@lifetime`.
         session: Number of the claimant's session.
-        replies: Replies, in order.
+        replies: Replies to claims, in order.
+        cancellations: Replies to cancellings, in order.
     """
 
-    __slots__ = ("entry", "session", "replies")
+    __slots__ = ("entry", "session", "replies", "cancellations")
 
-    def __init__(self, *, entry: str, session: int, replies: list[ClaimReply]) -> None:
+    def __init__(
+        self,
+        *,
+        entry: str,
+        session: int,
+        replies: list[ClaimReply],
+        cancellations: list[CancellationReply],
+    ) -> None:
         self.entry = entry
         self.session = session
         self.replies = replies
+        self.cancellations = cancellations
--- a/src/comfreysill/gateway/actor.py
+++ b/src/comfreysill/gateway/actor.py
@@ -14,6 +14,7 @@
     AgentFrameReceived,
     CallerDisconnected,
     Cancel,
+    CancelReply,
     ClaimantDisconnected,
     ClaimRepliesReceived,
     ClaimsReceived,
@@ -131,7 +132,7 @@
         self.peer_links: dict[str, Link] = {}
         self.claimants: dict[str, ClaimantSession] = {}
         self.pending_replies: dict[int, asyncio.Future[Reply]] = {}
-        self.pending_cancels: dict[int, asyncio.Future[CancelOutcome]] = {}
+        self.pending_cancels: dict[int, asyncio.Future[CancelReply]] = {}
         self.last_caller_number = 0
         self.routes_text = b""
         self.routes_sources: Mailbox[str] = Mailbox()
@@ -157,11 +158,11 @@
     actor.inbox.post(CallerDisconnected(caller=caller))
 
 
-def cancel(actor: Actor, request_id: str) -> asyncio.Future[CancelOutcome]:
-    """Queues the cancelling of a request; returns the future of its outcome."""
+def cancel(actor: Actor, request_id: str) -> asyncio.Future[CancelReply]:
+    """Queues the cancelling of a request; returns the future of the reply."""
     actor.last_caller_number += 1
     canceller = actor.last_caller_number
-    future: asyncio.Future[CancelOutcome] = asyncio.get_running_loop().create_future()
+    future: asyncio.Future[CancelReply] = asyncio.get_running_loop().create_future()
     actor.pending_cancels[canceller] = future
     actor.inbox.post(Cancel(canceller=canceller, request_id=request_id))
     return future
@@ -360,6 +361,12 @@
     actor.state.effects.append(verdict)
 
 
+def _contain_cancel(actor: Actor, message: Cancel, now: float) -> None:
+    actor.state.cancellations.pop(message.request_id, None)
+    reply = SendCancelReply(canceller=message.canceller, outcome=CancelOutcome.UNCERTAIN)
+    actor.state.effects.append(reply)
+
+
 def _contain_frame(actor: Actor, message: AgentFrameReceived, now: float) -> None:
     contain_failed_frame(actor.state, message.agent, now)
 
@@ -377,6 +384,7 @@
 
 CONTAINMENT: dict[type, Callable[[Actor, EntryStateMessage, float], None]] = {
     Submit: _contain_submit,
+    Cancel: _contain_cancel,
     AgentFrameReceived: _contain_frame,
     ClaimRepliesReceived: _contain_replies,
     ClaimsReceived: _contain_claims,
@@ -477,7 +485,8 @@
 def _send_cancel_reply(actor: Actor, effect: SendCancelReply, now: float) -> None:
     future = actor.pending_cancels.pop(effect.canceller, None)
     if future is not None and not future.done():
-        future.set_result(effect.outcome)
+        wait_seconds = math.ceil(effect.retry_at - now) if effect.retry_at else 0
+        future.set_result(CancelReply(outcome=effect.outcome, retry_seconds=max(0, wait_seconds)))
 
 
 EFFECTS: dict[type, Callable[[Actor, Effect, float], None]] = {
--- a/src/comfreysill/gateway/messages.py
+++ b/src/comfreysill/gateway/messages.py
@@ -4,7 +4,7 @@
 from comfreysill.exchange.claims import ClaimRepliesFrame, ClaimsFrame
 from comfreysill.exchange.messages import AgentFrame, Member
 from comfreysill.mailbox import Mailbox
-from comfreysill.request.types import CallerWait, Specification, Verdict
+from comfreysill.request.types import CallerWait, CancelOutcome, Specification, Verdict
 from comfreysill.routes.table import RouteTable
 
 
@@ -26,6 +26,21 @@
         self.retry_seconds = retry_seconds
 
 
+class CancelReply:
+    """Reply to a caller that has cancelled a request.
+
+    Attributes:
+        outcome: The answer.
+        retry_seconds: Whole seconds after which the caller may cancel it again, 0 if it need not.
+    """
+
+    __slots__ = ("outcome", "retry_seconds")
+
+    def __init__(self, *, outcome: CancelOutcome, retry_seconds: int = 0) -> None:
+        self.outcome = outcome
+        self.retry_seconds = retry_seconds
+
+
 class Submit:
     """A caller has submitted a request.
 
--- a/src/comfreysill/placement/effects.py
+++ b/src/comfreysill/placement/effects.py
@@ -28,13 +28,21 @@
 
 
 class SendCancelReply:
-    """Effect: answers a caller that has cancelled a request; `canceller` is its number."""
+    """Effect: answers a caller that has cancelled a request.
 
-    __slots__ = ("canceller", "outcome")
+    Attributes:
+        canceller: Number of the caller.
+        outcome: The answer.
+        retry_at: Boot-clock time in seconds from which it may cancel the request again, 0 unless
+            the outcome is UNCERTAIN.
+    """
 
-    def __init__(self, *, canceller: int, outcome: CancelOutcome) -> None:
+    __slots__ = ("canceller", "outcome", "retry_at")
+
+    def __init__(self, *, canceller: int, outcome: CancelOutcome, retry_at: float = 0.0) -> None:
         self.canceller = canceller
         self.outcome = outcome
+        self.retry_at = retry_at
 
 
 class SendFrame:
--- a/src/comfreysill/placement/peer_links.py
+++ b/src/comfreysill/placement/peer_links.py
@@ -3,6 +3,12 @@
 from comfreysill.claims.registry import expire_claims, get_instance
 from comfreysill.exchange.claims import ClaimRepliesFrame, ClaimsFrame
 from comfreysill.exchange.messages import RUN_EXPIRY_SECONDS
+from comfreysill.placement.cancelling import (
+    expire_cancellings,
+    list_known_cancellations,
+    receive_cancellation_reply,
+    tell_new_peer,
+)
 from comfreysill.placement.claims import (
     add_replica,
     begin_claims,
@@ -18,15 +24,13 @@
     RemovePeerLink,
     SendClaims,
 )
-from comfreysill.placement.peers import Peer, ReplicaState, rank_peer
+from comfreysill.placement.peers import Peer, ReplicaState, is_failing, rank_peer
 from comfreysill.placement.registrar import deliver_late_replies
 from comfreysill.placement.state import EntryState, count, note_event
 
 # Links are kept to so many other entries that can be reached; all entries choose the same ones as
 # far as they know the same ones.
 MAX_PEERS = 16
-# A peer that could not be reached for so long is no longer counted among MAX_PEERS.
-PEER_FAILURE_SECONDS = 5.0
 # An entry that starts waits this long for the links to its peers before it places tasks.
 LINKING_SECONDS = 0.5
 # A registrar is sent a frame at least this often while it keeps a claim of this entry.
@@ -61,14 +65,10 @@
             break
         chosen.add(address)
         peer = state.peers.get(address)
-        needed_count -= peer is None or not (peer.duplicate or _is_failing(peer, now))
+        needed_count -= peer is None or not (peer.duplicate or is_failing(peer, now))
     return chosen
 
 
-def _is_failing(peer: Peer, now: float) -> bool:
-    return not peer.usable and now - peer.unreachable_since > PEER_FAILURE_SECONDS
-
-
 def begin_peer_session(state: EntryState, address: str, now: float) -> int:
     """Records that a session with a registrar was opened; queues the first frame.
 
@@ -82,6 +82,7 @@
     peer.sent_at = now
     peer.claims.clear()
     peer.releases.clear()
+    peer.cancellations.clear()
     open_claims = [
         build_claim(claim, replica, now)
         for claim in state.claims.values()
@@ -89,7 +90,12 @@
         if replica.address == address and replica.state != ReplicaState.WITHDRAWN
     ]
     frame = ClaimsFrame(
-        entry=state.name, session=peer.session, opening=True, claims=open_claims, releases=[]
+        entry=state.name,
+        session=peer.session,
+        opening=True,
+        claims=open_claims,
+        releases=[],
+        cancellations=list_known_cancellations(state, now),
     )
     state.effects.append(SendClaims(address=address, frame=frame))
     return peer.session
@@ -105,6 +111,8 @@
         _begin_use(state, peer, frame, now)
     for reply in frame.replies:
         receive_reply(state, address, reply, now)
+    for reply in frame.cancellations:
+        receive_cancellation_reply(state, address, frame.entry, reply, now)
 
 
 def _begin_use(state: EntryState, peer: Peer, frame: ClaimRepliesFrame, now: float) -> None:
@@ -122,6 +130,7 @@
     note_event(state, "peer linked", peer=frame.entry, address=peer.address)
     for claim in state.claims.values():
         add_replica(state, claim, peer, now)
+    tell_new_peer(state, peer)
     begin_claims(state, now)
 
 
@@ -160,6 +169,7 @@
     begin_claims(state, now)
     for address in expire_replicas(state, now):
         _close_silent_peer(state, address, now)
+    expire_cancellings(state, now)
     _mark_heartbeats(state, now)
 
 
@@ -183,7 +193,8 @@
     """Queues the frames to registrars, and the late replies to claimants."""
     deliver_late_replies(state, now)
     for peer in state.peers.values():
-        if not peer.usable or not (peer.claims or peer.releases or peer.heartbeat_due):
+        has_news = peer.claims or peer.releases or peer.cancellations or peer.heartbeat_due
+        if not peer.usable or not has_news:
             continue
         peer.sent_at = now
         peer.heartbeat_due = False
@@ -193,6 +204,7 @@
             opening=False,
             claims=peer.claims,
             releases=peer.releases,
+            cancellations=peer.cancellations,
         )
-        peer.claims, peer.releases = [], []
+        peer.claims, peer.releases, peer.cancellations = [], [], []
         state.effects.append(SendClaims(address=peer.address, frame=frame))
--- a/src/comfreysill/placement/peers.py
+++ b/src/comfreysill/placement/peers.py
@@ -4,10 +4,18 @@
 import math
 import zlib
 
-from comfreysill.exchange.claims import ClaimRelease, ClaimRequest
+from comfreysill.exchange.claims import (
+    Cancellation,
+    CancellationStatus,
+    ClaimRelease,
+    ClaimRequest,
+)
 from comfreysill.request.request import Request
 from comfreysill.request.types import Verdict
 
+# A peer that could not be reached for so long is no longer counted on.
+PEER_FAILURE_SECONDS = 5.0
+
 
 class Peer:
     """Another entry, which keeps claims for this one.
@@ -24,6 +32,7 @@
         heartbeat_due: True if a frame is to be sent though there is nothing to tell.
         claims: Claims for the next frame.
         releases: Ended claims for the next frame.
+        cancellations: Cancelled requests for the next frame.
     """
 
     __slots__ = (
@@ -37,6 +46,7 @@
         "heartbeat_due",
         "claims",
         "releases",
+        "cancellations",
     )
 
     def __init__(self, *, address: str, now: float) -> None:
@@ -50,6 +60,7 @@
         self.heartbeat_due = False
         self.claims: list[ClaimRequest] = []
         self.releases: list[ClaimRelease] = []
+        self.cancellations: list[Cancellation] = []
 
 
 class ReplicaState(enum.IntEnum):
@@ -124,6 +135,48 @@
         self.detail = detail
 
 
+class OwnCancellation:
+    """The cancelling of a request at this entry, until those that cancel it are answered.
+
+    Attributes:
+        request_id: Id of the request.
+        number: Number of the cancelling.
+        cancellers: Numbers of the callers that wait for the answer.
+        begun_at: Boot-clock time in seconds at which it was begun.
+        heard: Addresses of the entries that have replied, empty for this entry itself.
+        status: The highest status of a reply that names no other entry.
+        ended_by: Names of the entries at which the request has ended.
+        holders: Names of the entries that hold the request's claim, by the address of the
+            registrar that has told of it.
+    """
+
+    __slots__ = (
+        "request_id",
+        "number",
+        "cancellers",
+        "begun_at",
+        "heard",
+        "status",
+        "ended_by",
+        "holders",
+    )
+
+    def __init__(self, *, request_id: str, number: int, begun_at: float) -> None:
+        self.request_id = request_id
+        self.number = number
+        self.cancellers: list[int] = []
+        self.begun_at = begun_at
+        self.heard: set[str] = set()
+        self.status = CancellationStatus.UNKNOWN
+        self.ended_by: set[str] = set()
+        self.holders: dict[str, str] = {}
+
+
+def is_failing(peer: Peer, now: float) -> bool:
+    """Returns whether a peer could not be reached for PEER_FAILURE_SECONDS."""
+    return not peer.usable and now - peer.unreachable_since > PEER_FAILURE_SECONDS
+
+
 def rank_peer(address: str) -> int:
     """Returns the rank of an address in the choice of the entries that keep claims."""
     return zlib.crc32(address.encode())
--- a/src/comfreysill/placement/registrar.py
+++ b/src/comfreysill/placement/registrar.py
@@ -8,7 +8,14 @@
     record_session,
     take_late_replies,
 )
-from comfreysill.exchange.claims import ClaimRepliesFrame, ClaimReply, ClaimsFrame, ClaimStatus
+from comfreysill.exchange.claims import (
+    CancellationReply,
+    ClaimRepliesFrame,
+    ClaimReply,
+    ClaimsFrame,
+    ClaimStatus,
+)
+from comfreysill.placement.cancelling import receive_cancellation, receive_cancellation_reply
 from comfreysill.placement.claims import receive_reply
 from comfreysill.placement.effects import SendClaimReplies
 from comfreysill.placement.state import EntryState, count, note_event
@@ -20,7 +27,7 @@
     if frame.entry == state.name:
         # Claims that it makes at itself need no session; the reply tells it whom it has reached.
         state.claimants[frame.entry] = frame.session
-        _reply(state, frame.entry, [])
+        _reply(state, frame.entry, [], [])
         return
     if frame.opening and frame.session > newest:
         state.claimants[frame.entry] = frame.session
@@ -32,6 +39,10 @@
     record_frame(state.registry, frame.entry, now)
     for release in frame.releases:
         receive_release(state.registry, frame.entry, release, now)
+    cancellations = [
+        receive_cancellation(state, frame.entry, item, now) for item in frame.cancellations
+    ]
+    cancellations = [reply for reply in cancellations if reply.number]
     replies = [receive_claim(state.registry, frame.entry, item, now) for item in frame.claims]
     for reply in replies:
         if reply.status != ClaimStatus.GRANTED:
@@ -43,14 +54,21 @@
                 holder=reply.holder,
                 status=reply.status.name,
             )
-    if replies or frame.opening:
-        _reply(state, frame.entry, replies)
+    if replies or cancellations or frame.opening:
+        _reply(state, frame.entry, replies, cancellations)
 
 
-def _reply(state: EntryState, entry: str, replies: list[ClaimReply]) -> None:
+def _reply(
+    state: EntryState,
+    entry: str,
+    replies: list[ClaimReply],
+    cancellations: list[CancellationReply],
+) -> None:
     session = state.claimants.get(entry, 0)
     if session:
-        frame = ClaimRepliesFrame(entry=state.name, session=session, replies=replies)
+        frame = ClaimRepliesFrame(
+            entry=state.name, session=session, replies=replies, cancellations=cancellations
+        )
         state.effects.append(SendClaimReplies(entry=entry, frame=frame))
 
 
@@ -62,9 +80,13 @@
 
 
 def deliver_late_replies(state: EntryState, now: float) -> None:
-    """Hands on the replies to claims that had to wait."""
+    """Hands on the replies to claims and cancellings that had to wait."""
     for item in take_late_replies(state.registry):
-        if item.entry == state.name:
+        is_claim = isinstance(item.reply, ClaimReply)
+        if item.entry != state.name:
+            replies = ([item.reply], []) if is_claim else ([], [item.reply])
+            _reply(state, item.entry, *replies)
+        elif is_claim:
             receive_reply(state, "", item.reply, now)
         else:
-            _reply(state, item.entry, [item.reply])
+            receive_cancellation_reply(state, "", state.name, item.reply, now)
--- a/src/comfreysill/placement/state.py
+++ b/src/comfreysill/placement/state.py
@@ -9,7 +9,7 @@
 from comfreysill.crashes.ledger import CrashLedger
 from comfreysill.exchange.messages import Batch, Load, Profile
 from comfreysill.placement.effects import Effect
-from comfreysill.placement.peers import OwnClaim, Peer, RemoteEnd
+from comfreysill.placement.peers import OwnCancellation, OwnClaim, Peer, RemoteEnd
 from comfreysill.request.request import Request, Task
 from comfreysill.request.types import CallerWait, Specification, Verdict
 from comfreysill.routes.table import NO_ROUTES
@@ -252,7 +252,8 @@
         registry: Claims that this entry keeps for all entries.
         claimants: Numbers of the newest open sessions of other entries with `registry`, by name.
         claims: Claims of this entry, by request id.
-        last_claim_number: Number of its newest claim, 0 before the first.
+        last_claim_number: Number of its newest claim or cancelling, 0 before the first.
+        cancellations: Cancellings at this entry that are not answered yet, by request id.
         remote_ends: Requests that have ended by what another entry did, not concluded yet.
         requests: Requests without a verdict or with tasks still placed, by request id.
         cached: Final verdicts for repeated requests, by request id.
@@ -294,6 +295,7 @@
         "claimants",
         "claims",
         "last_claim_number",
+        "cancellations",
         "remote_ends",
         "requests",
         "cached",
@@ -343,6 +345,7 @@
         self.claimants: dict[str, int] = {}
         self.claims: dict[str, OwnClaim] = {}
         self.last_claim_number = 0
+        self.cancellations: dict[str, OwnCancellation] = {}
         self.remote_ends: list[RemoteEnd] = []
         self.requests: dict[str, Request] = {}
         self.cached: dict[str, CachedVerdict] = {}
--- a/src/comfreysill/platform/ingress.py
+++ b/src/comfreysill/platform/ingress.py
@@ -7,10 +7,10 @@
 
 from result import Err
 
-from comfreysill.gateway.messages import Reply
+from comfreysill.gateway.messages import CancelReply, Reply
 from comfreysill.platform.bodies import read_body
 from comfreysill.platform.documents import encode_document
-from comfreysill.platform.submission import Rejection, decode_submission
+from comfreysill.platform.submission import REQUEST_ID_PATTERN, Rejection, decode_submission
 from comfreysill.request.types import CallerWait, CancelOutcome, Specification, Verdict
 from comfreysill.routes.table import Route, RouteTable, find_route
 from comfreysill.servers import ARRIVAL_EXTENSION
@@ -19,7 +19,6 @@
 WAIT_HEADER = b"x-deadline-ms"
 # Longer waits count as unknown, like values that can't be read.
 MAX_WAIT_MS = 86_400_000.0
-CANCEL_STATUSES = {CancelOutcome.ENDED: 200, CancelOutcome.UNKNOWN: 410}
 STATE_NAMES = {
     Verdict.COMPLETED: "completed",
     Verdict.FAILED: "failed",
@@ -36,7 +35,7 @@
         report_disconnect: Reports that the caller with this number has disconnected.
         find_state: Returns `queued`, `running`, a cached final verdict, or None for an unknown
             request id.
-        cancel: Cancels a request; returns the future outcome.
+        cancel: Cancels a request; returns the future reply.
         count_waiting: Returns the number of requests of a route for which no task was placed yet.
         is_closing: Returns whether responses have to close their connections.
     """
@@ -58,7 +57,7 @@
         submit: Callable[[Specification, CallerWait], tuple[int, asyncio.Future[Reply]]],
         report_disconnect: Callable[[int], None],
         find_state: Callable[[str], "str | Verdict | None"],
-        cancel: Callable[[str], asyncio.Future[CancelOutcome]],
+        cancel: Callable[[str], asyncio.Future[CancelReply]],
         count_waiting: Callable[[str], int],
         is_closing: Callable[[], bool],
     ) -> None:
@@ -196,12 +195,25 @@
         else:
             await _send_json(operations, send, 200, {"state": name})
     elif request_id and method == "DELETE":
-        outcome = await operations.cancel(request_id)
-        await _send_json(operations, send, CANCEL_STATUSES[outcome], {})
+        await _serve_cancelling(operations, request_id, send)
     else:
         await _send_json(operations, send, 405, {"error": "no such call"})
 
 
+async def _serve_cancelling(operations: EntryOperations, request_id: str, send: Any) -> None:
+    if not REQUEST_ID_PATTERN.fullmatch(request_id):
+        await _send_json(operations, send, 410, {"error": "no such job"})
+        return
+    reply = await operations.cancel(request_id)
+    if reply.outcome == CancelOutcome.ENDED:
+        await _send_json(operations, send, 200, {})
+    elif reply.outcome == CancelOutcome.UNKNOWN:
+        await _send_json(operations, send, 410, {"error": "no such job"})
+    else:
+        document = {"error": "the entry that has the job can't be reached; cancel it again"}
+        await _send_json(operations, send, 503, document, retry_after_seconds=reply.retry_seconds)
+
+
 async def _await_disconnect(receive: Any) -> None:
     while (await receive())["type"] != "http.disconnect":
         pass
--- a/src/comfreysill/request/types.py
+++ b/src/comfreysill/request/types.py
@@ -26,11 +26,13 @@
 class CancelOutcome(enum.IntEnum):
     """Answer to a caller that has cancelled a request.
 
-    After ENDED nothing of it is placed any more. UNKNOWN says that there is no such request.
+    After ENDED nothing of it is placed any more. UNKNOWN says that no entry that can be reached
+    knows of it. UNCERTAIN says that it may go on, and that the caller has to cancel it again.
     """
 
     ENDED = 0
     UNKNOWN = 1
+    UNCERTAIN = 2
 
 
 class Step:
--- a/src/comfreysill/wire/claims.py
+++ b/src/comfreysill/wire/claims.py
@@ -3,6 +3,9 @@
 import math
 
 from comfreysill.exchange.claims import (
+    Cancellation,
+    CancellationReply,
+    CancellationStatus,
     ClaimRelease,
     ClaimRepliesFrame,
     ClaimReply,
@@ -35,6 +38,10 @@
             )
             for release in frame.releases
         ],
+        cancellations=[
+            pb.Cancellation(request_id=item.request_id, number=item.number, seconds=item.seconds)
+            for item in frame.cancellations
+        ],
     )
 
 
@@ -63,6 +70,14 @@
             )
             for release in message.releases
         ],
+        cancellations=[
+            Cancellation(
+                request_id=check_name(item.request_id, "cancellations.request_id"),
+                number=item.number,
+                seconds=check_number(item.seconds, "cancellations.seconds"),
+            )
+            for item in message.cancellations
+        ],
     )
 
 
@@ -90,6 +105,15 @@
             )
             for reply in frame.replies
         ],
+        cancellations=[
+            pb.CancellationReply(
+                request_id=reply.request_id,
+                number=reply.number,
+                status=int(reply.status),
+                holder=reply.holder,
+            )
+            for reply in frame.cancellations
+        ],
     )
 
 
@@ -103,6 +127,20 @@
         entry=check_name(message.entry, "entry"),
         session=message.session,
         replies=[_decode_reply(reply) for reply in message.replies],
+        cancellations=[_decode_cancellation_reply(reply) for reply in message.cancellations],
+    )
+
+
+def _decode_cancellation_reply(message: pb.CancellationReply) -> CancellationReply:
+    status = decode_enum(CancellationStatus, message.status, "cancellations.status")
+    if (status == CancellationStatus.HANDED_ON) != bool(message.holder):
+        raise FrameError(f"cancellations.holder: {message.holder!r:.80} with {status.name}")
+    holder = check_name(message.holder, "cancellations.holder") if message.holder else ""
+    return CancellationReply(
+        request_id=check_name(message.request_id, "cancellations.request_id"),
+        number=message.number,
+        status=status,
+        holder=holder,
     )
 
 
--- a/tests/platform_world.py
+++ b/tests/platform_world.py
@@ -841,6 +841,9 @@
     def handle_cancel_reply(self, effect):
         request_id, _ = self.cancellers.pop(effect.canceller)
         self.cancel_replies.setdefault(request_id, []).append((self.now, effect.outcome))
+        if effect.outcome == CancelOutcome.UNCERTAIN:
+            delay = effect.retry_at - self.now
+            self.schedule(delay, self.cancel, request_id, self.choose_entry())
 
     def choose_entry(self):
         return self.random.choice(sorted(self.entries))
--- a/tests/test_cancelling.py
+++ b/tests/test_cancelling.py
@@ -1,5 +1,6 @@
 """Jobs that are cancelled at any entry, in the simulated deployment."""
 
+import random
 import unittest
 
 from comfreysill.request.types import CancelOutcome, Verdict
@@ -54,3 +55,246 @@
                 world.run(8.0)
                 self.assertEqual(world.starts, starts, f"{repeated_at}, {pause} s")
                 self.assertEqual(world.verdicts["r"], [Verdict.CANCELLED] * 2)
+
+    # Guards against a job that is run again as its entry ends just after it has acknowledged.
+    def test_a_cancelled_job_whose_entry_is_killed_then(self):
+        for delay in (0.002, 0.003, 0.01, 0.05, 0.5):
+            for killed in ENTRIES:
+                world = build_world()
+                submit(world, "e0")
+                world.run(0.5)
+                world.cancel("r", "e0")
+                world.run(delay)
+                world.kill_entry(killed, silent=killed == "e1")
+                world.send_request("r", "e1")
+                world.send_request("r", "e2")
+                world.run(12.0)
+                self.assertEqual(world.violations, [], f"{killed}, {delay} s")
+                self.assertNotEqual(get_outcomes(world), [], f"{killed}, {delay} s")
+
+    # Guards against entries that forget a cancelling when all of them are replaced in turn.
+    def test_a_repetition_after_a_rolling_restart(self):
+        world = build_world()
+        submit(world, "e0")
+        world.run(0.5)
+        world.cancel("r", "e1")
+        world.run(1.0)
+        for entry in ENTRIES:
+            world.kill_entry(entry)
+            world.run(4.0)
+        starts = world.starts
+        for entry in ENTRIES:
+            world.send_request("r", entry)
+        world.run(8.0)
+        self.assertEqual(world.starts, starts)
+
+
+class TestCancellingAtAnyEntry(unittest.TestCase):
+    """A DELETE that reaches another entry than the one that has the job."""
+
+    # Guards against a job that runs on, as the entry that was asked to cancel it doesn't have it
+    # and has answered that there is no such job.
+    def test_an_entry_that_does_not_have_the_job(self):
+        for seed in SEEDS:
+            for entry in ENTRIES:
+                for asked in ENTRIES:
+                    world = build_world(seed)
+                    submit(world, entry)
+                    world.run(0.5)
+                    world.cancel("r", asked)
+                    world.run(0.1)
+                    self.assertEqual(get_outcomes(world), [CancelOutcome.ENDED])
+                    self.assertEqual(world.verdicts["r"], [Verdict.CANCELLED])
+                    world.run(8.0)
+                    self.assertEqual(world.violations, [])
+
+    # Guards against the same while an entry restarts, before and after its new process is linked.
+    def test_an_entry_that_has_just_restarted(self):
+        for delay in (1.01, 1.06, 1.1, 1.3, 2.0, 6.0):
+            for entry in ENTRIES[1:]:
+                world = build_world()
+                submit(world, entry, steps=10)
+                world.run(0.5)
+                world.kill_entry("e0")
+                world.run(delay)
+                world.cancel("r", "e0")
+                world.run(1.5)
+                self.assert_not_unknown(world, f"{entry}, {delay} s")
+                world.cancel("r", "e0")
+                world.run(8.0)
+                self.assertEqual(world.violations, [])
+                self.assertEqual(get_outcomes(world)[-1], CancelOutcome.ENDED)
+
+    def assert_not_unknown(self, world, case, request_id="r"):
+        outcomes = get_outcomes(world, request_id)
+        self.assertNotEqual(outcomes, [], case)
+        self.assertNotIn(CancelOutcome.UNKNOWN, outcomes, case)
+
+    # Guards against a cancelling that is lost beside links between entries that are cut.
+    def test_links_between_entries_that_are_cut(self):
+        for cut in (
+            [("e0", "e1")],
+            [("e1", "e0")],
+            [("e0", "e1"), ("e1", "e0")],
+            [("e0", "e1"), ("e1", "e0"), ("e0", "e2"), ("e2", "e0")],
+            [("e0", "e1"), ("e1", "e0"), ("e1", "e2"), ("e2", "e1")],
+        ):
+            for lead in (0.0, 0.6, 2.0):
+                for number in range(6):
+                    self.cancel_beside_cut(cut, lead, f"r{number}")
+
+    def cancel_beside_cut(self, cut, lead, request_id):
+        case = f"{cut}, {lead} s, {request_id}"
+        world = build_world()
+        submit(world, "e1", request_id, steps=12)
+        world.run(0.5)
+        for sender, receiver in cut:
+            world.cut(sender, receiver, 4.0)
+        world.run(lead)
+        world.cancel(request_id, "e0")
+        world.run(1.5)
+        self.assert_not_unknown(world, case, request_id)
+        world.run(4.0)
+        world.cancel(request_id, "e0")
+        world.run(8.0)
+        self.assertEqual(world.violations, [], case)
+        self.assertEqual(get_outcomes(world, request_id)[-1], CancelOutcome.ENDED, case)
+        self.assertEqual(set(world.verdicts[request_id]), {Verdict.CANCELLED}, case)
+
+    # Guards against an answer that there is no such job, as the entry that has it stands still.
+    def test_an_entry_that_stands_still(self):
+        for seconds in (0.3, 1.0, 3.0):
+            for asked in ENTRIES[1:]:
+                world = build_world()
+                submit(world, "e0", steps=10)
+                world.run(0.5)
+                world.freeze(world.entries["e0"], seconds)
+                world.run(0.02)
+                world.cancel("r", asked)
+                world.run(1.5)
+                self.assert_not_unknown(world, f"{asked}, {seconds} s")
+                world.run(4.0)
+                world.cancel("r", asked)
+                world.run(8.0)
+                self.assertEqual(world.violations, [], f"{asked}, {seconds} s")
+                self.assertEqual(get_outcomes(world)[-1], CancelOutcome.ENDED)
+
+    # Guards against an acknowledgement by an entry that only waits for the claim of a cut-off one.
+    def test_a_job_that_another_submission_waits_for(self):
+        for asked in ENTRIES:
+            world = build_world()
+            submit(world, "e0", steps=10)
+            world.run(0.5)
+            for other in ENTRIES[1:]:
+                world.send_request("r", other)
+            world.run(0.5)
+            world.cancel("r", asked)
+            world.run(0.1)
+            self.assertEqual(get_outcomes(world), [CancelOutcome.ENDED])
+            world.run(8.0)
+            self.assertEqual(world.violations, [])
+            self.assertEqual(world.verdicts["r"], [Verdict.CANCELLED] * 3)
+
+
+class TestTimesOfCancelling(unittest.TestCase):
+    """A DELETE before its POST, in the same moment, twice, and after the end."""
+
+    # Guards against a job that runs though it was cancelled before its first submission was read.
+    def test_a_job_that_is_cancelled_before_it_comes(self):
+        for entry in ENTRIES:
+            for asked in ENTRIES:
+                for pause in (0.0005, 0.01, 1.0, 60.0):
+                    world = build_world()
+                    world.cancel("r", asked)
+                    world.run(pause)
+                    submit(world, entry)
+                    world.run(8.0)
+                    case = f"{entry}, {asked}, {pause} s"
+                    self.assertEqual(world.starts, 0, case)
+                    self.assertEqual(world.verdicts["r"], [Verdict.CANCELLED], case)
+
+    # Guards against a job that runs, as its cancelling crosses its claims on the way.
+    def test_a_job_that_is_cancelled_as_it_comes(self):
+        for request_id in ("r", "s", "t", "u"):
+            for entry in ENTRIES:
+                for asked in ENTRIES:
+                    for pause in (0.0, 0.0005, 0.001, 0.0015, 0.002, 0.0025, 0.003, 0.004):
+                        world = build_world()
+                        submit(world, entry, request_id)
+                        world.run(pause)
+                        world.cancel(request_id, asked)
+                        world.run(8.0)
+                        case = f"{request_id}, {entry}, {asked}, {pause} s"
+                        self.assertEqual(world.violations, [], case)
+                        self.assertEqual(world.verdicts[request_id], [Verdict.CANCELLED], case)
+                        self.assertEqual(len(get_outcomes(world, request_id)), 1, case)
+
+    def test_a_job_that_is_cancelled_twice(self):
+        for asked in ENTRIES:
+            for pause in (0.0, 0.0005, 0.002, 1.0):
+                world = build_world()
+                submit(world, "e0")
+                world.run(0.5)
+                world.cancel("r", "e1")
+                world.run(pause)
+                world.cancel("r", asked)
+                world.run(8.0)
+                self.assertEqual(get_outcomes(world), [CancelOutcome.ENDED] * 2)
+                self.assertEqual(world.violations, [])
+
+    # Guards against another run of a job that has ended and whose kept verdict is forgotten.
+    def test_a_job_that_has_ended(self):
+        for asked in ENTRIES:
+            world = build_world()
+            submit(world, "e0", steps=1)
+            world.run(3.0)
+            world.cancel("r", asked)
+            world.run(0.5)
+            self.assertEqual(get_outcomes(world), [CancelOutcome.ENDED])
+            world.run(20.0)
+            starts = world.starts
+            for entry in ENTRIES:
+                world.send_request("r", entry)
+            world.run(8.0)
+            self.assertEqual(world.starts, starts)
+            self.assertEqual(world.verdicts["r"], [Verdict.COMPLETED, *[Verdict.CANCELLED] * 3])
+
+    def test_a_job_that_does_not_exist(self):
+        for asked in ENTRIES:
+            world = build_world()
+            world.cancel("r", asked)
+            world.run(0.1)
+            self.assertEqual(get_outcomes(world), [CancelOutcome.UNKNOWN])
+
+    # Guards against starts after an acknowledgement in any order of events.
+    def test_random_cancellings_beside_faults(self):
+        for seed in range(40):
+            world = self.play_random(seed)
+            self.assertEqual(world.violations, [], f"seed {seed}")
+            self.assertEqual(world.cancellers, {}, f"seed {seed}")
+
+    def play_random(self, seed):
+        choices = random.Random(seed)
+        world = build_world(seed)
+        for number in range(20):
+            request_id = f"r{number}"
+            submit(world, choices.choice(ENTRIES), request_id, steps=3)
+            at = choices.random() * 3.0
+            entry = choices.choice(ENTRIES)
+            world.schedule(at, world.cancel, request_id, entry)
+            self.disturb(world, choices)
+            world.run(choices.random() * 0.5)
+        world.run(20.0)
+        return world
+
+    def disturb(self, world, choices):
+        entry, other = choices.sample(ENTRIES, 2)
+        kind = choices.randrange(8)
+        if kind == 0:
+            world.kill_entry(entry, silent=choices.random() < 0.5)
+        elif kind == 1:
+            world.freeze(world.entries[entry], choices.random() * 2.0)
+        elif kind == 2:
+            world.cut(entry, other, choices.random() * 4.0)
+        elif kind == 3:
+            world.kill_agent(choices.choice(sorted(world.agents)))
