--- a/src/comfreysill/placement/claims.py
+++ b/src/comfreysill/placement/claims.py
@@ -27,8 +27,8 @@
 
 # Number of registrars of a request.
 REGISTRARS = 2
-# A registrar that hasn't answered a claim for this long counts as out of reach.
-CLAIM_TIMEOUT_SECONDS = 0.2
+# Another registrar is asked in place of one that hasn't answered a claim for this long.
+CLAIM_TIMEOUT_SECONDS = 0.05
 ANSWERED_STATES = frozenset({ReplicaState.GRANTED, ReplicaState.LOST})
 FINAL_VERDICTS = frozenset({Verdict.COMPLETED, Verdict.FAILED})
 
@@ -123,8 +123,9 @@
         _apply_reply(state, claim, replica, receive_claim(state.registry, state.name, request, now))
         return
     peer = state.peers.get(replica.address)
-    if peer is not None and peer.usable:
+    if peer is not None and peer.connected:
         peer.claims.append(request)
+        peer.owes_since = min(peer.owes_since, now)
 
 
 def build_claim(claim: OwnClaim, replica: Replica, now: float) -> ClaimRequest:
@@ -144,7 +145,7 @@
         receive_release(state.registry, state.name, release, now)
         return
     peer = state.peers.get(replica.address)
-    if peer is None or not peer.usable:
+    if peer is None or not peer.connected:
         return
     unsent = [item for item in peer.claims if item.number == replica.number]
     peer.claims = [item for item in peer.claims if item.number != replica.number]
@@ -253,7 +254,6 @@
 
 def move_replicas(state: EntryState, before: Peer, after: Peer, now: float) -> None:
     """Repeats the claims at a registrar that is reached at another address from now on."""
-    after.usable = True
     for claim in state.claims.values():
         for replica in claim.replicas:
             if replica.address != before.address:
@@ -280,14 +280,11 @@
         _advance(state, claim, now)
 
 
-def expire_replicas(state: EntryState, now: float) -> set[str]:
-    """Leaves out the registrars that owe a reply for too long; returns their addresses."""
-    silent = set()
+def expire_replicas(state: EntryState, now: float) -> None:
+    """Has other registrars asked in place of those that owe a reply for too long."""
     for claim in state.claims.values():
         for replica in claim.replicas:
             if now >= replica.timeout_at:
                 replica.timeout_at = math.inf
                 replica.state = ReplicaState.LOST
-                silent.add(replica.address)
         _advance(state, claim, now)
-    return silent
--- a/src/comfreysill/placement/peer_links.py
+++ b/src/comfreysill/placement/peer_links.py
@@ -1,5 +1,7 @@
 """Links of an entry to the entries that keep its claims: sessions, and the frames to each."""
 
+import math
+
 from comfreysill.claims.registry import expire_claims, get_instance
 from comfreysill.exchange.claims import ClaimRepliesFrame, ClaimsFrame
 from comfreysill.exchange.messages import RUN_EXPIRY_SECONDS
@@ -27,6 +29,10 @@
 MAX_PEERS = 16
 # A peer that could not be reached for so long is no longer counted among MAX_PEERS.
 PEER_FAILURE_SECONDS = 5.0
+# An entry that hasn't answered a claim for so long isn't asked until it sends something.
+OVERDUE_REPLY_SECONDS = 0.2
+# After so long its session is closed, and the link reconnected.
+PEER_SILENCE_SECONDS = 1.0
 # An entry that starts waits this long for the links to its peers before it places tasks.
 LINKING_SECONDS = 0.5
 # A registrar is sent a frame at least this often while it keeps a claim of this entry.
@@ -78,7 +84,10 @@
     peer = state.peers[address]
     state.last_peer_session += 1
     peer.session = state.last_peer_session
+    peer.connected = True
     peer.usable = False
+    peer.opened_at = now
+    peer.owes_since = math.inf
     peer.sent_at = now
     peer.claims.clear()
     peer.releases.clear()
@@ -101,6 +110,7 @@
     if peer is None or frame.session != peer.session:
         count(state, "frames_stale")
         return
+    peer.owes_since = math.inf
     if not peer.usable:
         _begin_use(state, peer, frame, now)
     for reply in frame.replies:
@@ -127,7 +137,7 @@
 
 def _drop_duplicate(state: EntryState, peer: Peer) -> None:
     """Removes the link to an entry that is this one itself, or is reached at another address."""
-    peer.usable = False
+    peer.connected = peer.usable = False
     peer.duplicate = True
     state.effects.append(RemovePeerLink(address=peer.address))
 
@@ -137,6 +147,7 @@
     peer = state.peers.get(address)
     if peer is None or peer.session != session:
         return
+    peer.connected = False
     if peer.usable:
         peer.unreachable_since = now
         note_event(state, "peer lost", peer=peer.name, address=address)
@@ -158,19 +169,29 @@
         return
     expire_claims(state.registry, now, RUN_EXPIRY_SECONDS)
     begin_claims(state, now)
-    for address in expire_replicas(state, now):
-        _close_silent_peer(state, address, now)
+    expire_replicas(state, now)
+    _suspend_use(state, now)
+    _close_silent_sessions(state, now)
     _mark_heartbeats(state, now)
 
 
-def _close_silent_peer(state: EntryState, address: str, now: float) -> None:
-    peer = state.peers.get(address)
-    if peer is None or not peer.usable:
-        return
-    count(state, "peers_silent")
-    note_event(state, "peer is silent", peer=peer.name, address=address)
-    state.effects.append(ClosePeerSession(address=address, session=peer.session))
-    end_peer_session(state, address, peer.session, now)
+def _suspend_use(state: EntryState, now: float) -> None:
+    """Leaves out the peers that owe a reply; they are used again once they have sent one."""
+    for peer in state.peers.values():
+        if peer.usable and now - peer.owes_since > OVERDUE_REPLY_SECONDS:
+            count(state, "peers_silent")
+            note_event(state, "peer is silent", peer=peer.name, address=peer.address)
+            peer.usable = False
+            peer.unreachable_since = now
+
+
+def _close_silent_sessions(state: EntryState, now: float) -> None:
+    for peer in list(state.peers.values()):
+        silent_since = max(peer.opened_at, peer.unreachable_since)
+        is_silent = not peer.usable and now - silent_since > PEER_SILENCE_SECONDS
+        if peer.connected and is_silent:
+            state.effects.append(ClosePeerSession(address=peer.address, session=peer.session))
+            end_peer_session(state, peer.address, peer.session, now)
 
 
 def _mark_heartbeats(state: EntryState, now: float) -> None:
@@ -183,7 +204,7 @@
     """Queues the frames to registrars, and the late replies to claimants."""
     deliver_late_replies(state, now)
     for peer in state.peers.values():
-        if not peer.usable or not (peer.claims or peer.releases or peer.heartbeat_due):
+        if not peer.connected or not (peer.claims or peer.releases or peer.heartbeat_due):
             continue
         peer.sent_at = now
         peer.heartbeat_due = False
--- a/src/comfreysill/placement/peers.py
+++ b/src/comfreysill/placement/peers.py
@@ -18,7 +18,13 @@
         session: Number of the newest session of the link, 0 before the first; the sessions of all
             links of this entry are numbered together.
         duplicate: True if the same entry is reached at another address, and no link is kept here.
-        usable: True from the first frame of a session until it ends or a reply is overdue.
+        connected: True while the session is open.
+        usable: True from the first frame of a session until it ends or a reply is long overdue;
+            the next reply makes it usable again.
+        owes_since: Boot-clock time in seconds of the first claim sent since its last frame,
+            infinite if there was none.
+        opened_at: Boot-clock time in seconds at which the newest session was opened, 0 before the
+            first.
         unreachable_since: Boot-clock time in seconds since which it is not usable, 0 while it is.
         sent_at: Boot-clock time in seconds of the last frame sent to it, 0 before the first.
         heartbeat_due: True if a frame is to be sent though there is nothing to tell.
@@ -31,7 +37,10 @@
         "name",
         "session",
         "duplicate",
+        "connected",
         "usable",
+        "owes_since",
+        "opened_at",
         "unreachable_since",
         "sent_at",
         "heartbeat_due",
@@ -44,7 +53,10 @@
         self.name = ""
         self.session = 0
         self.duplicate = False
+        self.connected = False
         self.usable = False
+        self.owes_since = math.inf
+        self.opened_at = 0.0
         self.unreachable_since = now
         self.sent_at = 0.0
         self.heartbeat_due = False
