--- a/src/comfreysill/claims/registry.py
+++ b/src/comfreysill/claims/registry.py
@@ -12,6 +12,8 @@
 
 # The final verdict of a request is kept this long for claims that come after its end.
 ENDED_CLAIM_SECONDS = 10.0
+# Holders are told that others wait for so long at the most.
+MAX_WAIT_SECONDS = 3600.0
 
 
 class Claimant:
@@ -110,8 +112,9 @@
         claimant.expires_at = max(expires_at, claim.holder.expires_at)
         claim.holder = claimant
         return _build_reply(claimant, request_id, ClaimStatus.GRANTED)
-    _remove_waiter(claim, entry, math.inf)
+    _discard_waiter(claim, entry, math.inf)
     claim.waiters.append(claimant)
+    _notify_holder(registry, request_id, claim, now)
     return _build_reply(claimant, request_id, ClaimStatus.HELD, holder=claim.holder.entry)
 
 
@@ -120,11 +123,11 @@
     claim = registry.claims.get(release.request_id)
     if claim is None:
         return
-    _remove_waiter(claim, entry, release.number)
+    _remove_waiter(registry, release.request_id, entry, release.number, now)
     if claim.holder.entry != entry or claim.holder.number > release.number:
         return
     if release.verdict is None:
-        _grant_next(registry, release.request_id, claim)
+        _grant_next(registry, release.request_id, claim, now)
         return
     del registry.claims[release.request_id]
     registry.ended[release.request_id] = EndedClaim(
@@ -157,9 +160,9 @@
     for request_id, claim in list(registry.claims.items()):
         if request_id in request_ids:
             continue
-        _remove_waiter(claim, entry, math.inf)
+        _remove_waiter(registry, request_id, entry, math.inf, now)
         if claim.holder.entry == entry:
-            _grant_next(registry, request_id, claim)
+            _grant_next(registry, request_id, claim, now)
 
 
 def record_frame(registry: ClaimRegistry, entry: str, now: float) -> None:
@@ -172,8 +175,8 @@
     if registry.heard_at.pop(entry, None) is None:
         return
     registry.absent_since[entry] = now
-    for claim in registry.claims.values():
-        _remove_waiter(claim, entry, math.inf)
+    for request_id in registry.claims:
+        _remove_waiter(registry, request_id, entry, math.inf, now)
 
 
 def expire_claims(registry: ClaimRegistry, now: float, expiry_seconds: float) -> None:
@@ -186,7 +189,7 @@
     """
     for request_id, claim in list(registry.claims.items()):
         if now >= _find_end(registry, claim.holder, expiry_seconds):
-            _grant_next(registry, request_id, claim)
+            _grant_next(registry, request_id, claim, now)
     _forget_absent(registry, now, expiry_seconds)
     _forget_ended(registry, now)
 
@@ -228,18 +231,43 @@
     return entry.partition("@")[0]
 
 
-def _grant_next(registry: ClaimRegistry, request_id: str, claim: Claim) -> None:
+def _grant_next(registry: ClaimRegistry, request_id: str, claim: Claim, now: float) -> None:
     if not claim.waiters:
         del registry.claims[request_id]
         return
     claim.holder = claim.waiters.pop(0)
     _queue_reply(registry, claim.holder, request_id, ClaimStatus.GRANTED)
+    if claim.waiters:
+        _notify_holder(registry, request_id, claim, now)
 
 
-def _remove_waiter(claim: Claim, entry: str, number: float) -> None:
-    claim.waiters = [
-        waiter for waiter in claim.waiters if waiter.entry != entry or waiter.number > number
-    ]
+def _remove_waiter(
+    registry: ClaimRegistry, request_id: str, entry: str, number: float, now: float
+) -> None:
+    claim = registry.claims[request_id]
+    if _discard_waiter(claim, entry, number):
+        _notify_holder(registry, request_id, claim, now)
+
+
+def _discard_waiter(claim: Claim, entry: str, number: float) -> bool:
+    """Removes the claims of an entry up to a number; returns whether there were any."""
+    kept = [waiter for waiter in claim.waiters if waiter.entry != entry or waiter.number > number]
+    is_changed = len(kept) < len(claim.waiters)
+    claim.waiters = kept
+    return is_changed
+
+
+def _notify_holder(registry: ClaimRegistry, request_id: str, claim: Claim, now: float) -> None:
+    """Queues how long others wait for the request, for its holder."""
+    expires_at = max((waiter.expires_at for waiter in claim.waiters), default=now)
+    seconds = min(max(0.0, expires_at - now), MAX_WAIT_SECONDS)
+    reply = ClaimReply(
+        request_id=request_id,
+        number=claim.holder.number,
+        status=ClaimStatus.AWAITED,
+        seconds=seconds,
+    )
+    registry.late_replies.append(AddressedReply(entry=claim.holder.entry, reply=reply))
 
 
 def _queue_reply(
--- a/src/comfreysill/exchange/claims.py
+++ b/src/comfreysill/exchange/claims.py
@@ -12,11 +12,13 @@
     """Status of a claim at a registrar.
 
     After HELD another reply to the same claim follows, once the holder has released the request.
+    AWAITED tells the holder for how long others wait for the request.
     """
 
     GRANTED = 0
     HELD = 1
     ENDED = 2
+    AWAITED = 3
 
 
 class ClaimRequest:
@@ -91,9 +93,11 @@
         status: Status of the claim.
         holder: Name of the entry that holds the claim, empty unless the status is HELD.
         verdict: Final verdict of the request, None unless the status is ENDED.
+        seconds: Time in seconds after which nothing may run for those who wait, 0 if nobody does or
+            the status isn't AWAITED.
     """
 
-    __slots__ = ("request_id", "number", "status", "holder", "verdict")
+    __slots__ = ("request_id", "number", "status", "holder", "verdict", "seconds")
 
     def __init__(
         self,
@@ -103,12 +107,14 @@
         status: ClaimStatus,
         holder: str = "",
         verdict: Verdict | None = None,
+        seconds: float = 0.0,
     ) -> None:
         self.request_id = request_id
         self.number = number
         self.status = status
         self.holder = holder
         self.verdict = verdict
+        self.seconds = seconds
 
 
 class ClaimRepliesFrame:
--- a/src/comfreysill/placement/claims.py
+++ b/src/comfreysill/placement/claims.py
@@ -12,6 +12,7 @@
 from comfreysill.claims.registry import get_instance, receive_claim, receive_release
 from comfreysill.exchange.claims import ClaimRelease, ClaimReply, ClaimRequest, ClaimStatus
 from comfreysill.exchange.messages import MAX_STOP_SECONDS, RUN_EXPIRY_SECONDS
+from comfreysill.placement.deadlines import extend_request
 from comfreysill.placement.peers import (
     OwnClaim,
     Peer,
@@ -98,6 +99,14 @@
     return claim is not None and claim.contested
 
 
+def is_awaited(state: EntryState, request: Request, now: float) -> bool:
+    """Returns whether another entry waits for a request that this one has."""
+    claim = state.claims.get(request.specification.request_id)
+    if claim is None or claim.request is not request:
+        return False
+    return any(until > now for until in claim.awaited_until.values())
+
+
 def _rank_registrars(state: EntryState, request_id: str) -> list[str]:
     """Returns the addresses of the entries that can keep a claim, in the order of their choice.
 
@@ -161,10 +170,32 @@
         return
     for replica in claim.replicas:
         is_meant = replica.address == address and replica.number == reply.number
-        if is_meant and replica.state != ReplicaState.WITHDRAWN:
+        if not is_meant or replica.state == ReplicaState.WITHDRAWN:
+            continue
+        if reply.status == ClaimStatus.AWAITED:
+            _record_wait(state, claim, address, reply.seconds, now)
+        else:
             _apply_reply(state, claim, replica, reply)
             _advance(state, claim, now)
-            return
+        return
+
+
+def _record_wait(
+    state: EntryState, claim: OwnClaim, address: str, seconds: float, now: float
+) -> None:
+    """Lets a request go on for the callers of other entries that wait for it."""
+    request = claim.request
+    claim.awaited_until[address] = now + seconds
+    if request.verdict is not None:
+        return
+    if seconds > MAX_STOP_SECONDS:
+        extend_request(state, request, now + seconds - MAX_STOP_SECONDS)
+        renew_claim(state, request, now)
+    elif not request.callers and not is_awaited(state, request, now):
+        end = RemoteEnd(
+            request=request, verdict=Verdict.MAY_HAVE_RUN, detail="the callers of all entries left"
+        )
+        state.remote_ends.append(end)
 
 
 def _apply_reply(state: EntryState, claim: OwnClaim, replica: Replica, reply: ClaimReply) -> None:
--- a/src/comfreysill/placement/peers.py
+++ b/src/comfreysill/placement/peers.py
@@ -107,9 +107,11 @@
         replicas: The claim at its registrars, in the order in which all entries rank them.
         settled: True once this entry may place the request's tasks.
         contested: True if another entry had the claim when it was made.
+        awaited_until: Boot-clock times in seconds until which other entries wait for the request,
+            by address of the registrar that tells.
     """
 
-    __slots__ = ("request", "begun", "replicas", "settled", "contested")
+    __slots__ = ("request", "begun", "replicas", "settled", "contested", "awaited_until")
 
     def __init__(self, *, request: Request) -> None:
         self.request = request
@@ -117,6 +119,7 @@
         self.replicas: list[Replica] = []
         self.settled = False
         self.contested = False
+        self.awaited_until: dict[str, float] = {}
 
 
 class RemoteEnd:
--- a/src/comfreysill/placement/requests.py
+++ b/src/comfreysill/placement/requests.py
@@ -8,6 +8,7 @@
 from comfreysill.placement.bindings import choose_refusal
 from comfreysill.placement.claims import (
     claim_request,
+    is_awaited,
     is_contested,
     release_claim,
     renew_claim,
@@ -187,6 +188,9 @@
     request.callers.discard(caller)
     if not request.callers and request.verdict is None:
         age = round(now - request.received_at, 3)
+        if is_awaited(state, request, now):
+            note_event(state, "request goes on for another entry", request=request_id, age=age)
+            return
         note_event(
             state, "request cancelled: its last caller disconnected", request=request_id, age=age
         )
--- a/src/comfreysill/wire/claims.py
+++ b/src/comfreysill/wire/claims.py
@@ -87,6 +87,7 @@
                 status=int(reply.status),
                 holder=reply.holder,
                 verdict=_encode_verdict(reply.verdict),
+                seconds=reply.seconds,
             )
             for reply in frame.replies
         ],
@@ -117,6 +118,7 @@
         status=status,
         holder=check_name(message.holder, "replies.holder") if message.holder else "",
         verdict=verdict,
+        seconds=check_number(message.seconds, "replies.seconds"),
     )
 
 
