--- a/tests/test_departed_callers.py
+++ b/tests/test_departed_callers.py
@@ -87,11 +87,13 @@
 
     def test_the_caller_gets_the_answer_of_the_run_in_progress(self):
         self.break_delay = 0.3
-        world = self.play(0, seconds=2.5, wait=6.0)
-        verdicts = {verdict for row in world.verdicts.values() for verdict in row}
-        self.assertEqual(verdicts, {Verdict.COMPLETED})
-        # No task was started a second time.
-        self.assertEqual(world.starts, 24)
+        # Also where the first entry learns that its caller has left once the second one has asked.
+        for self.end_delay in (1.5, 2.0, NEVER):
+            world = self.play(0, seconds=2.5, wait=6.0)
+            verdicts = {verdict for row in world.verdicts.values() for verdict in row}
+            self.assertEqual(verdicts, {Verdict.COMPLETED})
+            # No task was started a second time.
+            self.assertEqual(world.starts, 24, f"end told {self.end_delay} s late")
 
     # Guards against the same while an entry that has the request, or its claim, is in trouble.
     def test_a_connection_that_breaks_while_an_entry_is_killed_or_paused(self):
--- a/tests/test_input_fuzz.py
+++ b/tests/test_input_fuzz.py
@@ -42,9 +42,17 @@
     receive_agent_frame,
 )
 from comfreysill.placement.crashes import receive_crash
-from comfreysill.placement.effects import SendFrame
+from comfreysill.placement.effects import SendClaimReplies, SendClaims, SendFrame
+from comfreysill.placement.peer_links import (
+    begin_peer_session,
+    collect_claims,
+    expire_replies,
+    receive_replies,
+    update_peers,
+)
 from comfreysill.placement.placement import place_waiting, refuse_unmeetable
-from comfreysill.placement.requests import submit_request
+from comfreysill.placement.registrar import receive_claims
+from comfreysill.placement.requests import conclude_remote_ends, submit_request
 from comfreysill.placement.state import EntryState
 from comfreysill.placement.subset import update_subset
 from comfreysill.platform.configuration import decode_configuration
@@ -65,6 +73,12 @@
 from comfreysill.wire import exchange_pb2 as pb
 from comfreysill.wire.agents import decode_agent_frame as decode_job_api_agent_frame
 from comfreysill.wire.agents import decode_entry_frame as decode_job_api_entry_frame
+from comfreysill.wire.claims import (
+    decode_claims,
+    decode_replies,
+    encode_claims,
+    encode_replies,
+)
 from comfreysill.wire.errors import FrameError
 from comfreysill.wire.exchange import (
     decode_agent_frame,
@@ -319,6 +333,58 @@
     },
 )
 
+CLAIM_FRAMES = messages(
+    pb.Claims,
+    {
+        "entry": st.sampled_from(["e@1", "e@2", "f@1", ""]),
+        "session": U64,
+        "opening": st.booleans(),
+        "claims": st.lists(
+            messages(
+                pb.Claim,
+                {
+                    "request_id": st.sampled_from(["r", "q", ""]),
+                    "number": U64,
+                    "seconds": FLOATS,
+                },
+            ),
+            max_size=3,
+        ),
+        "releases": st.lists(
+            messages(
+                pb.Release,
+                {
+                    "request_id": st.sampled_from(["r", "q", ""]),
+                    "number": U64,
+                    "verdict": st.sampled_from([0, 1, 2, 3, 4, 99]),
+                },
+            ),
+            max_size=3,
+        ),
+    },
+)
+CLAIM_REPLY_FRAMES = messages(
+    pb.ClaimReplies,
+    {
+        "entry": st.sampled_from(["e@1", "f@1", "g@1", ""]),
+        "session": st.sampled_from([0, 1, 2]),
+        "replies": st.lists(
+            messages(
+                pb.ClaimReply,
+                {
+                    "request_id": st.sampled_from(["r", "q", ""]),
+                    "number": st.sampled_from([0, 1, 2, 3]),
+                    "status": st.sampled_from([0, 1, 2, 3, 99]),
+                    "holder": NAMES,
+                    "verdict": st.sampled_from([0, 1, 2, 3, 99]),
+                    "seconds": FLOATS,
+                },
+            ),
+            max_size=3,
+        ),
+    },
+)
+
 ANNOUNCEMENTS = messages(pb.Announcement, {"agent": NAMES, "address": NAMES, "service": NAMES})
 
 CLAIMS = messages(job_api_pb.PartitionClaim, {"partition": U32, "number": U32, "owner": NAMES})
@@ -446,15 +512,40 @@
         receive_agent_frame(self.state, frame, NOW)
         return self.flush()
 
+    def receive_claims(self, data):
+        try:
+            frame = decode_claims(pb.Claims.FromString(data))
+        except (FrameError, DecodeError):
+            return
+        receive_claims(self.state, frame, NOW)
+        self.flush()
+
+    def receive_claim_replies(self, data):
+        try:
+            frame = decode_replies(pb.ClaimReplies.FromString(data))
+        except (FrameError, DecodeError):
+            return
+        receive_replies(self.state, "f:1", frame, NOW)
+        self.flush()
+
     def flush(self):
         """Runs the decisions that follow each message, and returns the encoded frames."""
         for now in (NOW, NOW + 0.2):
             self.state.ticked_at = now
             expire_agents(self.state, now)
+            expire_replies(self.state, now)
             refuse_unmeetable(self.state, now)
             update_subset(self.state, now)
+            update_peers(self.state, now)
+            conclude_remote_ends(self.state, now)
             place_waiting(self.state, now)
             collect_frames(self.state, now)
+            collect_claims(self.state, now)
+        for effect in self.state.effects:
+            if isinstance(effect, SendClaims):
+                decode_claims(encode_claims(effect.frame))
+            elif isinstance(effect, SendClaimReplies):
+                decode_replies(encode_replies(effect.frame))
         effects, self.state.effects = self.state.effects, []
         json.dumps(self.state.events, allow_nan=False)
         self.state.events.clear()
@@ -647,6 +738,26 @@
             for task in request.placed.values():
                 self.assertIs(entry.state.agents[task.agent].tasks[task.name], task)
 
+    @fuzz(EXAMPLES, st.lists(encode_odd_bytes(CLAIM_FRAMES), max_size=4))
+    def test_claims_of_another_entry(self, frames):
+        entry = Entry()
+        for data in frames:
+            entry.receive_claims(data)
+        entry.submit(json.dumps(SUBMISSION).encode())
+        self.assertEqual(set(entry.state.claims), set(entry.state.requests))
+
+    @fuzz(EXAMPLES, st.lists(encode_odd_bytes(CLAIM_REPLY_FRAMES), max_size=4))
+    def test_replies_of_a_registrar(self, frames):
+        entry = Entry()
+        entry.state.entries = ["e:1", "f:1"]
+        entry.flush()
+        begin_peer_session(entry.state, "f:1", NOW)
+        entry.receive_claim_replies(pb.ClaimReplies(entry="f@1", session=1).SerializeToString())
+        entry.submit(json.dumps(SUBMISSION).encode())
+        for data in frames:
+            entry.receive_claim_replies(data)
+        self.assertEqual(set(entry.state.claims), set(entry.state.requests))
+
     @fuzz(EXAMPLES, st.lists(encode_odd_bytes(ENTRY_FRAMES), max_size=4))
     def test_frames_to_an_agent(self, frames):
         agent = Agent()
