--- a/src/comfreysill/exchange/claims.py
+++ b/src/comfreysill/exchange/claims.py
@@ -4,6 +4,7 @@
 """
 
 import enum
+from collections.abc import Sequence
 
 from comfreysill.request.types import Verdict
 
@@ -12,11 +13,13 @@
     """Status of a claim at a registrar.
 
     After HELD another reply to the same claim follows, once the holder has released the request.
+    AWAITED tells the holder for how long others wait for the request.
     """
 
     GRANTED = 0
     HELD = 1
     ENDED = 2
+    AWAITED = 3
 
 
 class ClaimRequest:
@@ -108,7 +111,7 @@
         opening: bool,
         claims: list[ClaimRequest],
         releases: list[ClaimRelease],
-        cancellations: list[Cancellation],
+        cancellations: Sequence[Cancellation] = (),
     ) -> None:
         self.entry = entry
         self.session = session
@@ -127,9 +130,11 @@
         status: Status of the claim.
         holder: Name of the entry that holds the claim, empty unless the status is HELD.
         verdict: Final verdict of the request, None unless the status is ENDED.
+        seconds: Time in seconds after which nothing may run for those who wait, 0 if nobody does or
+            the status isn't AWAITED.
     """
 
-    __slots__ = ("request_id", "number", "status", "holder", "verdict")
+    __slots__ = ("request_id", "number", "status", "holder", "verdict", "seconds")
 
     def __init__(
         self,
@@ -139,12 +144,14 @@
         status: ClaimStatus,
         holder: str = "",
         verdict: Verdict | None = None,
+        seconds: float = 0.0,
     ) -> None:
         self.request_id = request_id
         self.number = number
         self.status = status
         self.holder = holder
         self.verdict = verdict
+        self.seconds = seconds
 
 
 class CancellationReply:
@@ -186,7 +193,7 @@
         entry: str,
         session: int,
         replies: list[ClaimReply],
-        cancellations: list[CancellationReply],
+        cancellations: Sequence[CancellationReply] = (),
     ) -> None:
         self.entry = entry
         self.session = session
--- a/src/comfreysill/placement/cancelling.py
+++ b/src/comfreysill/placement/cancelling.py
@@ -36,15 +36,16 @@
     cancellation.cancellers.append(canceller)
     state.cancellations[request_id] = cancellation
     for peer in state.peers.values():
-        _tell_peer(peer, cancellation)
+        _tell_peer(peer, cancellation, now)
     reply = receive_cancellation(state, state.name, _build_message(cancellation), now)
     _apply_reply(cancellation, "", state.name, reply)
     _answer(state, cancellation, now)
 
 
-def _tell_peer(peer: Peer, cancellation: OwnCancellation) -> None:
-    if peer.usable:
+def _tell_peer(peer: Peer, cancellation: OwnCancellation, now: float) -> None:
+    if peer.connected:
         peer.cancellations.append(_build_message(cancellation))
+        peer.owes_since = min(peer.owes_since, now)
 
 
 def _build_message(cancellation: OwnCancellation) -> Cancellation:
@@ -55,11 +56,11 @@
     )
 
 
-def tell_new_peer(state: EntryState, peer: Peer) -> None:
+def tell_new_peer(state: EntryState, peer: Peer, now: float) -> None:
     """Tells an entry that can be reached from now on of the cancellings that aren't answered."""
     for cancellation in state.cancellations.values():
         if peer.address not in cancellation.heard:
-            _tell_peer(peer, cancellation)
+            _tell_peer(peer, cancellation, now)
 
 
 def list_known_cancellations(state: EntryState, now: float) -> list[Cancellation]:
--- a/src/comfreysill/placement/claims.py
+++ b/src/comfreysill/placement/claims.py
@@ -12,6 +12,7 @@
 from comfreysill.claims.registry import get_instance, receive_claim, receive_release
 from comfreysill.exchange.claims import ClaimRelease, ClaimReply, ClaimRequest, ClaimStatus
 from comfreysill.exchange.messages import MAX_STOP_SECONDS, RUN_EXPIRY_SECONDS
+from comfreysill.placement.deadlines import extend_request
 from comfreysill.placement.peers import (
     OwnClaim,
     Peer,
@@ -27,8 +28,8 @@
 
 # Number of registrars of a request.
 REGISTRARS = 2
-# A registrar that hasn't answered a claim for this long counts as out of reach.
-CLAIM_TIMEOUT_SECONDS = 0.2
+# Another registrar is asked in place of one that hasn't answered a claim for this long.
+CLAIM_TIMEOUT_SECONDS = 0.05
 ANSWERED_STATES = frozenset({ReplicaState.GRANTED, ReplicaState.LOST})
 
 
@@ -97,6 +98,14 @@
     return claim is not None and claim.contested
 
 
+def is_awaited(state: EntryState, request: Request, now: float) -> bool:
+    """Returns whether another entry waits for a request that this one has."""
+    claim = state.claims.get(request.specification.request_id)
+    if claim is None or claim.request is not request:
+        return False
+    return any(until > now for until in claim.awaited_until.values())
+
+
 def _rank_registrars(state: EntryState, request_id: str) -> list[str]:
     """Returns the addresses of the entries that can keep a claim, in the order of their choice.
 
@@ -122,8 +131,9 @@
         _apply_reply(state, claim, replica, receive_claim(state.registry, state.name, request, now))
         return
     peer = state.peers.get(replica.address)
-    if peer is not None and peer.usable:
+    if peer is not None and peer.connected:
         peer.claims.append(request)
+        peer.owes_since = min(peer.owes_since, now)
 
 
 def build_claim(claim: OwnClaim, replica: Replica, now: float) -> ClaimRequest:
@@ -143,7 +153,7 @@
         receive_release(state.registry, state.name, release, now)
         return
     peer = state.peers.get(replica.address)
-    if peer is None or not peer.usable:
+    if peer is None or not peer.connected:
         return
     unsent = [item for item in peer.claims if item.number == replica.number]
     peer.claims = [item for item in peer.claims if item.number != replica.number]
@@ -159,10 +169,32 @@
         return
     for replica in claim.replicas:
         is_meant = replica.address == address and replica.number == reply.number
-        if is_meant and replica.state != ReplicaState.WITHDRAWN:
+        if not is_meant or replica.state == ReplicaState.WITHDRAWN:
+            continue
+        if reply.status == ClaimStatus.AWAITED:
+            _record_wait(state, claim, address, reply.seconds, now)
+        else:
             _apply_reply(state, claim, replica, reply)
             _advance(state, claim, now)
-            return
+        return
+
+
+def _record_wait(
+    state: EntryState, claim: OwnClaim, address: str, seconds: float, now: float
+) -> None:
+    """Lets a request go on for the callers of other entries that wait for it."""
+    request = claim.request
+    claim.awaited_until[address] = now + seconds
+    if request.verdict is not None:
+        return
+    if seconds > MAX_STOP_SECONDS:
+        extend_request(state, request, now + seconds - MAX_STOP_SECONDS)
+        renew_claim(state, request, now)
+    elif not request.callers and not is_awaited(state, request, now):
+        end = RemoteEnd(
+            request=request, verdict=Verdict.MAY_HAVE_RUN, detail="the callers of all entries left"
+        )
+        state.remote_ends.append(end)
 
 
 def _apply_reply(state: EntryState, claim: OwnClaim, replica: Replica, reply: ClaimReply) -> None:
@@ -253,7 +285,6 @@
 
 def move_replicas(state: EntryState, before: Peer, after: Peer, now: float) -> None:
     """Repeats the claims at a registrar that is reached at another address from now on."""
-    after.usable = True
     for claim in state.claims.values():
         for replica in claim.replicas:
             if replica.address != before.address:
@@ -280,14 +311,11 @@
         _advance(state, claim, now)
 
 
-def expire_replicas(state: EntryState, now: float) -> set[str]:
-    """Leaves out the registrars that owe a reply for too long; returns their addresses."""
-    silent = set()
+def expire_replicas(state: EntryState, now: float) -> None:
+    """Has other registrars asked in place of those that owe a reply for too long."""
     for claim in state.claims.values():
         for replica in claim.replicas:
             if now >= replica.timeout_at:
                 replica.timeout_at = math.inf
                 replica.state = ReplicaState.LOST
-                silent.add(replica.address)
         _advance(state, claim, now)
-    return silent
--- a/src/comfreysill/placement/peer_links.py
+++ b/src/comfreysill/placement/peer_links.py
@@ -1,5 +1,7 @@
 """Links of an entry to the entries that keep its claims: sessions, and the frames to each."""
 
+import math
+
 from comfreysill.claims.registry import expire_claims, get_instance
 from comfreysill.exchange.claims import ClaimRepliesFrame, ClaimsFrame
 from comfreysill.exchange.messages import RUN_EXPIRY_SECONDS
@@ -31,6 +33,10 @@
 # Links are kept to so many other entries that can be reached; all entries choose the same ones as
 # far as they know the same ones.
 MAX_PEERS = 16
+# An entry that hasn't answered a claim for so long isn't asked until it sends something.
+OVERDUE_REPLY_SECONDS = 0.2
+# After so long its session is closed, and the link reconnected.
+PEER_SILENCE_SECONDS = 1.0
 # An entry that starts waits this long for the links to its peers before it places tasks.
 LINKING_SECONDS = 0.5
 # A registrar is sent a frame at least this often while it keeps a claim of this entry.
@@ -78,7 +84,10 @@
     peer = state.peers[address]
     state.last_peer_session += 1
     peer.session = state.last_peer_session
+    peer.connected = True
     peer.usable = False
+    peer.opened_at = now
+    peer.owes_since = math.inf
     peer.sent_at = now
     peer.claims.clear()
     peer.releases.clear()
@@ -107,6 +116,7 @@
     if peer is None or frame.session != peer.session:
         count(state, "frames_stale")
         return
+    peer.owes_since = math.inf
     if not peer.usable:
         _begin_use(state, peer, frame, now)
     for reply in frame.replies:
@@ -130,13 +140,13 @@
     note_event(state, "peer linked", peer=frame.entry, address=peer.address)
     for claim in state.claims.values():
         add_replica(state, claim, peer, now)
-    tell_new_peer(state, peer)
+    tell_new_peer(state, peer, now)
     begin_claims(state, now)
 
 
 def _drop_duplicate(state: EntryState, peer: Peer) -> None:
     """Removes the link to an entry that is this one itself, or is reached at another address."""
-    peer.usable = False
+    peer.connected = peer.usable = False
     peer.duplicate = True
     state.effects.append(RemovePeerLink(address=peer.address))
 
@@ -146,6 +156,7 @@
     peer = state.peers.get(address)
     if peer is None or peer.session != session:
         return
+    peer.connected = False
     if peer.usable:
         peer.unreachable_since = now
         note_event(state, "peer lost", peer=peer.name, address=address)
@@ -167,20 +178,30 @@
         return
     expire_claims(state.registry, now, RUN_EXPIRY_SECONDS)
     begin_claims(state, now)
-    for address in expire_replicas(state, now):
-        _close_silent_peer(state, address, now)
+    expire_replicas(state, now)
+    _suspend_use(state, now)
+    _close_silent_sessions(state, now)
     expire_cancellings(state, now)
     _mark_heartbeats(state, now)
 
 
-def _close_silent_peer(state: EntryState, address: str, now: float) -> None:
-    peer = state.peers.get(address)
-    if peer is None or not peer.usable:
-        return
-    count(state, "peers_silent")
-    note_event(state, "peer is silent", peer=peer.name, address=address)
-    state.effects.append(ClosePeerSession(address=address, session=peer.session))
-    end_peer_session(state, address, peer.session, now)
+def _suspend_use(state: EntryState, now: float) -> None:
+    """Leaves out the peers that owe a reply; they are used again once they have sent one."""
+    for peer in state.peers.values():
+        if peer.usable and now - peer.owes_since > OVERDUE_REPLY_SECONDS:
+            count(state, "peers_silent")
+            note_event(state, "peer is silent", peer=peer.name, address=peer.address)
+            peer.usable = False
+            peer.unreachable_since = now
+
+
+def _close_silent_sessions(state: EntryState, now: float) -> None:
+    for peer in list(state.peers.values()):
+        silent_since = max(peer.opened_at, peer.unreachable_since)
+        is_silent = not peer.usable and now - silent_since > PEER_SILENCE_SECONDS
+        if peer.connected and is_silent:
+            state.effects.append(ClosePeerSession(address=peer.address, session=peer.session))
+            end_peer_session(state, peer.address, peer.session, now)
 
 
 def _mark_heartbeats(state: EntryState, now: float) -> None:
@@ -194,7 +215,7 @@
     deliver_late_replies(state, now)
     for peer in state.peers.values():
         has_news = peer.claims or peer.releases or peer.cancellations or peer.heartbeat_due
-        if not peer.usable or not has_news:
+        if not peer.connected or not has_news:
             continue
         peer.sent_at = now
         peer.heartbeat_due = False
--- a/src/comfreysill/placement/peers.py
+++ b/src/comfreysill/placement/peers.py
@@ -26,7 +26,13 @@
         session: Number of the newest session of the link, 0 before the first; the sessions of all
             links of this entry are numbered together.
         duplicate: True if the same entry is reached at another address, and no link is kept here.
-        usable: True from the first frame of a session until it ends or a reply is overdue.
+        connected: True while the session is open.
+        usable: True from the first frame of a session until it ends or a reply is long overdue;
+            the next reply makes it usable again.
+        owes_since: Boot-clock time in seconds of the first claim sent since its last frame,
+            infinite if there was none.
+        opened_at: Boot-clock time in seconds at which the newest session was opened, 0 before the
+            first.
         unreachable_since: Boot-clock time in seconds since which it is not usable, 0 while it is.
         sent_at: Boot-clock time in seconds of the last frame sent to it, 0 before the first.
         heartbeat_due: True if a frame is to be sent though there is nothing to tell.
@@ -40,7 +46,10 @@
         "name",
         "session",
         "duplicate",
+        "connected",
         "usable",
+        "owes_since",
+        "opened_at",
         "unreachable_since",
         "sent_at",
         "heartbeat_due",
@@ -54,7 +63,10 @@
         self.name = ""
         self.session = 0
         self.duplicate = False
+        self.connected = False
         self.usable = False
+        self.owes_since = math.inf
+        self.opened_at = 0.0
         self.unreachable_since = now
         self.sent_at = 0.0
         self.heartbeat_due = False
@@ -106,9 +118,11 @@
         replicas: The claim at its registrars, in the order in which all entries rank them.
         settled: True once this entry may place the request's tasks.
         contested: True if another entry had the claim when it was made.
+        awaited_until: Boot-clock times in seconds until which other entries wait for the request,
+            by address of the registrar that tells.
     """
 
-    __slots__ = ("request", "begun", "replicas", "settled", "contested")
+    __slots__ = ("request", "begun", "replicas", "settled", "contested", "awaited_until")
 
     def __init__(self, *, request: Request) -> None:
         self.request = request
@@ -116,6 +130,7 @@
         self.replicas: list[Replica] = []
         self.settled = False
         self.contested = False
+        self.awaited_until: dict[str, float] = {}
 
 
 class RemoteEnd:
