A cancelled job is shown as cancelled at once

Callers saw: after a DELETE was answered 200, GET at the job's entry said `running` until the last of its tasks had ended. The same for a failed job whose other tasks were still being stopped.

Cause: a request stays open until none of its tasks is placed, and an open one counted as running, whatever its verdict.

--- a/src/comfreysill/gateway/program.py
+++ b/src/comfreysill/gateway/program.py
@@ -38,7 +38,7 @@
 from comfreysill.platform.store import StoreClient, open_store, set_store_address
 from comfreysill.polls import PollTimes, forget_listener, watch_listener
 from comfreysill.reloading import watch_settings
-from comfreysill.request.types import Verdict
+from comfreysill.request.types import FINAL_VERDICTS, Verdict
 from comfreysill.servers import (
     HttpServer,
     begin_http_shutdown,
@@ -240,7 +240,7 @@
 
     def find_state(request_id: str) -> str | Verdict | None:
         request = state.requests.get(request_id)
-        if request is not None:
+        if request is not None and request.verdict not in FINAL_VERDICTS:
             return "running" if request.begun else "queued"
         cached = state.cached.get(request_id)
         return cached.verdict if cached is not None else None
