--- a/src/comfreysill/placement/cancelling.py
+++ b/src/comfreysill/placement/cancelling.py
@@ -89,7 +89,7 @@
     if reply.status != CancellationStatus.UNKNOWN:
         note_event(
             state,
-            "request cancelled at an entry",
+            "cancelling received",
             request=request_id,
             entry=entry,
             status=reply.status.name,
--- a/src/comfreysill/request_trace/trace.py
+++ b/src/comfreysill/request_trace/trace.py
@@ -126,6 +126,18 @@
     )
 
 
+def _explain_cancelled(related: list[Record], context: list[Record]) -> str:
+    ended = _find_events(related, "request ended")
+    refused = _find_events(related, "request not taken: it was cancelled")
+    if not refused and (not ended or ended[-1].fields.get("verdict") != "CANCELLED"):
+        return ""
+    received = _find_events(related, "cancelling received")
+    answered = _find_events(related, "cancelling answered")
+    asked = {record.process for record in answered}
+    asked |= {str(record.fields.get("entry", "")).partition("@")[0] for record in received}
+    return f"cancelled by a caller, at {', '.join(sorted(asked)) or 'an entry'}"
+
+
 def _explain_missing_end(related: list[Record], context: list[Record]) -> str:
     ended = _find_events(related, "request ended")
     accepted = _find_events(related, "request accepted")
@@ -200,6 +212,7 @@
 EXPLANATIONS: tuple[Callable[[list[Record], list[Record]], str], ...] = (
     _explain_no_records,
     _explain_read_late,
+    _explain_cancelled,
     _explain_missing_end,
     _explain_refused,
     _explain_failed,
--- a/tests/test_request_trace.py
+++ b/tests/test_request_trace.py
@@ -38,6 +38,18 @@
         )
         cases = (
             ((accepted(), ended("COMPLETED", late=False)), "completed in time"),
+            (
+                (
+                    accepted(),
+                    line(10.3, "e1", "cancelling received", request="r1", entry="e2@7"),
+                    ended("CANCELLED", late=False),
+                ),
+                "cancelled by a caller, at e2",
+            ),
+            (
+                (line(10.3, "e1", "request not taken: it was cancelled", request="r1"),),
+                "cancelled by a caller, at an entry",
+            ),
             ((accepted(), ended("NOT_RUN", why="no room", age=1.0)), "refused before it ran"),
             (
                 (accepted(), *failed, ended("FAILED")),
