An entry that has taken a job alone doesn't acknowledge its cancelling for the others

Callers saw: a DELETE at an entry that was cut off from all others was answered 200, as that entry had the job and ended it; another attempt of the job ran on at another entry.

Cause: an entry that can reach no other is the only registrar of its requests. That it held the claim says nothing then of the others, which may have placed the same request.

The test failed before (ENDED in place of UNCERTAIN).

--- a/src/comfreysill/exchange/claims.py
+++ b/src/comfreysill/exchange/claims.py
@@ -61,8 +61,9 @@
 
     Attributes:
         UNKNOWN: It knows of no such request.
-        KNOWN: It knows of it, and nothing of it runs there.
-        ENDED: The request could run there and has ended, or has a result.
+        KNOWN: It knows of it, and nothing of it is placed there any more.
+        ENDED: The same, and no other entry has it: another one has granted its claim, or it has a
+            result.
         HANDED_ON: Another entry holds its claim and was told; KNOWN follows when it is released.
     """
 
--- a/src/comfreysill/placement/cancelling.py
+++ b/src/comfreysill/placement/cancelling.py
@@ -9,7 +9,14 @@
 from comfreysill.claims.cancellations import CANCELLATION_SECONDS, list_newest
 from comfreysill.exchange.claims import Cancellation, CancellationReply, CancellationStatus
 from comfreysill.placement.effects import SendCancelReply
-from comfreysill.placement.peers import OwnCancellation, Peer, RemoteEnd, is_failing
+from comfreysill.placement.peers import (
+    OwnCancellation,
+    OwnClaim,
+    Peer,
+    RemoteEnd,
+    ReplicaState,
+    is_failing,
+)
 from comfreysill.placement.state import EntryState, count, note_event
 from comfreysill.request.types import CancelOutcome, Verdict
 
@@ -108,12 +115,20 @@
         was_cancelled = cached.verdict == Verdict.CANCELLED
         return CancellationStatus.KNOWN if was_cancelled else CancellationStatus.ENDED
     if request.verdict is not None:
-        return CancellationStatus.ENDED
+        is_result = request.verdict in (Verdict.COMPLETED, Verdict.FAILED)
+        return CancellationStatus.ENDED if is_result else CancellationStatus.KNOWN
     end = RemoteEnd(request=request, verdict=Verdict.CANCELLED, detail="it was cancelled")
     state.remote_ends.append(end)
     claim = state.claims.get(request_id)
-    is_waiting = claim is not None and not claim.settled
-    return CancellationStatus.KNOWN if is_waiting else CancellationStatus.ENDED
+    is_holder = claim is not None and claim.settled and _is_granted_elsewhere(claim)
+    return CancellationStatus.ENDED if is_holder else CancellationStatus.KNOWN
+
+
+def _is_granted_elsewhere(claim: OwnClaim) -> bool:
+    """Returns whether another entry has granted a claim, so that no third one has the request."""
+    return any(
+        replica.address and replica.state == ReplicaState.GRANTED for replica in claim.replicas
+    )
 
 
 def receive_cancellation_reply(
--- a/tests/test_cancelling.py
+++ b/tests/test_cancelling.py
@@ -145,6 +145,23 @@
                 self.assertEqual(world.violations, [])
                 self.assertEqual(get_outcomes(world)[-1], CancelOutcome.ENDED)
 
+    # Guards against an acknowledgement by an entry that is cut off from all others, one of which
+    # runs the job too.
+    def test_a_job_that_a_cut_off_entry_has_taken_alone(self):
+        world = build_world()
+        for other in ENTRIES[1:]:
+            world.cut("e0", other, 4.0)
+            world.cut(other, "e0", 4.0)
+        world.run(1.5)
+        submit(world, "e0", steps=10)
+        world.run(0.5)
+        world.cancel("r", "e0")
+        world.run(0.5)
+        self.assertEqual(get_outcomes(world), [CancelOutcome.UNCERTAIN])
+        self.assertEqual(world.verdicts["r"], [Verdict.CANCELLED])
+        world.run(6.0)
+        self.assertEqual(get_outcomes(world)[-1], CancelOutcome.ENDED)
+
     def assert_not_unknown(self, world, case, request_id="r"):
         outcomes = get_outcomes(world, request_id)
         self.assertNotEqual(outcomes, [], case)
