A request in the first moment of an entry waits for the links to the others

Callers saw: a request that an entry read before it had asked for its first links was claimed at that entry alone and placed at once, beside a run by another entry or after its cancelling.

Cause: `linking_until` is 0 until the links are requested, and counted as a time that is over.

Now an entry that knows others in its settings is linking until it has asked for the links.

--- a/src/comfreysill/placement/claims.py
+++ b/src/comfreysill/placement/claims.py
@@ -43,6 +43,9 @@
 
 def _is_linking(state: EntryState, now: float) -> bool:
     """Returns whether this entry has just started and may soon be linked to its first peers."""
+    if not state.linking_until:
+        # The links to the entries of the settings were not requested yet.
+        return len(state.entries) > 1
     is_linked = all(peer.usable or peer.duplicate for peer in state.peers.values())
     return now < state.linking_until and not is_linked
 
--- a/tests/test_cancelling.py
+++ b/tests/test_cancelling.py
@@ -145,6 +145,25 @@
                 self.assertEqual(world.violations, [])
                 self.assertEqual(get_outcomes(world)[-1], CancelOutcome.ENDED)
 
+    # Guards against an entry that takes a request alone, as it has read it before it has asked for
+    # the links to the other entries.
+    def test_a_request_in_the_first_moment_of_an_entry(self):
+        for cancelled in (False, True):
+            world = build_world()
+            submit(world, "e1")
+            world.run(0.5)
+            world.kill_entry("e0")
+            if cancelled:
+                world.cancel("r", "e1")
+            world.schedule(1.0, world.send_request, "r", "e0")
+            world.run(1.0)
+            starts = world.starts
+            self.assertTrue(world.entries["e0"].alive)
+            world.run(0.5)
+            self.assertEqual(world.violations, [])
+            if cancelled:
+                self.assertEqual(world.starts, starts)
+
     # Guards against an acknowledgement by an entry that is cut off from all others, one of which
     # runs the job too.
     def test_a_job_that_a_cut_off_entry_has_taken_alone(self):
