--- a/src/comfreysill/arrivals.py
+++ b/src/comfreysill/arrivals.py
@@ -30,17 +30,27 @@
     Attributes:
         sent_after: Boot-clock time in seconds before which it can't have been sent.
         read_at: Boot-clock time in seconds at which its first byte was read.
+        connected_at: Boot-clock time in seconds at which its connection was accepted, None if the
+            connection has carried an earlier request, or if that isn't known.
     """
 
-    __slots__ = ("sent_after", "read_at")
+    __slots__ = ("sent_after", "read_at", "connected_at")
 
-    def __init__(self, *, sent_after: float, read_at: float) -> None:
+    def __init__(
+        self, *, sent_after: float, read_at: float, connected_at: float | None = None
+    ) -> None:
         self.sent_after = sent_after
         self.read_at = read_at
+        self.connected_at = connected_at
 
 
-def measure_arrival(poll_times: PollTimes, connection: socket.socket) -> Arrival:
-    """Returns the arrival of a request whose first byte has just been read from a connection."""
+def measure_arrival(
+    poll_times: PollTimes, connection: socket.socket, connected_at: float | None = None
+) -> Arrival:
+    """Returns the arrival of a request whose first byte has just been read from a connection.
+
+    For `connected_at` see `Arrival`.
+    """
     now = read_clocks()
     earliest = find_earliest_arrival(poll_times, now)
     sent_after = earliest.boot
@@ -49,7 +59,7 @@
         # The kernel's count stands still while the instance is suspended.
         if idle_seconds >= 0 and measure_suspension(earliest, now) < MIN_SUSPENSION_SECONDS:
             sent_after = max(sent_after, now.boot - idle_seconds)
-    return Arrival(sent_after=sent_after, read_at=now.boot)
+    return Arrival(sent_after=sent_after, read_at=now.boot, connected_at=connected_at)
 
 
 def measure_idle_time(connection: socket.socket) -> float:
--- a/src/comfreysill/cli/explain.py
+++ b/src/comfreysill/cli/explain.py
@@ -4,6 +4,7 @@
 from typing import Any
 
 from comfreysill.exceptions import RefusedError
+from comfreysill.request_trace.holdings import build_document
 from comfreysill.request_trace.records import Record, read_records
 from comfreysill.request_trace.trace import RequestTrace, build_trace
 
@@ -38,6 +39,7 @@
     return {
         "request": trace.request_id,
         "cause": trace.cause,
+        "holdings": [build_document(holding) for holding in trace.holdings],
         "lines": [
             {"time": r.time, "process": r.process, "event": r.event, **r.fields}
             for r in trace.context
--- a/src/comfreysill/cli/main.py
+++ b/src/comfreysill/cli/main.py
@@ -17,6 +17,7 @@
 from comfreysill.cli.explain import describe_record, describe_trace, explain_request
 from comfreysill.cli.tables import print_table, summarize_classes
 from comfreysill.exceptions import ComfreysillError, RefusedError
+from comfreysill.request_trace.holdings import describe_holding
 
 EntryOption = Annotated[
     str,
@@ -249,6 +250,8 @@
             return
         for record in trace.context:
             print(describe_record(record, trace.related[0].time))
+        for holding in trace.holdings:
+            print(f"entry: {describe_holding(holding, trace.related[0].time)}")
         print(f"cause: {trace.cause}")
 
     @cappa.command(name="status")
--- a/src/comfreysill/execution/progress.py
+++ b/src/comfreysill/execution/progress.py
@@ -46,7 +46,7 @@
 
 def _stop_stalled(agent: AgentState, run: Run, now: float) -> None:
     count(agent, "runs_stalled")
-    note_event(agent, "run stalled", task=run.task, percent=run.percent)
+    note_event(agent, "run stalled", task=run.task, entry=run.entry, percent=run.percent)
     stop_run(agent, run, now, "it stood still")
     suspend_target(agent, now)
 
--- a/src/comfreysill/execution/runner.py
+++ b/src/comfreysill/execution/runner.py
@@ -164,7 +164,14 @@
         subtract_waiting(agent, run)
         reserve_capacity(agent, run)
     count(agent, "starts_held")
-    note_event(agent, "start held until it is final", task=run.task, run=run.number, why=reason)
+    note_event(
+        agent,
+        "start held until it is final",
+        task=run.task,
+        entry=run.entry,
+        run=run.number,
+        why=reason,
+    )
     mark_unconfirmed(agent, run, now)
 
 
--- a/src/comfreysill/execution/starts.py
+++ b/src/comfreysill/execution/starts.py
@@ -198,7 +198,12 @@
         _hold_unanswered_start(agent, run, now)
     elif reply.status == ReplyStatus.ACCEPTED and not is_current:
         # Another lifetime of the runner may have accepted it.
-        note_event(agent, "start accepted on another clock; token raised", task=run.task)
+        note_event(
+            agent,
+            "start accepted on another clock; token raised",
+            task=run.task,
+            entry=run.entry,
+        )
         mark_unconfirmed(agent, run, now)
     elif reply.status == ReplyStatus.ACCEPTED:
         mark_running(agent, run, now)
@@ -217,7 +222,13 @@
 
 def _hold_unanswered_start(agent: AgentState, run: Run, now: float) -> None:
     count(agent, "starts_unanswered")
-    note_event(agent, "start unanswered; token raised", task=run.task, token=agent.token + 1)
+    note_event(
+        agent,
+        "start unanswered; token raised",
+        task=run.task,
+        entry=run.entry,
+        token=agent.token + 1,
+    )
     mark_unconfirmed(agent, run, now)
 
 
--- a/src/comfreysill/execution/state.py
+++ b/src/comfreysill/execution/state.py
@@ -389,6 +389,7 @@
             agent,
             "run ended early",
             task=run.task,
+            entry=run.entry,
             attempt=run.attempt,
             outcome=outcome.name,
             why=detail or run.reason,
--- a/src/comfreysill/gateway/actor.py
+++ b/src/comfreysill/gateway/actor.py
@@ -57,7 +57,7 @@
     expire_requests,
     submit_request,
 )
-from comfreysill.placement.state import EntryState
+from comfreysill.placement.state import EntryState, note_event
 from comfreysill.placement.subset import update_subset
 from comfreysill.request.types import CallerWait, Specification, Verdict
 from comfreysill.routes.table import choose_newer
@@ -118,10 +118,10 @@
     return caller, future
 
 
-def report_disconnect(actor: Actor, caller: int) -> None:
+def report_disconnect(actor: Actor, caller: int, request_id: str) -> None:
     """Notifies the state task that a caller has disconnected."""
     actor.pending_replies.pop(caller, None)
-    actor.inbox.post(CallerDisconnected(caller=caller))
+    actor.inbox.post(CallerDisconnected(caller=caller, request_id=request_id))
 
 
 def list_members(actor: Actor) -> list[Member]:
@@ -166,6 +166,8 @@
 
 
 def _receive_disconnect(actor: Actor, message: CallerDisconnected, now: float) -> None:
+    if message.caller not in actor.state.callers:
+        note_event(actor.state, "caller disconnected after its verdict", request=message.request_id)
     disconnect_caller(actor.state, message.caller, now)
 
 
--- a/src/comfreysill/gateway/messages.py
+++ b/src/comfreysill/gateway/messages.py
@@ -42,12 +42,13 @@
 
 
 class CallerDisconnected:
-    """The caller with the number `caller` has disconnected."""
+    """The caller with the number `caller`, of the request `request_id`, has disconnected."""
 
-    __slots__ = ("caller",)
+    __slots__ = ("caller", "request_id")
 
-    def __init__(self, *, caller: int) -> None:
+    def __init__(self, *, caller: int, request_id: str) -> None:
         self.caller = caller
+        self.request_id = request_id
 
 
 class Cancel:
--- a/src/comfreysill/gateway/program.py
+++ b/src/comfreysill/gateway/program.py
@@ -250,7 +250,7 @@
     return EntryOperations(
         get_routes=lambda: state.routes,
         submit=lambda specification, wait: submit(actor, specification, wait),
-        report_disconnect=lambda caller: report_disconnect(actor, caller),
+        report_disconnect=lambda caller, request_id: report_disconnect(actor, caller, request_id),
         find_state=find_state,
         cancel=cancel,
         count_waiting=count_waiting,
--- a/src/comfreysill/placement/requests.py
+++ b/src/comfreysill/placement/requests.py
@@ -53,6 +53,7 @@
     cached = state.cached.get(request_id)
     if cached is not None and cached.expires_at > now:
         count(state, "requests_repeated")
+        _note_submission(state, "request repeated", specification, wait)
         state.effects.append(SendVerdict(caller=caller, verdict=cached.verdict))
         return
     request = state.requests.get(request_id)
@@ -77,6 +78,14 @@
 def _join_request(state: EntryState, request: Request, waiter: Waiter, stop_at: float) -> None:
     request_id = request.specification.request_id
     count(state, "requests_joined")
+    _note_submission(
+        state,
+        "request joined",
+        waiter.specification,
+        waiter.wait,
+        callers=len(request.callers),
+        has_verdict=request.verdict is not None,
+    )
     state.callers[waiter.caller] = request_id
     if request.verdict is None:
         request.callers.add(waiter.caller)
@@ -116,7 +125,11 @@
         routes_version=state.routes.version,
         tasks=sum(step.count for step in specification.steps),
         unread=round(wait.read_at - wait.sent_after, 3),
+        connection=(
+            None if wait.connected_at is None else round(wait.read_at - wait.connected_at, 3)
+        ),
         wait=round(wait.ends_at - wait.read_at, 3) if wait.ends_at < math.inf else None,
+        retry=state.retry_seconds,
         **fields,
     )
 
@@ -162,15 +175,21 @@
     waiters = state.waiters.get(request_id, [])
     waiters[:] = [waiter for waiter in waiters if waiter.caller != caller]
     request = state.requests.get(request_id)
-    if request is None or caller not in request.callers:
+    if request is None:
+        return
+    age = round(now - request.received_at, 3)
+    if caller not in request.callers:
+        note_event(state, "caller disconnected", request=request_id, age=age, callers=len(waiters))
         return
     request.callers.discard(caller)
-    if not request.callers and request.verdict is None:
-        age = round(now - request.received_at, 3)
-        note_event(
-            state, "request cancelled: its last caller disconnected", request=request_id, age=age
-        )
-        conclude_request(state, request, Verdict.MAY_HAVE_RUN, "its caller left", now)
+    if request.callers:
+        callers = len(request.callers)
+        note_event(state, "caller disconnected", request=request_id, age=age, callers=callers)
+        return
+    note_event(
+        state, "request cancelled: its last caller disconnected", request=request_id, age=age
+    )
+    conclude_request(state, request, Verdict.MAY_HAVE_RUN, "its caller left", now)
 
 
 def conclude_request(
--- a/src/comfreysill/platform/ingress.py
+++ b/src/comfreysill/platform/ingress.py
@@ -28,7 +28,8 @@
     Attributes:
         get_routes: Returns the current route table.
         submit: Submits a request; returns the number of its caller and a future reply.
-        report_disconnect: Reports that the caller with this number has disconnected.
+        report_disconnect: Reports that the caller with this number, of the request with this id,
+            has disconnected.
         find_state: Returns `queued`, `running`, a cached final verdict, or None for an unknown
             request id.
         cancel: Cancels a request; returns False if it is unknown, or has ended and none of its
@@ -52,7 +53,7 @@
         *,
         get_routes: Callable[[], RouteTable],
         submit: Callable[[Specification, CallerWait], tuple[int, asyncio.Future[Reply]]],
-        report_disconnect: Callable[[int], None],
+        report_disconnect: Callable[[int, str], None],
         find_state: Callable[[str], "str | Verdict | None"],
         cancel: Callable[[str], bool],
         count_waiting: Callable[[str], int],
@@ -124,6 +125,7 @@
         sent_after=arrival.sent_after,
         read_at=arrival.read_at,
         ends_at=arrival.read_at + wait_seconds,
+        connected_at=arrival.connected_at,
     )
 
 
@@ -160,11 +162,11 @@
     caller_number, reply = operations.submit(decoded.ok_value, wait)
     disconnected = asyncio.ensure_future(_await_disconnect(receive))
     await asyncio.wait((reply, disconnected), return_when=asyncio.FIRST_COMPLETED)
+    if disconnected.done():
+        operations.report_disconnect(caller_number, request_id)
     disconnected.cancel()
-    if not reply.done():
-        operations.report_disconnect(caller_number)
-        return
-    await _send_reply(operations, send, reply.result())
+    if reply.done():
+        await _send_reply(operations, send, reply.result())
 
 
 async def _send_reply(operations: EntryOperations, send: Any, reply: Reply) -> None:
--- a/src/comfreysill/request/types.py
+++ b/src/comfreysill/request/types.py
@@ -133,14 +133,24 @@
         read_at: Boot-clock time in seconds at which the request was read.
         ends_at: Boot-clock time in seconds at which it would stop waiting if it had sent the
             request at `read_at`, infinite if it doesn't say how long it waits.
+        connected_at: Boot-clock time in seconds at which its connection was accepted, None if the
+            connection has carried an earlier request, or if that isn't known.
     """
 
-    __slots__ = ("sent_after", "read_at", "ends_at")
+    __slots__ = ("sent_after", "read_at", "ends_at", "connected_at")
 
-    def __init__(self, *, sent_after: float, read_at: float, ends_at: float) -> None:
+    def __init__(
+        self,
+        *,
+        sent_after: float,
+        read_at: float,
+        ends_at: float,
+        connected_at: float | None = None,
+    ) -> None:
         self.sent_after = sent_after
         self.read_at = read_at
         self.ends_at = ends_at
+        self.connected_at = connected_at
 
 
 def compute_critical_path(steps: tuple[Step, ...]) -> float:
--- a/src/comfreysill/request_trace/trace.py
+++ b/src/comfreysill/request_trace/trace.py
@@ -2,6 +2,12 @@
 
 from collections.abc import Callable
 
+from comfreysill.request_trace.holdings import (
+    Holding,
+    build_holdings,
+    explain_simultaneous,
+    find_entry,
+)
 from comfreysill.request_trace.records import Record
 
 # Context events within this time of the records of a request may explain its outcome.
@@ -47,17 +53,25 @@
         request_id: ID of the request.
         related: Records that name the request or one of its tasks, ordered by time.
         context: `related`, and context events of the processes involved, ordered by time.
+        holdings: Which entries had the request, in order of their acceptance.
         cause: Likely cause of the outcome, in one sentence.
     """
 
-    __slots__ = ("request_id", "related", "context", "cause")
+    __slots__ = ("request_id", "related", "context", "holdings", "cause")
 
     def __init__(
-        self, *, request_id: str, related: list[Record], context: list[Record], cause: str
+        self,
+        *,
+        request_id: str,
+        related: list[Record],
+        context: list[Record],
+        holdings: list[Holding],
+        cause: str,
     ) -> None:
         self.request_id = request_id
         self.related = related
         self.context = context
+        self.holdings = holdings
         self.cause = cause
 
 
@@ -66,7 +80,11 @@
     related = [record for record in records if _is_about_request(record, request_id)]
     context = _select_context(records, related) if related else []
     return RequestTrace(
-        request_id=request_id, related=related, context=context, cause=find_cause(related, context)
+        request_id=request_id,
+        related=related,
+        context=context,
+        holdings=build_holdings(related),
+        cause=find_cause(related, context),
     )
 
 
@@ -92,6 +110,7 @@
     )
     involved = {record.process for record in related}
     involved |= {str(record.fields["agent"]) for record in related if "agent" in record.fields}
+    involved |= {find_entry(record) for record in related}
     related_ids = {id(record) for record in related}
     return [
         record
@@ -199,6 +218,7 @@
 # In order of precedence; each returns an empty string if it does not apply.
 EXPLANATIONS: tuple[Callable[[list[Record], list[Record]], str], ...] = (
     _explain_no_records,
+    explain_simultaneous,
     _explain_read_late,
     _explain_missing_end,
     _explain_refused,
--- a/src/comfreysill/servers.py
+++ b/src/comfreysill/servers.py
@@ -11,6 +11,7 @@
 
 from comfreysill.address import Address
 from comfreysill.arrivals import measure_arrival
+from comfreysill.clock import read_boot_clock
 from comfreysill.polls import PollTimes
 
 # The Date header has a resolution of one second.
@@ -20,16 +21,30 @@
 
 
 class TimedHttpProtocol(HttpToolsProtocol):
-    """HTTP protocol of uvicorn that adds an `Arrival` to the ASGI scope of each request."""
+    """HTTP protocol of uvicorn that adds an `Arrival` to the ASGI scope of each request.
+
+    Attributes:
+        poll_times: Polls of the event loop.
+        connected_at: Boot-clock time in seconds at which the connection was accepted, None from its
+            first request on.
+    """
 
     def __init__(self, *, poll_times: PollTimes, **arguments: Any) -> None:
         super().__init__(**arguments)
         self.poll_times = poll_times
+        self.connected_at: float | None = None
+
+    def connection_made(self, transport: asyncio.Transport) -> None:
+        """Begins a connection."""
+        super().connection_made(transport)
+        self.connected_at = read_boot_clock()
 
     def on_message_begin(self) -> None:
         """Begins a request, at its first byte."""
         super().on_message_begin()
-        arrival = measure_arrival(self.poll_times, self.transport.get_extra_info("socket"))
+        connection = self.transport.get_extra_info("socket")
+        arrival = measure_arrival(self.poll_times, connection, self.connected_at)
+        self.connected_at = None
         self.scope["extensions"] = {ARRIVAL_EXTENSION: arrival}
 
 
--- a/tests/test_caller_waits.py
+++ b/tests/test_caller_waits.py
@@ -16,7 +16,7 @@
 
 
 def build_scope(*headers, unread_seconds=0.0):
-    arrival = Arrival(sent_after=100.0 - unread_seconds, read_at=100.0)
+    arrival = Arrival(sent_after=100.0 - unread_seconds, read_at=100.0, connected_at=98.0)
     return {"headers": list(headers), "extensions": {ARRIVAL_EXTENSION: arrival}}
 
 
@@ -24,6 +24,7 @@
     def test_the_wait_begins_when_the_request_was_read(self):
         wait = read_wait(build_scope((b"x-deadline-ms", b"1500"), unread_seconds=0.25))
         self.assertEqual((wait.sent_after, wait.read_at, wait.ends_at), (99.75, 100.0, 101.5))
+        self.assertEqual(wait.connected_at, 98.0)
 
     def test_a_missing_or_unusable_header_means_an_unknown_wait(self):
         for value in (b"", b"0", b"-1", b"nan", b"inf", b"1e99", b"soon", b"\xff", b"9" * 400):
@@ -90,6 +91,22 @@
         self.assertLess(arrival.sent_after, self.sent_at)
         self.assertGreater(arrival.read_at - self.sent_at, PAUSE_SECONDS * 0.9)
 
+    def test_the_age_of_the_connection_is_that_of_its_first_request(self):
+        async def scenario():
+            client = self.connect()
+            await asyncio.sleep(0.3)
+            self.send(client)
+            await asyncio.sleep(0.1)
+            self.send(client)
+            await asyncio.sleep(0.1)
+            self.send(self.connect())
+
+        self.play(scenario)
+        first, second, third = (arrival for arrival, _ in self.arrivals)
+        self.assertAlmostEqual(first.read_at - first.connected_at, 0.3, delta=0.05)
+        self.assertIsNone(second.connected_at)
+        self.assertAlmostEqual(third.read_at - third.connected_at, 0.0, delta=0.05)
+
     def test_a_request_on_an_open_connection_that_came_during_a_pause(self):
         async def scenario():
             client = self.connect()
