--- a/src/comfreysill/placement/requests.py
+++ b/src/comfreysill/placement/requests.py
@@ -167,6 +167,23 @@
     conclude_request(state, request, Verdict.FAILED, detail, now)
 
 
+def _note_departure(
+    state: EntryState, request: Request, caller: int, waiter_count: int, now: float
+) -> None:
+    """Notes that a caller has left which was one of several, or waited for tasks to end."""
+    is_served = caller in request.callers
+    remaining = len(request.callers) - 1 if is_served else waiter_count
+    if is_served and not remaining:
+        return
+    note_event(
+        state,
+        "caller disconnected",
+        request=request.specification.request_id,
+        age=round(now - request.received_at, 3),
+        callers=remaining,
+    )
+
+
 def disconnect_caller(state: EntryState, caller: int, now: float) -> None:
     """Removes a caller that has disconnected; a request whose last caller this was is cancelled."""
     request_id = state.callers.pop(caller, None)
@@ -175,21 +192,17 @@
     waiters = state.waiters.get(request_id, [])
     waiters[:] = [waiter for waiter in waiters if waiter.caller != caller]
     request = state.requests.get(request_id)
-    if request is None:
-        return
-    age = round(now - request.received_at, 3)
-    if caller not in request.callers:
-        note_event(state, "caller disconnected", request=request_id, age=age, callers=len(waiters))
+    if request is not None:
+        _note_departure(state, request, caller, len(waiters), now)
+    if request is None or caller not in request.callers:
         return
     request.callers.discard(caller)
-    if request.callers:
-        callers = len(request.callers)
-        note_event(state, "caller disconnected", request=request_id, age=age, callers=callers)
-        return
-    note_event(
-        state, "request cancelled: its last caller disconnected", request=request_id, age=age
-    )
-    conclude_request(state, request, Verdict.MAY_HAVE_RUN, "its caller left", now)
+    if not request.callers and request.verdict is None:
+        age = round(now - request.received_at, 3)
+        note_event(
+            state, "request cancelled: its last caller disconnected", request=request_id, age=age
+        )
+        conclude_request(state, request, Verdict.MAY_HAVE_RUN, "its caller left", now)
 
 
 def conclude_request(
