--- a/src/comfreysill/placement/requests.py
+++ b/src/comfreysill/placement/requests.py
@@ -61,6 +61,7 @@
     cached = state.cached.get(request_id)
     if cached is not None and cached.expires_at > now:
         count(state, "requests_repeated")
+        _note_submission(state, "request repeated", specification, wait)
         state.effects.append(SendVerdict(caller=caller, verdict=cached.verdict))
         return
     request = state.requests.get(request_id)
@@ -87,6 +88,14 @@
 ) -> None:
     request_id = request.specification.request_id
     count(state, "requests_joined")
+    _note_submission(
+        state,
+        "request joined",
+        waiter.specification,
+        waiter.wait,
+        callers=len(request.callers),
+        has_verdict=request.verdict is not None,
+    )
     state.callers[waiter.caller] = request_id
     if request.verdict is None:
         request.callers.add(waiter.caller)
@@ -127,7 +136,11 @@
         routes_version=state.routes.version,
         tasks=sum(step.count for step in specification.steps),
         unread=round(wait.read_at - wait.sent_after, 3),
+        connection=(
+            None if wait.connected_at is None else round(wait.read_at - wait.connected_at, 3)
+        ),
         wait=round(wait.ends_at - wait.read_at, 3) if wait.ends_at < math.inf else None,
+        retry=state.retry_seconds,
         **fields,
     )
 
@@ -175,6 +188,23 @@
     conclude_request(state, request, Verdict.FAILED, detail, now)
 
 
+def _note_departure(
+    state: EntryState, request: Request, caller: int, waiter_count: int, now: float
+) -> None:
+    """Notes that a caller has left which was one of several, or waited for tasks to end."""
+    is_served = caller in request.callers
+    remaining = len(request.callers) - 1 if is_served else waiter_count
+    if is_served and not remaining:
+        return
+    note_event(
+        state,
+        "caller disconnected",
+        request=request.specification.request_id,
+        age=round(now - request.received_at, 3),
+        callers=remaining,
+    )
+
+
 def disconnect_caller(state: EntryState, caller: int, now: float) -> None:
     """Removes a caller that has disconnected; a request whose last caller this was is cancelled."""
     request_id = state.callers.pop(caller, None)
@@ -183,6 +213,8 @@
     waiters = state.waiters.get(request_id, [])
     waiters[:] = [waiter for waiter in waiters if waiter.caller != caller]
     request = state.requests.get(request_id)
+    if request is not None:
+        _note_departure(state, request, caller, len(waiters), now)
     if request is None or caller not in request.callers:
         return
     request.callers.discard(caller)
