--- a/src/comfreysill/claims/registry.py
+++ b/src/comfreysill/claims/registry.py
@@ -112,8 +112,7 @@
         claimant.expires_at = max(expires_at, claim.holder.expires_at)
         claim.holder = claimant
         return _build_reply(claimant, request_id, ClaimStatus.GRANTED)
-    _discard_waiter(claim, entry, math.inf)
-    claim.waiters.append(claimant)
+    _put_waiter(claim, claimant)
     _notify_holder(registry, request_id, claim, now)
     return _build_reply(claimant, request_id, ClaimStatus.HELD, holder=claim.holder.entry)
 
@@ -122,6 +121,7 @@
     """Processes the end of a claim; queues the replies to those that wait for it."""
     claim = registry.claims.get(release.request_id)
     if claim is None:
+        _record_end(registry, release, now)
         return
     _remove_waiter(registry, release.request_id, entry, release.number, now)
     if claim.holder.entry != entry or claim.holder.number > release.number:
@@ -130,16 +130,23 @@
         _grant_next(registry, release.request_id, claim, now)
         return
     del registry.claims[release.request_id]
-    registry.ended[release.request_id] = EndedClaim(
-        verdict=release.verdict, expires_at=now + ENDED_CLAIM_SECONDS
-    )
-    registry.ended_ids.append(release.request_id)
+    _record_end(registry, release, now)
     for waiter in claim.waiters:
         _queue_reply(
             registry, waiter, release.request_id, ClaimStatus.ENDED, verdict=release.verdict
         )
 
 
+def _record_end(registry: ClaimRegistry, release: ClaimRelease, now: float) -> None:
+    """Keeps the verdict of a release, if it has a final one."""
+    if release.verdict is None:
+        return
+    expires_at = now + ENDED_CLAIM_SECONDS
+    ended = EndedClaim(verdict=release.verdict, expires_at=expires_at)
+    registry.ended[release.request_id] = ended
+    registry.ended_ids.append(release.request_id)
+
+
 def record_session(registry: ClaimRegistry, entry: str, request_ids: set[str], now: float) -> None:
     """Records a new session of a claimant, and ends the claims that it doesn't repeat.
 
@@ -179,6 +186,16 @@
         _remove_waiter(registry, request_id, entry, math.inf, now)
 
 
+def record_suspension(registry: ClaimRegistry, entry: str, now: float) -> None:
+    """Records that a claimant closes its session though its process goes on.
+
+    Its claims last until nothing of the submissions may run.
+    """
+    registry.heard_at.pop(entry, None)
+    for request_id in registry.claims:
+        _remove_waiter(registry, request_id, entry, math.inf, now)
+
+
 def expire_claims(registry: ClaimRegistry, now: float, expiry_seconds: float) -> None:
     """Ends the claims of holders of which nothing can run any more, and forgets old verdicts.
 
@@ -249,6 +266,15 @@
         _notify_holder(registry, request_id, claim, now)
 
 
+def _put_waiter(claim: Claim, claimant: Claimant) -> None:
+    """Adds a waiter, or replaces it at its place."""
+    for position, waiter in enumerate(claim.waiters):
+        if waiter.entry == claimant.entry:
+            claim.waiters[position] = claimant
+            return
+    claim.waiters.append(claimant)
+
+
 def _discard_waiter(claim: Claim, entry: str, number: float) -> bool:
     """Removes the claims of an entry up to a number; returns whether there were any."""
     kept = [waiter for waiter in claim.waiters if waiter.entry != entry or waiter.number > number]
--- a/src/comfreysill/exchange/claims.py
+++ b/src/comfreysill/exchange/claims.py
@@ -64,9 +64,11 @@
         opening: True in the first frame of a session, which repeats the claimant's open claims.
         claims: Claims, in order.
         releases: Ended claims; they come before `claims`.
+        closing: True in the last frame of a session that the claimant closes while its process
+            goes on.
     """
 
-    __slots__ = ("entry", "session", "opening", "claims", "releases")
+    __slots__ = ("entry", "session", "opening", "claims", "releases", "closing")
 
     def __init__(
         self,
@@ -76,12 +78,14 @@
         opening: bool,
         claims: list[ClaimRequest],
         releases: list[ClaimRelease],
+        closing: bool = False,
     ) -> None:
         self.entry = entry
         self.session = session
         self.opening = opening
         self.claims = claims
         self.releases = releases
+        self.closing = closing
 
 
 class ClaimReply:
--- a/src/comfreysill/placement/claims.py
+++ b/src/comfreysill/placement/claims.py
@@ -7,7 +7,6 @@
 """
 
 import math
-from itertools import takewhile
 
 from comfreysill.claims.registry import get_instance, receive_claim, receive_release
 from comfreysill.exchange.claims import ClaimRelease, ClaimReply, ClaimRequest, ClaimStatus
@@ -30,6 +29,8 @@
 REGISTRARS = 2
 # Another registrar is asked in place of one that hasn't answered a claim for this long.
 CLAIM_TIMEOUT_SECONDS = 0.05
+# At most this many verdicts are kept for a registrar without a session.
+MAX_KEPT_RELEASES = 1000
 ANSWERED_STATES = frozenset({ReplicaState.GRANTED, ReplicaState.LOST})
 FINAL_VERDICTS = frozenset({Verdict.COMPLETED, Verdict.FAILED})
 
@@ -44,6 +45,8 @@
 
 def _is_linking(state: EntryState, now: float) -> bool:
     """Returns whether this entry has just started and may soon be linked to its first peers."""
+    if not state.linking_until:
+        return len(state.entries) > 1
     is_linked = all(peer.usable or peer.duplicate for peer in state.peers.values())
     return now < state.linking_until and not is_linked
 
@@ -76,7 +79,7 @@
     if claim is None:
         return
     for replica in claim.replicas:
-        if replica.state in (ReplicaState.GRANTED, ReplicaState.HELD):
+        if replica.state != ReplicaState.WITHDRAWN:
             _post_claim(state, claim, replica, now)
 
 
@@ -113,7 +116,8 @@
     The address of this entry itself is empty.
     """
     addresses = {peer.name: peer.address for peer in state.peers.values() if peer.usable}
-    addresses[get_instance(state.name)] = ""
+    if state.is_registrar or not addresses:
+        addresses[get_instance(state.name)] = ""
     ranked = sorted(addresses, key=lambda instance: rank_registrar(instance, request_id))
     return [addresses[instance] for instance in ranked]
 
@@ -133,7 +137,7 @@
         return
     peer = state.peers.get(replica.address)
     if peer is not None and peer.connected:
-        peer.claims.append(request)
+        peer.claims[request.number] = request
         peer.owes_since = min(peer.owes_since, now)
 
 
@@ -154,12 +158,13 @@
         receive_release(state.registry, state.name, release, now)
         return
     peer = state.peers.get(replica.address)
-    if peer is None or not peer.connected:
+    if peer is None:
         return
-    unsent = [item for item in peer.claims if item.number == replica.number]
-    peer.claims = [item for item in peer.claims if item.number != replica.number]
-    # Without a reply it was sent for the first time.
-    if not unsent or replica.state != ReplicaState.PENDING:
+    is_unsent = peer.claims.pop(replica.number, None) is not None
+    # Without a reply it was to be sent for the first time.
+    is_unknown = is_unsent and replica.state == ReplicaState.PENDING
+    is_kept = verdict is not None and len(peer.releases) < MAX_KEPT_RELEASES
+    if not is_unknown and (peer.connected or is_kept):
         peer.releases.append(release)
 
 
@@ -223,32 +228,48 @@
 
 
 def _advance(state: EntryState, claim: OwnClaim, now: float) -> None:
-    """Withdraws or repeats claims behind one that is held, and settles the claim if it can."""
-    if claim.settled or not claim.begun:
+    """Makes the claims that are missing, one behind the other, and settles the claim if it can.
+
+    Claims behind one that is held are withdrawn until that one is granted.
+    """
+    if not claim.begun or claim.request.verdict is not None:
         return
     _replace_lost(state, claim)
-    granted = list(takewhile(lambda replica: replica.state in ANSWERED_STATES, claim.replicas))
-    following = claim.replicas[len(granted) :]
-    if following and following[0].state == ReplicaState.HELD:
-        _withdraw(state, claim, following[1:], now)
-    elif following and following[0].state == ReplicaState.WITHDRAWN:
-        _send_claim(state, claim, following[0], now)
+    for position, replica in enumerate(claim.replicas):
+        if replica.state == ReplicaState.WITHDRAWN:
+            _send_claim(state, claim, replica, now)
+        if replica.state == ReplicaState.HELD and not claim.settled:
+            _withdraw(state, claim, claim.replicas[position + 1 :], now)
+            return
+        if replica.state not in ANSWERED_STATES:
+            return
     _settle(state, claim, now)
 
 
 def _replace_lost(state: EntryState, claim: OwnClaim) -> None:
     """Adds the next registrars in rank for those that are out of reach."""
-    known = {replica.address for replica in claim.replicas}
     missing = REGISTRARS - sum(replica.state != ReplicaState.LOST for replica in claim.replicas)
     if missing <= 0:
         return
+    known = {replica.address for replica in claim.replicas}
     request_id = claim.request.specification.request_id
     others = [item for item in _rank_registrars(state, request_id) if item not in known]
     for address in others[:missing]:
-        replica = Replica(address=address)
-        # It is claimed as soon as those before it are granted.
-        replica.state = ReplicaState.WITHDRAWN
-        claim.replicas.append(replica)
+        _insert_replica(state, claim, address)
+
+
+def _insert_replica(state: EntryState, claim: OwnClaim, address: str) -> None:
+    """Adds a registrar at its place in rank; it is asked once those before it have granted."""
+    replica = Replica(address=address)
+    replica.state = ReplicaState.WITHDRAWN
+    claim.replicas.append(replica)
+    claim.replicas.sort(key=lambda item: _rank_address(state, claim, item.address))
+
+
+def _rank_address(state: EntryState, claim: OwnClaim, address: str) -> int:
+    peer = state.peers.get(address)
+    instance = peer.name if peer is not None else get_instance(state.name)
+    return rank_registrar(instance, claim.request.specification.request_id)
 
 
 def _withdraw(state: EntryState, claim: OwnClaim, replicas: list[Replica], now: float) -> None:
@@ -274,13 +295,12 @@
 
 
 def add_replica(state: EntryState, claim: OwnClaim, peer: Peer, now: float) -> None:
-    """Claims a request at a registrar that could not be reached before."""
+    """Claims a request at a registrar that could not be reached before, if it ranks high enough."""
     known = {replica.address for replica in claim.replicas}
     chosen = _rank_registrars(state, claim.request.specification.request_id)[:REGISTRARS]
-    if claim.settled and peer.address in chosen and peer.address not in known:
-        replica = Replica(address=peer.address)
-        claim.replicas.append(replica)
-        _send_claim(state, claim, replica, now)
+    if claim.begun and peer.address in chosen and peer.address not in known:
+        _insert_replica(state, claim, peer.address)
+        _advance(state, claim, now)
 
 
 def move_replicas(state: EntryState, before: Peer, after: Peer, now: float) -> None:
@@ -295,7 +315,7 @@
 
 
 def lose_replicas(state: EntryState, address: str, now: float) -> None:
-    """Leaves out a registrar that can't be reached.
+    """Has other registrars asked in place of one that can't be reached.
 
     While another entry has a claim there, it is waited for until that one's tasks have ended if its
     process has.
@@ -304,10 +324,11 @@
         for replica in claim.replicas:
             if replica.address != address:
                 continue
-            if replica.state == ReplicaState.PENDING:
-                replica.state = ReplicaState.LOST
-            elif replica.state == ReplicaState.HELD:
+            if replica.state == ReplicaState.HELD:
                 replica.timeout_at = min(replica.timeout_at, now + RUN_EXPIRY_SECONDS)
+            elif replica.state != ReplicaState.WITHDRAWN:
+                replica.state = ReplicaState.LOST
+                replica.timeout_at = math.inf
         _advance(state, claim, now)
 
 
--- a/src/comfreysill/placement/peer_links.py
+++ b/src/comfreysill/placement/peer_links.py
@@ -24,10 +24,10 @@
 from comfreysill.placement.registrar import deliver_late_replies
 from comfreysill.placement.state import EntryState, count, note_event
 
-# Links are kept to so many other entries that can be reached; all entries choose the same ones as
-# far as they know the same ones.
-MAX_PEERS = 16
-# A peer that could not be reached for so long is no longer counted among MAX_PEERS.
+# So many entries that can be reached keep claims; all entries choose the same ones as far as they
+# know the same ones.
+MAX_REGISTRARS = 16
+# A peer that could not be reached for so long is no longer counted among MAX_REGISTRARS.
 PEER_FAILURE_SECONDS = 5.0
 # An entry that hasn't answered a claim for so long isn't asked until it sends something.
 OVERDUE_REPLY_SECONDS = 0.2
@@ -60,11 +60,17 @@
 
 
 def _choose_peers(state: EntryState, now: float) -> set[str]:
+    """Returns the addresses of the entries that keep claims; also decides whether this one does."""
     chosen = set()
-    needed_count = MAX_PEERS
-    for address in sorted(state.entries[1:], key=rank_peer):
+    needed_count = MAX_REGISTRARS
+    state.is_registrar = False
+    for address in sorted(state.entries, key=rank_peer):
         if needed_count <= 0:
             break
+        if address == state.entries[0]:
+            state.is_registrar = True
+            needed_count -= 1
+            continue
         chosen.add(address)
         peer = state.peers.get(address)
         needed_count -= peer is None or not (peer.duplicate or _is_failing(peer, now))
@@ -90,7 +96,6 @@
     peer.owes_since = math.inf
     peer.sent_at = now
     peer.claims.clear()
-    peer.releases.clear()
     open_claims = [
         build_claim(claim, replica, now)
         for claim in state.claims.values()
@@ -98,8 +103,13 @@
         if replica.address == address and replica.state != ReplicaState.WITHDRAWN
     ]
     frame = ClaimsFrame(
-        entry=state.name, session=peer.session, opening=True, claims=open_claims, releases=[]
+        entry=state.name,
+        session=peer.session,
+        opening=True,
+        claims=open_claims,
+        releases=peer.releases,
     )
+    peer.releases = []
     state.effects.append(SendClaims(address=address, frame=frame))
     return peer.session
 
@@ -145,9 +155,10 @@
 def end_peer_session(state: EntryState, address: str, session: int, now: float) -> None:
     """Records that a session with a registrar was closed."""
     peer = state.peers.get(address)
-    if peer is None or peer.session != session:
+    if peer is None or peer.duplicate or peer.session != session:
         return
     peer.connected = False
+    peer.releases = [release for release in peer.releases if release.verdict is not None]
     if peer.usable:
         peer.unreachable_since = now
         note_event(state, "peer lost", peer=peer.name, address=address)
@@ -190,10 +201,25 @@
         silent_since = max(peer.opened_at, peer.unreachable_since)
         is_silent = not peer.usable and now - silent_since > PEER_SILENCE_SECONDS
         if peer.connected and is_silent:
+            _send_closing_frame(state, peer)
             state.effects.append(ClosePeerSession(address=peer.address, session=peer.session))
             end_peer_session(state, peer.address, peer.session, now)
 
 
+def _send_closing_frame(state: EntryState, peer: Peer) -> None:
+    """Queues the frame that tells a registrar that this process goes on without the session."""
+    frame = ClaimsFrame(
+        entry=state.name,
+        session=peer.session,
+        opening=False,
+        claims=[],
+        releases=peer.releases,
+        closing=True,
+    )
+    peer.releases = []
+    state.effects.append(SendClaims(address=peer.address, frame=frame))
+
+
 def _mark_heartbeats(state: EntryState, now: float) -> None:
     kept = {replica.address for claim in state.claims.values() for replica in claim.replicas}
     for peer in state.peers.values():
@@ -212,8 +238,8 @@
             entry=state.name,
             session=peer.session,
             opening=False,
-            claims=peer.claims,
+            claims=list(peer.claims.values()),
             releases=peer.releases,
         )
-        peer.claims, peer.releases = [], []
+        peer.claims, peer.releases = {}, []
         state.effects.append(SendClaims(address=peer.address, frame=frame))
--- a/src/comfreysill/placement/peers.py
+++ b/src/comfreysill/placement/peers.py
@@ -28,8 +28,9 @@
         unreachable_since: Boot-clock time in seconds since which it is not usable, 0 while it is.
         sent_at: Boot-clock time in seconds of the last frame sent to it, 0 before the first.
         heartbeat_due: True if a frame is to be sent though there is nothing to tell.
-        claims: Claims for the next frame.
-        releases: Ended claims for the next frame.
+        claims: Claims for the next frame, by number.
+        releases: Ended claims for the next frame; those with a verdict are kept for a next session
+            while there is none.
     """
 
     __slots__ = (
@@ -60,7 +61,7 @@
         self.unreachable_since = now
         self.sent_at = 0.0
         self.heartbeat_due = False
-        self.claims: list[ClaimRequest] = []
+        self.claims: dict[int, ClaimRequest] = {}
         self.releases: list[ClaimRelease] = []
 
 
--- a/src/comfreysill/placement/registrar.py
+++ b/src/comfreysill/placement/registrar.py
@@ -1,11 +1,13 @@
 """What an entry does as a registrar: it keeps the claims of all entries, and its own."""
 
 from comfreysill.claims.registry import (
+    get_instance,
     receive_claim,
     receive_release,
     record_absence,
     record_frame,
     record_session,
+    record_suspension,
     take_late_replies,
 )
 from comfreysill.exchange.claims import ClaimRepliesFrame, ClaimReply, ClaimsFrame, ClaimStatus
@@ -22,16 +24,18 @@
         state.claimants[frame.entry] = frame.session
         _reply(state, frame.entry, [])
         return
-    if frame.opening and frame.session > newest:
-        state.claimants[frame.entry] = frame.session
-        request_ids = {item.request_id for item in frame.claims}
-        record_session(state.registry, frame.entry, request_ids, now)
-    elif frame.session != newest:
+    is_new = frame.opening and frame.session > newest
+    if not is_new and frame.session != newest:
         count(state, "frames_stale")
         return
-    record_frame(state.registry, frame.entry, now)
     for release in frame.releases:
         receive_release(state.registry, frame.entry, release, now)
+    if is_new:
+        _open_session(state, frame, now)
+    record_frame(state.registry, frame.entry, now)
+    if frame.closing:
+        record_suspension(state.registry, frame.entry, now)
+        return
     replies = [receive_claim(state.registry, frame.entry, item, now) for item in frame.claims]
     for reply in replies:
         if reply.status != ClaimStatus.GRANTED:
@@ -47,6 +51,16 @@
         _reply(state, frame.entry, replies)
 
 
+def _open_session(state: EntryState, frame: ClaimsFrame, now: float) -> None:
+    instance = get_instance(frame.entry)
+    for entry in list(state.claimants):
+        if get_instance(entry) == instance:
+            del state.claimants[entry]
+    state.claimants[frame.entry] = frame.session
+    request_ids = {item.request_id for item in frame.claims}
+    record_session(state.registry, frame.entry, request_ids, now)
+
+
 def _reply(state: EntryState, entry: str, replies: list[ClaimReply]) -> None:
     session = state.claimants.get(entry, 0)
     if session:
--- a/src/comfreysill/placement/state.py
+++ b/src/comfreysill/placement/state.py
@@ -246,6 +246,7 @@
         subset_due_at: Boot-clock time in seconds at which the subset is chosen again.
         entries: Addresses of entries, its own first; sent to agents for their announcements.
         peers: Other entries to which a link was requested, by address.
+        is_registrar: Whether other entries choose this one to keep claims, as far as it knows.
         last_peer_session: Number of the newest session with any of them, 0 before the first.
         linking_until: Boot-clock time in seconds until which requests wait for the links to the
             first of them, 0 before these were requested.
@@ -288,6 +289,7 @@
         "subset_due_at",
         "entries",
         "peers",
+        "is_registrar",
         "last_peer_session",
         "linking_until",
         "registry",
@@ -337,6 +339,7 @@
         self.subset_due_at = 0.0
         self.entries: list[str] = []
         self.peers: dict[str, Peer] = {}
+        self.is_registrar = True
         self.last_peer_session = 0
         self.linking_until = 0.0
         self.registry = ClaimRegistry()
--- a/src/comfreysill/wire/claims.py
+++ b/src/comfreysill/wire/claims.py
@@ -16,6 +16,8 @@
 from comfreysill.wire.exchange import check_name, check_number
 
 MIN_SECONDS = 0.001
+# Maximum number of claims and releases in a frame.
+MAX_CLAIMS = 20_000
 # 0 stands for no verdict; the others are their values plus this.
 VERDICT_OFFSET = 1
 
@@ -35,6 +37,7 @@
             )
             for release in frame.releases
         ],
+        closing=frame.closing,
     )
 
 
@@ -50,6 +53,8 @@
     Raises:
         FrameError: A field is out of range.
     """
+    if len(message.claims) + len(message.releases) > MAX_CLAIMS:
+        raise FrameError(f"claims: {len(message.claims) + len(message.releases)}")
     return ClaimsFrame(
         entry=check_name(message.entry, "entry"),
         session=message.session,
@@ -63,6 +68,7 @@
             )
             for release in message.releases
         ],
+        closing=message.closing,
     )
 
 
--- a/tests/platform_world.py
+++ b/tests/platform_world.py
@@ -621,7 +621,8 @@
         if other.lifetime == other_lifetime:
             name = f"{claimant}@{lifetime}"
             cut_seconds = max(0.0, self.cut_until.get((claimant, registrar), 0.0) - self.now)
-            self.schedule(cut_seconds, self.deliver_end, other, other_lifetime, name, session)
+            delay = HOP_SECONDS + cut_seconds
+            self.schedule(delay, self.deliver_end, other, other_lifetime, name, session)
 
     def deliver_end(self, process, lifetime, name, session):
         if process.lifetime == lifetime:
--- a/tests/test_platform_floor.py
+++ b/tests/test_platform_floor.py
@@ -87,9 +87,31 @@
     "freeze_agent_long",
     "end_connections_late",
 )
+DEPARTING_FAULTS = (
+    "submit_impatient",
+    "submit_impatient",
+    "submit_impatient",
+    "submit_impatient",
+    "break_connections",
+    "break_connections",
+    "hold_path",
+    "hold_path",
+    "end_connections_late",
+    "reset",
+    "reset_peers",
+    "freeze_entry",
+    "cut_to_agent",
+    "slow",
+    "crash",
+    "normal_speed",
+)
 REFUSING_FAULTS = (*LATE_FAULTS, "refuse", "refuse", "refuse_silently")
 # Seconds from the end of a caller's wait until the end of its connection is seen.
 END_DELAYS = (0.001, 0.02, 0.3, 1.3, 2.5, NEVER)
+# Seconds for which the path to an entry holds what callers send, and after which their connections
+# break unseen.
+PATH_DELAYS = (0.0, 0.3, 1.4, 2.0, 2.6, 3.5)
+BREAK_DELAYS = (0.05, 0.3, 0.8, NEVER)
 SPEEDS = {"hang": 0.0, "slow": 0.15, "normal_speed": 1.0}
 
 
@@ -109,6 +131,7 @@
 IMPATIENT_STEPS = draw_steps(IMPATIENT_FAULTS)
 LATE_STEPS = draw_steps(LATE_FAULTS)
 ASKING_STEPS = draw_steps(ASKING_FAULTS)
+DEPARTING_STEPS = draw_steps(DEPARTING_FAULTS)
 REFUSING_STEPS = draw_steps(REFUSING_FAULTS)
 
 
@@ -140,6 +163,13 @@
         world.schedule(number / 50, submit_impatient, world, entry, number, seconds)
         pause = measure_wait(number, seconds) + RESEND_DELAY_SECONDS + seconds / 4
         world.schedule(0.05, world.freeze, world.entries[entry], pause)
+    elif fault == "break_connections":
+        world.draw_break_delay = lambda: BREAK_DELAYS[number % len(BREAK_DELAYS)]
+    elif fault == "hold_path":
+        delay = PATH_DELAYS[number % len(PATH_DELAYS)]
+        world.draw_path_delay = lambda asked: delay if asked == entry else 0.0
+    elif fault == "reset_peers":
+        world.drop_peer_link(entry, world.choose_entry())
     elif fault == "reset":
         world.drop_link(entry, agent)
     elif fault == "crash":
@@ -308,6 +338,14 @@
             world.draw_end_delay = lambda: world.random.choice(END_DELAYS)
         self.run_steps(world, steps, settling_seconds=30.0)
 
+    # Guards against runs of callers that have left unseen, or whose requests come late, beside runs
+    # of the entry that they ask next.
+    @fuzz(EXAMPLES, DEPARTING_STEPS, st.integers(0, 1000))
+    def test_no_task_runs_twice_beside_callers_that_leave_unseen(self, steps, seed):
+        world = World(seed, entries=3)
+        world.draw_end_delay = lambda: NEVER
+        self.run_steps(world, steps, settling_seconds=30.0)
+
     @fuzz(EXAMPLES, REFUSING_STEPS, st.integers(0, 1000))
     def test_no_task_runs_twice_while_runners_that_are_up_refuse_connections(self, steps, seed):
         self.run_steps(World(seed), steps, settling_seconds=40.0)
@@ -318,6 +356,8 @@
             apply_fault(world, fault, number, pause)
             world.run(0.05 + pause / 2)
         world.call_loss_probability = world.max_reply_delay = 0.0
+        world.draw_break_delay = lambda: NEVER
+        world.draw_path_delay = lambda asked: 0.0
         for agent in world.agents:
             world.set_speed(agent, 1.0)
             world.runners[agent].set_cpu(CPU_CAPACITY)
