--- a/tests/platform_world.py
+++ b/tests/platform_world.py
@@ -309,6 +309,12 @@
         # Tests replace it: seconds from the end of a caller's wait until the end of its connection
         # is seen, NEVER if it isn't.
         self.draw_end_delay = lambda: HOP_SECONDS
+        # Tests replace it: seconds for which the path from a caller holds its request and the end
+        # of its connection.
+        self.draw_path_delay = lambda entry: 0.0
+        # Tests replace it: seconds from the sending until the connection breaks at its caller,
+        # NEVER if it doesn't. The entry isn't told before `draw_end_delay` says so.
+        self.draw_break_delay = lambda: NEVER
         # Whether a process that wakes reads from agents first, and from callers after that.
         self.reads_callers_last = False
         self.callers = {}
@@ -670,10 +676,19 @@
         caller = self.next_caller
         self.next_caller += 1
         self.callers[caller] = (request_id, entry)
-        wait = self.waits.get(request_id, NEVER)
+        wait = min(self.waits.get(request_id, NEVER), self.draw_break_delay())
+        path_delay = self.draw_path_delay(entry)
         if wait != NEVER:
-            self.schedule(wait, self.stop_waiting, caller)
-        self.run_or_defer(process, self.handle_request, process, caller, request_id, self.now)
+            self.schedule(wait, self.stop_waiting, caller, path_delay)
+        if path_delay:
+            lifetime = process.lifetime
+            self.schedule(path_delay, self.deliver_request, process, lifetime, caller, request_id)
+        else:
+            self.run_or_defer(process, self.handle_request, process, caller, request_id, self.now)
+
+    def deliver_request(self, process, lifetime, caller, request_id):
+        if process.lifetime == lifetime:
+            self.run_or_defer(process, self.handle_request, process, caller, request_id, self.now)
 
     def handle_request(self, process, caller, request_id, sent_at):
         unread_seconds = POLL_SECONDS
@@ -694,7 +709,7 @@
     def choose_entry(self):
         return self.random.choice(sorted(self.entries))
 
-    def stop_waiting(self, caller):
+    def stop_waiting(self, caller, path_delay=0.0):
         """Lets a caller without an answer close its connection, and send its request again."""
         if caller not in self.callers:
             return
@@ -703,7 +718,9 @@
         if end_delay != NEVER:
             process = self.entries[entry]
             lifetime = process.lifetime
-            self.schedule(end_delay, self.deliver_disconnect, process, lifetime, caller)
+            self.schedule(
+                path_delay + end_delay, self.deliver_disconnect, process, lifetime, caller
+            )
         self.schedule(RESEND_DELAY_SECONDS, self.send_request, request_id, self.choose_entry())
 
     def deliver_disconnect(self, process, lifetime, caller):
