--- a/standins/platform_deployment.py
+++ b/standins/platform_deployment.py
@@ -87,6 +87,45 @@
         return f"{self.network}.9.1:{STORE_PORT}"
 
 
+class Run:
+    """A run of a task, by the log of its runner.
+
+    Attributes:
+        task: Name of the task at runners.
+        log: Name of the log.
+        started_at: Unix time in seconds of its start.
+        ended_at: Unix time in seconds of its end.
+    """
+
+    __slots__ = ("task", "log", "started_at", "ended_at")
+
+    def __init__(self, *, task: str, log: str, started_at: float, ended_at: float) -> None:
+        self.task = task
+        self.log = log
+        self.started_at = started_at
+        self.ended_at = ended_at
+
+
+class Overlap:
+    """Two runs of a task at the same time.
+
+    Attributes:
+        first: The run that began first.
+        second: The one that began during it.
+    """
+
+    __slots__ = ("first", "second")
+
+    def __init__(self, *, first: Run, second: Run) -> None:
+        self.first = first
+        self.second = second
+
+    @property
+    def seconds(self) -> float:
+        """Time for which both ran, in seconds."""
+        return min(self.first.ended_at, self.second.ended_at) - self.second.started_at
+
+
 async def start_platform_deployment(deployment: PlatformDeployment) -> None:
     """Starts all processes and waits until the entries are ready.
 
@@ -295,27 +334,50 @@
 
 def read_overlaps(folder: pathlib.Path) -> list[str]:
     """Returns a line for each start of a task during another run of that task."""
+    return [
+        f"{item.first.task} on {item.first.log} and {item.second.log} for {item.seconds:.2f} s"
+        for item in find_overlaps(folder)
+    ]
+
+
+def find_overlaps(folder: pathlib.Path) -> list[Overlap]:
+    """Returns the starts of a task during another run of that task, in the order of their times.
+
+    A run whose end isn't logged lasts until the last event.
+    """
+    events = _read_events(folder)
+    running: dict[str, list[Run]] = {}
+    overlaps = []
+    for logged_at, is_start, task, log in events:
+        if is_start:
+            run = Run(task=task, log=log, started_at=logged_at, ended_at=events[-1][0])
+            runs = running.setdefault(task, [])
+            if runs:
+                overlaps.append(Overlap(first=runs[0], second=run))
+            runs.append(run)
+        else:
+            for ended in list(running) if task == ALL_TASKS else [task]:
+                running[ended] = _end_runs(running.get(ended, []), log, logged_at)
+    return overlaps
+
+
+def _read_events(folder: pathlib.Path) -> list[tuple[float, bool, str, str]]:
+    """Returns the time of each event, whether it is a start, the task, and the log, by time."""
     events = []
-    for log in sorted(folder.glob("starts-*.log")):
+    for log in folder.glob("starts-*.log"):
         for line in log.read_text().splitlines():
             logged_at, event, task, _ = json.loads(line)
             if event != LATE_EVENT:
                 events.append((logged_at, event == "start", task, log.name))
-    running: dict[str, str] = {}
-    overlaps = []
-    for _, is_start, task, log_name in sorted(events):
-        if task == ALL_TASKS:
-            running = {
-                name: other_log for name, other_log in running.items() if other_log != log_name
-            }
-        elif not is_start:
-            if running.get(task) == log_name:
-                del running[task]
-        elif task in running:
-            overlaps.append(f"{task} on {running[task]} and {log_name}")
-        else:
-            running[task] = log_name
-    return overlaps
+    return sorted(events)
+
+
+def _end_runs(runs: list[Run], log: str, ended_at: float) -> list[Run]:
+    """Ends the runs at one runner; returns the others."""
+    for run in runs:
+        if run.log == log:
+            run.ended_at = ended_at
+    return [run for run in runs if run.log != log]
 
 
 async def _await_status(url: str, status: int) -> None:
