Soak: paths that hold, breaks that callers alone see, and callers that leave early

Without the three the draws from the seeded generator are as before. submit_job takes leave_seconds.

--- a/standins/platform_deployment.py
+++ b/standins/platform_deployment.py
@@ -6,6 +6,7 @@
 import asyncio
 import base64
 import json
+import math
 import os
 import pathlib
 import sys
@@ -282,6 +283,7 @@
     tasks: int = 3,
     payload: str = "0.15",
     wait_seconds: float = 0.0,
+    leave_seconds: float = math.inf,
 ) -> tuple[int, str]:
     """Submits a best-effort job of one step.
 
@@ -292,7 +294,10 @@
         job_id: ID of the job.
         tasks: Number of tasks.
         payload: Run time of each task in seconds, perhaps after `CRASH_PREFIX`.
-        wait_seconds: Time after which the caller closes the connection, 0 for no limit.
+        wait_seconds: Time after which the caller closes the connection, 0 for no limit. It is told
+            to the entry.
+        leave_seconds: Time after which the caller closes the connection though it has told the
+            entry another one.
 
     Returns:
         Status and state of the answer, the state empty if there is none; status 0 and the error
@@ -307,7 +312,7 @@
     if wait_seconds:
         headers["X-Deadline-Ms"] = str(round(wait_seconds * 1000))
     try:
-        async with asyncio.timeout(wait_seconds or None):
+        async with asyncio.timeout(min(wait_seconds or math.inf, leave_seconds)):
             async with session.post(url, json=body, headers=headers) as answer:
                 document = await answer.json()
                 return answer.status, document.get("state", "")
--- a/standins/soak.py
+++ b/standins/soak.py
@@ -6,15 +6,18 @@
 differ: faults and callers draw from one seeded generator, in an order that depends on timing.
 Callers reuse connections until these break. One that has waited for its time closes its connection;
 after that, a broken connection or an answer that isn't final it submits its request again, to
-another entry. A seed fails if two runs of a task overlap, a request ran although all its answers
-were refusals, a request has no final answer within a time limit after the faults are cleared, a
-process exits unexpectedly, or a task that crashes the runners that start it is started too often.
+another entry. What entries know of callers may come late or never: their proxies hold all that
+passes, or break connections at the callers alone, and callers leave before their wait is over. A
+seed fails if two runs of a task overlap, a request ran although all its answers were refusals, a
+request has no final answer within a time limit after the faults are cleared, a process exits
+unexpectedly, or a task that crashes the runners that start it is started too often.
 """
 
 import argparse
 import asyncio
 import contextlib
 import json
+import math
 import pathlib
 import random
 import signal
@@ -43,7 +46,14 @@
     submit_job,
 )
 from standins.platform_runner import CRASH_EXIT_STATUS, CRASH_PREFIX
-from standins.proxy import Mode, Proxy, reset_connections, start_proxy, stop_proxy
+from standins.proxy import (
+    Mode,
+    Proxy,
+    break_clients,
+    reset_connections,
+    start_proxy,
+    stop_proxy,
+)
 
 ANSWER_TIMEOUT_SECONDS = 25.0
 PROXY_PORT = 8200
@@ -55,6 +65,14 @@
 CALLER_WAITS = (1.0, 1.5, 2.0, 8.0)
 MIN_SPARE_SECONDS = 0.4
 RUN_TIMES = ("0.15", "0.15", "0.6", "1.2")
+# Run times where connections break at callers alone: a run outlasts the time until its caller asks
+# another entry.
+LONG_RUN_TIMES = (*RUN_TIMES, "2.5")
+MAX_HOLD_SECONDS = 5.0
+# For how long an entry isn't told that a connection broke at its caller.
+TOLD_SECONDS = (0.0, 1.5, 3.0, 5.0, math.inf)
+LEAVING_PROBABILITY = 0.5
+MIN_LEAVE_SECONDS = 0.05
 # The third start after three crashes is one too many.
 MAX_STARTS_OF_DEADLY_TASK = 5
 DEADLY_SUBMISSIONS = 4
@@ -83,6 +101,8 @@
         problems: Violations found, one line each.
         configuration_version: Version of the latest configuration sent to the store.
         kinds: Functions that inject faults, to choose from.
+        leaving_until: Monotonic time in seconds until which some of the callers that submit leave
+            before their wait is over.
     """
 
     __slots__ = (
@@ -96,6 +116,7 @@
         "problems",
         "configuration_version",
         "kinds",
+        "leaving_until",
     )
 
     def __init__(self, *, deployment: PlatformDeployment, seed: int) -> None:
@@ -109,6 +130,7 @@
         self.problems: list[str] = []
         self.configuration_version = 4
         self.kinds = list(FAULTS)
+        self.leaving_until = 0.0
 
 
 async def run_seed(
@@ -193,12 +215,14 @@
 async def _submit_until_final(soak: Soak, session: aiohttp.ClientSession, job_id: str) -> None:
     statuses = soak.answers.setdefault(job_id, [])
     tasks = soak.random.randint(1, 4)
-    run_time = soak.random.choice(RUN_TIMES)
+    breaks = _break_connections_at_callers in soak.kinds
+    run_time = soak.random.choice(LONG_RUN_TIMES if breaks else RUN_TIMES)
     wait_seconds = max(soak.random.choice(CALLER_WAITS), float(run_time) + MIN_SPARE_SECONDS)
     entry = soak.random.choice(soak.deployment.entries)
     while True:
+        leave_seconds = _draw_leave_time(soak, wait_seconds)
         status, _ = await submit_job(
-            session, soak.deployment, entry, job_id, tasks, run_time, wait_seconds
+            session, soak.deployment, entry, job_id, tasks, run_time, wait_seconds, leave_seconds
         )
         statuses.append(status)
         # An answer (200) or a refusal (503) is final.
@@ -208,6 +232,13 @@
         await asyncio.sleep(RETRY_SECONDS)
 
 
+def _draw_leave_time(soak: Soak, wait_seconds: float) -> float:
+    """Returns the seconds after which a caller leaves, infinite for one that stays."""
+    if time.monotonic() < soak.leaving_until and soak.random.random() < LEAVING_PROBABILITY:
+        return soak.random.uniform(MIN_LEAVE_SECONDS, wait_seconds)
+    return math.inf
+
+
 def _choose_other(soak: Soak, entry: str) -> str:
     """Returns another entry than the one given, the same if it is the only one."""
     others = [name for name in soak.deployment.entries if name != entry]
@@ -244,6 +275,7 @@
 async def _clear_faults(soak: Soak) -> None:
     for proxy in soak.proxies.values():
         proxy.mode = Mode.PASS
+        proxy.hold_seconds = 0.0
     await set_faults(soak.deployment.store_address, outage=False, delay=0.0, lose_answers=0)
 
 
@@ -343,6 +375,37 @@
         await start_proxy(proxy)
 
 
+def _choose_callers_proxy(soak: Soak) -> tuple[str, Proxy]:
+    name = f"{soak.random.choice(soak.deployment.entries)} callers"
+    return name, soak.proxies[name]
+
+
+async def _hold_path_of_callers(soak: Soak, seconds: float) -> None:
+    """Holds all that passes between an entry and its callers for a time, after `seconds` no more.
+
+    Connections that callers have had answers on before are used on.
+    """
+    name, proxy = _choose_callers_proxy(soak)
+    proxy.hold_seconds = soak.random.uniform(0.0, MAX_HOLD_SECONDS)
+    soak.faults.append(f"hold {name} {proxy.hold_seconds:.1f} for {seconds:.1f}")
+    await asyncio.sleep(seconds)
+    proxy.hold_seconds = 0.0
+
+
+async def _break_connections_at_callers(soak: Soak, seconds: float) -> None:
+    """Breaks the open connections of an entry at their callers; it is told late, or never."""
+    name, proxy = _choose_callers_proxy(soak)
+    told_seconds = soak.random.choice(TOLD_SECONDS)
+    soak.faults.append(f"break {name} told {told_seconds:.1f}")
+    break_clients(proxy, told_seconds)
+
+
+async def _make_callers_leave(soak: Soak, seconds: float) -> None:
+    """Some of the callers that submit within `seconds` leave before their wait is over."""
+    soak.faults.append(f"callers leave {seconds:.1f}")
+    soak.leaving_until = max(soak.leaving_until, time.monotonic() + seconds)
+
+
 async def _change_routes(soak: Soak, seconds: float) -> None:
     soak.configuration_version += soak.random.randint(1, 5)
     soak.faults.append(f"routes {soak.configuration_version}")
@@ -383,6 +446,9 @@
     _refuse_runner_connections,
     _change_routes,
     _submit_deadly_job,
+    _hold_path_of_callers,
+    _break_connections_at_callers,
+    _make_callers_leave,
 )
 
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -2,7 +2,7 @@
 import unittest
 
 from standins.pauses import run_trial
-from standins.soak import run_seed
+from standins.soak import FAULTS, name_fault, run_seed
 
 # Seeds of failures found are added here, each with a line on the cause.
 SEEDS = (11,)
@@ -10,6 +10,14 @@
 # Kinds of faults by which faults that are listed in KNOWN-RED.txt show: a start that is carried out
 # late is known to one entry only, and refused connections count as the end of a runner.
 KNOWN_KINDS = ("crash-beside-late-calls", "inject-runner-fault", "refuse-runner-connections")
+# Kinds of faults that keep from an entry what its callers do.
+CALLER_KINDS = (
+    "hold-path-of-callers",
+    "break-connections-at-callers",
+    "make-callers-leave",
+)
+CALLER_SEEDS = (83,)
+CALLER_SOAK_SECONDS = 10.0
 PAUSE_SEEDS = (41,)
 PAUSE_SOAK_SECONDS = 15.0
 PAUSE_SECONDS = 3.5
@@ -24,7 +32,18 @@
 
     def test_short_seeded_run_without_known_faults(self):
         for seed in PAUSE_SEEDS:
-            call = run_seed(seed, PAUSE_SOAK_SECONDS, entries=3, agents=3, without=KNOWN_KINDS)
+            without = KNOWN_KINDS + CALLER_KINDS
+            call = run_seed(seed, PAUSE_SOAK_SECONDS, entries=3, agents=3, without=without)
+            self.assertEqual(asyncio.run(call), [], f"seed {seed}")
+
+    # Guards against an entry whose tasks run beside those of another one that its callers have
+    # asked since, which it can't know.
+    def test_short_seeded_run_of_callers_that_leave_unseen(self):
+        names = {name_fault(kind) for kind in FAULTS}
+        self.assertLessEqual(set(CALLER_KINDS), names)
+        without = tuple(sorted(names - set(CALLER_KINDS)))
+        for seed in CALLER_SEEDS:
+            call = run_seed(seed, CALLER_SOAK_SECONDS, entries=3, agents=4, without=without)
             self.assertEqual(asyncio.run(call), [], f"seed {seed}")
 
 
