--- a/src/comfreysill/request_trace/holdings.py
+++ b/src/comfreysill/request_trace/holdings.py
@@ -10,7 +10,7 @@
 DEPARTURE_EVENTS = frozenset(
     {
         "request cancelled: its last caller disconnected",
-    "request goes on for another entry",
+        "request goes on for another entry",
         "caller disconnected",
         "caller disconnected after its verdict",
     }
