--- a/src/comfreysill/exchange/claims.py
+++ b/src/comfreysill/exchange/claims.py
@@ -100,9 +100,19 @@
         claims: Claims, in order.
         releases: Ended claims; they come before `claims`.
         cancellations: Cancelled requests; they come before `claims` and after `releases`.
+        closing: True in the last frame of a session that the claimant closes while its process
+            goes on.
     """
 
-    __slots__ = ("entry", "session", "opening", "claims", "releases", "cancellations")
+    __slots__ = (
+        "entry",
+        "session",
+        "opening",
+        "claims",
+        "releases",
+        "cancellations",
+        "closing",
+    )
 
     def __init__(
         self,
@@ -113,6 +123,7 @@
         claims: list[ClaimRequest],
         releases: list[ClaimRelease],
         cancellations: Sequence[Cancellation] = (),
+        closing: bool = False,
     ) -> None:
         self.entry = entry
         self.session = session
@@ -120,6 +131,7 @@
         self.claims = claims
         self.releases = releases
         self.cancellations = cancellations
+        self.closing = closing
 
 
 class ClaimReply:
--- a/src/comfreysill/wire/claims.py
+++ b/src/comfreysill/wire/claims.py
@@ -19,6 +19,8 @@
 from comfreysill.wire.exchange import check_name, check_number
 
 MIN_SECONDS = 0.001
+# Maximum number of claims and releases in a frame.
+MAX_CLAIMS = 20_000
 # 0 stands for no verdict; the others are their values plus this.
 VERDICT_OFFSET = 1
 
@@ -42,6 +44,7 @@
             pb.Cancellation(request_id=item.request_id, number=item.number, seconds=item.seconds)
             for item in frame.cancellations
         ],
+        closing=frame.closing,
     )
 
 
@@ -57,6 +60,8 @@
     Raises:
         FrameError: A field is out of range.
     """
+    if len(message.claims) + len(message.releases) > MAX_CLAIMS:
+        raise FrameError(f"claims: {len(message.claims) + len(message.releases)}")
     return ClaimsFrame(
         entry=check_name(message.entry, "entry"),
         session=message.session,
@@ -78,6 +83,7 @@
             )
             for item in message.cancellations
         ],
+        closing=message.closing,
     )
 
 
