Cancelling broken on purpose: six mutations, and a test that two of them asked for

Entries that aren't told, new links that don't repeat, claims of cancelled requests that are granted, repetitions that are taken, entries that weren't heard and are passed over, and an entry that answers for a job that it has taken alone.

--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -198,6 +198,30 @@
 # Mutations that are run against the tests of `placement`, `execution` and `gateway`, and the fuzzer
 # of the platform.
 PLATFORM_MUTATIONS = {
+    "cancelling-not-told": (
+        "comfreysill.placement.cancelling._tell_peer",
+        lambda original: lambda *a: None,
+    ),
+    "cancelling-not-repeated": (
+        "comfreysill.placement.peer_links.list_known_cancellations",
+        lambda original: lambda *a: [],
+    ),
+    "cancelled-claims-granted": (
+        "comfreysill.claims.registry.is_cancelled",
+        lambda original: lambda *a: False,
+    ),
+    "cancelled-requests-taken": (
+        "comfreysill.placement.requests.is_cancelled",
+        lambda original: lambda *a: False,
+    ),
+    "unheard-entries-ignored": (
+        "comfreysill.placement.cancelling._choose_outcome",
+        lambda original: lambda cancellation, *a: original(cancellation, True, True),
+    ),
+    "lone-holder-answers": (
+        "comfreysill.placement.cancelling._is_granted_elsewhere",
+        lambda original: lambda claim: True,
+    ),
     "sessions-never-expire": (
         "tests.platform_world.expire_links",
         lambda original: lambda *a: None,
@@ -470,6 +494,7 @@
     if name in PLATFORM_MUTATIONS:
         from tests import (
             test_caller_waits,
+            test_cancelling,
             test_confinement,
             test_containment,
             test_crash_ledger,
@@ -488,6 +513,7 @@
         modules = [
             test_execution,
             test_placement,
+            test_cancelling,
             test_told_starts,
             test_subset,
             test_gateway,
--- a/tests/test_cancelling.py
+++ b/tests/test_cancelling.py
@@ -92,6 +92,24 @@
                 self.assertEqual(world.violations, [], f"{killed}, {delay} s")
                 self.assertNotEqual(get_outcomes(world), [], f"{killed}, {delay} s")
 
+    # Guards against a repetition that runs as one of the entries doesn't know of the cancelling.
+    def test_a_repetition_while_some_entries_have_forgotten(self):
+        for forgetful in (ENTRIES[:1], ENTRIES[1:]):
+            for number in range(6):
+                world = build_world()
+                request_id = f"r{number}"
+                submit(world, "e1", request_id)
+                world.run(0.5)
+                world.cancel(request_id, "e2")
+                # Verdicts are kept for less time than cancellings.
+                world.run(15.0)
+                for name in forgetful:
+                    world.entries[name].state.registry.cancelled = CancellationMemory()
+                starts = world.starts
+                world.send_request(request_id, "e0")
+                world.run(8.0)
+                self.assertEqual(world.starts, starts, f"{forgetful}, {request_id}")
+
     # Guards against entries that forget a cancelling when all of them are replaced in turn.
     def test_a_repetition_after_a_rolling_restart(self):
         world = build_world()
