Claims of an earlier process end also if it had closed its session before

Callers saw: a DELETE was answered 503 again and again, for ever; another attempt of the job would have waited for as long. The job's caller didn't say how long it waits.

Cause: an entry that closes its session and goes on is no longer counted as heard, so that the next process of its instance didn't end its claims: only lifetimes that were heard were looked at.

The test failed before.

--- a/src/comfreysill/claims/registry.py
+++ b/src/comfreysill/claims/registry.py
@@ -231,8 +231,12 @@
         now: Boot-clock time in seconds.
     """
     instance = get_instance(entry)
-    for other in list(registry.heard_at):
+    holders = {claim.holder.entry for claim in registry.claims.values()}
+    for other in sorted(holders | registry.heard_at.keys()):
         if other != entry and get_instance(other) == instance:
+            if other not in registry.absent_since:
+                # It may have closed its session before its process ended.
+                record_frame(registry, other, now)
             record_absence(registry, other, now)
     registry.absent_since.pop(entry, None)
     record_frame(registry, entry, now)
--- a/tests/test_cancelling.py
+++ b/tests/test_cancelling.py
@@ -13,11 +13,20 @@
     keep_cancellation,
     list_newest,
 )
+from comfreysill.claims.registry import (
+    ClaimRegistry,
+    expire_claims,
+    receive_cancellation,
+    receive_claim,
+    record_session,
+    record_suspension,
+)
 from comfreysill.exchange.claims import (
     Cancellation,
     CancellationReply,
     CancellationStatus,
     ClaimRepliesFrame,
+    ClaimRequest,
     ClaimsFrame,
 )
 from comfreysill.request.types import CancelOutcome, Verdict
@@ -415,6 +424,29 @@
         self.assertEqual(newest, ["r4", "r3"])
 
 
+class TestRegistry(unittest.TestCase):
+    # Guards against a claim without an end, and a cancelling that is uncertain for ever, as its
+    # holder had closed its session before its process was replaced.
+    def test_the_claim_of_an_earlier_process_that_had_closed_its_session_ends(self):
+        registry = ClaimRegistry()
+        record_session(registry, "f@1", set(), now=0.0)
+        claim = ClaimRequest(request_id="r", number=1, seconds=float("inf"))
+        receive_claim(registry, "f@1", claim, now=0.0)
+        record_suspension(registry, "f@1", now=1.0)
+        expire_claims(registry, 60.0, expiry_seconds=1.0)
+        self.assertIn("r", registry.claims)
+        record_session(registry, "f@2", set(), now=60.0)
+        cancellation = Cancellation(request_id="r", number=1, seconds=10.0)
+        reply = receive_cancellation(registry, "e@1", cancellation, now=60.5)
+        self.assertEqual(reply.status, CancellationStatus.HANDED_ON)
+        expire_claims(registry, 60.9, expiry_seconds=1.0)
+        self.assertIn("r", registry.claims)
+        expire_claims(registry, 61.1, expiry_seconds=1.0)
+        self.assertEqual(registry.claims, {})
+        answers = [item for item in registry.late_replies if item.entry == "e@1"]
+        self.assertEqual([item.reply.status for item in answers], [CancellationStatus.KNOWN])
+
+
 class TestWire(unittest.TestCase):
     def test_frames_are_the_same_after_encoding(self):
         told = Cancellation(request_id="r", number=7, seconds=1.5)
