Entries that wait for each other's request extend it once, not for ever

Callers would see: entries that stand still.

Cause: a registrar tells the holder for how long another claimant waits, in seconds from now. The holder extended its request to that time and told its registrars, who told the other one. What is told arrives later by the time of its way, so that each message extended the request again.

Now a time that is less than 0.25 s later isn't followed. A request that others wait for may stop that much earlier; they take it over then. The test failed before (1,000 frames within a second), and counts few frames now.

--- a/src/comfreysill/placement/claims.py
+++ b/src/comfreysill/placement/claims.py
@@ -29,6 +29,9 @@
 REGISTRARS = 2
 # Another registrar is asked in place of one that hasn't answered a claim for this long.
 CLAIM_TIMEOUT_SECONDS = 0.05
+# Others that wait for a request don't extend it by less. A time that is told arrives later by the
+# time of its way, so that two entries that wait for each other would extend it for ever.
+MIN_EXTENSION_SECONDS = 0.25
 # At most this many verdicts are kept for a registrar without a session.
 MAX_KEPT_RELEASES = 1000
 ANSWERED_STATES = frozenset({ReplicaState.GRANTED, ReplicaState.LOST})
@@ -193,8 +196,10 @@
     if request.verdict is not None:
         return
     if seconds > MAX_STOP_SECONDS:
-        extend_request(state, request, now + seconds - MAX_STOP_SECONDS)
-        renew_claim(state, request, now)
+        stop_at = now + seconds - MAX_STOP_SECONDS
+        if stop_at > request.stop_at + MIN_EXTENSION_SECONDS:
+            extend_request(state, request, stop_at)
+            renew_claim(state, request, now)
     elif not request.callers and not is_awaited(state, request, now):
         end = RemoteEnd(
             request=request, verdict=Verdict.MAY_HAVE_RUN, detail="the callers of all entries left"
