An entry that learns that another one has its request too gives the claim up there

Cause: two entries that each held the claim of a request at one registrar and waited at the other told each other, through the registrars, how long their callers waited; each extended its claim by that and told it again, a few milliseconds later each time. Change: a claim that is settled doesn't wait anywhere; holders are told only of 0.1 s more.

--- a/src/comfreysill/claims/registry.py
+++ b/src/comfreysill/claims/registry.py
@@ -12,6 +12,8 @@
 
 # The final verdict of a request is kept this long for claims that come after its end.
 ENDED_CLAIM_SECONDS = 10.0
+# Holders aren't told of less than this that others wait longer.
+MIN_EXTENSION_SECONDS = 0.1
 # Holders are told that others wait for so long at the most.
 MAX_WAIT_SECONDS = 3600.0
 
@@ -112,8 +114,10 @@
         claimant.expires_at = max(expires_at, claim.holder.expires_at)
         claim.holder = claimant
         return _build_reply(claimant, request_id, ClaimStatus.GRANTED)
+    awaited_until = max((waiter.expires_at for waiter in claim.waiters), default=now)
     _put_waiter(claim, claimant)
-    _notify_holder(registry, request_id, claim, now)
+    if expires_at > awaited_until + MIN_EXTENSION_SECONDS:
+        _notify_holder(registry, request_id, claim, now)
     return _build_reply(claimant, request_id, ClaimStatus.HELD, holder=claim.holder.entry)
 
 
--- a/src/comfreysill/placement/claims.py
+++ b/src/comfreysill/placement/claims.py
@@ -29,6 +29,8 @@
 REGISTRARS = 2
 # Another registrar is asked in place of one that hasn't answered a claim for this long.
 CLAIM_TIMEOUT_SECONDS = 0.05
+# A request isn't extended by less than this for the callers of other entries.
+MIN_EXTENSION_SECONDS = 0.1
 # At most this many verdicts are kept for a registrar without a session.
 MAX_KEPT_RELEASES = 1000
 ANSWERED_STATES = frozenset({ReplicaState.GRANTED, ReplicaState.LOST})
@@ -133,7 +135,8 @@
 def _post_claim(state: EntryState, claim: OwnClaim, replica: Replica, now: float) -> None:
     request = build_claim(claim, replica, now)
     if not replica.address:
-        _apply_reply(state, claim, replica, receive_claim(state.registry, state.name, request, now))
+        reply = receive_claim(state.registry, state.name, request, now)
+        _apply_reply(state, claim, replica, reply, now)
         return
     peer = state.peers.get(replica.address)
     if peer is not None and peer.connected:
@@ -180,7 +183,7 @@
         if reply.status == ClaimStatus.AWAITED:
             _record_wait(state, claim, address, reply.seconds, now)
         else:
-            _apply_reply(state, claim, replica, reply)
+            _apply_reply(state, claim, replica, reply, now)
             _advance(state, claim, now)
         return
 
@@ -193,17 +196,20 @@
     claim.awaited_until[address] = now + seconds
     if request.verdict is not None:
         return
-    if seconds > MAX_STOP_SECONDS:
-        extend_request(state, request, now + seconds - MAX_STOP_SECONDS)
+    stop_at = now + seconds - MAX_STOP_SECONDS
+    if seconds and stop_at > request.stop_at + MIN_EXTENSION_SECONDS:
+        extend_request(state, request, stop_at)
         renew_claim(state, request, now)
-    elif not request.callers and not is_awaited(state, request, now):
+    elif not seconds and not request.callers and not is_awaited(state, request, now):
         end = RemoteEnd(
             request=request, verdict=Verdict.MAY_HAVE_RUN, detail="the callers of all entries left"
         )
         state.remote_ends.append(end)
 
 
-def _apply_reply(state: EntryState, claim: OwnClaim, replica: Replica, reply: ClaimReply) -> None:
+def _apply_reply(
+    state: EntryState, claim: OwnClaim, replica: Replica, reply: ClaimReply, now: float
+) -> None:
     replica.timeout_at = math.inf
     if reply.status == ClaimStatus.GRANTED:
         replica.state = ReplicaState.GRANTED
@@ -220,8 +226,18 @@
     request_id = claim.request.specification.request_id
     text = "claim lost to another entry" if claim.settled else "request waits: another entry has it"
     note_event(state, text, request=request_id, holder=reply.holder)
-    is_granted = any(other.state == ReplicaState.GRANTED for other in claim.replicas)
-    if claim.settled and not is_granted:
+    if claim.settled:
+        _yield_claim(state, claim, replica, now)
+
+
+def _yield_claim(state: EntryState, claim: OwnClaim, replica: Replica, now: float) -> None:
+    """Gives a claim up at a registrar where another entry has it, though this one runs the request.
+
+    The request ends unless another registrar has granted it to this entry.
+    """
+    _send_release(state, claim.request.specification.request_id, replica, None, now)
+    replica.state = ReplicaState.LOST
+    if not any(other.state == ReplicaState.GRANTED for other in claim.replicas):
         detail = "another entry has taken it over"
         end = RemoteEnd(request=claim.request, verdict=Verdict.MAY_HAVE_RUN, detail=detail)
         state.remote_ends.append(end)
