--- a/src/comfreysill/placement/claims.py
+++ b/src/comfreysill/placement/claims.py
@@ -120,6 +120,10 @@
     addresses = {peer.name: peer.address for peer in state.peers.values() if peer.usable}
     if state.is_registrar or not addresses:
         addresses[get_instance(state.name)] = ""
+    if len(addresses) < REGISTRARS:
+        # Those that owe a reply are better than none.
+        silent = [peer for peer in state.peers.values() if peer.connected and not peer.usable]
+        addresses |= {peer.name: peer.address for peer in silent if peer.name}
     ranked = sorted(addresses, key=lambda instance: rank_registrar(instance, request_id))
     return [addresses[instance] for instance in ranked]
 
@@ -141,7 +145,6 @@
     peer = state.peers.get(replica.address)
     if peer is not None and peer.connected:
         peer.claims[request.number] = request
-        peer.owes_since = min(peer.owes_since, now)
 
 
 def build_claim(claim: OwnClaim, replica: Replica, now: float) -> ClaimRequest:
--- a/src/comfreysill/placement/peer_links.py
+++ b/src/comfreysill/placement/peer_links.py
@@ -241,5 +241,7 @@
             claims=list(peer.claims.values()),
             releases=peer.releases,
         )
+        if peer.claims:
+            peer.owes_since = min(peer.owes_since, now)
         peer.claims, peer.releases = {}, []
         state.effects.append(SendClaims(address=peer.address, frame=frame))
