--- a/src/comfreysill/placement/peer_links.py
+++ b/src/comfreysill/placement/peer_links.py
@@ -146,7 +146,7 @@
     note_event(state, "peer linked", peer=frame.entry, address=peer.address)
     for claim in state.claims.values():
         add_replica(state, claim, peer, now)
-    tell_new_peer(state, peer, now)
+    tell_new_peer(state, peer)
     begin_claims(state, now)
 
 
@@ -249,5 +249,7 @@
             releases=peer.releases,
             cancellations=peer.cancellations,
         )
+        if peer.claims or peer.cancellations:
+            peer.owes_since = min(peer.owes_since, now)
         peer.claims, peer.releases, peer.cancellations = {}, [], []
         state.effects.append(SendClaims(address=peer.address, frame=frame))
--- a/src/comfreysill/placement/peers.py
+++ b/src/comfreysill/placement/peers.py
@@ -29,8 +29,8 @@
         connected: True while the session is open.
         usable: True from the first frame of a session until it ends or a reply is long overdue;
             the next reply makes it usable again.
-        owes_since: Boot-clock time in seconds of the first claim sent since its last frame,
-            infinite if there was none.
+        owes_since: Boot-clock time in seconds of the first claim or cancelling sent since its last
+            frame, infinite if there was none.
         opened_at: Boot-clock time in seconds at which the newest session was opened, 0 before the
             first.
         unreachable_since: Boot-clock time in seconds since which it is not usable, 0 while it is.
