--- a/src/comfreysill/claims/registry.py
+++ b/src/comfreysill/claims/registry.py
@@ -7,7 +7,21 @@
 import math
 from collections import deque
 
-from comfreysill.exchange.claims import ClaimRelease, ClaimReply, ClaimRequest, ClaimStatus
+from comfreysill.claims.cancellations import (
+    CancellationMemory,
+    expire_cancellations,
+    is_cancelled,
+    keep_cancellation,
+)
+from comfreysill.exchange.claims import (
+    Cancellation,
+    CancellationReply,
+    CancellationStatus,
+    ClaimRelease,
+    ClaimReply,
+    ClaimRequest,
+    ClaimStatus,
+)
 from comfreysill.request.types import Verdict
 
 # The final verdict of a request is kept this long for claims that come after its end.
@@ -36,19 +50,31 @@
         self.expires_at = expires_at
 
 
+class Canceller:
+    """An entry with the name `entry` that cancels a request; `number` is that of its cancelling."""
+
+    __slots__ = ("entry", "number")
+
+    def __init__(self, *, entry: str, number: int) -> None:
+        self.entry = entry
+        self.number = number
+
+
 class Claim:
     """The claim of one request.
 
     Attributes:
         holder: The claimant that may place the request's tasks.
         waiters: Claimants that wait for its release, in the order of their claims.
+        cancellers: Entries that cancel the request and wait for its release.
     """
 
-    __slots__ = ("holder", "waiters")
+    __slots__ = ("holder", "waiters", "cancellers")
 
     def __init__(self, *, holder: Claimant) -> None:
         self.holder = holder
         self.waiters: list[Claimant] = []
+        self.cancellers: list[Canceller] = []
 
 
 class EndedClaim:
@@ -62,11 +88,11 @@
 
 
 class AddressedReply:
-    """A reply to a claimant's earlier claim, for the entry with the name `entry`."""
+    """A later reply to a claim or a cancelling, for the entry with the name `entry`."""
 
     __slots__ = ("entry", "reply")
 
-    def __init__(self, *, entry: str, reply: ClaimReply) -> None:
+    def __init__(self, *, entry: str, reply: ClaimReply | CancellationReply) -> None:
         self.entry = entry
         self.reply = reply
 
@@ -78,19 +104,29 @@
         claims: Open claims by request id.
         ended: Final verdicts by request id.
         ended_ids: Request ids of final verdicts, oldest first.
+        cancelled: Requests that were cancelled; their claims are refused.
         heard_at: Boot-clock times in seconds of the last frames of claimants with an open session,
             by entry name.
         absent_since: Boot-clock times in seconds at which the sessions of claimants were closed, by
             entry name; entries with an open session are missing.
-        late_replies: Replies to claims that had to wait, for the process to send.
+        late_replies: Replies to claims and cancellings that had to wait, for the process to send.
     """
 
-    __slots__ = ("claims", "ended", "ended_ids", "heard_at", "absent_since", "late_replies")
+    __slots__ = (
+        "claims",
+        "ended",
+        "ended_ids",
+        "cancelled",
+        "heard_at",
+        "absent_since",
+        "late_replies",
+    )
 
     def __init__(self) -> None:
         self.claims: dict[str, Claim] = {}
         self.ended: dict[str, EndedClaim] = {}
         self.ended_ids: deque[str] = deque()
+        self.cancelled = CancellationMemory()
         self.heard_at: dict[str, float] = {}
         self.absent_since: dict[str, float] = {}
         self.late_replies: list[AddressedReply] = []
@@ -108,6 +144,9 @@
         ended = registry.ended.get(request_id)
         if ended is not None and ended.expires_at > now:
             return _build_reply(claimant, request_id, ClaimStatus.ENDED, verdict=ended.verdict)
+    if is_cancelled(registry.cancelled, request_id, now):
+        return _build_reply(claimant, request_id, ClaimStatus.ENDED, verdict=Verdict.CANCELLED)
+    if claim is None:
         registry.claims[request_id] = Claim(holder=claimant)
         return _build_reply(claimant, request_id, ClaimStatus.GRANTED)
     if claim.holder.entry == entry:
@@ -123,6 +162,8 @@
 
 def receive_release(registry: ClaimRegistry, entry: str, release: ClaimRelease, now: float) -> None:
     """Processes the end of a claim; queues the replies to those that wait for it."""
+    if release.verdict == Verdict.CANCELLED:
+        keep_cancellation(registry.cancelled, release.request_id, now)
     claim = registry.claims.get(release.request_id)
     if claim is None:
         _record_end(registry, release, now)
@@ -134,6 +175,7 @@
         _grant_next(registry, release.request_id, claim, now)
         return
     del registry.claims[release.request_id]
+    _answer_cancellers(registry, release.request_id, claim)
     _record_end(registry, release, now)
     for waiter in claim.waiters:
         _queue_reply(
@@ -151,6 +193,36 @@
     registry.ended_ids.append(release.request_id)
 
 
+def receive_cancellation(
+    registry: ClaimRegistry, entry: str, cancellation: Cancellation, now: float
+) -> CancellationReply:
+    """Processes the cancelling of a request; returns the reply to send at once.
+
+    The holder of its claim and all that wait for it are told that it has ended.
+    """
+    request_id = cancellation.request_id
+    keep_cancellation(registry.cancelled, request_id, now, cancellation.seconds)
+    claim = registry.claims.get(request_id)
+    if claim is None:
+        ended = registry.ended.get(request_id)
+        status = CancellationStatus.UNKNOWN
+        if ended is not None and ended.expires_at > now:
+            was_cancelled = ended.verdict == Verdict.CANCELLED
+            status = CancellationStatus.KNOWN if was_cancelled else CancellationStatus.ENDED
+        return CancellationReply(request_id=request_id, number=cancellation.number, status=status)
+    for claimant in (claim.holder, *claim.waiters):
+        _queue_reply(registry, claimant, request_id, ClaimStatus.ENDED, verdict=Verdict.CANCELLED)
+    claim.waiters.clear()
+    if cancellation.number:
+        claim.cancellers.append(Canceller(entry=entry, number=cancellation.number))
+    return CancellationReply(
+        request_id=request_id,
+        number=cancellation.number,
+        status=CancellationStatus.HANDED_ON,
+        holder=claim.holder.entry,
+    )
+
+
 def record_session(registry: ClaimRegistry, entry: str, request_ids: set[str], now: float) -> None:
     """Records a new session of a claimant, and ends the claims that it doesn't repeat.
 
@@ -163,8 +235,12 @@
         now: Boot-clock time in seconds.
     """
     instance = get_instance(entry)
-    for other in list(registry.heard_at):
+    holders = {claim.holder.entry for claim in registry.claims.values()}
+    for other in sorted(holders | registry.heard_at.keys()):
         if other != entry and get_instance(other) == instance:
+            if other not in registry.absent_since:
+                # It may have closed its session before its process ended.
+                record_frame(registry, other, now)
             record_absence(registry, other, now)
     registry.absent_since.pop(entry, None)
     record_frame(registry, entry, now)
@@ -213,6 +289,7 @@
             _grant_next(registry, request_id, claim, now)
     _forget_absent(registry, now, expiry_seconds)
     _forget_ended(registry, now)
+    expire_cancellations(registry.cancelled, now)
 
 
 def _find_end(registry: ClaimRegistry, holder: Claimant, expiry_seconds: float) -> float:
@@ -252,7 +329,18 @@
     return entry.partition("@")[0]
 
 
+def _answer_cancellers(registry: ClaimRegistry, request_id: str, claim: Claim) -> None:
+    """Queues the replies to those that cancel a request whose holder has ended."""
+    for canceller in claim.cancellers:
+        reply = CancellationReply(
+            request_id=request_id, number=canceller.number, status=CancellationStatus.KNOWN
+        )
+        registry.late_replies.append(AddressedReply(entry=canceller.entry, reply=reply))
+    claim.cancellers.clear()
+
+
 def _grant_next(registry: ClaimRegistry, request_id: str, claim: Claim, now: float) -> None:
+    _answer_cancellers(registry, request_id, claim)
     if not claim.waiters:
         del registry.claims[request_id]
         return
--- a/src/comfreysill/gateway/actor.py
+++ b/src/comfreysill/gateway/actor.py
@@ -14,6 +14,7 @@
     AgentFrameReceived,
     CallerDisconnected,
     Cancel,
+    CancelReply,
     ClaimantDisconnected,
     ClaimRepliesReceived,
     ClaimsReceived,
@@ -45,6 +46,7 @@
     receive_agent_frame,
     release_agent,
 )
+from comfreysill.placement.cancelling import begin_cancellation
 from comfreysill.placement.crashes import judge_crashes, receive_crash
 from comfreysill.placement.effects import (
     ClosePeerSession,
@@ -55,6 +57,7 @@
     OpenPeerLink,
     RemoveLink,
     RemovePeerLink,
+    SendCancelReply,
     SendClaimReplies,
     SendClaims,
     SendFrame,
@@ -80,7 +83,7 @@
 )
 from comfreysill.placement.state import EntryState, note_event
 from comfreysill.placement.subset import update_subset
-from comfreysill.request.types import CallerWait, Specification, Verdict
+from comfreysill.request.types import CallerWait, CancelOutcome, Specification, Verdict
 from comfreysill.routes.table import choose_newer
 
 logger = logging.getLogger(__name__)
@@ -99,6 +102,7 @@
         peer_links: Links to other entries by address, connected or connecting.
         claimants: Open sessions of other entries, by name.
         pending_replies: Futures of replies, by number of the waiting caller.
+        pending_cancels: Futures of answers to callers that have cancelled a request, by number.
         last_caller_number: Number of the newest caller, 0 before the first.
         routes_text: Undecoded routing document in use, empty if there is none.
         routes_sources: Addresses of entries to fetch the routing document from.
@@ -113,6 +117,7 @@
         "peer_links",
         "claimants",
         "pending_replies",
+        "pending_cancels",
         "last_caller_number",
         "routes_text",
         "routes_sources",
@@ -127,6 +132,7 @@
         self.peer_links: dict[str, Link] = {}
         self.claimants: dict[str, ClaimantSession] = {}
         self.pending_replies: dict[int, asyncio.Future[Reply]] = {}
+        self.pending_cancels: dict[int, asyncio.Future[CancelReply]] = {}
         self.last_caller_number = 0
         self.routes_text = b""
         self.routes_sources: Mailbox[str] = Mailbox()
@@ -152,6 +158,16 @@
     actor.inbox.post(CallerDisconnected(caller=caller, request_id=request_id))
 
 
+def cancel(actor: Actor, request_id: str) -> asyncio.Future[CancelReply]:
+    """Queues the cancelling of a request; returns the future of the reply."""
+    actor.last_caller_number += 1
+    canceller = actor.last_caller_number
+    future: asyncio.Future[CancelReply] = asyncio.get_running_loop().create_future()
+    actor.pending_cancels[canceller] = future
+    actor.inbox.post(Cancel(canceller=canceller, request_id=request_id))
+    return future
+
+
 def list_members(actor: Actor) -> list[Member]:
     """Returns the entries and agents that this entry knows."""
     state = actor.state
@@ -200,11 +216,7 @@
 
 
 def _receive_cancel(actor: Actor, message: Cancel, now: float) -> None:
-    request = actor.state.requests.get(message.request_id)
-    if request is not None:
-        # Whether a task was placed isn't checked, so NOT_RUN can't be guaranteed.
-        detail = "it was cancelled"
-        conclude_request(actor.state, request, Verdict.MAY_HAVE_RUN, detail, now)
+    begin_cancellation(actor.state, message.canceller, message.request_id, now)
 
 
 def _receive_session_opened(actor: Actor, message: SessionOpened, now: float) -> None:
@@ -351,6 +363,12 @@
     actor.state.effects.append(verdict)
 
 
+def _contain_cancel(actor: Actor, message: Cancel, now: float) -> None:
+    actor.state.cancellations.pop(message.request_id, None)
+    reply = SendCancelReply(canceller=message.canceller, outcome=CancelOutcome.UNCERTAIN)
+    actor.state.effects.append(reply)
+
+
 def _contain_frame(actor: Actor, message: AgentFrameReceived, now: float) -> None:
     contain_failed_frame(actor.state, message.agent, now)
 
@@ -368,6 +386,7 @@
 
 CONTAINMENT: dict[type, Callable[[Actor, EntryStateMessage, float], None]] = {
     Submit: _contain_submit,
+    Cancel: _contain_cancel,
     AgentFrameReceived: _contain_frame,
     ClaimRepliesReceived: _contain_replies,
     ClaimsReceived: _contain_claims,
@@ -465,8 +484,16 @@
     )
 
 
+def _send_cancel_reply(actor: Actor, effect: SendCancelReply, now: float) -> None:
+    future = actor.pending_cancels.pop(effect.canceller, None)
+    if future is not None and not future.done():
+        wait_seconds = math.ceil(effect.retry_at - now) if effect.retry_at else 0
+        future.set_result(CancelReply(outcome=effect.outcome, retry_seconds=max(0, wait_seconds)))
+
+
 EFFECTS: dict[type, Callable[[Actor, Effect, float], None]] = {
     SendVerdict: _send_verdict,
+    SendCancelReply: _send_cancel_reply,
     SendFrame: _send_frame,
     CloseSession: _close_session,
     OpenLink: _open_link,
--- a/src/comfreysill/gateway/program.py
+++ b/src/comfreysill/gateway/program.py
@@ -11,6 +11,7 @@
 from comfreysill.exchange.messages import Member, Role
 from comfreysill.gateway.actor import (
     Actor,
+    cancel,
     is_ready,
     list_members,
     report_disconnect,
@@ -23,7 +24,7 @@
     watch_members,
     watch_routes,
 )
-from comfreysill.gateway.messages import Cancel, ConcludeRequests, EntriesDiscovered, Tick
+from comfreysill.gateway.messages import ConcludeRequests, EntriesDiscovered, Tick
 from comfreysill.gateway.registrar import RegistrarService
 from comfreysill.gateway.roster import RosterService, fetch_routes
 from comfreysill.listeners import Listeners
@@ -37,7 +38,7 @@
 from comfreysill.platform.store import StoreClient, open_store, set_store_address
 from comfreysill.polls import PollTimes, forget_listener, watch_listener
 from comfreysill.reloading import watch_settings
-from comfreysill.request.types import Verdict
+from comfreysill.request.types import FINAL_VERDICTS, Verdict
 from comfreysill.servers import (
     HttpServer,
     begin_http_shutdown,
@@ -219,6 +220,8 @@
         "peers": sum(peer.usable for peer in state.peers.values()),
         "claims": len(state.claims),
         "claims_kept": len(state.registry.claims),
+        "cancellations_kept": len(state.registry.cancelled.expires_at),
+        "cancellations_dropped": state.registry.cancelled.dropped,
         "routes_version": state.routes.version,
         "crashes_known": len(state.crashes.crash_ids),
         "routes_confined": len(state.crashes.confined_until),
@@ -237,16 +240,11 @@
 
     def find_state(request_id: str) -> str | Verdict | None:
         request = state.requests.get(request_id)
-        if request is not None:
+        if request is not None and request.verdict not in FINAL_VERDICTS:
             return "running" if request.begun else "queued"
         cached = state.cached.get(request_id)
         return cached.verdict if cached is not None else None
 
-    def cancel(request_id: str) -> bool:
-        known = request_id in state.requests
-        actor.inbox.post(Cancel(request_id=request_id))
-        return known
-
     def count_waiting(route: str) -> int:
         return sum(
             request.specification.route == route and not request.begun
@@ -258,7 +256,7 @@
         submit=lambda specification, wait: submit(actor, specification, wait),
         report_disconnect=lambda caller, request_id: report_disconnect(actor, caller, request_id),
         find_state=find_state,
-        cancel=cancel,
+        cancel=lambda request_id: cancel(actor, request_id),
         count_waiting=count_waiting,
         is_closing=lambda: actor.stopping,
     )
--- a/src/comfreysill/placement/claims.py
+++ b/src/comfreysill/placement/claims.py
@@ -23,7 +23,7 @@
 from comfreysill.placement.queue import push_request
 from comfreysill.placement.state import EntryState, count, note_event
 from comfreysill.request.request import Request
-from comfreysill.request.types import Verdict
+from comfreysill.request.types import FINAL_VERDICTS, Verdict
 
 # Number of registrars of a request.
 REGISTRARS = 2
@@ -34,7 +34,6 @@
 # At most this many verdicts are kept for a registrar without a session.
 MAX_KEPT_RELEASES = 1000
 ANSWERED_STATES = frozenset({ReplicaState.GRANTED, ReplicaState.LOST})
-FINAL_VERDICTS = frozenset({Verdict.COMPLETED, Verdict.FAILED})
 
 
 def claim_request(state: EntryState, request: Request, now: float) -> None:
@@ -219,10 +218,11 @@
         return
     replica.state = ReplicaState.HELD
     if reply.status == ClaimStatus.ENDED:
-        end = RemoteEnd(
-            request=claim.request, verdict=reply.verdict, detail="another entry has served it"
+        was_cancelled = reply.verdict == Verdict.CANCELLED
+        detail = "it was cancelled" if was_cancelled else "another entry has served it"
+        state.remote_ends.append(
+            RemoteEnd(request=claim.request, verdict=reply.verdict, detail=detail)
         )
-        state.remote_ends.append(end)
         return
     count(state, "claims_held")
     claim.contested = True
--- a/src/comfreysill/placement/effects.py
+++ b/src/comfreysill/placement/effects.py
@@ -2,7 +2,7 @@
 
 from comfreysill.exchange.claims import ClaimRepliesFrame, ClaimsFrame
 from comfreysill.exchange.messages import EntryFrame
-from comfreysill.request.types import Verdict
+from comfreysill.request.types import CancelOutcome, Verdict
 
 
 class SendVerdict:
@@ -27,6 +27,24 @@
         self.retry_at = retry_at
 
 
+class SendCancelReply:
+    """Effect: answers a caller that has cancelled a request.
+
+    Attributes:
+        canceller: Number of the caller.
+        outcome: The answer.
+        retry_at: Boot-clock time in seconds from which it may cancel the request again, 0 unless
+            the outcome is UNCERTAIN.
+    """
+
+    __slots__ = ("canceller", "outcome", "retry_at")
+
+    def __init__(self, *, canceller: int, outcome: CancelOutcome, retry_at: float = 0.0) -> None:
+        self.canceller = canceller
+        self.outcome = outcome
+        self.retry_at = retry_at
+
+
 class SendFrame:
     """Effect: sends a frame to an agent."""
 
@@ -125,6 +143,7 @@
 
 Effect = (
     SendVerdict
+    | SendCancelReply
     | SendFrame
     | CloseSession
     | OpenLink
--- a/src/comfreysill/placement/peer_links.py
+++ b/src/comfreysill/placement/peer_links.py
@@ -5,6 +5,12 @@
 from comfreysill.claims.registry import expire_claims, get_instance
 from comfreysill.exchange.claims import ClaimRepliesFrame, ClaimsFrame
 from comfreysill.exchange.messages import RUN_EXPIRY_SECONDS
+from comfreysill.placement.cancelling import (
+    expire_cancellings,
+    list_known_cancellations,
+    receive_cancellation_reply,
+    tell_new_peer,
+)
 from comfreysill.placement.claims import (
     add_replica,
     begin_claims,
@@ -20,15 +26,13 @@
     RemovePeerLink,
     SendClaims,
 )
-from comfreysill.placement.peers import Peer, ReplicaState, rank_peer
+from comfreysill.placement.peers import Peer, ReplicaState, is_failing, rank_peer
 from comfreysill.placement.registrar import deliver_late_replies
 from comfreysill.placement.state import EntryState, count, note_event
 
 # So many entries that can be reached keep claims; all entries choose the same ones as far as they
 # know the same ones.
 MAX_REGISTRARS = 16
-# A peer that could not be reached for so long is no longer counted among MAX_REGISTRARS.
-PEER_FAILURE_SECONDS = 5.0
 # An entry that hasn't answered a claim for so long isn't asked until it sends something.
 OVERDUE_REPLY_SECONDS = 0.2
 # After so long its session is closed, and the link reconnected.
@@ -73,14 +77,10 @@
             continue
         chosen.add(address)
         peer = state.peers.get(address)
-        needed_count -= peer is None or not (peer.duplicate or _is_failing(peer, now))
+        needed_count -= peer is None or not (peer.duplicate or is_failing(peer, now))
     return chosen
 
 
-def _is_failing(peer: Peer, now: float) -> bool:
-    return not peer.usable and now - peer.unreachable_since > PEER_FAILURE_SECONDS
-
-
 def begin_peer_session(state: EntryState, address: str, now: float) -> int:
     """Records that a session with a registrar was opened; queues the first frame.
 
@@ -96,6 +96,7 @@
     peer.owes_since = math.inf
     peer.sent_at = now
     peer.claims.clear()
+    peer.cancellations.clear()
     open_claims = [
         build_claim(claim, replica, now)
         for claim in state.claims.values()
@@ -108,6 +109,7 @@
         opening=True,
         claims=open_claims,
         releases=peer.releases,
+        cancellations=list_known_cancellations(state, now),
     )
     peer.releases = []
     state.effects.append(SendClaims(address=address, frame=frame))
@@ -125,6 +127,8 @@
         _begin_use(state, peer, frame, now)
     for reply in frame.replies:
         receive_reply(state, address, reply, now)
+    for reply in frame.cancellations:
+        receive_cancellation_reply(state, address, frame.entry, reply, now)
 
 
 def _begin_use(state: EntryState, peer: Peer, frame: ClaimRepliesFrame, now: float) -> None:
@@ -142,6 +146,7 @@
     note_event(state, "peer linked", peer=frame.entry, address=peer.address)
     for claim in state.claims.values():
         add_replica(state, claim, peer, now)
+    tell_new_peer(state, peer)
     begin_claims(state, now)
 
 
@@ -183,6 +188,7 @@
     expire_replicas(state, now)
     _suspend_use(state, now)
     _close_silent_sessions(state, now)
+    expire_cancellings(state, now)
     _mark_heartbeats(state, now)
 
 
@@ -230,7 +236,8 @@
     """Queues the frames to registrars, and the late replies to claimants."""
     deliver_late_replies(state, now)
     for peer in state.peers.values():
-        if not peer.connected or not (peer.claims or peer.releases or peer.heartbeat_due):
+        has_news = peer.claims or peer.releases or peer.cancellations or peer.heartbeat_due
+        if not peer.connected or not has_news:
             continue
         peer.sent_at = now
         peer.heartbeat_due = False
@@ -240,8 +247,9 @@
             opening=False,
             claims=list(peer.claims.values()),
             releases=peer.releases,
+            cancellations=peer.cancellations,
         )
-        if peer.claims:
+        if peer.claims or peer.cancellations:
             peer.owes_since = min(peer.owes_since, now)
-        peer.claims, peer.releases = {}, []
+        peer.claims, peer.releases, peer.cancellations = {}, [], []
         state.effects.append(SendClaims(address=peer.address, frame=frame))
--- a/src/comfreysill/placement/registrar.py
+++ b/src/comfreysill/placement/registrar.py
@@ -10,7 +10,14 @@
     record_suspension,
     take_late_replies,
 )
-from comfreysill.exchange.claims import ClaimRepliesFrame, ClaimReply, ClaimsFrame, ClaimStatus
+from comfreysill.exchange.claims import (
+    CancellationReply,
+    ClaimRepliesFrame,
+    ClaimReply,
+    ClaimsFrame,
+    ClaimStatus,
+)
+from comfreysill.placement.cancelling import receive_cancellation, receive_cancellation_reply
 from comfreysill.placement.claims import receive_reply
 from comfreysill.placement.effects import SendClaimReplies
 from comfreysill.placement.state import EntryState, count, note_event
@@ -22,7 +29,7 @@
     if frame.entry == state.name:
         # Claims that it makes at itself need no session; the reply tells it whom it has reached.
         state.claimants[frame.entry] = frame.session
-        _reply(state, frame.entry, [])
+        _reply(state, frame.entry, [], [])
         return
     is_new = frame.opening and frame.session > newest
     if not is_new and frame.session != newest:
@@ -33,6 +40,10 @@
     if is_new:
         _open_session(state, frame, now)
     record_frame(state.registry, frame.entry, now)
+    cancellations = [
+        receive_cancellation(state, frame.entry, item, now) for item in frame.cancellations
+    ]
+    cancellations = [reply for reply in cancellations if reply.number]
     if frame.closing:
         record_suspension(state.registry, frame.entry, now)
         return
@@ -47,8 +58,8 @@
                 holder=reply.holder,
                 status=reply.status.name,
             )
-    if replies or frame.opening:
-        _reply(state, frame.entry, replies)
+    if replies or cancellations or frame.opening:
+        _reply(state, frame.entry, replies, cancellations)
 
 
 def _open_session(state: EntryState, frame: ClaimsFrame, now: float) -> None:
@@ -61,10 +72,17 @@
     record_session(state.registry, frame.entry, request_ids, now)
 
 
-def _reply(state: EntryState, entry: str, replies: list[ClaimReply]) -> None:
+def _reply(
+    state: EntryState,
+    entry: str,
+    replies: list[ClaimReply],
+    cancellations: list[CancellationReply],
+) -> None:
     session = state.claimants.get(entry, 0)
     if session:
-        frame = ClaimRepliesFrame(entry=state.name, session=session, replies=replies)
+        frame = ClaimRepliesFrame(
+            entry=state.name, session=session, replies=replies, cancellations=cancellations
+        )
         state.effects.append(SendClaimReplies(entry=entry, frame=frame))
 
 
@@ -76,9 +94,13 @@
 
 
 def deliver_late_replies(state: EntryState, now: float) -> None:
-    """Hands on the replies to claims that had to wait."""
+    """Hands on the replies to claims and cancellings that had to wait."""
     for item in take_late_replies(state.registry):
-        if item.entry == state.name:
+        is_claim = isinstance(item.reply, ClaimReply)
+        if item.entry != state.name:
+            replies = ([item.reply], []) if is_claim else ([], [item.reply])
+            _reply(state, item.entry, *replies)
+        elif is_claim:
             receive_reply(state, "", item.reply, now)
         else:
-            _reply(state, item.entry, [item.reply])
+            receive_cancellation_reply(state, "", state.name, item.reply, now)
