Mutations of the claims

Change: eight, among them REGISTRARS = 0 and the reply HELD taken for GRANTED; the tests of claims and of departed callers are run for the mutations of the platform.

Not kept: _withdraw without an effect, and RUN_EXPIRY_SECONDS = 0 at peer_links. The whole of make mutations was not run.

--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -195,6 +195,34 @@
     requeue_start(agent, run, now)
 
 
+def grant_held(original):
+    def apply(state, claim, replica, reply, now):
+        from comfreysill.exchange.claims import ClaimStatus
+
+        if reply.status == ClaimStatus.HELD:
+            reply.status = ClaimStatus.GRANTED
+        original(state, claim, replica, reply, now)
+
+    return apply
+
+
+def grant_any(registry, entry, request, now):
+    from comfreysill.exchange.claims import ClaimReply, ClaimStatus
+
+    return ClaimReply(
+        request_id=request.request_id, number=request.number, status=ClaimStatus.GRANTED
+    )
+
+
+def repeat_no_claims(original):
+    def build(*, address, frame):
+        if frame.opening:
+            frame.claims.clear()
+        return original(address=address, frame=frame)
+
+    return build
+
+
 # Mutations that are run against the tests of `placement`, `execution` and `gateway`, and the fuzzer
 # of the platform.
 PLATFORM_MUTATIONS = {
@@ -421,6 +449,32 @@
         "tests.platform_world.expire_runs",
         lambda original: lambda *a: None,
     ),
+    "requests-not-claimed": (f"{PLACEMENT}.claims.REGISTRARS", lambda original: 0),
+    "held-claims-taken-for-granted": (f"{PLACEMENT}.claims._apply_reply", grant_held),
+    "claims-granted-to-everyone": (
+        f"{PLACEMENT}.registrar.receive_claim",
+        lambda original: grant_any,
+    ),
+    "claims-released-without-a-verdict": (
+        f"{PLACEMENT}.claims.FINAL_VERDICTS",
+        lambda original: frozenset(),
+    ),
+    "claims-not-repeated-on-new-links": (
+        f"{PLACEMENT}.peer_links.SendClaims",
+        repeat_no_claims,
+    ),
+    "silent-registrars-not-replaced": (
+        f"{PLACEMENT}.claims._replace_lost",
+        lambda original: lambda *a: None,
+    ),
+    "requests-placed-before-the-first-links": (
+        f"{PLACEMENT}.claims._is_linking",
+        lambda original: lambda *a: False,
+    ),
+    "waits-of-other-entries-callers-ignored": (
+        f"{PLACEMENT}.claims._record_wait",
+        lambda original: lambda *a: None,
+    ),
     "polls-forgotten": (
         "comfreysill.arrivals.find_earliest_arrival",
         lambda original: lambda poll_times, now: now,
@@ -470,10 +524,13 @@
     if name in PLATFORM_MUTATIONS:
         from tests import (
             test_caller_waits,
+            test_claim_interleavings,
+            test_claims,
             test_confinement,
             test_containment,
             test_crash_ledger,
             test_crashes,
+            test_departed_callers,
             test_execution,
             test_gateway,
             test_late_calls,
@@ -499,6 +556,9 @@
             test_unfinal_starts,
             test_paused_entries,
             test_caller_waits,
+            test_departed_callers,
+            test_claims,
+            test_claim_interleavings,
             test_load_patterns,
             test_platform_floor,
         ]
