--- a/src/comfreysill/placement/requests.py
+++ b/src/comfreysill/placement/requests.py
@@ -61,9 +61,8 @@
     stop_at = compute_stop_at(wait, state.retry_seconds)
     cached = state.cached.get(request_id)
     if cached is not None and cached.expires_at > now:
-        count(state, "requests_repeated")
         _note_submission(state, "request repeated", specification, wait)
-        state.effects.append(SendVerdict(caller=caller, verdict=cached.verdict))
+        _answer_repetition(state, caller, cached.verdict, "")
         return
     request = state.requests.get(request_id)
     if request is not None:
@@ -71,11 +70,8 @@
         _join_request(state, request, waiter, stop_at, now)
         return
     if is_cancelled(state.registry.cancelled, request_id, now):
-        count(state, "requests_repeated")
         note_event(state, "request not taken: it was cancelled", request=request_id)
-        state.effects.append(
-            SendVerdict(caller=caller, verdict=Verdict.CANCELLED, detail="it was cancelled")
-        )
+        _answer_repetition(state, caller, Verdict.CANCELLED, "it was cancelled")
         return
     if now >= stop_at:
         _refuse_unread(state, caller, specification, now, wait)
@@ -91,6 +87,11 @@
     _accept_request(state, caller, request, now)
 
 
+def _answer_repetition(state: EntryState, caller: int, verdict: Verdict, detail: str) -> None:
+    count(state, "requests_repeated")
+    state.effects.append(SendVerdict(caller=caller, verdict=verdict, detail=detail))
+
+
 def _join_request(
     state: EntryState, request: Request, waiter: Waiter, stop_at: float, now: float
 ) -> None:
--- a/src/comfreysill/placement/state.py
+++ b/src/comfreysill/placement/state.py
@@ -5,7 +5,7 @@
 
 from collections import deque
 
-from comfreysill.claims.registry import ClaimRegistry
+from comfreysill.claims.claim import ClaimRegistry
 from comfreysill.crashes.ledger import CrashLedger
 from comfreysill.exchange.messages import Batch, Load, Profile
 from comfreysill.placement.effects import Effect
--- a/tests/test_cancelling.py
+++ b/tests/test_cancelling.py
@@ -13,8 +13,8 @@
     keep_cancellation,
     list_newest,
 )
+from comfreysill.claims.claim import ClaimRegistry
 from comfreysill.claims.registry import (
-    ClaimRegistry,
     expire_claims,
     receive_cancellation,
     receive_claim,
--- a/tests/test_claim_interleavings.py
+++ b/tests/test_claim_interleavings.py
@@ -4,8 +4,8 @@
 import unittest
 from unittest import mock
 
+from comfreysill.claims.claim import ClaimRegistry
 from comfreysill.claims.registry import (
-    ClaimRegistry,
     expire_claims,
     receive_claim,
     receive_release,
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -2,9 +2,9 @@
 
 import unittest
 
+from comfreysill.claims.claim import ClaimRegistry
 from comfreysill.claims.registry import (
     ENDED_CLAIM_SECONDS,
-    ClaimRegistry,
     expire_claims,
     receive_claim,
     receive_release,
