--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -15,8 +15,10 @@
 from comfreysill.floor.document import build_floor
 from comfreysill.keys import hash_key, make_key, matches_any
 from comfreysill.metrics import Metrics, observe_seconds
+from comfreysill.platform.ingress import STATE_NAMES
 
 OPENAPI = pathlib.Path(__file__).parent.parent / "docs" / "openapi.yaml"
+PLATFORM_OPENAPI = OPENAPI.with_name("openapi-platform.yaml")
 METHODS = {"get", "put", "post", "delete", "patch"}
 JOB_PATH = "/v1/teams/t/jobs/j"
 VALID_JOB = {
@@ -43,6 +45,12 @@
     def put(self, body, path=JOB_PATH):
         return self.client.simulate_put(path, body=body)
 
+    def test_states_on_the_platform_match_their_openapi_description(self):
+        (item,) = yaml.safe_load(PLATFORM_OPENAPI.read_text())["paths"].values()
+        content = item["post"]["responses"]["200"]["content"]["application/json"]
+        described = set(content["schema"]["properties"]["state"]["enum"])
+        self.assertEqual(described, set(STATE_NAMES.values()))
+
     def test_routes_match_the_openapi_description(self):
         described = {
             (path, method.upper())
