--- a/src/comfreysill/gateway/messages.py
+++ b/src/comfreysill/gateway/messages.py
@@ -1,8 +1,10 @@
 """Messages to the state task of an entry on the platform, and its replies to callers."""
 
 from comfreysill.crashes.report import CrashReport
+from comfreysill.exchange.claims import ClaimRepliesFrame, ClaimsFrame
 from comfreysill.exchange.messages import AgentFrame, Member
-from comfreysill.request.types import CallerWait, Specification, Verdict
+from comfreysill.mailbox import Mailbox
+from comfreysill.request.types import CallerWait, CancelOutcome, Specification, Verdict
 from comfreysill.routes.table import RouteTable
 
 
@@ -24,6 +26,21 @@
         self.retry_seconds = retry_seconds
 
 
+class CancelReply:
+    """Reply to a caller that has cancelled a request.
+
+    Attributes:
+        outcome: The answer.
+        retry_seconds: Whole seconds after which the caller may cancel it again, 0 if it need not.
+    """
+
+    __slots__ = ("outcome", "retry_seconds")
+
+    def __init__(self, *, outcome: CancelOutcome, retry_seconds: int = 0) -> None:
+        self.outcome = outcome
+        self.retry_seconds = retry_seconds
+
+
 class Submit:
     """A caller has submitted a request.
 
@@ -42,20 +59,22 @@
 
 
 class CallerDisconnected:
-    """The caller with the number `caller` has disconnected."""
+    """The caller with the number `caller`, of the request `request_id`, has disconnected."""
 
-    __slots__ = ("caller",)
+    __slots__ = ("caller", "request_id")
 
-    def __init__(self, *, caller: int) -> None:
+    def __init__(self, *, caller: int, request_id: str) -> None:
         self.caller = caller
+        self.request_id = request_id
 
 
 class Cancel:
-    """A caller has cancelled a request."""
+    """The caller with the number `canceller` has cancelled a request."""
 
-    __slots__ = ("request_id",)
+    __slots__ = ("canceller", "request_id")
 
-    def __init__(self, *, request_id: str) -> None:
+    def __init__(self, *, canceller: int, request_id: str) -> None:
+        self.canceller = canceller
         self.request_id = request_id
 
 
@@ -92,6 +111,62 @@
         self.frame = frame
 
 
+class PeerSessionOpened:
+    """A session with the registrar at an address was opened; the state task numbers it."""
+
+    __slots__ = ("address",)
+
+    def __init__(self, *, address: str) -> None:
+        self.address = address
+
+
+class PeerSessionClosed:
+    """A session with a registrar was closed or has failed, or could not be opened.
+
+    `session` is the number of the newest session, 0 before the first.
+    """
+
+    __slots__ = ("address", "session")
+
+    def __init__(self, *, address: str, session: int) -> None:
+        self.address = address
+        self.session = session
+
+
+class ClaimRepliesReceived:
+    """A frame was received from the registrar at an address."""
+
+    __slots__ = ("address", "frame")
+
+    def __init__(self, *, address: str, frame: ClaimRepliesFrame) -> None:
+        self.address = address
+        self.frame = frame
+
+
+class ClaimsReceived:
+    """A frame was received from a claimant.
+
+    Attributes:
+        frame: The frame.
+        outbox: Frames to send on the same connection; None closes it.
+    """
+
+    __slots__ = ("frame", "outbox")
+
+    def __init__(self, *, frame: ClaimsFrame, outbox: Mailbox[ClaimRepliesFrame | None]) -> None:
+        self.frame = frame
+        self.outbox = outbox
+
+
+class ClaimantDisconnected:
+    """The connection of a claimant, known by its `outbox`, has ended."""
+
+    __slots__ = ("outbox",)
+
+    def __init__(self, *, outbox: Mailbox[ClaimRepliesFrame | None]) -> None:
+        self.outbox = outbox
+
+
 class MembersDiscovered:
     """Members were read from the store, announced, or named by another entry.
 
@@ -163,6 +238,11 @@
     | SessionOpened
     | SessionClosed
     | AgentFrameReceived
+    | PeerSessionOpened
+    | PeerSessionClosed
+    | ClaimRepliesReceived
+    | ClaimsReceived
+    | ClaimantDisconnected
     | MembersDiscovered
     | MemberRemoved
     | EntriesDiscovered
--- a/src/comfreysill/gateway/program.py
+++ b/src/comfreysill/gateway/program.py
@@ -11,6 +11,7 @@
 from comfreysill.exchange.messages import Member, Role
 from comfreysill.gateway.actor import (
     Actor,
+    cancel,
     is_ready,
     list_members,
     report_disconnect,
@@ -23,7 +24,8 @@
     watch_members,
     watch_routes,
 )
-from comfreysill.gateway.messages import Cancel, ConcludeRequests, EntriesDiscovered, Tick
+from comfreysill.gateway.messages import ConcludeRequests, EntriesDiscovered, Tick
+from comfreysill.gateway.registrar import RegistrarService
 from comfreysill.gateway.roster import RosterService, fetch_routes
 from comfreysill.listeners import Listeners
 from comfreysill.membership import register_member
@@ -36,7 +38,7 @@
 from comfreysill.platform.store import StoreClient, open_store, set_store_address
 from comfreysill.polls import PollTimes, forget_listener, watch_listener
 from comfreysill.reloading import watch_settings
-from comfreysill.request.types import Verdict
+from comfreysill.request.types import FINAL_VERDICTS, Verdict
 from comfreysill.servers import (
     HttpServer,
     begin_http_shutdown,
@@ -82,7 +84,8 @@
         get_members=lambda: list_members(actor),
         rejections=store.rejections,
     )
-    grpc_server = await start_grpc_on_socket([roster_service], listeners.link)
+    registrar_service = RegistrarService(inbox=actor.inbox)
+    grpc_server = await start_grpc_on_socket([roster_service, registrar_service], listeners.link)
     callers_task = asyncio.create_task(_serve_callers(actor, callers_server, listeners.http))
     member = Member(name=settings.name, role=Role.ENTRY, address=settings.advertised)
     tasks = [
@@ -93,7 +96,8 @@
     logger.info("entry started", extra={"fields": {"name": name}})
     await await_stop(stop, [callers_task, *tasks], [registration])
     await _shut_down(actor, settings, callers_server, callers_task, poll_times)
-    for task in [registration, *tasks, *(link.task for link in actor.links.values())]:
+    links = [*actor.links.values(), *actor.peer_links.values()]
+    for task in [registration, *tasks, *(link.task for link in links)]:
         task.cancel()
     grpc_server.close()
     await store.session.close()
@@ -213,6 +217,11 @@
         "requests": len(state.requests),
         "callers": len(actor.pending_replies),
         "agents": sum(agent.connected for agent in state.agents.values()),
+        "peers": sum(peer.usable for peer in state.peers.values()),
+        "claims": len(state.claims),
+        "claims_kept": len(state.registry.claims),
+        "cancellations_kept": len(state.registry.cancelled.expires_at),
+        "cancellations_dropped": state.registry.cancelled.dropped,
         "routes_version": state.routes.version,
         "crashes_known": len(state.crashes.crash_ids),
         "routes_confined": len(state.crashes.confined_until),
@@ -231,16 +240,11 @@
 
     def find_state(request_id: str) -> str | Verdict | None:
         request = state.requests.get(request_id)
-        if request is not None:
+        if request is not None and request.verdict not in FINAL_VERDICTS:
             return "running" if request.begun else "queued"
         cached = state.cached.get(request_id)
         return cached.verdict if cached is not None else None
 
-    def cancel(request_id: str) -> bool:
-        known = request_id in state.requests
-        actor.inbox.post(Cancel(request_id=request_id))
-        return known
-
     def count_waiting(route: str) -> int:
         return sum(
             request.specification.route == route and not request.begun
@@ -250,9 +254,9 @@
     return EntryOperations(
         get_routes=lambda: state.routes,
         submit=lambda specification, wait: submit(actor, specification, wait),
-        report_disconnect=lambda caller: report_disconnect(actor, caller),
+        report_disconnect=lambda caller, request_id: report_disconnect(actor, caller, request_id),
         find_state=find_state,
-        cancel=cancel,
+        cancel=lambda request_id: cancel(actor, request_id),
         count_waiting=count_waiting,
         is_closing=lambda: actor.stopping,
     )
--- a/src/comfreysill/placement/requests.py
+++ b/src/comfreysill/placement/requests.py
@@ -3,9 +3,17 @@
 import math
 import zlib
 
+from comfreysill.claims.cancellations import is_cancelled, keep_cancellation
 from comfreysill.crashes.ledger import find_deadly_task, is_suspect
 from comfreysill.exchange.messages import Outcome
 from comfreysill.placement.bindings import choose_refusal
+from comfreysill.placement.claims import (
+    claim_request,
+    is_awaited,
+    is_contested,
+    release_claim,
+    renew_claim,
+)
 from comfreysill.placement.confinement import record_demand
 from comfreysill.placement.deadlines import (
     compute_stop_at,
@@ -15,6 +23,7 @@
 )
 from comfreysill.placement.effects import SendVerdict
 from comfreysill.placement.queue import push_request
+from comfreysill.placement.registrar import deliver_late_replies
 from comfreysill.placement.state import CachedVerdict, EntryState, Waiter, count, note_event
 from comfreysill.request.request import (
     Request,
@@ -25,7 +34,7 @@
     set_verdict,
     suspect_task,
 )
-from comfreysill.request.types import CallerWait, Specification, Verdict
+from comfreysill.request.types import FINAL_VERDICTS, CallerWait, Specification, Verdict
 
 # A final verdict is cached this long to answer repetitions of the request.
 VERDICT_CACHE_SECONDS = 10.0
@@ -43,22 +52,26 @@
 ) -> None:
     """Accepts a request, unless there is one with its id or its caller may have left.
 
-    The caller joins an open request with this id, or gets a cached verdict. If the earlier request
-    has ended without a cached verdict and tasks of it are still placed, the caller waits until
-    those have ended. A request that was read so late that its caller may have sent it again is
-    refused at once.
+    The caller joins an open request with this id, or gets a cached verdict. A request that was
+    cancelled isn't run. If the earlier request has ended without a cached verdict and tasks of it
+    are still placed, the caller waits until those have ended. A request that was read so late that
+    its caller may have sent it again is refused at once.
     """
     request_id = specification.request_id
     stop_at = compute_stop_at(wait, state.retry_seconds)
     cached = state.cached.get(request_id)
     if cached is not None and cached.expires_at > now:
-        count(state, "requests_repeated")
-        state.effects.append(SendVerdict(caller=caller, verdict=cached.verdict))
+        _note_submission(state, "request repeated", specification, wait)
+        _answer_repetition(state, caller, cached.verdict, "")
         return
     request = state.requests.get(request_id)
     if request is not None:
         waiter = Waiter(caller=caller, specification=specification, wait=wait)
-        _join_request(state, request, waiter, stop_at)
+        _join_request(state, request, waiter, stop_at, now)
+        return
+    if is_cancelled(state.registry.cancelled, request_id, now):
+        note_event(state, "request not taken: it was cancelled", request=request_id)
+        _answer_repetition(state, caller, Verdict.CANCELLED, "it was cancelled")
         return
     if now >= stop_at:
         _refuse_unread(state, caller, specification, now, wait)
@@ -74,13 +87,29 @@
     _accept_request(state, caller, request, now)
 
 
-def _join_request(state: EntryState, request: Request, waiter: Waiter, stop_at: float) -> None:
+def _answer_repetition(state: EntryState, caller: int, verdict: Verdict, detail: str) -> None:
+    count(state, "requests_repeated")
+    state.effects.append(SendVerdict(caller=caller, verdict=verdict, detail=detail))
+
+
+def _join_request(
+    state: EntryState, request: Request, waiter: Waiter, stop_at: float, now: float
+) -> None:
     request_id = request.specification.request_id
     count(state, "requests_joined")
+    _note_submission(
+        state,
+        "request joined",
+        waiter.specification,
+        waiter.wait,
+        callers=len(request.callers),
+        has_verdict=request.verdict is not None,
+    )
     state.callers[waiter.caller] = request_id
     if request.verdict is None:
         request.callers.add(waiter.caller)
         extend_request(state, request, stop_at)
+        renew_claim(state, request, now)
     else:
         state.waiters.setdefault(request_id, []).append(waiter)
 
@@ -116,7 +145,11 @@
         routes_version=state.routes.version,
         tasks=sum(step.count for step in specification.steps),
         unread=round(wait.read_at - wait.sent_after, 3),
+        connection=(
+            None if wait.connected_at is None else round(wait.read_at - wait.connected_at, 3)
+        ),
         wait=round(wait.ends_at - wait.read_at, 3) if wait.ends_at < math.inf else None,
+        retry=state.retry_seconds,
         **fields,
     )
 
@@ -134,7 +167,17 @@
     if deadly_task:
         give_up_request(state, request, deadly_task, now)
     else:
-        push_request(state, request, now)
+        claim_request(state, request, now)
+
+
+def conclude_remote_ends(state: EntryState, now: float) -> None:
+    """Concludes the requests that have ended by what another entry did; precedes each placement."""
+    deliver_late_replies(state, now)
+    while state.remote_ends:
+        ends, state.remote_ends = state.remote_ends, []
+        for end in ends:
+            conclude_request(state, end.request, end.verdict, end.detail, now)
+        deliver_late_replies(state, now)
 
 
 def suspect_tasks(state: EntryState, request: Request) -> None:
@@ -154,6 +197,23 @@
     conclude_request(state, request, Verdict.FAILED, detail, now)
 
 
+def _note_departure(
+    state: EntryState, request: Request, caller: int, waiter_count: int, now: float
+) -> None:
+    """Notes that a caller has left which was one of several, or waited for tasks to end."""
+    is_served = caller in request.callers
+    remaining = len(request.callers) - 1 if is_served else waiter_count
+    if is_served and not remaining:
+        return
+    note_event(
+        state,
+        "caller disconnected",
+        request=request.specification.request_id,
+        age=round(now - request.received_at, 3),
+        callers=remaining,
+    )
+
+
 def disconnect_caller(state: EntryState, caller: int, now: float) -> None:
     """Removes a caller that has disconnected; a request whose last caller this was is cancelled."""
     request_id = state.callers.pop(caller, None)
@@ -162,11 +222,16 @@
     waiters = state.waiters.get(request_id, [])
     waiters[:] = [waiter for waiter in waiters if waiter.caller != caller]
     request = state.requests.get(request_id)
+    if request is not None:
+        _note_departure(state, request, caller, len(waiters), now)
     if request is None or caller not in request.callers:
         return
     request.callers.discard(caller)
     if not request.callers and request.verdict is None:
         age = round(now - request.received_at, 3)
+        if is_awaited(state, request, now):
+            note_event(state, "request goes on for another entry", request=request_id, age=age)
+            return
         note_event(
             state, "request cancelled: its last caller disconnected", request=request_id, age=age
         )
@@ -182,8 +247,13 @@
 
 
 def refuse_request(state: EntryState, request: Request, detail: str, now: float) -> None:
-    """Concludes a request of which no task was placed here; see `choose_refusal`."""
+    """Concludes a request of which no task was placed here; see `choose_refusal`.
+
+    If another entry had it, it may have run there.
+    """
     verdict = choose_refusal(state, request.specification.request_id, now)
+    if is_contested(state, request):
+        verdict = Verdict.MAY_HAVE_RUN
     conclude_request(state, request, verdict, detail, now)
 
 
@@ -193,11 +263,13 @@
     verdict = request.verdict
     count(state, f"requests_{verdict.name.lower()}")
     state.observe("request_seconds", now - request.received_at, request.specification.route)
-    if verdict in (Verdict.COMPLETED, Verdict.FAILED):
+    if verdict in FINAL_VERDICTS:
         state.cached[request_id] = CachedVerdict(
             verdict=verdict, expires_at=now + VERDICT_CACHE_SECONDS
         )
         state.cached_ids.append(request_id)
+    if verdict == Verdict.CANCELLED:
+        keep_cancellation(state.registry.cancelled, request_id, now)
     note_event(
         state,
         "request ended",
@@ -208,7 +280,7 @@
         late=now > request.due_at,
     )
     retry_at = 0.0
-    if verdict not in (Verdict.COMPLETED, Verdict.FAILED):
+    if verdict not in FINAL_VERDICTS:
         retry_at = _choose_retry_time(request_id, now)
     for caller in request.callers:
         state.callers.pop(caller, None)
@@ -237,6 +309,7 @@
         return
     request_id = request.specification.request_id
     state.requests.pop(request_id, None)
+    release_claim(state, request, now)
     waiters = state.waiters.pop(request_id, None)
     if not waiters:
         return
--- a/src/comfreysill/request/types.py
+++ b/src/comfreysill/request/types.py
@@ -6,8 +6,9 @@
 class Verdict(enum.IntEnum):
     """Outcome of a request, as reported to its callers.
 
-    COMPLETED and FAILED are final: the entry caches them for a time to answer repetitions of the
-    request. After the others it has no result, and the caller may repeat it to run it again.
+    COMPLETED, FAILED and CANCELLED are final: the entry caches them for a time to answer
+    repetitions of the request. CANCELLED is one that its owner has cancelled; it isn't run again.
+    After the others the entry has no result, and the caller may repeat it to run it again.
     NOT_RUN guarantees that no task ran or will run. MAY_HAVE_RUN doesn't, but may be set although
     no task was placed.
     """
@@ -16,6 +17,22 @@
     FAILED = 1
     NOT_RUN = 2
     MAY_HAVE_RUN = 3
+    CANCELLED = 4
+
+
+FINAL_VERDICTS = frozenset({Verdict.COMPLETED, Verdict.FAILED, Verdict.CANCELLED})
+
+
+class CancelOutcome(enum.IntEnum):
+    """Answer to a caller that has cancelled a request.
+
+    After ENDED nothing of it is placed any more. UNKNOWN says that no entry that can be reached
+    knows of it. UNCERTAIN says that it may go on, and that the caller has to cancel it again.
+    """
+
+    ENDED = 0
+    UNKNOWN = 1
+    UNCERTAIN = 2
 
 
 class Step:
@@ -133,14 +150,24 @@
         read_at: Boot-clock time in seconds at which the request was read.
         ends_at: Boot-clock time in seconds at which it would stop waiting if it had sent the
             request at `read_at`, infinite if it doesn't say how long it waits.
+        connected_at: Boot-clock time in seconds at which its connection was accepted, None if the
+            connection has carried an earlier request, or if that isn't known.
     """
 
-    __slots__ = ("sent_after", "read_at", "ends_at")
+    __slots__ = ("sent_after", "read_at", "ends_at", "connected_at")
 
-    def __init__(self, *, sent_after: float, read_at: float, ends_at: float) -> None:
+    def __init__(
+        self,
+        *,
+        sent_after: float,
+        read_at: float,
+        ends_at: float,
+        connected_at: float | None = None,
+    ) -> None:
         self.sent_after = sent_after
         self.read_at = read_at
         self.ends_at = ends_at
+        self.connected_at = connected_at
 
 
 def compute_critical_path(steps: tuple[Step, ...]) -> float:
--- a/tests/platform_world.py
+++ b/tests/platform_world.py
@@ -46,10 +46,33 @@
     expire_agents,
     receive_agent_frame,
 )
+from comfreysill.placement.cancelling import begin_cancellation
 from comfreysill.placement.crashes import judge_crashes, receive_crash
-from comfreysill.placement.effects import CloseSession, OpenLink, RemoveLink, SendFrame
+from comfreysill.placement.effects import (
+    ClosePeerSession,
+    CloseSession,
+    OpenLink,
+    OpenPeerLink,
+    RemoveLink,
+    RemovePeerLink,
+    SendCancelReply,
+    SendClaimReplies,
+    SendClaims,
+    SendFrame,
+    SendVerdict,
+)
+from comfreysill.placement.peer_links import (
+    begin_peer_session,
+    collect_claims,
+    end_peer_session,
+    expire_replies,
+    receive_replies,
+    update_peers,
+)
 from comfreysill.placement.placement import place_waiting, refuse_unmeetable
+from comfreysill.placement.registrar import close_claimant_session, receive_claims
 from comfreysill.placement.requests import (
+    conclude_remote_ends,
     disconnect_caller,
     expire_cached_verdicts,
     expire_requests,
@@ -57,7 +80,7 @@
 )
 from comfreysill.placement.state import EntryState
 from comfreysill.placement.subset import update_subset
-from comfreysill.request.types import Specification, Step, Verdict
+from comfreysill.request.types import CancelOutcome, Specification, Step, Verdict
 from tests.waits import build_wait
 
 HOP_SECONDS = 0.001
@@ -87,6 +110,8 @@
 # After so many crashes under one task, so many more starts of it are a violation.
 MAX_CRASHES_PER_TASK = 3
 MAX_STARTS_AFTER_CRASHES = 3
+# A request may be started for so long after its cancelling was answered.
+CANCEL_SECONDS = 1.0
 
 
 class ModelRunner:
@@ -283,6 +308,8 @@
         # Newest report of each lifetime of a runner, the earliest lifetime first.
         self.reports = {name: [] for name in self.agents}
         self.links = {}
+        # Sessions of entries with registrars, as (session, lifetimes) by their names.
+        self.peer_links = {}
         self.cut_until = {}
         # Probability that a call gets no answer and is carried out late; see `delay_call`.
         self.call_loss_probability = 0.0
@@ -318,6 +345,10 @@
         # Whether a process that wakes reads from agents first, and from callers after that.
         self.reads_callers_last = False
         self.callers = {}
+        # Request and entry by number of the canceller, for each one not answered yet.
+        self.cancellers = {}
+        # Answers to those that have cancelled a request, as (time, outcome), by request id.
+        self.cancel_replies = {}
         self.verdicts = {}
         self.next_caller = 1
         self.starts = 0
@@ -351,6 +382,8 @@
         for entry in self.entries:
             for agent in self.agents:
                 self.connect(entry, agent)
+            for other in self.entries:
+                self.connect_peer(entry, other)
 
     def run_or_defer(self, process, action, *arguments):
         """Runs an action in a process, or defers it while the process is frozen.
@@ -386,7 +419,7 @@
             unix_offset=0.0,
             retry_seconds=RESEND_DELAY_SECONDS,
         )
-        process.state.entries = list(self.entries)
+        process.state.entries = [name, *(other for other in self.entries if other != name)]
         for agent in self.agents:
             discover_agent(process.state, agent, agent)
         for report in self.stored_crashes:
@@ -435,6 +468,7 @@
 
     def tick_entry(self, process):
         expire_agents(process.state, self.now)
+        expire_replies(process.state, self.now)
         expire_cached_verdicts(process.state, self.now)
         judge_crashes(process.state, self.now)
         expire_crashes(process.state.crashes, self.now)
@@ -451,20 +485,38 @@
     def flush_entry(self, process):
         state = process.state
         update_subset(state, self.now)
+        update_peers(state, self.now)
+        conclude_remote_ends(state, self.now)
         expire_requests(state, self.now)
         place_waiting(state, self.now)
         collect_frames(state, self.now)
+        collect_claims(state, self.now)
         effects, state.effects = state.effects, []
         state.events.clear()
         for effect in effects:
-            if isinstance(effect, SendFrame):
-                self.send(process.name, effect.agent, effect.frame)
-            elif isinstance(effect, CloseSession | RemoveLink):
-                self.drop_link(process.name, effect.agent)
-            elif isinstance(effect, OpenLink):
-                self.connect(process.name, effect.agent)
-            else:
-                self.handle_verdict(process.name, effect)
+            self.carry_out(process, effect)
+
+    def carry_out(self, process, effect):
+        if isinstance(effect, SendFrame):
+            self.send(process.name, effect.agent, effect.frame)
+        elif isinstance(effect, CloseSession | RemoveLink):
+            self.drop_link(process.name, effect.agent)
+        elif isinstance(effect, OpenLink):
+            self.connect(process.name, effect.agent)
+        elif isinstance(effect, SendClaims):
+            self.send_to_peer(process.name, effect.address, self.handle_claims, effect.frame)
+        elif isinstance(effect, SendClaimReplies):
+            claimant = effect.entry.partition("@")[0]
+            if self.entries[claimant].state.name == effect.entry:
+                self.send_to_peer(process.name, claimant, self.handle_replies, effect.frame)
+        elif isinstance(effect, ClosePeerSession | RemovePeerLink):
+            self.drop_peer_link(process.name, effect.address)
+        elif isinstance(effect, OpenPeerLink):
+            self.connect_peer(process.name, effect.address)
+        elif isinstance(effect, SendVerdict):
+            self.handle_verdict(process.name, effect)
+        elif isinstance(effect, SendCancelReply):
+            self.handle_cancel_reply(effect)
 
     def flush_agent(self, process):
         agent = process.state
@@ -553,6 +605,64 @@
         receive_agent_frame(process.state, frame, self.now)
         self.flush_entry(process)
 
+    # --- links between entries --------------------------------------------------------------
+    def connect_peer(self, claimant, registrar):
+        """Opens the session of an entry with a registrar, unless there is one."""
+        process, other = self.entries[claimant], self.entries[registrar]
+        frozen = max(process.frozen_until, other.frozen_until) > self.now
+        if not process.alive or not other.alive or frozen:
+            return
+        if (claimant, registrar) in self.peer_links or registrar not in process.state.peers:
+            return
+        if self.is_cut(claimant, registrar) or self.is_cut(registrar, claimant):
+            return
+        session = begin_peer_session(process.state, registrar, self.now)
+        self.peer_links[claimant, registrar] = (session, process.lifetime, other.lifetime)
+        self.flush_entry(process)
+
+    def drop_peer_link(self, claimant, registrar):
+        link = self.peer_links.pop((claimant, registrar), None)
+        if link is None:
+            return
+        process, other = self.entries[claimant], self.entries[registrar]
+        session, lifetime, other_lifetime = link
+        if process.lifetime == lifetime:
+            self.run_or_defer(process, self.end_peer, process, registrar, session)
+        if other.lifetime == other_lifetime:
+            name = f"{claimant}@{lifetime}"
+            cut_seconds = max(0.0, self.cut_until.get((claimant, registrar), 0.0) - self.now)
+            delay = HOP_SECONDS + cut_seconds
+            self.schedule(delay, self.deliver_end, other, other_lifetime, name, session)
+
+    def deliver_end(self, process, lifetime, name, session):
+        if process.lifetime == lifetime:
+            self.run_or_defer(process, self.end_claimant, process, name, session)
+
+    def end_peer(self, process, registrar, session):
+        end_peer_session(process.state, registrar, session, self.now)
+
+    def end_claimant(self, process, name, session):
+        close_claimant_session(process.state, name, session, self.now)
+
+    def send_to_peer(self, sender, receiver, handle, frame):
+        cut_seconds = self.cut_until.get((sender, receiver), 0.0) - self.now
+        lifetime = self.entries[receiver].lifetime
+        delay = HOP_SECONDS + max(0.0, cut_seconds)
+        self.schedule(delay, self.deliver_to_peer, sender, receiver, lifetime, handle, frame)
+
+    def deliver_to_peer(self, sender, receiver, lifetime, handle, frame):
+        process = self.entries[receiver]
+        if process.lifetime == lifetime:
+            self.run_or_defer(process, handle, process, sender, frame)
+
+    def handle_claims(self, process, sender, frame):
+        receive_claims(process.state, frame, self.now)
+        self.flush_entry(process)
+
+    def handle_replies(self, process, sender, frame):
+        receive_replies(process.state, sender, frame, self.now)
+        self.flush_entry(process)
+
     # --- the runner -------------------------------------------------------------------------
     def draw_call_delay(self, process, call):
         """Returns how many seconds late a call is carried out without an answer, None if it isn't.
@@ -624,6 +734,7 @@
                 self.violations.append(
                     f"{self.now:.3f} double start: {task} {other.name} {runner.name}"
                 )
+        self.check_cancelled(task.partition("/")[0])
         if len(self.crashes.get(task, ())) >= MAX_CRASHES_PER_TASK:
             starts = self.starts_after_crashes[task] = self.starts_after_crashes.get(task, 0) + 1
             if starts >= MAX_STARTS_AFTER_CRASHES:
@@ -632,6 +743,13 @@
         if used > runner.get_capacity_limit(self.now):
             self.violations.append(f"{self.now:.3f} capacity exceeded: {runner.name} {used}")
 
+    def check_cancelled(self, request_id):
+        """Lists a start of a request whose cancelling was answered CANCEL_SECONDS ago."""
+        for at, outcome in self.cancel_replies.get(request_id, ()):
+            is_answer = outcome in (CancelOutcome.ENDED, CancelOutcome.UNKNOWN)
+            if is_answer and self.now - at > CANCEL_SECONDS:
+                self.violations.append(f"{self.now:.3f} start after cancelling: {request_id}")
+
     def get_cpu_demand(self, task):
         return self.requests[task.partition("/")[0]].steps[0].cpu
 
@@ -706,6 +824,28 @@
         if effect.verdict == Verdict.MAY_HAVE_RUN:
             self.schedule(RESEND_DELAY_SECONDS, self.send_request, request_id, self.choose_entry())
 
+    def cancel(self, request_id, entry):
+        """Cancels a request at an entry; the caller repeats it until it is acknowledged."""
+        process = self.entries[entry]
+        if not process.alive:
+            self.schedule(RESEND_DELAY_SECONDS, self.cancel, request_id, self.choose_entry())
+            return
+        canceller = self.next_caller
+        self.next_caller += 1
+        self.cancellers[canceller] = (request_id, entry)
+        self.run_or_defer(process, self.handle_cancel, process, canceller, request_id)
+
+    def handle_cancel(self, process, canceller, request_id):
+        begin_cancellation(process.state, canceller, request_id, self.now)
+        self.flush_entry(process)
+
+    def handle_cancel_reply(self, effect):
+        request_id, _ = self.cancellers.pop(effect.canceller)
+        self.cancel_replies.setdefault(request_id, []).append((self.now, effect.outcome))
+        if effect.outcome == CancelOutcome.UNCERTAIN:
+            delay = effect.retry_at - self.now
+            self.schedule(delay, self.cancel, request_id, self.choose_entry())
+
     def choose_entry(self):
         return self.random.choice(sorted(self.entries))
 
@@ -749,12 +889,22 @@
                 self.links.pop((name, agent), None)
             else:
                 self.drop_link(name, agent)
+        for other in self.entries:
+            for claimant, registrar in ((name, other), (other, name)):
+                if silent:
+                    self.peer_links.pop((claimant, registrar), None)
+                else:
+                    self.drop_peer_link(claimant, registrar)
         for caller, (request_id, entry) in list(self.callers.items()):
             if entry == name:
                 del self.callers[caller]
                 self.schedule(
                     RESEND_DELAY_SECONDS, self.send_request, request_id, self.choose_entry()
                 )
+        for canceller, (request_id, entry) in list(self.cancellers.items()):
+            if entry == name:
+                del self.cancellers[canceller]
+                self.schedule(RESEND_DELAY_SECONDS, self.cancel, request_id, self.choose_entry())
         self.schedule(down_seconds, self.start_entry, name)
 
     def kill_agent(self, name, down_seconds=0.5, silent=False):
