Random plays in which several entries pause at once are a test again

The plays of callers that leave unseen had been narrowed to one paused entry after they had failed (two of three entries pause at once: a fault that stands).

--- a/tests/test_platform_floor.py
+++ b/tests/test_platform_floor.py
@@ -106,6 +106,7 @@
     "crash",
     "normal_speed",
 )
+PAUSING_FAULTS = (*DEPARTING_FAULTS, "freeze_entry", "freeze_entry")
 REFUSING_FAULTS = (*LATE_FAULTS, "refuse", "refuse", "refuse_silently")
 # Seconds from the end of a caller's wait until the end of its connection is seen.
 END_DELAYS = (0.001, 0.02, 0.3, 1.3, 2.5, NEVER)
@@ -133,6 +134,7 @@
 LATE_STEPS = draw_steps(LATE_FAULTS)
 ASKING_STEPS = draw_steps(ASKING_FAULTS)
 DEPARTING_STEPS = draw_steps(DEPARTING_FAULTS)
+PAUSING_STEPS = draw_steps(PAUSING_FAULTS)
 REFUSING_STEPS = draw_steps(REFUSING_FAULTS)
 
 
@@ -351,6 +353,13 @@
         world.draw_end_delay = lambda: NEVER
         self.run_steps(world, steps, settling_seconds=30.0)
 
+    # Guards against the same where several entries pause at once.
+    @fuzz(EXAMPLES, PAUSING_STEPS, st.integers(0, 1000))
+    def test_no_task_runs_twice_beside_such_callers_while_several_entries_pause(self, steps, seed):
+        world = World(seed, entries=3)
+        world.draw_end_delay = lambda: NEVER
+        self.run_steps(world, steps, settling_seconds=30.0)
+
     @fuzz(EXAMPLES, REFUSING_STEPS, st.integers(0, 1000))
     def test_no_task_runs_twice_while_runners_that_are_up_refuse_connections(self, steps, seed):
         self.run_steps(World(seed), steps, settling_seconds=40.0)
