Review case 8: a late start beside the run of an entry that wasn't told

From the entry test_a_late_start_at_a_target_without_a_link_to_the_next_entry of KNOWN-RED.txt: 5 entries, 20 runners; a start is carried out late by the next life of its runner, beside a run that an entry without a link to its agent has ordered.

--- a/review/rig_2.py
+++ b/review/rig_2.py
@@ -67,9 +67,10 @@
         processes: The latest process started under each name.
         session: HTTP client session.
         runner_options: Additional arguments of each runner.
+        links: Number of agents that each entry keeps a link to.
     """
 
-    def __init__(self, folder, record, entries, sides, runner_options=()):
+    def __init__(self, folder, record, entries, sides, runner_options=(), links=None):
         self.network = find_network()
         self.folder = pathlib.Path(folder)
         self.record = record
@@ -79,6 +80,7 @@
         self.processes = {}
         self.session = None
         self.runner_options = list(runner_options)
+        self.links = sides if links is None else links
 
     def address(self, name, port):
         """Returns the address of a port of an instance."""
@@ -176,6 +178,8 @@
             HEARTBEAT_MS,
             "--events",
             str(self.events_path(number)),
+            "--late-call",
+            str(self.folder / "late.call"),
             *self.runner_options,
         ]
         self.spawn(f"runner-{number}", stand_in(*arguments))
@@ -203,6 +207,11 @@
         """Kills a process and waits for its end."""
         self.processes[name].kill()
         self.processes[name].wait()
+        kind, _, number = name.partition("-")
+        if kind == "runner":
+            event = {"at": time.time(), "runner": f"i-{number}", "what": "killed"}
+            with self.events_path(number).open("a") as events:
+                events.write(json.dumps(event) + "\n")
 
     def stop_all(self):
         """Ends all processes that were started."""
@@ -233,7 +242,7 @@
     async def are_linked(self):
         for name in self.entries:
             text = await self.get_text(f"http://{self.address(name, LAST_PORT)}/metrics")
-            wanted = f'comfreysill_state{{name="agents",role="entry"}} {len(self.sides)}'
+            wanted = f'comfreysill_state{{name="agents",role="entry"}} {self.links}'
             peers = f'comfreysill_state{{name="peers",role="entry"}} {len(self.entries) - 1}'
             if wanted not in text or peers not in text:
                 return False
@@ -352,8 +361,8 @@
             running.setdefault(task, []).append(event)
         elif event["what"] == "end":
             running[task] = [run for run in running.get(task, []) if run["runner"] != runner]
-        elif event["what"] == "born":
-            # An earlier process of this runner has ended, and its runs with it.
+        elif event["what"] in ("killed", "born"):
+            # The earlier process of this runner has ended, and its runs with it.
             for name, runs in running.items():
                 running[name] = [run for run in runs if run["runner"] != runner]
     return overlaps
--- a/review/runner_2.py
+++ b/review/runner_2.py
@@ -1,13 +1,16 @@
 """Stand-in for a runner, by the users' pages: its reports, starts, stops, holds and leases.
 
 It starts whatever it is told to start (`admission-check` false), and does nothing for a lower
-fencing token or another intended lifetime. A task's run time in seconds is its `spec`. Each start
-and end is written to a file of events.
+fencing token or another intended lifetime. A task's run time in seconds is the first word of its
+`spec`. Each start and end is written to a file of events. Each runner is on a rack of its own.
+Where `spec` ends with ` late`, the first start gets no answer and is carried out seconds later,
+also by the next life of the runner under the same id; the file `--late-call` keeps it.
 """
 
 import argparse
 import asyncio
 import json
+import pathlib
 import time
 
 import aiohttp
@@ -17,6 +20,11 @@
 MAX_WAIT_MS = 2000
 ENDS_PER_ANSWER = 500
 STEP_SECONDS = 0.005
+LATE_MARK = " late"
+# When a start without an answer is carried out: so long after it was sent, and after the birth of a
+# next life under the same id.
+MIN_LATE_S, MAX_LATE_S = 2.0, 12.0
+LATE_AFTER_BIRTH_S = 0.2
 
 
 class Runner:
@@ -62,7 +70,7 @@
             "state": "ready",
             "cold-left-ms": 0,
             "capacity": {"cpu": self.options.cpu, "mem-mb": 131072, "gpus": 0},
-            "labels": ["a", "r1-1"],
+            "labels": ["a", f"r-{self.options.id}"],
             "clock-ms": self.clock_ms(),
             "born": self.born,
             "seq": self.sequence,
@@ -98,6 +106,44 @@
     body, refusal = await accept(runner, request)
     if refusal is not None:
         return refusal
+    if body["spec"].endswith(LATE_MARK) and leave_unanswered(runner, body):
+        await asyncio.Event().wait()
+    return start(runner, body)
+
+
+def leave_unanswered(runner, body):
+    """Keeps a start to carry it out late, unless a runner has kept one before; returns whether."""
+    late_call = pathlib.Path(runner.options.late_call)
+    if late_call.exists():
+        return False
+    due = time.time() + MAX_LATE_S
+    late_call.write_text(json.dumps([runner.options.id, time.time(), body]))
+    runner.write("left unanswered", task=body["task"], run=body["run"])
+    asyncio.create_task(carry_out_late(runner, due, body))
+    return True
+
+
+def find_late_call(runner):
+    """Returns when to carry out a start that an earlier life has left unanswered, and the start."""
+    late_call = pathlib.Path(runner.options.late_call or "none")
+    if not late_call.exists():
+        return None
+    name, sent_at, body = json.loads(late_call.read_text())
+    due = time.time() + LATE_AFTER_BIRTH_S
+    is_due = MIN_LATE_S <= due - sent_at <= MAX_LATE_S
+    return (due, body) if name == runner.options.id and is_due else None
+
+
+async def carry_out_late(runner, due, body):
+    """Carries out a start that was left unanswered, unless a higher token has been seen by then."""
+    await asyncio.sleep(max(0.0, due - time.time()))
+    if body["fencing-token"] >= runner.token:
+        runner.token = body["fencing-token"]
+        start(runner, body)
+
+
+def start(runner, body):
+    """Starts a run as a call says, and returns the answer."""
     task, run = body["task"], body["run"]
     extend_lease(runner, body)
     if task in runner.running:
@@ -110,7 +156,7 @@
         return answer(runner, 409, reason="old")
     if body["deadline-ms"] <= runner.clock_ms():
         return answer(runner, 409, reason="late")
-    runner.running[task] = (run, runner.clock_ms(), float(body["spec"]) * 1000)
+    runner.running[task] = (run, runner.clock_ms(), float(body["spec"].split()[0]) * 1000)
     runner.write("start", task=task, run=run, at_work=len(runner.running))
     return answer(runner, 200)
 
@@ -165,6 +211,7 @@
 async def report(runner):
     """Reports to the agent on this machine."""
     options = runner.options
+    await asyncio.sleep(options.first_report_s)
     url = f"http://{options.agent}/api/instances/{options.id}/heartbeat"
     async with aiohttp.ClientSession(timeout=aiohttp.ClientTimeout(total=1)) as session:
         while True:
@@ -189,6 +236,9 @@
     app_runner = web.AppRunner(app, access_log=None)
     await app_runner.setup()
     await web.TCPSite(app_runner, options.ip, options.port).start()
+    late = find_late_call(runner)
+    if late is not None:
+        asyncio.create_task(carry_out_late(runner, *late))
     await asyncio.gather(work(runner), report(runner))
 
 
@@ -199,6 +249,8 @@
     parser.add_argument("--port", type=int, required=True)
     parser.add_argument("--heartbeat-ms", type=int, required=True)
     parser.add_argument("--cpu", type=int, default=32000)
+    parser.add_argument("--late-call", default="")
+    parser.add_argument("--first-report-s", type=float, default=0.0)
     asyncio.run(serve(parser.parse_args()))
 
 
