--- a/src/comfreysill/platform/documents.py
+++ b/src/comfreysill/platform/documents.py
@@ -22,6 +22,7 @@
 Name = Annotated[str, Meta(min_length=1, max_length=MAX_NAME_CHARS)]
 OptionalName = Annotated[str, Meta(max_length=MAX_NAME_CHARS)]
 DurationMs = Annotated[float, Meta(ge=0, le=MAX_DURATION_MS)]
+ClockMs = Annotated[float, Meta(ge=0, le=MAX_INTEGER)]
 
 DocumentType = TypeVar("DocumentType")
 
--- a/src/comfreysill/platform/reports.py
+++ b/src/comfreysill/platform/reports.py
@@ -11,7 +11,7 @@
 from comfreysill.platform.bodies import read_body
 from comfreysill.platform.documents import MAX_NAME_CHARS
 from comfreysill.platform.rejections import RejectedEntry, Rejections, record_rejections
-from comfreysill.platform.runner import decode_report
+from comfreysill.platform.runner_reports import decode_report
 
 INSTANCES_PATH = "/api/instances/"
 REPORT_SUFFIX = "/heartbeat"
--- a/src/comfreysill/platform/runner.py
+++ b/src/comfreysill/platform/runner.py
@@ -1,14 +1,13 @@
-"""Client of the runner beside an agent, and the decoding of the runner's reports."""
+"""Client of the runner beside an agent."""
 
 import math
-from typing import Annotated, Any, Literal, Required, TypedDict
+from typing import Any, TypedDict
 
 import aiohttp
 import msgspec
-from msgspec import Meta
 from result import Err, Ok, Result
 
-from comfreysill.address import Address, parse_address
+from comfreysill.address import Address
 from comfreysill.execution.calls import (
     CallReply,
     ListedRun,
@@ -17,17 +16,14 @@
     ReplyStatus,
     RunEnd,
     RunnerLifetime,
-    RunnerReport,
     StartCall,
     StopCall,
     build_unanswered_reply,
 )
 from comfreysill.platform.documents import (
     MAX_INTEGER,
-    Amount,
+    ClockMs,
     Integer,
-    Name,
-    OptionalName,
     decode_document,
     encode_document,
 )
@@ -53,9 +49,7 @@
     503: ReplyStatus.UNHEALTHY,
     400: ReplyStatus.INVALID,
 }
-MAX_LABELS = 100
 
-ClockMs = Annotated[float, Meta(ge=0, le=MAX_INTEGER)]
 # Each row of `running` is [task, run, checkpoint, percent, ...], and each row of `ended` is
 # [number, task, run, outcome, ...].
 ReplyDocument = TypedDict(
@@ -71,33 +65,6 @@
 )
 REPLY_DECODER = msgspec.json.Decoder(ReplyDocument)
 
-CapacityDocument = TypedDict(
-    "CapacityDocument",
-    {"cpu": Required[Amount], "mem-mb": Required[Amount], "gpus": Amount},
-    total=False,
-)
-ReportDocument = TypedDict(
-    "ReportDocument",
-    {
-        "service": Required[Name],
-        "address": Required[OptionalName],
-        "zone": Required[OptionalName],
-        "state": Required[Literal["ready", "draining"]],
-        # A number that is far ahead would outdate all later reports.
-        "seq": Required[Amount],
-        "born": Integer,
-        # Not used, but a report in which they have another type is another writer's.
-        "version": OptionalName | None,
-        "slots": Amount | None,
-        "cold-left-ms": ClockMs | None,
-        "clock-ms": ClockMs | None,
-        "capacity": Required[CapacityDocument],
-        "labels": Annotated[list[OptionalName], Meta(max_length=MAX_LABELS)],
-    },
-    total=False,
-)
-_REPORT_DECODER = msgspec.json.Decoder(ReportDocument)
-
 
 class RunnerClient:
     """Client of the runner.
@@ -262,30 +229,3 @@
     if not 0 <= number <= MAX_INTEGER:
         raise ValueError("a number out of range")
     return number
-
-
-def decode_report(runner_id: str, body: bytes) -> Result[RunnerReport, str]:
-    """Decodes a report; the error names the invalid field and the bound."""
-    decoded = decode_document(_REPORT_DECODER, body)
-    if isinstance(decoded, Err):
-        return decoded
-    document = decoded.ok_value
-    try:
-        parse_address(document["address"])
-    except ValueError as error:
-        return Err(str(error))
-    capacity = document["capacity"]
-    return Ok(
-        RunnerReport(
-            lifetime=RunnerLifetime(runner_id=runner_id, started_at_ms=document.get("born", 0)),
-            service=document["service"],
-            address=document["address"],
-            zone=document["zone"],
-            draining=document["state"] == "draining",
-            sequence=document["seq"],
-            cpu=capacity["cpu"],
-            memory_mb=capacity["mem-mb"],
-            gpus=capacity.get("gpus", 0),
-            labels=tuple(document.get("labels", ())),
-        )
-    )
--- a/standins/platform_runner.py
+++ b/standins/platform_runner.py
@@ -221,9 +221,13 @@
                 "service": options.service,
                 "address": f"{options.host}:{options.port}",
                 "zone": options.zone,
+                "version": "v1",
+                "slots": 8,
                 "state": "draining" if runner.draining else "ready",
+                "cold-left-ms": 0,
                 "seq": sequence,
                 "born": runner.started_at_ms,
+                "clock-ms": read_clock_ms(runner),
                 "capacity": {"cpu": runner.cpu, "mem-mb": 100000, "gpus": 0},
                 "labels": ["a", "r1"],
             }
--- a/tests/test_input_fuzz.py
+++ b/tests/test_input_fuzz.py
@@ -67,7 +67,8 @@
 from comfreysill.platform.members import decode_members
 from comfreysill.platform.pages import decode_page
 from comfreysill.platform.registry import read_roster
-from comfreysill.platform.runner import REPLY_DECODER, build_renew_reply, decode_report
+from comfreysill.platform.runner import REPLY_DECODER, build_renew_reply
+from comfreysill.platform.runner_reports import decode_report
 from comfreysill.platform.settings import read_instance_settings
 from comfreysill.platform.settings_file import SETTINGS_VARIABLE
 from comfreysill.platform.store import RowSet, StoreClient, StoredRow
@@ -152,9 +153,13 @@
     "service": "s",
     "address": "10.0.0.1:80",
     "zone": "z",
+    "version": "v1",
+    "slots": 8,
     "state": "ready",
+    "cold-left-ms": 0,
     "seq": 4,
     "born": 17,
+    "clock-ms": 5000,
     "capacity": {"cpu": 16000, "mem-mb": 32768, "gpus": 1},
     "labels": ["k", "r"],
 }
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -46,6 +46,7 @@
 )
 from comfreysill.platform.rejections import Rejections
 from comfreysill.platform.runner import REPLY_DECODER, build_renew_reply
+from comfreysill.platform.runner_reports import decode_report
 from comfreysill.platform.store import RowSet, StoredRow, StoreFault, await_changes, read_rows
 from comfreysill.platform.table import open_store_from_url
 from comfreysill.servers import start_grpc
@@ -688,6 +689,7 @@
     "seq": 4,
     "born": 1_700_000_000_000,
 }
+OPTIONAL_REPORT_FIELDS = {"remaining-ms": 1500, "machine": "m-1"}
 # Changes of a report that make it another writer's.
 ODD_REPORT_FIELDS = (
     *({"address": address} for address in ODD_ADDRESSES),
@@ -697,15 +699,18 @@
             ("service", ("another", "", None, 5, ["s"])),
             ("state", ("resting", "", None, 5, ["ready"])),
             ("zone", (None, 5)),
-            ("version", (5, ["v"])),
-            ("slots", ("8", -1, 1.5, 10**400, [])),
-            ("cold-left-ms", ("0", -1, 10**400)),
-            ("clock-ms", ("0", -1, 1e308, 10**400, [])),
+            ("version", (None, 5, ["v"])),
+            ("slots", (None, "8", -1, 1.5, 10**400, [])),
+            ("cold-left-ms", (None, "0", -1, 10**400)),
+            ("clock-ms", (None, "0", -1, 1e308, 10**400, [])),
             ("seq", (None, "5", -1, 1.5, 2**31, 2**53, 2**63, 10**400)),
             ("born", ("0", -1, 1.5, 2**52, 2**63, 1e308, 10**400, [], None)),
             ("capacity", (None, [], 5, {}, {"cpu": 1}, {"cpu": "x", "mem-mb": 1})),
             ("capacity", ({"cpu": -1, "mem-mb": 1}, {"cpu": 10**400, "mem-mb": 1})),
+            ("capacity", ({"cpu": 1, "mem-mb": 1}, {"cpu": 1, "mem-mb": 1, "gpus": None})),
             ("labels", (None, "a", [5], ["a"] * 101, {"a": 1})),
+            ("remaining-ms", (None, "0", -1, 10**400, [])),
+            ("machine", (None, 5, ["m"])),
         )
         for value in values
     ),
@@ -770,14 +775,33 @@
                     self.assertEqual(
                         await self.call(app, "/api/instances/i-2/heartbeat", text), 400
                     )
-            for field in ("service", "address", "zone", "state", "seq", "capacity"):
-                body = json.dumps({key: REPORT[key] for key in REPORT if key != field}).encode()
-                self.assertEqual(
-                    await self.call(app, "/api/instances/i-2/heartbeat", body), 400, field
-                )
 
         self.run_with_agent(scenario)
 
+    # Guards against: a report of another writer, which lacks a field, ends the runs of the runner
+    # in use, or puts it out of use.
+    def test_a_report_that_lacks_a_field_is_another_writers(self):
+        async def scenario(app, state, rejections):
+            for field in REPORT:
+                for runner_id, born, sequence in (
+                    ("i-2", 1_000, 1),
+                    ("i-1", 1_000, 1),
+                    ("i-1", 0, 1_000_000),
+                ):
+                    document = {**REPORT, "born": REPORT["born"] + born, "seq": sequence}
+                    del document[field]
+                    path = f"/api/instances/{runner_id}/heartbeat"
+                    status = await self.call(app, path, json.dumps(document).encode())
+                    self.assertEqual(status, 400, field)
+
+        self.run_with_agent(scenario)
+
+    # Guards against: a runner that reports a field only at times isn't taken for itself.
+    def test_optional_fields_may_be_there_or_not(self):
+        for fields in ({}, OPTIONAL_REPORT_FIELDS, {"unknown": [1]}):
+            body = json.dumps({**REPORT, **fields}).encode()
+            self.assertTrue(decode_report("i-1", body).is_ok(), fields)
+
     # Guards against: each call names a runner that no header can name, and all calls fail.
     def test_odd_ids_name_no_runner(self):
         async def scenario(app, state, rejections):
--- a/tests/test_platform_decode.py
+++ b/tests/test_platform_decode.py
@@ -13,7 +13,8 @@
 from comfreysill.platform.configuration import decode_configuration
 from comfreysill.platform.crashes import decode_crashes
 from comfreysill.platform.members import decode_members
-from comfreysill.platform.runner import decode_report, decode_task, encode_task
+from comfreysill.platform.runner import decode_task, encode_task
+from comfreysill.platform.runner_reports import decode_report
 from comfreysill.platform.settings import read_instance_settings
 from comfreysill.platform.settings_file import SETTINGS_VARIABLE
 from comfreysill.platform.store import RowSet, StoredRow
@@ -211,10 +212,14 @@
             "service": "s",
             "address": "10.0.0.1:80",
             "zone": "z",
+            "version": "v1",
+            "slots": 8,
             "state": "ready",
+            "cold-left-ms": 0,
             "seq": 4,
             "born": 17,
-            "capacity": {"cpu": 16000, "mem-mb": 32768},
+            "clock-ms": 482113,
+            "capacity": {"cpu": 16000, "mem-mb": 32768, "gpus": 0},
             "labels": ["a", "r1-3"],
             **changes,
         }
