An entry doesn't grant what it runs itself

Cause: an entry that isn't a registrar of its own request granted the claim to another one, which had come down to it in rank as both registrars were gone (seen in a play of test_both_registrars_have_just_restarted). Change: whoever claims what an entry has settled finds its claim there.

--- a/src/comfreysill/placement/claims.py
+++ b/src/comfreysill/placement/claims.py
@@ -296,12 +296,13 @@
         _insert_replica(state, claim, address)
 
 
-def _insert_replica(state: EntryState, claim: OwnClaim, address: str) -> None:
+def _insert_replica(state: EntryState, claim: OwnClaim, address: str) -> Replica:
     """Adds a registrar at its place in rank; it is asked once those before it have granted."""
     replica = Replica(address=address)
     replica.state = ReplicaState.WITHDRAWN
     claim.replicas.append(replica)
     claim.replicas.sort(key=lambda item: _rank_address(state, claim, item.address))
+    return replica
 
 
 def _rank_address(state: EntryState, claim: OwnClaim, address: str) -> int:
@@ -361,6 +362,17 @@
     return claim.settled
 
 
+def hold_own_claim(state: EntryState, request_id: str, now: float) -> None:
+    """Makes a claim of this entry at itself, so that others who claim the request learn of it."""
+    claim = state.claims.get(request_id)
+    if claim is None or not claim.settled:
+        return
+    if any(not replica.address for replica in claim.replicas):
+        return
+    replica = _insert_replica(state, claim, "")
+    _send_claim(state, claim, replica, now)
+
+
 def add_replica(state: EntryState, claim: OwnClaim, peer: Peer, now: float) -> None:
     """Claims a request at a registrar that could not be reached before, if it ranks high enough."""
     known = {replica.address for replica in claim.replicas}
--- a/src/comfreysill/placement/registrar.py
+++ b/src/comfreysill/placement/registrar.py
@@ -19,7 +19,7 @@
 )
 from comfreysill.placement.cancelling import receive_cancellation, receive_cancellation_reply
 from comfreysill.placement.claim_leases import is_complete
-from comfreysill.placement.claims import receive_reply
+from comfreysill.placement.claims import hold_own_claim, receive_reply
 from comfreysill.placement.effects import SendClaimReplies
 from comfreysill.placement.state import EntryState, count, note_event
 
@@ -52,6 +52,8 @@
     if frame.closing:
         record_suspension(state.registry, frame.entry, now)
         return
+    for item in frame.claims:
+        hold_own_claim(state, item.request_id, now)
     replies = [
         receive_claim(state.registry, frame.entry, item, now, was_complete) for item in frame.claims
     ]
--- a/tests/test_claim_leases.py
+++ b/tests/test_claim_leases.py
@@ -4,16 +4,25 @@
 
 from comfreysill.claims.claim import ClaimRegistry
 from comfreysill.claims.registry import receive_claim, take_late_replies
-from comfreysill.exchange.claims import ClaimRepliesFrame, ClaimRequest, ClaimStatus
+from comfreysill.exchange.claims import (
+    ClaimRepliesFrame,
+    ClaimRequest,
+    ClaimsFrame,
+    ClaimStatus,
+)
 from comfreysill.exchange.messages import CLAIM_LEASE_SECONDS, RUN_EXPIRY_SECONDS
 from comfreysill.placement.claim_leases import is_complete
 from comfreysill.placement.claims import confirm_claim
+from comfreysill.placement.effects import SendClaimReplies
 from comfreysill.placement.peer_links import (
     HEARTBEAT_SECONDS,
     expire_replies,
     receive_replies,
     update_peers,
 )
+from comfreysill.placement.registrar import receive_claims
+from comfreysill.placement.requests import conclude_request
+from comfreysill.request.types import Verdict
 from tests import test_claims
 
 GRANTED, HELD = ClaimStatus.GRANTED, ClaimStatus.HELD
@@ -94,6 +103,24 @@
         self.assertFalse(self.is_confirmed())
         self.assertIsNone(self.request.verdict)
 
+    # Guards against an entry that grants another one what it runs itself, as both registrars of the
+    # request are gone.
+    def test_an_entry_does_not_grant_what_it_runs_itself(self):
+        frame = ClaimsFrame(entry="g@1", session=1, opening=True, claims=[], releases=[])
+        receive_claims(self.state, frame, self.now)
+        claim = ClaimRequest(request_id=self.request_id, number=1, seconds=5.0)
+        frame = ClaimsFrame(entry="g@1", session=1, opening=False, claims=[claim], releases=[])
+        receive_claims(self.state, frame, self.now)
+        replies = [
+            reply
+            for effect in self.state.effects
+            if isinstance(effect, SendClaimReplies)
+            for reply in effect.frame.replies
+        ]
+        self.assertEqual([(reply.status, reply.holder) for reply in replies], [(HELD, "e@1")])
+        conclude_request(self.state, self.request, Verdict.COMPLETED, "", self.now)
+        self.assertEqual(self.state.registry.claims, {})
+
 
 class TestRegistrar(unittest.TestCase):
     """A registrar that may have granted claims that it doesn't know."""
