--- a/src/comfreysill/exchange/messages.py
+++ b/src/comfreysill/exchange/messages.py
@@ -94,6 +94,8 @@
         isolated: True if they may run only while no task of another request does.
         stop_at: Boot-clock time of the agent in seconds from which none of the tasks may run, as
             their caller has stopped waiting; infinite if that time is unknown.
+        valid_until: Boot-clock time of the agent in seconds from which the orders are refused, as
+            another entry may have taken the request over; infinite if they never are.
     """
 
     __slots__ = (
@@ -109,6 +111,7 @@
         "orders",
         "isolated",
         "stop_at",
+        "valid_until",
     )
 
     def __init__(
@@ -126,6 +129,7 @@
         isolated: bool = False,
         route: str = "",
         stop_at: float = math.inf,
+        valid_until: float = math.inf,
     ) -> None:
         self.request_id = request_id
         self.route = route
@@ -139,6 +143,7 @@
         self.orders = orders
         self.isolated = isolated
         self.stop_at = stop_at
+        self.valid_until = valid_until
 
 
 class EntryFrame:
--- a/src/comfreysill/execution/frame_handling.py
+++ b/src/comfreysill/execution/frame_handling.py
@@ -164,7 +164,7 @@
     """
     if existing is not None:
         return "another run of the task is here"
-    if now > link.lease_until:
+    if now > link.lease_until or now >= batch.valid_until:
         return "the order came late"
     if now >= batch.stop_at:
         return "its caller has stopped waiting"
--- a/src/comfreysill/placement/claim_leases.py
+++ b/src/comfreysill/placement/claim_leases.py
@@ -47,19 +47,20 @@
     return echo
 
 
-def is_confirmed(state: EntryState, claim: OwnClaim, now: float) -> bool:
-    """Returns whether a registrar has lately confirmed a claim of this entry.
+def find_lease_end(state: EntryState, claim: OwnClaim) -> float:
+    """Returns the boot-clock time in seconds until which this entry may act on a claim.
 
-    Without another registrar this entry must not have stood still since the claim was granted.
+    Without another registrar, a claim lasts until this entry stands still; its end is 0 after that.
     """
     granted = [replica for replica in claim.replicas if replica.state == ReplicaState.GRANTED]
     remote = [replica for replica in granted if replica.address]
-    if not remote:
-        return any(replica.sent_at >= state.stood_still_until for replica in granted)
-    return any(_find_lease_end(state, replica) > now for replica in remote)
+    if remote:
+        return max(_find_end_at_registrar(state, replica) for replica in remote)
+    own = [replica.sent_at for replica in granted if replica.sent_at >= state.stood_still_until]
+    return max(state.acted_at, *own) + CLAIM_LEASE_SECONDS if own else 0.0
 
 
-def _find_lease_end(state: EntryState, replica: Replica) -> float:
+def _find_end_at_registrar(state: EntryState, replica: Replica) -> float:
     """Returns the boot-clock time in seconds until which a registrar has confirmed a claim."""
     confirmed_at = replica.sent_at
     peer = state.peers.get(replica.address)
--- a/src/comfreysill/placement/claims.py
+++ b/src/comfreysill/placement/claims.py
@@ -13,8 +13,8 @@
 from comfreysill.exchange.messages import MAX_STOP_SECONDS, RUN_EXPIRY_SECONDS
 from comfreysill.placement.claim_leases import (
     REGISTRARS,
+    find_lease_end,
     is_complete,
-    is_confirmed,
     is_witnessed,
     list_lapse_witnesses,
 )
@@ -345,7 +345,7 @@
     claim = state.claims.get(request.specification.request_id)
     if claim is None or not claim.settled:
         return False
-    if is_confirmed(state, claim, now):
+    if now < find_lease_end(state, claim):
         return True
     count(state, "claims_lapsed")
     request_id = request.specification.request_id
--- a/src/comfreysill/placement/orders.py
+++ b/src/comfreysill/placement/orders.py
@@ -1,6 +1,7 @@
 """Orders of an entry to its agents: tasks are placed, and capacity is reserved for them."""
 
 from comfreysill.exchange.messages import Batch, Order
+from comfreysill.placement.claim_leases import find_lease_end
 from comfreysill.placement.state import Agent, EntryState, Reservation, count, note_event
 from comfreysill.request.request import Request, Task, place_task
 from comfreysill.request.types import Step
@@ -64,7 +65,8 @@
         place_task(task, agent.name)
         agent.tasks[task.name] = task
         agent.unconfirmed[task.name] = agent.last_sent_number + 1
-    agent.batches.append(_build_batch(agent, request, step, tasks, isolated))
+    lease_end = find_lease_end(state, state.claims[request.specification.request_id])
+    agent.batches.append(_build_batch(agent, request, step, tasks, lease_end, isolated))
     count(state, "tasks_placed", len(tasks))
     if isolated:
         count(state, "tasks_isolated", len(tasks))
@@ -74,7 +76,12 @@
 
 
 def _build_batch(
-    agent: Agent, request: Request, step: Step, tasks: list[Task], isolated: bool
+    agent: Agent,
+    request: Request,
+    step: Step,
+    tasks: list[Task],
+    lease_end: float,
+    isolated: bool,
 ) -> Batch:
     specification = request.specification
     return Batch(
@@ -93,6 +100,7 @@
         ],
         isolated=isolated,
         stop_at=_convert_to_agent_clock(agent, request.stop_at),
+        valid_until=_convert_to_agent_clock(agent, lease_end),
     )
 
 
--- a/src/comfreysill/wire/exchange.py
+++ b/src/comfreysill/wire/exchange.py
@@ -89,6 +89,7 @@
         route=batch.route,
         # 0 stands for an unknown time, which earlier versions don't send.
         stop_at=batch.stop_at if batch.stop_at < math.inf else 0.0,
+        valid_until=batch.valid_until if batch.valid_until < math.inf else 0.0,
     )
 
 
@@ -111,6 +112,7 @@
         isolated=message.isolated,
         route=message.route[:MAX_NAME_CHARS],
         stop_at=check_number(message.stop_at, "batches.stop_at") or math.inf,
+        valid_until=check_number(message.valid_until, "batches.valid_until") or math.inf,
     )
 
 
--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -479,8 +479,8 @@
         lambda original: settle_at_once,
     ),
     "lapsed-claims-used": (
-        f"{PLACEMENT}.claims.is_confirmed",
-        lambda original: lambda *a: True,
+        f"{PLACEMENT}.claims.find_lease_end",
+        lambda original: lambda *a: math.inf,
     ),
     "grants-of-restarted-registrars-believed": (
         f"{PLACEMENT}.claims.is_witnessed",
--- a/tests/test_execution.py
+++ b/tests/test_execution.py
@@ -132,6 +132,7 @@
         demand_rank=0,
         isolated=False,
         stop_at=math.inf,
+        valid_until=math.inf,
     ):
         self.frame_number += 1
         orders = [Order(step=0, index=index, attempt=1) for index in range(tasks)]
@@ -147,6 +148,7 @@
             orders=orders,
             isolated=isolated,
             stop_at=stop_at,
+            valid_until=valid_until,
         )
         # The newest echoed timestamp renews the link lease of the entry.
         frame = EntryFrame(
--- a/tests/test_paused_entries.py
+++ b/tests/test_paused_entries.py
@@ -1,11 +1,17 @@
 import math
 import unittest
 
-from comfreysill.exchange.messages import MAX_STOP_SECONDS, STOP_GRACE_SECONDS, Outcome
+from comfreysill.exchange.messages import (
+    CLAIM_LEASE_SECONDS,
+    MAX_STOP_SECONDS,
+    STOP_GRACE_SECONDS,
+    Outcome,
+)
 from comfreysill.execution.calls import StopCall
 from comfreysill.execution.frame_handling import expire_runs
 from comfreysill.execution.starts import is_stop_overdue
 from comfreysill.placement.deadlines import MIN_COMPACTED_DEADLINES, compute_stop_at
+from comfreysill.placement.peer_links import update_peers
 from comfreysill.placement.placement import place_waiting
 from comfreysill.placement.requests import disconnect_caller, expire_requests
 from comfreysill.request.types import Verdict
@@ -208,6 +214,15 @@
         (batch,) = self.state.agents["a"].batches
         self.assertAlmostEqual(batch.stop_at, 9.1)
 
+    def test_orders_carry_the_end_of_the_claim_on_the_clock_of_the_agent(self):
+        self.state.agents["a"].newest_timestamp = 7.0
+        self.state.agents["a"].last_frame_at = self.now - 0.1
+        self.submit_with_wait(tasks=1)
+        update_peers(self.state, self.now)
+        place_waiting(self.state, self.now)
+        (batch,) = self.state.agents["a"].batches
+        self.assertAlmostEqual(batch.valid_until, 7.1 + CLAIM_LEASE_SECONDS)
+
     def test_deadlines_of_ended_requests_are_removed(self):
         for number in range(5 * MIN_COMPACTED_DEADLINES):
             self.submit_with_wait(seconds=3600.0, caller=number, request_id=f"r{number}")
@@ -235,6 +250,15 @@
         self.assertEqual(self.list_outcomes(), [Outcome.BUSY])
         self.assertEqual(self.drain_starts(), [])
 
+    # Guards against an order that is read after the claim of its entry has lapsed, as that paused
+    # between its decision and the sending.
+    def test_an_order_after_the_end_of_its_claim_is_refused(self):
+        self.deliver_frame(tasks=1, valid_until=self.now)
+        self.assertEqual(self.list_outcomes(), [Outcome.BUSY])
+        self.assertEqual(self.drain_starts(), [])
+        self.deliver_frame(tasks=1, valid_until=self.now + 0.01, request_id="q")
+        self.assertEqual(len(self.drain_starts()), 1)
+
     def test_a_run_is_stopped_at_its_stop_time_though_its_link_is_open(self):
         self.deliver_frame(tasks=1, stop_at=self.now + 0.2)
         self.confirm_starts()
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -65,6 +65,8 @@
             orders=[Order(step=0, index=1, attempt=2, moves=3)],
             isolated=True,
             route="q",
+            stop_at=8.5,
+            valid_until=7.5,
         )
         entry_frame = EntryFrame(
             entry="e@1",
