A list of runs that lacks a field is no answer

Cause: a reply to a renewal without its lists counted as empty lists, so that the runs in use were reported as lost; one without born was taken for the lifetime in use. Tests: test_a_list_of_runs_that_lacks_a_field_is_unreadable failed before. The odd numbers are now each the only fault of a whole reply; the stand-in of test_platform_runner_calls answers with whole lists.

--- a/src/comfreysill/platform/runner.py
+++ b/src/comfreysill/platform/runner.py
@@ -63,6 +63,8 @@
     },
     total=False,
 )
+# Fields of each list of runs; without `born` it may be another lifetime's.
+LIST_FIELDS = frozenset({"clock-ms", "born", "running", "ended"})
 REPLY_DECODER = msgspec.json.Decoder(ReplyDocument)
 
 
@@ -134,7 +136,10 @@
 def build_renew_reply(
     call: RenewCall, status: ReplyStatus, document: ReplyDocument
 ) -> Result[RenewReply, str]:
-    """Builds the reply to a renewal; the error describes a row that can't be decoded."""
+    """Builds the reply to a renewal; the error names what is missing or can't be decoded."""
+    missing = LIST_FIELDS - document.keys()
+    if status == ReplyStatus.ACCEPTED and missing:
+        return Err(f"missing: {', '.join(sorted(missing))}")
     try:
         running = [_decode_listed_run(row) for row in document.get("running", ())]
         ended = [_decode_run_end(row) for row in document.get("ended", ())]
--- a/tests/test_input_fuzz.py
+++ b/tests/test_input_fuzz.py
@@ -595,7 +595,7 @@
     def __init__(self):
         self.agent = AgentState(agent="a", lifetime="1", zone="z", token=1)
         self.report(json.dumps(REPORT).encode())
-        self.renew(b'{"clock-ms": 1000}')
+        self.renew(b'{"clock-ms": 1000, "born": 17, "running": [], "ended": []}')
 
     def report(self, body):
         decoded = decode_report("i", body)
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -828,31 +828,46 @@
         self.run_with_agent(scenario)
 
 
+REPLY = {"clock-ms": b"482113", "born": b"17", "running": b"[]", "ended": b"[]"}
+
+
 class TestReplies(unittest.TestCase):
     # Guards against: a number that is too large ends the agent, or outdates all later ends of runs.
     def test_numbers_out_of_range_make_a_reply_unreadable(self):
+        for field, text in (
+            ("clock-ms", HUGE_INTEGER),
+            ("clock-ms", b"1e308"),
+            ("clock-ms", b"1e400"),
+            ("clock-ms", b"-1"),
+            ("running", b'[["r.0.0.0",' + HUGE_INTEGER + b"]]"),
+            ("running", b'[["r.0.0.0",1e308]]'),
+            ("running", b'[["r.0.0.0",-1]]'),
+            ("running", b'[["r.0.0.0",1,"","nan"]]'),
+            ("running", b'[["r.0.0.0",1,"","inf"]]'),
+            ("ended", b"[[" + HUGE_INTEGER + b',"r.0.0.0",1,"done"]]'),
+            ("ended", b'[[9007199254740993,"r.0.0.0",1,"done"]]'),
+            ("ended", b'[[1,"r.0.0.0",' + b"9" * 5000 + b',"done"]]'),
+            ("ended", DEEP),
+        ):
+            self.assertTrue(self.decode({**REPLY, field: text}).is_err(), text[:40])
+
+    # Guards against: a reply without the lists, or of an unknown lifetime, ends the runs of the
+    # runner in use.
+    def test_a_list_of_runs_that_lacks_a_field_is_unreadable(self):
+        self.assertTrue(self.decode(REPLY).is_ok())
+        for field in REPLY:
+            rest = {key: text for key, text in REPLY.items() if key != field}
+            self.assertTrue(self.decode(rest).is_err(), field)
+
+    def decode(self, fields):
+        """Decodes a reply to a renewal from the texts of its fields."""
         call = RenewCall(
             lifetime=None, token=1, ended_seen=0, lease_until_ms=0, wait_ms=0, sent_at=0.0
         )
-        for text in (
-            b'{"clock-ms":' + HUGE_INTEGER + b"}",
-            b'{"clock-ms":1e308}',
-            b'{"clock-ms":1e400}',
-            b'{"clock-ms":-1}',
-            b'{"running":[["r.0.0.0",' + HUGE_INTEGER + b"]]}",
-            b'{"running":[["r.0.0.0",1e308]]}',
-            b'{"running":[["r.0.0.0",-1]]}',
-            b'{"running":[["r.0.0.0",1,"","nan"]]}',
-            b'{"running":[["r.0.0.0",1,"","inf"]]}',
-            b'{"ended":[[' + HUGE_INTEGER + b',"r.0.0.0",1,"done"]]}',
-            b'{"ended":[[9007199254740993,"r.0.0.0",1,"done"]]}',
-            b'{"ended":[[1,"r.0.0.0",' + b"9" * 5000 + b',"done"]]}',
-            b'{"ended":' + DEEP + b"}",
-        ):
-            decoded = decode_document(REPLY_DECODER, text).and_then(
-                lambda document: build_renew_reply(call, ReplyStatus.ACCEPTED, document)
-            )
-            self.assertTrue(decoded.is_err(), text[:40])
+        members = [f'"{field}":'.encode() + text for field, text in fields.items()]
+        return decode_document(REPLY_DECODER, b"{" + b",".join(members) + b"}").and_then(
+            lambda document: build_renew_reply(call, ReplyStatus.ACCEPTED, document)
+        )
 
 
 ODD_NUMBERS = (float("inf"), float("-inf"), float("nan"))
--- a/tests/test_platform_runner_calls.py
+++ b/tests/test_platform_runner_calls.py
@@ -32,7 +32,9 @@
             if b"wait-ms" in body or b"/api/hold" not in head:
                 print("open", flush=True)
                 await asyncio.sleep(60)
-            writer.write(b"HTTP/1.1 200 OK\\r\\ncontent-length: 2\\r\\n\\r\\n{}")
+            answer = b'{"clock-ms":1,"born":1,"running":[],"ended":[]}'
+            head = b"HTTP/1.1 200 OK\\r\\ncontent-length: %d\\r\\n\\r\\n" % len(answer)
+            writer.write(head + answer)
             await writer.drain()
     except asyncio.IncompleteReadError:
         pass
