A registrar doesn't know all claims before its first action

Cause: the time from which it does was 0 until the first flush, so that claims in its first batch of messages were granted for good. Change: infinite before the first action.

--- a/src/comfreysill/claims/claim.py
+++ b/src/comfreysill/claims/claim.py
@@ -1,5 +1,6 @@
 """Claims, who holds them and who waits for them, as a registrar keeps them."""
 
+import math
 from collections import deque
 
 from comfreysill.claims.cancellations import CancellationMemory
@@ -91,7 +92,8 @@
             entry name; entries with an open session are missing.
         late_replies: Replies to claims and cancellings that had to wait, for the process to send.
         complete_at: Boot-clock time in seconds from which nothing runs any more of claims that it
-            doesn't know, as its process has just started or stood still; 0 before the first action.
+            doesn't know, as its process has just started or stood still; infinite before the first
+            action of the process.
     """
 
     __slots__ = (
@@ -113,4 +115,4 @@
         self.heard_at: dict[str, float] = {}
         self.absent_since: dict[str, float] = {}
         self.late_replies: list[AddressedReply] = []
-        self.complete_at = 0.0
+        self.complete_at = math.inf
--- a/tests/test_claim_leases.py
+++ b/tests/test_claim_leases.py
@@ -22,6 +22,7 @@
 )
 from comfreysill.placement.registrar import receive_claims
 from comfreysill.placement.requests import conclude_request
+from comfreysill.placement.state import EntryState
 from comfreysill.request.types import Verdict
 from tests import test_claims
 
@@ -139,6 +140,12 @@
         self.assertEqual(replies, [("e@1", HELD)])
         self.assertEqual(self.claim(registry, "g@1", True), HELD)
 
+    # Guards against claims that an entry reads before its first look for peers and grants for good.
+    def test_it_knows_no_claims_before_its_first_action(self):
+        state = EntryState(name="e@1", zone="z", unix_offset=0.0)
+        state.entries = ["e:1", "f:1"]
+        self.assertFalse(is_complete(state, test_claims.NOW))
+
     def test_it_knows_all_claims_once_all_entries_have_opened_their_sessions(self):
         case = TestHolder()
         case.setUp()
