--- a/src/comfreysill/exchange/messages.py
+++ b/src/comfreysill/exchange/messages.py
@@ -4,6 +4,7 @@
 import math
 
 from comfreysill.crashes.report import CrashReport
+from comfreysill.zones.closures import ZoneStatus
 
 # An agent keeps an entry's tasks running for this long after the newest of its own timestamps
 # that the entry has echoed.
@@ -164,6 +165,7 @@
         entries: Addresses of entries that the agent announces itself to, the sender's first; only
             in the first frame of a session, empty otherwise.
         routes_version: Version of the routing document in use at the entry, 0 if there is none.
+        zones: Statuses of zones that the agent isn't known to have.
     """
 
     __slots__ = (
@@ -177,6 +179,7 @@
         "stops",
         "entries",
         "routes_version",
+        "zones",
     )
 
     def __init__(
@@ -192,6 +195,7 @@
         stops: list[str],
         entries: list[str],
         routes_version: int,
+        zones: tuple[ZoneStatus, ...] = (),
     ) -> None:
         self.entry = entry
         self.session = session
@@ -203,6 +207,7 @@
         self.stops = stops
         self.entries = entries
         self.routes_version = routes_version
+        self.zones = zones
 
 
 class Ended:
@@ -349,6 +354,7 @@
         crashes: Recent crashes of the target's runner not yet sent in the session.
         late_starts: Tasks of any entry with a start that may be carried out late, or was until
             lately, unless sent in the session.
+        zones: Statuses of zones that the entry isn't known to have.
     """
 
     __slots__ = (
@@ -368,6 +374,7 @@
         "next_seconds",
         "crashes",
         "late_starts",
+        "zones",
     )
 
     def __init__(
@@ -389,6 +396,7 @@
         crashes: tuple[CrashReport, ...] = (),
         unconfirmed: list[str] | None = None,
         late_starts: tuple[LateStart, ...] = (),
+        zones: tuple[ZoneStatus, ...] = (),
     ) -> None:
         self.agent = agent
         self.lifetime = lifetime
@@ -406,6 +414,7 @@
         self.next_seconds = next_seconds
         self.crashes = crashes
         self.late_starts = late_starts
+        self.zones = zones
 
 
 class Role(enum.StrEnum):
--- a/src/comfreysill/execution/frame_handling.py
+++ b/src/comfreysill/execution/frame_handling.py
@@ -9,9 +9,15 @@
     Outcome,
 )
 from comfreysill.execution.capacity import has_room
+from comfreysill.execution.closures import is_zone_closed, learn_zones
 from comfreysill.execution.isolation import check_isolation
 from comfreysill.execution.run import Run
-from comfreysill.execution.starts import is_accepting, stop_run
+from comfreysill.execution.starts import (
+    ZONE_CLOSED_REASON,
+    is_accepting,
+    return_waiting_runs,
+    stop_run,
+)
 from comfreysill.execution.state import (
     AgentState,
     EntryLink,
@@ -21,6 +27,7 @@
     report_end,
 )
 from comfreysill.request.request import name_task
+from comfreysill.zones.closures import forget_told, note_heard
 
 # A link without an open session is kept for this long after its lease has ended.
 CLOSED_LINK_RETENTION_SECONDS = 20.0
@@ -56,6 +63,10 @@
     if frame.routes_version > agent.routes_version:
         agent.routes_version = frame.routes_version
         agent.routes_holder = link.address
+    if frame.zones:
+        note_heard(link.told_zones, frame.zones)
+        if learn_zones(agent, frame.zones, frame.entry, now):
+            return_waiting_runs(agent, now)
     for batch in frame.batches:
         _receive_batch(agent, link, batch, now)
     for name in frame.stops:
@@ -75,6 +86,7 @@
     link.profile_sent = -1
     link.crash_sent = 0
     link.unfinal_start_sent = 0
+    forget_told(link.told_zones)
     note_event(agent, "link opened", entry=frame.entry, session=frame.session)
     return link
 
@@ -168,6 +180,9 @@
         return "the order came late"
     if now >= batch.stop_at:
         return "its caller has stopped waiting"
+    if is_zone_closed(agent):
+        count(agent, "starts_refused_zone_closed")
+        return ZONE_CLOSED_REASON
     if not is_accepting(agent, now):
         return "the target takes no new work"
     conflict = check_isolation(agent, batch)
--- a/src/comfreysill/execution/frames.py
+++ b/src/comfreysill/execution/frames.py
@@ -10,6 +10,7 @@
     Load,
     Profile,
 )
+from comfreysill.execution.closures import get_zone
 from comfreysill.execution.crashes import list_unsent_crashes
 from comfreysill.execution.run import RunState
 from comfreysill.execution.starts import is_accepting
@@ -19,6 +20,7 @@
     has_unsent_late_starts,
     take_late_starts,
 )
+from comfreysill.zones.closures import list_news, take_news
 
 # Maximum number of entries that are notified immediately when capacity becomes free.
 MAX_NOTIFIED_ENTRIES = 2
@@ -56,7 +58,7 @@
         return NO_PROFILE
     return Profile(
         service=report.service,
-        zone=report.zone or agent.zone,
+        zone=get_zone(agent),
         cpu=report.cpu,
         memory_mb=report.memory_mb,
         gpus=report.gpus,
@@ -120,6 +122,8 @@
 def _is_due(agent: AgentState, link: EntryLink, now: float) -> bool:
     if not link.opening_sent or link.profile_sent != agent.profile_version:
         return True
+    if list_news(link.told_zones, agent.closures):
+        return True
     if agent.last_crash_number > link.crash_sent:
         return True
     if link.ended and link.ended[-1].number > link.end_sent:
@@ -165,6 +169,7 @@
         next_seconds=_compute_frame_interval(agent, link),
         crashes=list_unsent_crashes(agent, link, now),
         late_starts=take_late_starts(agent, link, now),
+        zones=take_news(link.told_zones, agent.closures),
     )
     link.opening_sent = True
     link.accepting_sent = load.accepting
--- a/src/comfreysill/execution/runner.py
+++ b/src/comfreysill/execution/runner.py
@@ -9,7 +9,7 @@
 from comfreysill.execution.capacity import return_excess_runs
 from comfreysill.execution.crashes import record_crash
 from comfreysill.execution.run import Run, RunState
-from comfreysill.execution.starts import is_leaving, mark_unconfirmed
+from comfreysill.execution.starts import mark_unconfirmed, return_waiting_runs
 from comfreysill.execution.state import (
     AgentState,
     count,
@@ -70,7 +70,7 @@
     agent.report = report
     if report.sequence > previous.sequence:
         agent.deregistered = False
-    _return_waiting_runs(agent, now)
+    return_waiting_runs(agent, now)
     return_excess_runs(agent, now)
 
 
@@ -109,7 +109,7 @@
     note_event(agent, "runner deregistered", lifetime=str(agent.runner_lifetime))
     agent.deregistered = True
     agent.renew_now = True
-    _return_waiting_runs(agent, now)
+    return_waiting_runs(agent, now)
 
 
 def end_runner_lifetime(
@@ -187,7 +187,7 @@
 def begin_shutdown(agent: AgentState, now: float) -> None:
     """Stops accepting new work and returns waiting runs to their entries."""
     agent.stopping = True
-    _return_waiting_runs(agent, now)
+    return_waiting_runs(agent, now)
 
 
 def is_idle(agent: AgentState) -> bool:
@@ -198,11 +198,3 @@
     if agent.runner_lifetime is not None:
         return not agent.runs
     return all(run.state == RunState.UNCONFIRMED for run in agent.runs.values())
-
-
-def _return_waiting_runs(agent: AgentState, now: float) -> None:
-    if not is_leaving(agent):
-        return
-    for run in list(agent.runs.values()):
-        if run.state == RunState.WAITING:
-            end_run(agent, run, Outcome.RETURNED, now, detail="the target takes no new work")
--- a/src/comfreysill/execution/starts.py
+++ b/src/comfreysill/execution/starts.py
@@ -15,6 +15,7 @@
     StartCall,
     StopCall,
 )
+from comfreysill.execution.closures import is_zone_closed
 from comfreysill.execution.crashes import settle_crash
 from comfreysill.execution.health import record_failure
 from comfreysill.execution.isolation import may_start
@@ -48,11 +49,12 @@
 MAX_CLOCK_LEAD_MS = 100
 # Added to the run number after the runner has rejected it as too low.
 RUN_NUMBER_JUMP = 10_000_000
+ZONE_CLOSED_REASON = "its zone is closed"
 
 
 def is_accepting(agent: AgentState, now: float) -> bool:
     """Returns whether the target accepts new work."""
-    if agent.runner_lifetime is None or not agent.reconciled or is_leaving(agent):
+    if agent.runner_lifetime is None or not agent.reconciled or find_bar_to_starts(agent):
         return False
     if now < agent.suspended_until:
         return False
@@ -64,15 +66,45 @@
     return not (agent.probing and agent.runs)
 
 
-def is_leaving(agent: AgentState) -> bool:
-    """Returns whether the runner or its agent is about to end, or there is no runner."""
-    return agent.stopping or agent.deregistered or agent.report is None or agent.report.draining
+def find_bar_to_starts(agent: AgentState) -> str:
+    """Returns why the target starts nothing more, empty if it does.
+
+    The runner or its agent is about to end, there is no runner, or its zone is closed.
+    """
+    if agent.stopping or agent.deregistered or agent.report is None or agent.report.draining:
+        return "the target takes no new work"
+    return ZONE_CLOSED_REASON if is_zone_closed(agent) else ""
+
+
+def return_barred_run(agent: AgentState, run: Run, now: float, bar: str) -> None:
+    """Returns a run that is not to be started here, for the reason `bar`.
+
+    If an earlier start of it may be carried out late, its entry keeps the task to this target for
+    that time.
+    """
+    if bar == ZONE_CLOSED_REASON:
+        count(agent, "runs_returned_zone_closed")
+    end_run(agent, run, Outcome.RETURNED, now, detail=bar)
+
+
+def return_waiting_runs(agent: AgentState, now: float) -> None:
+    """Returns the waiting runs to their entries if the target takes no new work."""
+    bar = find_bar_to_starts(agent)
+    if not bar:
+        return
+    for run in list(agent.runs.values()):
+        if run.state == RunState.WAITING:
+            return_barred_run(agent, run, now, bar)
 
 
 def start_waiting(agent: AgentState, now: float) -> None:
     """Queues starts of waiting runs by urgency until the next one exceeds the free capacity."""
     if agent.runner_lifetime is None or not agent.reconciled or agent.clock_ms < 0:
         return
+    if agent.waiting and is_zone_closed(agent):
+        # The zone of the target may have changed.
+        return_waiting_runs(agent, now)
+        return
     # The lease in a start call extends those of all runs.
     if agent.waiting and is_stop_overdue(agent, now):
         return
@@ -287,6 +319,9 @@
 def _resend_start(
     agent: AgentState, run: Run, call: StartCall, status: ReplyStatus, now: float
 ) -> None:
+    if is_zone_closed(agent):
+        return_barred_run(agent, run, now, ZONE_CLOSED_REASON)
+        return
     is_hopeless = run.start_calls_sent >= MAX_START_CALLS or run.stop_wanted
     if is_hopeless or is_stop_overdue(agent, now):
         _return_run(agent, run, now, f"the runner refused: {status.name}")
@@ -314,8 +349,9 @@
         return
     if run.start_calls_sent % MAX_START_CALLS == 0:
         record_failure(agent, run.batch.request_id, now)
-    if run.stop_wanted or is_leaving(agent):
-        _return_run(agent, run, now, "the runner gave no answer")
+    bar = find_bar_to_starts(agent)
+    if run.stop_wanted or bar:
+        return_barred_run(agent, run, now, bar or "the runner gave no answer")
         return
     release_capacity(agent, run)
     enqueue_run(agent, run)
--- a/src/comfreysill/execution/state.py
+++ b/src/comfreysill/execution/state.py
@@ -13,6 +13,7 @@
 from comfreysill.execution.calls import Call, RunnerLifetime, RunnerReport
 from comfreysill.execution.recent_crashes import RecentCrash, UnsettledCrash
 from comfreysill.execution.run import Run, RunState
+from comfreysill.zones.closures import NO_CLOSURES, ToldZones
 
 # A runner's clock may be 2% slow.
 MIN_CLOCK_RATE = 0.98
@@ -39,6 +40,7 @@
             the first.
         sent_at: Boot-clock time in seconds of the last frame sent, 0 before the first.
         address: Address of the entry, empty until a frame names it.
+        told_zones: What it knows of zones from the newest session.
     """
 
     __slots__ = (
@@ -58,6 +60,7 @@
         "unfinal_start_sent",
         "sent_at",
         "address",
+        "told_zones",
     )
 
     def __init__(self, *, entry: str) -> None:
@@ -77,6 +80,7 @@
         self.unfinal_start_sent = 0
         self.sent_at = 0.0
         self.address = ""
+        self.told_zones = ToldZones()
 
 
 class UnfinalStart:
@@ -157,6 +161,7 @@
         slowness_samples: Number of run times in `slowness`.
         links: Links with entries by the entry's name.
         entries: Addresses of entries that the agent announces itself to.
+        closures: What is known of closed availability zones.
         routes_version: Newest version of the routing document reported by an entry, 0 if none.
         routes_holder: Address of that entry, empty if unknown.
         last_run_number: Run number of the last start at the runner.
@@ -219,6 +224,7 @@
         "slowness_samples",
         "links",
         "entries",
+        "closures",
         "routes_version",
         "routes_holder",
         "last_run_number",
@@ -274,6 +280,7 @@
         self.slowness_samples = 0
         self.links: dict[str, EntryLink] = {}
         self.entries: set[str] = set()
+        self.closures = NO_CLOSURES
         self.routes_version = 0
         self.routes_holder = ""
         self.recent_crashes: deque[RecentCrash] = deque()
--- a/src/comfreysill/gateway/actor.py
+++ b/src/comfreysill/gateway/actor.py
@@ -32,6 +32,7 @@
     SessionOpened,
     Submit,
     Tick,
+    ZonesRead,
 )
 from comfreysill.gateway.registrar import ClaimantSession
 from comfreysill.mailbox import Mailbox
@@ -47,6 +48,7 @@
     release_agent,
 )
 from comfreysill.placement.cancelling import begin_cancellation
+from comfreysill.placement.closures import is_in_closed_zone, read_zones
 from comfreysill.placement.crashes import judge_crashes, receive_crash
 from comfreysill.placement.effects import (
     ClosePeerSession,
@@ -71,7 +73,12 @@
     receive_replies,
     update_peers,
 )
-from comfreysill.placement.placement import is_usable, place_waiting, refuse_unmeetable
+from comfreysill.placement.placement import (
+    is_current,
+    is_usable,
+    place_waiting,
+    refuse_unmeetable,
+)
 from comfreysill.placement.registrar import close_claimant_session, receive_claims
 from comfreysill.placement.requests import (
     conclude_remote_ends,
@@ -183,6 +190,9 @@
 def is_ready(actor: Actor, listening: bool) -> bool:
     """Returns whether the load balancer should send callers here.
 
+    Closed zones don't count: an entry without any other target refuses at once, and has to be sent
+    callers as soon as a zone is opened.
+
     Args:
         actor: The entry's actor.
         listening: True once the callers' port accepts connections.
@@ -191,7 +201,10 @@
     if actor.stopping or not listening or not state.routes.version:
         return False
     now = read_boot_clock()
-    return any(is_usable(agent, now) for agent in state.agents.values())
+    return any(
+        is_usable(state, agent, now) or (is_in_closed_zone(state, agent) and is_current(agent, now))
+        for agent in state.agents.values()
+    )
 
 
 async def run_state_task(actor: Actor) -> None:
@@ -315,6 +328,10 @@
         receive_crash(actor.state, report, now)
 
 
+def _receive_zones(actor: Actor, message: ZonesRead, now: float) -> None:
+    read_zones(actor.state, message.reading, now)
+
+
 def _receive_tick(actor: Actor, message: Tick, now: float) -> None:
     expire_agents(actor.state, now)
     expire_replies(actor.state, now)
@@ -347,6 +364,7 @@
     EntriesDiscovered: _receive_entries,
     RoutesRead: _receive_routes,
     CrashesRead: _receive_crashes,
+    ZonesRead: _receive_zones,
     Tick: _receive_tick,
     ConcludeRequests: _receive_conclude_requests,
 }
@@ -395,6 +413,7 @@
     EntriesDiscovered: contain_nothing,
     RoutesRead: contain_nothing,
     CrashesRead: contain_nothing,
+    ZonesRead: contain_nothing,
 }
 
 
--- a/src/comfreysill/gateway/discovery.py
+++ b/src/comfreysill/gateway/discovery.py
@@ -1,4 +1,4 @@
-"""Asyncio tasks of an entry on the platform that watch the store: members, routes and crashes.
+"""Asyncio tasks of an entry on the platform that watch the store: members, routes, zones, crashes.
 
 The routing document is the row with CONFIGURATION_KEY in the configuration table. While the store
 can't be read, the members are exchanged with other entries.
@@ -19,6 +19,7 @@
     MemberRemoved,
     MembersDiscovered,
     RoutesRead,
+    ZonesRead,
 )
 from comfreysill.gateway.roster import exchange_members
 from comfreysill.mailbox import Mailbox
@@ -28,6 +29,7 @@
     decode_configuration,
 )
 from comfreysill.platform.crashes import CRASHES_TABLE, decode_crashes
+from comfreysill.platform.evacuations import decode_evacuations
 from comfreysill.platform.members import MEMBERS_TABLE, decode_members
 from comfreysill.platform.rejections import RejectedEntry, Rejections, record_rejections
 from comfreysill.platform.store import RowSet, StoreClient, await_changes, read_rows
@@ -89,9 +91,10 @@
 async def watch_routes(
     store: StoreClient, inbox: Mailbox[EntryStateMessage], store_answers: asyncio.Event
 ) -> None:
-    """Reads the routing document at the start and after each change."""
+    """Reads the routing document and the closed zones at the start and after each change."""
 
     def handle_rows(rows: RowSet) -> None:
+        _receive_zones(rows, inbox, store.rejections)
         for row in rows.rows:
             if row.key == CONFIGURATION_KEY and row.value is not None:
                 receive_routes_text(row.value, inbox, store.rejections)
@@ -234,6 +237,16 @@
         return
 
 
+def _receive_zones(rows: RowSet, inbox: Mailbox[EntryStateMessage], rejections: Rejections) -> None:
+    found = decode_evacuations(rows)
+    record_rejections(rejections, CONFIGURATION_TABLE, found.rejected)
+    text = "odd row; its zone is closed all the same"
+    record_rejections(rejections, CONFIGURATION_TABLE, found.odd, text)
+    reading = found.reading
+    if reading.statuses or reading.undated or reading.whole:
+        inbox.post(ZonesRead(reading=reading))
+
+
 def _receive_members(
     rows: RowSet, inbox: Mailbox[EntryStateMessage], rejections: Rejections
 ) -> None:
--- a/src/comfreysill/gateway/messages.py
+++ b/src/comfreysill/gateway/messages.py
@@ -6,6 +6,7 @@
 from comfreysill.mailbox import Mailbox
 from comfreysill.request.types import CallerWait, CancelOutcome, Specification, Verdict
 from comfreysill.routes.table import RouteTable
+from comfreysill.zones.closures import ZoneReading
 
 
 class Reply:
@@ -219,6 +220,15 @@
         self.reports = reports
 
 
+class ZonesRead:
+    """The operator's requests to evacuate zones were read from the store."""
+
+    __slots__ = ("reading",)
+
+    def __init__(self, *, reading: ZoneReading) -> None:
+        self.reading = reading
+
+
 class Tick:
     """The periodic timer has fired."""
 
@@ -248,6 +258,7 @@
     | EntriesDiscovered
     | RoutesRead
     | CrashesRead
+    | ZonesRead
     | Tick
     | ConcludeRequests
 )
--- a/src/comfreysill/placement/agents.py
+++ b/src/comfreysill/placement/agents.py
@@ -17,6 +17,7 @@
     may_place,
     receive_late_starts,
 )
+from comfreysill.placement.closures import learn_zones
 from comfreysill.placement.crashes import receive_crash
 from comfreysill.placement.effects import CloseSession, FetchRoutes, SendFrame
 from comfreysill.placement.queue import rank_demand
@@ -25,6 +26,7 @@
 from comfreysill.placement.subset import rank_agent, remove_link
 from comfreysill.request.request import reschedule_task
 from comfreysill.request.types import Verdict
+from comfreysill.zones.closures import forget_told, list_news, note_heard, take_news
 
 # A session whose next frame is overdue by more than this is closed, and the link reconnected.
 LINK_TIMEOUT_MARGIN_SECONDS = 0.2
@@ -112,6 +114,7 @@
     agent.reservations.clear()
     agent.batches.clear()
     agent.stops.clear()
+    forget_told(agent.told_zones)
     agent.unconfirmed = dict.fromkeys(agent.unconfirmed, 0)
     return agent.session
 
@@ -139,6 +142,10 @@
         agent.reservations.popleft()
     if frame.profile is not None:
         agent.profile = frame.profile
+    if frame.zones:
+        # Before the ends, so that tasks aren't placed in a closed zone again.
+        note_heard(agent.told_zones, frame.zones)
+        learn_zones(state, frame.zones, agent.name, now)
     if frame.routes_version > state.routes.version:
         _request_routes(state, frame, now)
     if frame.lifetime != agent.lifetime:
@@ -344,14 +351,16 @@
     """Queues the frames that are due."""
     demand_rank = rank_demand(state)
     for agent in state.agents.values():
-        if agent.connected and _is_due(agent, demand_rank):
+        if agent.connected and _is_due(state, agent, demand_rank):
             frame = _build_frame(state, agent, demand_rank, now)
             state.effects.append(SendFrame(agent=agent.name, frame=frame))
 
 
-def _is_due(agent: Agent, demand_rank: int) -> bool:
+def _is_due(state: EntryState, agent: Agent, demand_rank: int) -> bool:
     if not agent.sent_at or agent.batches or agent.stops:
         return True
+    if list_news(agent.told_zones, state.closures):
+        return True
     if demand_rank and (not agent.demand_rank_sent or demand_rank < agent.demand_rank_sent):
         return True
     advance = agent.newest_timestamp - agent.echoed_timestamp
@@ -372,6 +381,7 @@
         stops=agent.stops,
         entries=state.entries if is_first else [],
         routes_version=state.routes.version,
+        zones=take_news(agent.told_zones, state.closures),
     )
     agent.batches = []
     agent.stops = []
--- a/src/comfreysill/placement/placement.py
+++ b/src/comfreysill/placement/placement.py
@@ -5,6 +5,7 @@
 
 from comfreysill.placement.bindings import is_bound, is_bound_to, may_place
 from comfreysill.placement.claims import confirm_claim
+from comfreysill.placement.closures import is_in_closed_zone
 from comfreysill.placement.confinement import (
     TargetGroup,
     TargetGroups,
@@ -81,18 +82,20 @@
     return [
         agent
         for agent in state.agents.values()
-        if is_usable(agent, now) and agent.profile.service == service
+        if is_usable(state, agent, now) and agent.profile.service == service
     ]
 
 
-def is_usable(agent: Agent, now: float) -> bool:
+def is_usable(state: EntryState, agent: Agent, now: float) -> bool:
     """Returns whether tasks may be placed on the target of an agent."""
+    return is_current(agent, now) and agent.load.accepting and not is_in_closed_zone(state, agent)
+
+
+def is_current(agent: Agent, now: float) -> bool:
+    """Returns whether the target of an agent is known, and its load up to date."""
     if not agent.connected or not agent.handshake_done or agent.profile is None:
         return False
-    return (
-        agent.load.accepting
-        and now - agent.last_frame_at <= agent.next_seconds + FRAME_DELAY_LIMIT_SECONDS
-    )
+    return now - agent.last_frame_at <= agent.next_seconds + FRAME_DELAY_LIMIT_SECONDS
 
 
 def _place_queue(state: EntryState, queue: list, groups: TargetGroups, now: float) -> None:
--- a/src/comfreysill/placement/state.py
+++ b/src/comfreysill/placement/state.py
@@ -13,6 +13,7 @@
 from comfreysill.request.request import Request, Task
 from comfreysill.request.types import CallerWait, Specification, Verdict
 from comfreysill.routes.table import NO_ROUTES
+from comfreysill.zones.closures import NO_CLOSURES, ToldZones
 
 
 class Reservation:
@@ -52,8 +53,7 @@
         session: Number of the newest session of the link, 0 before the first.
         connected: True while the session is open.
         handshake_done: True once the opening frame of the session was received.
-        opened_at: Boot-clock time in seconds at which the newest session was opened, 0 before the
-            first.
+        opened_at: Boot-clock time in seconds of the opening of the newest session, 0 before any.
         last_frame_at: Boot-clock time in seconds at which its last frame was received, 0 before the
             first.
         next_seconds: Announced maximum time in seconds from the last frame to the next.
@@ -77,6 +77,7 @@
         batches: Tasks for the next frame.
         stops: Names of tasks to stop, for the next frame.
         demand_rank_sent: Demand rank in the last frame sent, 0 for none; see `rank_demand`.
+        told_zones: What it knows of zones from the session.
     """
 
     __slots__ = (
@@ -107,6 +108,7 @@
         "batches",
         "stops",
         "demand_rank_sent",
+        "told_zones",
     )
 
     def __init__(self, *, name: str, address: str, service: str = "", subset_rank: int = 0) -> None:
@@ -137,6 +139,7 @@
         self.batches: list[Batch] = []
         self.stops: list[str] = []
         self.demand_rank_sent = 0
+        self.told_zones = ToldZones()
 
 
 class Binding:
@@ -238,6 +241,7 @@
         unix_offset: Seconds to add to the boot clock to get Unix time.
         retry_seconds: Seconds from the end of a caller's wait until it sends its request again.
         routes: Route table in use.
+        closures: What is known of closed availability zones.
         routes_due_at: Boot-clock time in seconds from which a newer routing document may be fetched
             from another entry, 0 while no newer one is known.
         agents: Agents by name.
@@ -287,6 +291,7 @@
         "unix_offset",
         "retry_seconds",
         "routes",
+        "closures",
         "routes_due_at",
         "agents",
         "address_owners",
@@ -341,6 +346,7 @@
         self.unix_offset = unix_offset
         self.retry_seconds = retry_seconds
         self.routes = NO_ROUTES
+        self.closures = NO_CLOSURES
         self.routes_due_at = 0.0
         self.agents: dict[str, Agent] = {}
         self.address_owners: dict[str, str] = {}
--- a/src/comfreysill/placement/subset.py
+++ b/src/comfreysill/placement/subset.py
@@ -7,6 +7,7 @@
 import math
 import zlib
 
+from comfreysill.placement.closures import is_in_closed_zone
 from comfreysill.placement.effects import OpenLink, RemoveLink
 from comfreysill.placement.state import Agent, EntryState, note_event
 
@@ -71,7 +72,7 @@
             if needed_count <= 0:
                 break
             subset.add(agent.name)
-            needed_count -= not is_unavailable(agent, now)
+            needed_count -= not (is_unavailable(agent, now) or is_in_closed_zone(state, agent))
     return subset
 
 
--- a/src/comfreysill/platform/rejections.py
+++ b/src/comfreysill/platform/rejections.py
@@ -46,9 +46,15 @@
 
 
 def record_rejections(
-    rejections: Rejections, source: str, entries: list[RejectedEntry]
+    rejections: Rejections,
+    source: str,
+    entries: list[RejectedEntry],
+    text: str = "entry rejected; the others hold",
 ) -> list[RejectedEntry]:
-    """Counts and logs the entries of a source that were not rejected before; returns those."""
+    """Counts and logs the entries of a source that were not rejected before; returns those.
+
+    `text` is the text of the log line.
+    """
     new = []
     for entry in entries:
         identity = (source, entry.name, entry.identity)
@@ -60,5 +66,5 @@
         rejections.total += 1
         new.append(entry)
         fields = {"source": source, "name": entry.name, "why": entry.why[:MAX_WHY_CHARS]}
-        logger.warning("entry rejected; the others hold", extra={"fields": fields})
+        logger.warning(text, extra={"fields": fields})
     return new
--- a/src/comfreysill/platform/store.py
+++ b/src/comfreysill/platform/store.py
@@ -81,14 +81,32 @@
 
 
 class RowSet:
-    """Rows of a table at one version of the store; `complete` unless the store kept some back."""
+    """Rows of a table at one version of the store.
 
-    __slots__ = ("rows", "version", "complete")
+    Attributes:
+        rows: The rows.
+        version: The version.
+        complete: False if the store kept some back.
+        whole: True if these are all rows of the table, not those that have changed.
+        unreadable: Keys of further rows, which can't be decoded.
+    """
 
-    def __init__(self, *, rows: list[StoredRow], version: int, complete: bool = True) -> None:
+    __slots__ = ("rows", "version", "complete", "whole", "unreadable")
+
+    def __init__(
+        self,
+        *,
+        rows: list[StoredRow],
+        version: int,
+        complete: bool = True,
+        whole: bool = False,
+        unreadable: tuple[str, ...] = (),
+    ) -> None:
         self.rows = rows
         self.version = version
         self.complete = complete
+        self.whole = whole
+        self.unreadable = unreadable
 
 
 class StoreClient:
@@ -130,6 +148,7 @@
 async def read_rows(store: StoreClient, table: str, prefix: str = "") -> Result[RowSet, StoreError]:
     """Reads the rows of a table whose part is empty and whose keys begin with a prefix."""
     rows: list[StoredRow] = []
+    unreadable: tuple[str, ...] = ()
     version = 0
     query = {"table": table, "part": ""}
     if prefix:
@@ -141,12 +160,21 @@
             return decoded
         page = decoded.ok_value
         rows += page.rows
+        unreadable += _list_unreadable(page)
         # The version of the first page: changes made while paging are in the change feed after it.
         version = version or page.version
         # Keys ascend: an answer that doesn't go on from the one before would be read for ever.
         goes_on = bool(page.last_key) and page.last_key >= query.get("from", "")
         if not page.has_more or not goes_on:
-            return Ok(RowSet(rows=rows, version=version, complete=not page.has_more))
+            return Ok(
+                RowSet(
+                    rows=rows,
+                    version=version,
+                    complete=not page.has_more,
+                    whole=not page.has_more and not prefix,
+                    unreadable=unreadable,
+                )
+            )
         query["from"] = page.last_key + "\0"
 
 
@@ -158,7 +186,13 @@
     timeout_seconds = wait_seconds + CALL_TIMEOUT_SECONDS
     answer = await _call(store, "GET", "/api/rows-feed", query, None, timeout_seconds)
     decoded = answer.and_then(lambda text: _decode_rows(store, table, text))
-    return decoded.map(lambda page: RowSet(rows=page.rows, version=max(page.version, after)))
+    return decoded.map(
+        lambda page: RowSet(
+            rows=page.rows,
+            version=max(page.version, after),
+            unreadable=_list_unreadable(page),
+        )
+    )
 
 
 async def commit_rows(
@@ -182,6 +216,10 @@
     return answer.and_then(_decode_commit)
 
 
+def _list_unreadable(page: RowPage) -> tuple[str, ...]:
+    return tuple(row.name for row in page.rejected if row.name)
+
+
 def _decode_rows(store: StoreClient, table: str, text: bytes) -> Result[RowPage, StoreError]:
     """Decodes an answer about rows; rows that can't be decoded are counted and logged."""
     decoded = decode_page(text)
--- a/src/comfreysill/wire/exchange.py
+++ b/src/comfreysill/wire/exchange.py
@@ -5,6 +5,7 @@
 """
 
 import math
+from collections.abc import Sequence
 
 from comfreysill.address import parse_address
 from comfreysill.crashes.report import CrashReport
@@ -23,9 +24,12 @@
 )
 from comfreysill.wire import exchange_pb2 as pb
 from comfreysill.wire.errors import FrameError
+from comfreysill.zones.closures import MAX_ZONES, ZoneStatus
 
 MAX_NAME_CHARS = 200
 MAX_AMOUNT = 2**31 - 1
+# Largest version of the store.
+MAX_VERSION = 2**53 - 1
 # Upper bound of times, in seconds, and of ratios.
 MAX_NUMBER = 1e12
 MAX_ORDERS = 10_000
@@ -48,6 +52,7 @@
         stops=frame.stops,
         entries=frame.entries,
         routes_version=frame.routes_version,
+        zones=_encode_zones(frame.zones),
     )
 
 
@@ -68,6 +73,7 @@
         stops=list(message.stops),
         entries=[_check_address(address, "entries") for address in message.entries],
         routes_version=message.routes_version,
+        zones=_decode_zones(message.zones),
     )
 
 
@@ -138,6 +144,7 @@
             pb.LateStart(task=late_start.task, seconds=late_start.seconds)
             for late_start in frame.late_starts
         ],
+        zones=_encode_zones(frame.zones),
     )
 
 
@@ -166,6 +173,7 @@
         next_seconds=check_number(message.next_seconds, "next_seconds"),
         crashes=tuple(_decode_crash(crash) for crash in message.crashes),
         late_starts=tuple(_decode_late_start(item) for item in message.late_starts),
+        zones=_decode_zones(message.zones),
     )
 
 
@@ -312,6 +320,29 @@
     )
 
 
+def _encode_zones(statuses: tuple[ZoneStatus, ...]) -> list[pb.ZoneStatus]:
+    return [
+        pb.ZoneStatus(zone=status.zone, version=status.version, closed=status.closed)
+        for status in statuses
+    ]
+
+
+def _decode_zones(messages: Sequence[pb.ZoneStatus]) -> tuple[ZoneStatus, ...]:
+    if len(messages) > MAX_ZONES:
+        raise FrameError(f"zones: {len(messages)} zones")
+    return tuple(_decode_zone(message) for message in messages)
+
+
+def _decode_zone(message: pb.ZoneStatus) -> ZoneStatus:
+    if message.version > MAX_VERSION:
+        raise FrameError(f"zones.version: {message.version}")
+    return ZoneStatus(
+        zone=check_name(message.zone, "zones.zone"),
+        version=message.version,
+        closed=message.closed,
+    )
+
+
 def _encode_profile(profile: Profile) -> pb.Profile:
     return pb.Profile(
         service=profile.service,
--- /dev/null
+++ b/src/comfreysill/zones/__init__.py
@@ -0,0 +1,1 @@
+"""Availability zones that the operator has closed for new starts."""
--- a/tests/platform_world.py
+++ b/tests/platform_world.py
@@ -48,6 +48,7 @@
     receive_agent_frame,
 )
 from comfreysill.placement.cancelling import begin_cancellation
+from comfreysill.placement.closures import read_zones
 from comfreysill.placement.crashes import judge_crashes, receive_crash
 from comfreysill.placement.effects import (
     ClosePeerSession,
@@ -82,10 +83,15 @@
 from comfreysill.placement.state import EntryState
 from comfreysill.placement.subset import update_subset
 from comfreysill.request.types import CancelOutcome, Specification, Step, Verdict
+from comfreysill.zones.closures import ZoneReading, ZoneStatus
 from tests.waits import build_wait
 
 HOP_SECONDS = 0.001
 STORE_SECONDS = 0.005
+# From the time at which an entry can read the store again to its next call.
+STORE_RETRY_SECONDS = 0.25
+# A start in a closed zone that is sent later than this is a violation.
+EVACUATION_SECONDS = 5.0
 # An agent knows of a change after the next report, if that one is not delayed.
 CAPACITY_CHANGE_SECONDS = 4.5
 TICK_SECONDS = 0.05
@@ -296,7 +302,7 @@
 class World:
     """Entries, agents and runners, their links, and the queue of future events."""
 
-    def __init__(self, seed, entries=2, agents=3):
+    def __init__(self, seed, entries=2, agents=3, zones=1):
         self.random = random.Random(seed)
         self.now = 100.0
         self.event_count = 0
@@ -305,6 +311,18 @@
         self.entries = {f"e{n}": Process(f"e{n}") for n in range(entries)}
         self.agents = {f"a{n}": Process(f"a{n}") for n in range(agents)}
         self.runners = {}
+        # Availability zones of agents and their runners, by agent.
+        self.zones = {
+            name: f"z{number % zones}" if zones > 1 else "z"
+            for number, name in enumerate(self.agents)
+        }
+        # Rows by which the operator has closed zones, as (version, time), by zone.
+        self.zone_rows = {}
+        self.store_version = 0
+        # Times until which entries can't read the store, by entry.
+        self.store_away_until = {}
+        # Seconds from the rows to the starts that were sent to runners of closed zones after them.
+        self.late_zone_starts = []
         for name in self.agents:
             lifetime = RunnerLifetime(runner_id=name, started_at_ms=1)
             self.runners[name] = ModelRunner(self, name, lifetime, clock_started_at=0.0)
@@ -462,6 +480,7 @@
             discover_agent(process.state, agent, agent)
         for report in self.stored_crashes:
             receive_crash(process.state, report, self.now)
+        self.schedule(STORE_SECONDS, self.read_zones_again, process, process.lifetime)
 
     def start_agent(self, name):
         process = self.agents[name]
@@ -470,7 +489,7 @@
         process.deferred = []
         token = int((self.now - self.clock_lags.get(name, 0.0)) * 1000)
         process.state = AgentState(
-            agent=name, lifetime=str(process.lifetime), zone="z", token=token
+            agent=name, lifetime=str(process.lifetime), zone=self.zones[name], token=token
         )
 
     def send_report(self, name):
@@ -486,7 +505,7 @@
             lifetime=runner.lifetime,
             service="s",
             address="",
-            zone="z",
+            zone=self.zones[name],
             draining=runner.draining,
             sequence=runner.sequence,
             cpu=runner.cpu,
@@ -585,6 +604,66 @@
         receive_crash(process.state, report, self.now)
         self.flush_entry(process)
 
+    # --- the operator -----------------------------------------------------------------------
+    def close_zone(self, zone):
+        """Writes the row that closes a zone; it is acknowledged at once."""
+        self.store_version += 1
+        _, closed_at = self.zone_rows.get(zone, (0, self.now))
+        self.zone_rows[zone] = (self.store_version, closed_at)
+        self.announce_zone(ZoneStatus(zone=zone, version=self.store_version, closed=True))
+
+    def open_zone(self, zone):
+        if self.zone_rows.pop(zone, None) is None:
+            return
+        self.store_version += 1
+        self.announce_zone(ZoneStatus(zone=zone, version=self.store_version, closed=False))
+
+    def announce_zone(self, status):
+        reading = ZoneReading(version=self.store_version, statuses=(status,))
+        for process in self.entries.values():
+            self.schedule(STORE_SECONDS, self.deliver_zones, process, process.lifetime, reading)
+
+    def take_store_away(self, entry, seconds):
+        """Keeps an entry from reading the store; it reads the whole table when it can again."""
+        away_until = max(self.store_away_until.get(entry, 0.0), self.now + seconds)
+        self.store_away_until[entry] = away_until
+
+    def read_zones_again(self, process, lifetime):
+        """Reads the table as a whole, as after a failed call."""
+        statuses = tuple(
+            ZoneStatus(zone=zone, version=version, closed=True)
+            for zone, (version, _) in self.zone_rows.items()
+        )
+        reading = ZoneReading(version=self.store_version, statuses=statuses, whole=True)
+        self.deliver_zones(process, lifetime, reading)
+
+    def deliver_zones(self, process, lifetime, reading):
+        if process.lifetime != lifetime:
+            return
+        away_until = self.store_away_until.get(process.name, 0.0)
+        if self.now < away_until:
+            # Each call fails until then.
+            delay = away_until - self.now + STORE_RETRY_SECONDS
+            self.schedule(delay, self.read_zones_again, process, lifetime)
+            return
+        self.run_or_defer(process, self.handle_zones, process, reading)
+
+    def handle_zones(self, process, reading):
+        read_zones(process.state, reading, self.now)
+        self.flush_entry(process)
+
+    def check_zone(self, process, call):
+        """Lists a start that is sent to a closed zone later than the bound after its row."""
+        _, closed_at = self.zone_rows.get(self.zones[process.name], (0, NEVER))
+        if not isinstance(call, StartCall) or closed_at == NEVER:
+            return
+        self.late_zone_starts.append(self.now - closed_at)
+        # Entries that can't read the store may know of nothing.
+        calm_since = max([closed_at, *self.store_away_until.values()])
+        if self.now - calm_since > EVACUATION_SECONDS:
+            zone = self.zones[process.name]
+            self.violations.append(f"{self.now:.3f} start in closed zone {zone}: {call.task}")
+
     # --- links ------------------------------------------------------------------------------
     def is_cut(self, sender, receiver):
         return self.cut_until.get((sender, receiver), 0.0) > self.now
@@ -715,6 +794,7 @@
         return None
 
     def call_runner(self, process, call):
+        self.check_zone(process, call)
         delay = self.delay_call(process, call)
         if delay is None:
             self.schedule(HOP_SECONDS, self.serve_call, process, process.lifetime, call)
--- /dev/null
+++ b/tests/test_closed_zones.py
@@ -0,0 +1,313 @@
+import unittest
+
+from comfreysill.execution.calls import RenewCall, StartCall
+from comfreysill.request.types import Verdict
+from comfreysill.zones.closures import (
+    MAX_ZONES,
+    NO_CLOSURES,
+    ToldZones,
+    ZoneReading,
+    ZoneStatus,
+    apply_reading,
+    apply_statuses,
+    is_closed,
+    list_closed,
+    list_news,
+    note_heard,
+    take_news,
+)
+from tests.platform_world import NEVER, World
+
+SEEDS = range(5)
+
+
+def status(zone, version, closed=True):
+    return ZoneStatus(zone=zone, version=version, closed=closed)
+
+
+def name_closed(closures):
+    return [known.zone for known in list_closed(closures)]
+
+
+class TestClosures(unittest.TestCase):
+    def test_the_newest_status_of_a_zone_holds(self):
+        closures = apply_statuses(NO_CLOSURES, [status("a", 5), status("b", 6)], 1.0)
+        self.assertEqual(name_closed(closures), ["a", "b"])
+        # An older reading takes nothing back, and the same one changes nothing.
+        for older in (status("a", 4, False), status("a", 5), status("b", 6, False)):
+            self.assertIs(apply_statuses(closures, [older], 2.0), closures)
+        opened = apply_statuses(closures, [status("a", 7, False)], 3.0)
+        self.assertEqual(name_closed(opened), ["b"])
+        self.assertIs(apply_statuses(opened, [status("a", 6)], 4.0), opened)
+        again = apply_statuses(opened, [status("a", 8), status("b", 9)], 5.0)
+        self.assertEqual([known.since for known in list_closed(again)], [5.0, 1.0])
+
+    def test_any_order_of_arrival_gives_the_same(self):
+        changes = [status("a", 5), status("a", 5, False), status("a", 4), status("a", 3, False)]
+        for shift in range(len(changes)):
+            for order in (1, -1):
+                closures = NO_CLOSURES
+                for change in (changes[shift:] + changes[:shift])[::order]:
+                    closures = apply_statuses(closures, [change], 1.0)
+                self.assertTrue(is_closed(closures, "a"))
+
+    def test_a_whole_reading_opens_zones_without_rows(self):
+        closures = apply_statuses(NO_CLOSURES, [status("a", 5), status("b", 6)], 1.0)
+        part = ZoneReading(version=9, statuses=(status("a", 5),))
+        self.assertIs(apply_reading(closures, part, 2.0), closures)
+        for version in (0, 3):
+            older = ZoneReading(version=version, statuses=(), whole=True)
+            self.assertIs(apply_reading(closures, older, 2.0), closures)
+        whole = ZoneReading(version=9, statuses=(status("a", 5),), whole=True)
+        self.assertEqual(name_closed(apply_reading(closures, whole, 2.0)), ["a"])
+
+    def test_a_row_without_a_version_closes_its_zone_once(self):
+        reading = ZoneReading(version=4, statuses=(), undated=("a",), whole=True)
+        closures = apply_reading(NO_CLOSURES, reading, 1.0)
+        self.assertEqual(name_closed(closures), ["a"])
+        later = ZoneReading(version=8, statuses=(), undated=("a",), whole=True)
+        self.assertIs(apply_reading(closures, later, 2.0), closures)
+
+    def test_zones_are_bounded(self):
+        statuses = [status(f"open{n}", n + 1, False) for n in range(MAX_ZONES)]
+        closures = apply_statuses(NO_CLOSURES, statuses, 1.0)
+        statuses = [status(f"closed{n}", 1000 + n) for n in range(MAX_ZONES + 5)]
+        closures = apply_statuses(closures, [*statuses, status("z" * 300, 5000)], 2.0)
+        self.assertEqual(len(closures.statuses), MAX_ZONES)
+        self.assertEqual(len(list_closed(closures)), MAX_ZONES)
+        self.assertTrue(is_closed(closures, "closed0"))
+
+    def test_news_are_what_the_other_side_does_not_know(self):
+        told = ToldZones()
+        closures = apply_statuses(NO_CLOSURES, [status("a", 5), status("b", 6)], 1.0)
+        note_heard(told, [status("a", 5)])
+        self.assertEqual([news.zone for news in list_news(told, closures)], ["b"])
+        self.assertEqual([news.zone for news in take_news(told, closures)], ["b"])
+        self.assertEqual(list_news(told, closures), ())
+        closures = apply_statuses(closures, [status("a", 7, False)], 2.0)
+        self.assertEqual([news.zone for news in take_news(told, closures)], ["a"])
+
+
+class ZonesCase(unittest.TestCase):
+    def open_world(self, seed, entries=2, agents=4, zones=2):
+        world = World(seed, entries=entries, agents=agents, zones=zones)
+        world.run(1.0)
+        return world
+
+    def load(self, world, requests=6, seconds=0.4, tasks=6):
+        """Submits more than the targets can run at once."""
+        for number in range(requests):
+            entry = sorted(world.entries)[number % len(world.entries)]
+            key = f"r{len(world.requests)}"
+            world.submit(key, entry, tasks=tasks, seconds=seconds, cpu=1000)
+
+    def list_running(self, world, zone):
+        return [
+            task
+            for name, runner in world.runners.items()
+            if world.zones[name] == zone
+            for task in runner.running
+        ]
+
+    def count_starts(self, world, zone):
+        return sum(
+            process.state.counters.get("starts", 0)
+            for name, process in world.agents.items()
+            if world.zones[name] == zone
+        )
+
+    def check_done(self, world, seed):
+        self.assertEqual(world.violations, [], seed)
+        for request_id, verdicts in world.verdicts.items():
+            self.assertEqual(verdicts, [Verdict.COMPLETED], (seed, request_id))
+
+
+class TestClosedZones(ZonesCase):
+    def test_a_zone_is_closed_and_taken_back(self):
+        for seed in SEEDS:
+            world = self.open_world(seed)
+            self.load(world)
+            world.run(0.1)
+            running = self.list_running(world, "z0")
+            self.assertTrue(running, seed)
+            world.close_zone("z0")
+            world.run(0.02)
+            starts = self.count_starts(world, "z0")
+            self.load(world)
+            world.run(0.05)
+            # What ran there goes on.
+            self.assertEqual(self.list_running(world, "z0"), running, seed)
+            world.run(3.0)
+            self.assertEqual(self.count_starts(world, "z0"), starts, seed)
+            self.assertLess(max(world.late_zone_starts, default=0.0), 0.02, seed)
+            world.open_zone("z0")
+            world.run(0.02)
+            self.load(world)
+            world.run(3.0)
+            self.assertGreater(self.count_starts(world, "z0"), starts, seed)
+            self.check_done(world, seed)
+
+    def test_waiting_runs_are_placed_elsewhere_without_a_failed_attempt(self):
+        for seed in SEEDS:
+            world = self.open_world(seed, agents=2)
+            world.set_speed("a0", 0.0)
+            world.submit("r0", "e0", tasks=8, seconds=0.3)
+            world.run(0.05)
+            # Without capacity for them they wait at the agent.
+            world.runners["a0"].set_cpu(0)
+            world.report_now("a0")
+            world.set_speed("a0", 1.0)
+            world.runners["a0"].set_cpu(8000)
+            world.report_now("a0")
+            world.submit("r1", "e1", tasks=8, seconds=0.3)
+            world.close_zone("z0")
+            world.run(3.0)
+            self.check_done(world, seed)
+            for process in world.agents.values():
+                self.assertEqual(process.state.counters.get("runs_failed", 0), 0)
+
+    def test_orders_on_their_way_are_refused(self):
+        for seed in SEEDS:
+            world = self.open_world(seed)
+            # One entry can't read the store and doesn't hear of it from agents.
+            world.take_store_away("e1", 1.0)
+            for agent in world.agents:
+                world.cut(agent, "e1", 0.1)
+            world.close_zone("z0")
+            world.run(0.02)
+            starts = self.count_starts(world, "z0")
+            for number in range(3):
+                world.submit(f"q{number}", "e1", tasks=6, seconds=0.2)
+            world.run(0.05)
+            refused = sum(
+                process.state.counters.get("starts_refused_zone_closed", 0)
+                for process in world.agents.values()
+            )
+            self.assertGreater(refused, 0, seed)
+            world.run(3.0)
+            self.assertEqual(self.count_starts(world, "z0"), starts, seed)
+            self.check_done(world, seed)
+
+    def test_two_zones_and_one_without_machines(self):
+        for seed in SEEDS:
+            world = self.open_world(seed, agents=6, zones=3)
+            for zone in ("z0", "z1", "nowhere"):
+                world.close_zone(zone)
+            world.run(0.02)
+            starts = [self.count_starts(world, zone) for zone in ("z0", "z1")]
+            self.load(world)
+            world.run(5.0)
+            self.assertEqual([self.count_starts(world, zone) for zone in ("z0", "z1")], starts)
+            self.check_done(world, seed)
+
+    def test_all_zones_and_back(self):
+        for seed in SEEDS:
+            world = self.open_world(seed)
+            for zone in ("z0", "z1"):
+                world.close_zone(zone)
+            world.run(0.02)
+            starts = world.starts
+            self.load(world, requests=2, seconds=0.3)
+            world.run(2.0)
+            self.assertEqual(world.starts, starts, seed)
+            # Callers are told that nothing was run, as soon as it would come too late.
+            verdicts = {verdict for told in world.verdicts.values() for verdict in told}
+            self.assertEqual(verdicts, {Verdict.NOT_RUN}, seed)
+            for zone in ("z0", "z1"):
+                world.open_zone(zone)
+            world.run(0.02)
+            world.submit("late", "e0", tasks=2, seconds=0.3)
+            world.run(1.0)
+            self.assertEqual(world.verdicts["late"], [Verdict.COMPLETED], seed)
+            self.assertEqual(world.violations, [], seed)
+
+    def test_closed_again_at_once(self):
+        for seed in SEEDS:
+            world = self.open_world(seed)
+            for _ in range(3):
+                world.close_zone("z0")
+                world.open_zone("z0")
+            world.close_zone("z0")
+            world.run(0.02)
+            starts = self.count_starts(world, "z0")
+            self.load(world)
+            world.run(3.0)
+            self.assertEqual(self.count_starts(world, "z0"), starts, seed)
+            self.check_done(world, seed)
+
+    def test_an_entry_without_the_store_hears_of_it_from_agents(self):
+        for seed in SEEDS:
+            world = self.open_world(seed)
+            world.take_store_away("e1", 30.0)
+            world.close_zone("z0")
+            world.run(0.02)
+            self.assertTrue(is_closed(world.entries["e1"].state.closures, "z0"), seed)
+            world.open_zone("z0")
+            world.run(0.02)
+            self.assertFalse(is_closed(world.entries["e1"].state.closures, "z0"), seed)
+
+    def test_a_closing_and_a_removal_that_were_missed(self):
+        for seed in SEEDS:
+            world = self.open_world(seed)
+            world.close_zone("z1")
+            world.run(0.1)
+            for entry in world.entries:
+                world.take_store_away(entry, 2.0)
+            world.close_zone("z0")
+            world.open_zone("z1")
+            world.run(1.9)
+            self.assertEqual(name_closed(world.entries["e0"].state.closures), ["z1"], seed)
+            world.run(0.5)
+            for process in (*world.entries.values(), *world.agents.values()):
+                self.assertEqual(name_closed(process.state.closures), ["z0"], seed)
+
+    def test_an_entry_and_agents_restart_while_the_store_is_away(self):
+        for seed in SEEDS:
+            world = self.open_world(seed)
+            world.close_zone("z0")
+            world.run(0.1)
+            for entry in world.entries:
+                world.take_store_away(entry, 60.0)
+            starts = self.count_starts(world, "z0")
+            world.kill_entry("e0", down_seconds=0.5)
+            world.run(1.5)
+            for agent in world.agents:
+                if world.zones[agent] == "z0":
+                    world.kill_agent(agent, down_seconds=0.5)
+            world.run(1.5)
+            world.kill_entry("e1", down_seconds=0.5, silent=True)
+            self.load(world, requests=3)
+            world.run(4.0)
+            self.assertLessEqual(self.count_starts(world, "z0"), starts, seed)
+            for process in (*world.entries.values(), *world.agents.values()):
+                self.assertTrue(is_closed(process.state.closures, "z0"), seed)
+
+    # Guards against: a start that may be carried out late, and the task starts elsewhere meanwhile.
+    def test_a_start_without_an_answer_keeps_its_binding(self):
+        for seed in SEEDS:
+            for delay in (NEVER, 1.2, 4.0):
+                world = self.open_world(seed, agents=2)
+                world.delay_call = lambda process, call, delay=delay: (
+                    delay if process.name == "a0" and isinstance(call, StartCall) else None
+                )
+                world.submit("r0", "e0", tasks=12, seconds=0.5)
+                world.run(0.05)
+                world.close_zone("z0")
+                world.run(30.0)
+                self.assertEqual(world.violations, [], (seed, delay))
+                self.assertEqual(world.verdicts["r0"][-1], Verdict.COMPLETED, (seed, delay))
+
+    def test_a_closed_zone_whose_runners_crash_and_whose_calls_are_lost(self):
+        for seed in SEEDS:
+            world = self.open_world(seed, agents=4)
+            self.load(world)
+            world.run(0.05)
+            world.lost_until[RenewCall] = world.now + 0.3
+            world.close_zone("z0")
+            world.run(0.1)
+            for agent, zone in world.zones.items():
+                if zone == "z0":
+                    world.crash_runner(agent, down_seconds=0.5)
+            world.run(20.0)
+            self.assertEqual(world.violations, [], seed)
+            self.assertLess(max(world.late_zone_starts, default=0.0), 0.02, seed)
--- a/tests/test_input_fuzz.py
+++ b/tests/test_input_fuzz.py
@@ -46,6 +46,7 @@
     begin_cancellation,
     expire_cancellings,
 )
+from comfreysill.placement.closures import read_zones
 from comfreysill.placement.crashes import receive_crash
 from comfreysill.placement.effects import SendClaimReplies, SendClaims, SendFrame
 from comfreysill.placement.peer_links import (
@@ -63,6 +64,7 @@
 from comfreysill.platform.configuration import decode_configuration
 from comfreysill.platform.crashes import decode_crashes
 from comfreysill.platform.documents import decode_document, encode_document
+from comfreysill.platform.evacuations import decode_evacuations
 from comfreysill.platform.floors import read_current
 from comfreysill.platform.members import decode_members
 from comfreysill.platform.pages import decode_page
@@ -96,6 +98,7 @@
 )
 from comfreysill.wire.exchange import decode_members as decode_exchanged_members
 from comfreysill.wire.peers import decode_peer_frame
+from comfreysill.zones.closures import is_closed
 from tests.fuzzing import fuzz
 from tests.test_floor import VALID_DOCUMENT
 from tests.test_platform_decode import SETTINGS, encode_configuration
@@ -276,6 +279,9 @@
         "orders": st.lists(ORDERS, max_size=3),
     },
 )
+ZONES = st.lists(
+    messages(pb.ZoneStatus, {"zone": NAMES, "version": U64, "closed": st.booleans()}), max_size=3
+)
 ENTRY_FRAMES = messages(
     pb.ToAgent,
     {
@@ -289,6 +295,7 @@
         "stops": st.lists(NAMES, max_size=2),
         "entries": st.lists(NAMES, max_size=2),
         "routes_version": U64,
+        "zones": ZONES,
     },
 )
 ENDS = messages(
@@ -336,6 +343,7 @@
         "ended": st.lists(ENDS, max_size=2),
         "active": st.lists(NAMES, max_size=2),
         "late_starts": st.lists(LATE_STARTS, max_size=2),
+        "zones": ZONES,
         "opening": st.booleans(),
         "routes_version": U64,
         "routes_holder": NAMES,
@@ -886,6 +894,17 @@
             receive_crash(entry.state, report, NOW)
             entry.flush()
 
+    @fuzz(EXAMPLES, changed_documents({"zone": "z"}), NAMES, st.integers(0, 9), st.booleans())
+    def test_evacuation_rows(self, value, name, version, whole):
+        row = StoredRow(key=f"evacuate/{name}", value=value, version=version)
+        read = RowSet(rows=[row], version=5, whole=whole, unreadable=("evacuate/y", name))
+        found = decode_evacuations(read)
+        entry = Entry()
+        read_zones(entry.state, found.reading, NOW)
+        # Odd values close their zones as well.
+        self.assertEqual(is_closed(entry.state.closures, name), not found.rejected)
+        entry.flush()
+
     @fuzz(EXAMPLES, changed_documents(yaml.safe_load(SETTINGS)))
     def test_settings(self, text):
         with tempfile.TemporaryDirectory() as folder:
--- a/tests/test_platform_decode.py
+++ b/tests/test_platform_decode.py
@@ -12,6 +12,7 @@
 from comfreysill.exceptions import UsageError
 from comfreysill.platform.configuration import decode_configuration
 from comfreysill.platform.crashes import decode_crashes
+from comfreysill.platform.evacuations import decode_evacuations
 from comfreysill.platform.members import decode_members
 from comfreysill.platform.runner import decode_task, encode_task
 from comfreysill.platform.runner_reports import decode_report
@@ -290,6 +291,26 @@
         )
         self.assertEqual(found.unreadable, 2)
 
+    def test_evacuations(self):
+        values = {"a": b"{}", "b": None, "c": b"\xff{", "d": b"[1]", "e": b" " * 10_000 + b"1"}
+        rows = [
+            StoredRow(key=f"evacuate/{zone}", value=value, version=number + 1)
+            for number, (zone, value) in enumerate(values.items())
+        ]
+        odd_keys = ("config", "evacuate", "evacuate/", "evacuate/" + "z" * 300, "evacuate/\n")
+        rows += [StoredRow(key=key, value=b"{}", version=8) for key in odd_keys]
+        rows.append(StoredRow(key="evacuate/f", value=b"{}", version=0))
+        read = RowSet(rows=rows, version=9, whole=True, unreadable=("evacuate/g", "x"))
+        found = decode_evacuations(read)
+        reading = found.reading
+        self.assertEqual(
+            [(status.zone, status.version, status.closed) for status in reading.statuses],
+            [("a", 1, True), ("b", 2, False), ("c", 3, True), ("d", 4, True), ("e", 5, True)],
+        )
+        self.assertEqual((reading.version, reading.whole, reading.undated), (9, True, ("f", "g")))
+        self.assertEqual([entry.name for entry in found.odd], ["evacuate/c", "evacuate/e"])
+        self.assertEqual(len(found.rejected), 3)
+
     def test_an_address_belongs_to_the_member_that_registered_last(self):
         rows = [
             StoredRow(key="new", value=b'{"role":"agent","address":"h:1"}', version=7),
--- a/tests/test_subset.py
+++ b/tests/test_subset.py
@@ -95,4 +95,4 @@
         agent = state.agents[name]
         begin_session(state, name, self.now)
         agent.handshake_done = True
-        agent.profile = type("P", (), {"service": "s"})
+        agent.profile = type("P", (), {"service": "s", "zone": "z"})
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -36,6 +36,7 @@
 from comfreysill.target import messages as m
 from comfreysill.wire import agents, exchange, peers
 from comfreysill.wire.errors import FrameError
+from comfreysill.zones.closures import MAX_ZONES, ZoneStatus
 
 KEY = JobKey(team="t", job_id="j")
 CLAIM = m.PartitionClaim(partition=3, epoch=Epoch(number=4, owner="e"))
@@ -79,6 +80,7 @@
             stops=["r/0/0"],
             entries=["127.0.0.1:1"],
             routes_version=6,
+            zones=(ZoneStatus(zone="z1", version=7, closed=True),),
         )
         parsed = exchange.pb.ToAgent.FromString(
             exchange.encode_entry_frame(entry_frame).SerializeToString()
@@ -105,6 +107,10 @@
                 LateStart(task="r/0/2", seconds=15.5),
                 LateStart(task="r/0/3", seconds=0.0),
             ),
+            zones=(
+                ZoneStatus(zone="z1", version=9, closed=False),
+                ZoneStatus(zone="z2", version=8, closed=True),
+            ),
         )
         parsed = exchange.pb.ToEntry.FromString(
             exchange.encode_agent_frame(agent_frame).SerializeToString()
@@ -112,6 +118,16 @@
         decoded = exchange.decode_agent_frame(parsed)
         self.assertEqual(flatten_message(decoded), flatten_message(agent_frame))
 
+    def test_odd_zones_are_rejected(self):
+        for zones in (
+            [exchange.pb.ZoneStatus(zone="", version=1)],
+            [exchange.pb.ZoneStatus(zone="z" * 300, version=1)],
+            [exchange.pb.ZoneStatus(zone="z", version=2**60)],
+            [exchange.pb.ZoneStatus(zone=f"z{n}", version=n) for n in range(MAX_ZONES + 1)],
+        ):
+            with self.assertRaises(FrameError):
+                exchange.decode_entry_frame(exchange.pb.ToAgent(entry="e@1", zones=zones))
+
     def test_odd_late_starts_are_rejected(self):
         load = exchange.pb.Load(slowness=1.0)
         for task, seconds in (
