--- a/src/comfreysill/execution/frame_handling.py
+++ b/src/comfreysill/execution/frame_handling.py
@@ -149,6 +149,8 @@
             continue
         # Checked for each order: a target that is probed after a suspension accepts one at a time.
         refusal = _check_order(agent, link, batch, existing, now)
+        if refusal == ZONE_CLOSED_REASON:
+            note_event(agent, "order refused", task=name, entry=link.entry, why=refusal)
         if refusal:
             report_end(
                 agent,
--- a/src/comfreysill/execution/frames.py
+++ b/src/comfreysill/execution/frames.py
@@ -10,7 +10,7 @@
     Load,
     Profile,
 )
-from comfreysill.execution.closures import get_zone
+from comfreysill.execution.closures import get_zone, limit_after_opening
 from comfreysill.execution.crashes import list_unsent_crashes
 from comfreysill.execution.run import RunState
 from comfreysill.execution.starts import is_accepting
@@ -39,7 +39,8 @@
     A target that isolates runs has no free CPU for others.
     """
     report = agent.report
-    free_cpu = (report.cpu if report else 0) - agent.cpu_used - agent.cpu_waiting
+    offered_cpu = limit_after_opening(agent, report.cpu, now) if report else 0
+    free_cpu = offered_cpu - agent.cpu_used - agent.cpu_waiting
     is_isolating = agent.isolated_runs > 0
     return Load(
         accepting=is_accepting(agent, now),
--- a/src/comfreysill/execution/state.py
+++ b/src/comfreysill/execution/state.py
@@ -162,6 +162,8 @@
         links: Links with entries by the entry's name.
         entries: Addresses of entries that the agent announces itself to.
         closures: What is known of closed availability zones.
+        zone_opened_at: Boot-clock time in seconds at which this process learned that the target's
+            zone, which was closed, is open; 0 if it wasn't closed.
         routes_version: Newest version of the routing document reported by an entry, 0 if none.
         routes_holder: Address of that entry, empty if unknown.
         last_run_number: Run number of the last start at the runner.
@@ -225,6 +227,7 @@
         "links",
         "entries",
         "closures",
+        "zone_opened_at",
         "routes_version",
         "routes_holder",
         "last_run_number",
@@ -281,6 +284,7 @@
         self.links: dict[str, EntryLink] = {}
         self.entries: set[str] = set()
         self.closures = NO_CLOSURES
+        self.zone_opened_at = 0.0
         self.routes_version = 0
         self.routes_holder = ""
         self.recent_crashes: deque[RecentCrash] = deque()
--- a/src/comfreysill/gateway/actor.py
+++ b/src/comfreysill/gateway/actor.py
@@ -48,6 +48,7 @@
     release_agent,
 )
 from comfreysill.placement.cancelling import begin_cancellation
+from comfreysill.placement.closed_services import refuse_without_zones
 from comfreysill.placement.closures import is_in_closed_zone, read_zones
 from comfreysill.placement.crashes import judge_crashes, receive_crash
 from comfreysill.placement.effects import (
@@ -338,6 +339,7 @@
     expire_cached_verdicts(actor.state, now)
     judge_crashes(actor.state, now)
     expire_crashes(actor.state.crashes, now)
+    refuse_without_zones(actor.state, now)
     refuse_unmeetable(actor.state, now)
 
 
--- a/src/comfreysill/gateway/program.py
+++ b/src/comfreysill/gateway/program.py
@@ -47,6 +47,7 @@
     stop_http,
 )
 from comfreysill.supervision import await_stop
+from comfreysill.zones.closures import list_closed
 
 logger = logging.getLogger(__name__)
 
@@ -223,6 +224,7 @@
         "cancellations_kept": len(state.registry.cancelled.expires_at),
         "cancellations_dropped": state.registry.cancelled.dropped,
         "routes_version": state.routes.version,
+        "closed_zones": len(list_closed(state.closures)),
         "crashes_known": len(state.crashes.crash_ids),
         "routes_confined": len(state.crashes.confined_until),
         "store_calls": store.calls,
--- a/src/comfreysill/request_trace/trace.py
+++ b/src/comfreysill/request_trace/trace.py
@@ -40,6 +40,8 @@
         "start unanswered; token raised",
         "start accepted on another clock; token raised",
         "start held until it is final",
+        "zone closed",
+        "zone opened",
     }
 )
 # Events after which a target takes no work for a time.
@@ -210,9 +212,13 @@
     if not ended or not ended[-1].fields.get("late"):
         return ""
     retried = _find_events(related, "task rescheduled") + _find_events(related, "task failed")
-    if retried:
+    refused = _find_events(related, "order refused")
+    if retried or refused:
         agents_and_reasons = sorted(
-            {f"{r.fields.get('agent')} ({r.fields.get('why', 'failed')})" for r in retried}
+            {
+                f"{r.fields.get('agent', r.process)} ({r.fields.get('why', 'failed')})"
+                for r in retried + refused
+            }
         )
         return f"late because tasks were retried: {'; '.join(agents_and_reasons)}"
     placed = _find_events(related, "tasks placed")
--- a/src/comfreysill/sidecar/program.py
+++ b/src/comfreysill/sidecar/program.py
@@ -37,6 +37,7 @@
     Tick,
 )
 from comfreysill.supervision import await_stop
+from comfreysill.zones.closures import list_closed
 
 logger = logging.getLogger(__name__)
 
@@ -182,6 +183,7 @@
         "cpu_waiting": agent.cpu_waiting,
         "links": len(actor.sessions),
         "slowness": agent.slowness,
+        "closed_zones": len(list_closed(agent.closures)),
     }
 
 
--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -227,6 +227,26 @@
 # Mutations that are run against the tests of `placement`, `execution` and `gateway`, and the fuzzer
 # of the platform.
 PLATFORM_MUTATIONS = {
+    "closings-not-read": (
+        "comfreysill.placement.closures.apply_reading",
+        lambda original: lambda closures, reading, now: closures,
+    ),
+    "closings-ignored-by-entries": (
+        "comfreysill.placement.closures.is_closed",
+        lambda original: lambda closures, zone: False,
+    ),
+    "closings-ignored-by-agents": (
+        "comfreysill.execution.closures.is_closed",
+        lambda original: lambda closures, zone: False,
+    ),
+    "closings-not-told": (
+        "comfreysill.placement.agents.list_news",
+        lambda original: lambda told, closures: (),
+    ),
+    "older-zone-readings-believed": (
+        "comfreysill.zones.closures._is_newer",
+        lambda original: lambda status, known: True,
+    ),
     "cancelling-not-told": (
         "comfreysill.placement.cancelling._tell_peer",
         lambda original: lambda *a: None,
@@ -568,6 +588,7 @@
             test_claim_interleavings,
             test_claim_leases,
             test_claims,
+            test_closed_zones,
             test_confinement,
             test_containment,
             test_crash_ledger,
@@ -606,6 +627,7 @@
             test_claim_leases,
             test_lapsed_claims,
             test_load_patterns,
+            test_closed_zones,
             test_platform_floor,
         ]
         suites = [loader.loadTestsFromModule(module) for module in modules]
--- a/tests/platform_world.py
+++ b/tests/platform_world.py
@@ -48,6 +48,7 @@
     receive_agent_frame,
 )
 from comfreysill.placement.cancelling import begin_cancellation
+from comfreysill.placement.closed_services import refuse_without_zones
 from comfreysill.placement.closures import read_zones
 from comfreysill.placement.crashes import judge_crashes, receive_crash
 from comfreysill.placement.effects import (
@@ -529,6 +530,7 @@
         expire_cached_verdicts(process.state, self.now)
         judge_crashes(process.state, self.now)
         expire_crashes(process.state.crashes, self.now)
+        refuse_without_zones(process.state, self.now)
         refuse_unmeetable(process.state, self.now)
         self.flush_entry(process)
 
--- a/tests/test_platform_floor.py
+++ b/tests/test_platform_floor.py
@@ -7,6 +7,7 @@
 from comfreysill.execution.calls import ReplyStatus, StartCall, StopCall
 from comfreysill.placement import subset
 from comfreysill.request.types import Verdict
+from comfreysill.zones.closures import list_closed
 from tests.fuzzing import fuzz
 from tests.platform_world import CPU_CAPACITY, NEVER, RESEND_DELAY_SECONDS, SILENT, World
 
@@ -108,6 +109,20 @@
 )
 PAUSING_FAULTS = (*DEPARTING_FAULTS, "freeze_entry", "freeze_entry")
 REFUSING_FAULTS = (*LATE_FAULTS, "refuse", "refuse", "refuse_silently")
+CLOSING_FAULTS = (
+    *LATE_FAULTS,
+    "close_zone",
+    "close_zone",
+    "close_zone",
+    "open_zone",
+    "open_zone",
+    "close_again",
+    "take_store_away",
+    "submit",
+    "submit_long",
+    "freeze_entry_long",
+    "freeze_agent_long",
+)
 # Seconds from the end of a caller's wait until the end of its connection is seen.
 END_DELAYS = (0.001, 0.02, 0.3, 1.3, 2.5, NEVER)
 # Seconds for which the path to an entry holds what callers send, and after which their connections
@@ -136,6 +151,7 @@
 DEPARTING_STEPS = draw_steps(DEPARTING_FAULTS)
 PAUSING_STEPS = draw_steps(PAUSING_FAULTS)
 REFUSING_STEPS = draw_steps(REFUSING_FAULTS)
+CLOSING_STEPS = draw_steps(CLOSING_FAULTS)
 
 
 def apply_fault(world, fault, number, seconds):
@@ -200,6 +216,11 @@
             world.drop_caller(sorted(world.callers)[number % len(world.callers)])
     elif fault == "ask_another_entry":
         ask_another_entry(world, entry, number, seconds)
+    elif fault == "take_store_away":
+        world.take_store_away(entry, 2 * seconds)
+    elif fault in ("close_zone", "open_zone", "close_again"):
+        zones = sorted(set(world.zones.values()))
+        move_zone(world, fault, zones[number % len(zones)])
     elif not apply_runner_fault(world, fault, agent, number, seconds):
         if fault in ("cut_both", "cut_to_agent"):
             world.cut(entry, agent, seconds)
@@ -207,6 +228,14 @@
             world.cut(agent, entry, seconds)
 
 
+def move_zone(world, fault, zone):
+    """Closes a zone, opens it, or opens it and closes it again at once."""
+    if fault != "close_zone":
+        world.open_zone(zone)
+    if fault != "open_zone":
+        world.close_zone(zone)
+
+
 def submit_impatient(world, entry, number, seconds):
     """Submits a request whose caller waits as long as its tasks take, or somewhat more."""
     steps = 1 + number % 3
@@ -364,6 +393,22 @@
     def test_no_task_runs_twice_while_runners_that_are_up_refuse_connections(self, steps, seed):
         self.run_steps(World(seed), steps, settling_seconds=40.0)
 
+    # Guards against starts in closed zones, and late starts there beside runs elsewhere.
+    @fuzz(EXAMPLES, CLOSING_STEPS, st.integers(0, 1000), st.integers(1, 3))
+    def test_nothing_starts_in_closed_zones(self, steps, seed, zones):
+        world = World(seed, entries=3, agents=4, zones=zones)
+        self.run_steps(world, steps, settling_seconds=40.0)
+        closed = [name for name, zone in world.zones.items() if zone in world.zone_rows]
+        world.late_zone_starts.clear()
+        for number in range(3):
+            world.submit(f"last{number}", f"e{number}", tasks=3, seconds=0.2)
+        world.run(10.0)
+        self.assertEqual(world.late_zone_starts, [], closed)
+        # All that run again know the same.
+        for process in (*world.entries.values(), *world.agents.values()):
+            known = {status.zone for status in list_closed(process.state.closures)}
+            self.assertEqual(known, set(world.zone_rows), process.name)
+
     def run_steps(self, world, steps, settling_seconds=14.0):
         world.run(2.0)
         for fault, number, pause in steps:
@@ -375,6 +420,9 @@
         for agent in world.agents:
             world.set_speed(agent, 1.0)
             world.runners[agent].set_cpu(CPU_CAPACITY)
+        if set(world.zones.values()) <= set(world.zone_rows):
+            # Callers that wait without end need room somewhere.
+            world.open_zone(min(world.zones.values()))
         world.run(settling_seconds)
         self.assertEqual(world.violations, [])
         # A caller that waits for less than its tasks take asks again without end.
--- a/tests/test_request_trace.py
+++ b/tests/test_request_trace.py
@@ -49,8 +49,15 @@
         returned = line(
             10.5, "e1", "task rescheduled", task="r1/0/1", agent="a", why="it stood still"
         )
+        refused = line(
+            10.4, "a", "order refused", task="r1/0/0", entry="e1@1", why="its zone is closed"
+        )
         cases = (
             ((accepted(), ended("COMPLETED", late=False)), "completed in time"),
+            (
+                (accepted(), refused, ended("COMPLETED", late=True)),
+                "late because tasks were retried: a (its zone is closed)",
+            ),
             (
                 (
                     accepted(),
