--- a/src/comfreysill/__init__.py
+++ b/src/comfreysill/__init__.py
@@ -7,8 +7,8 @@
   `target` (both sides), `job` and `floor`; the processes are in `entry` and `agent`.
 - The platform (`launch`): each entry places the tasks of its own requests, and an agent stops an
   entry's tasks when the link lease ends. Decisions are in `placement` and `routes` (entry),
-  `execution` (agent), `request` and `exchange` (both); the processes are in `gateway` (entry) and
-  `sidecar` (agent).
+  `execution` (agent), `request`, `zones` and `exchange` (both); the processes are in `gateway`
+  (entry) and `sidecar` (agent).
 
 Both use `platform` (adapter to the users' platform and its store), `wire` (encoding of messages)
 and single modules such as `mailbox`. Processes of the two systems exchange no messages.
--- a/src/comfreysill/placement/closed_services.py
+++ b/src/comfreysill/placement/closed_services.py
@@ -1,16 +1,19 @@
 """Refusal of requests to services all of whose targets are in closed availability zones."""
 
+from comfreysill.placement.claim_leases import find_lease_end
 from comfreysill.placement.closures import is_in_closed_zone
 from comfreysill.placement.requests import refuse_request
 from comfreysill.placement.state import Agent, EntryState, count
 from comfreysill.placement.subset import is_unavailable
+from comfreysill.request.request import Request
 
 
 def refuse_without_zones(state: EntryState, now: float) -> None:
     """Refuses requests that have not begun and whose service has no target in an open zone.
 
     A zone is hardly opened while a caller waits, and one that is refused at once can still go
-    elsewhere or come back. A target that may be in an open zone keeps them waiting.
+    elsewhere or come back. A target that may be in an open zone keeps them waiting, and so does a
+    claim that isn't confirmed: another entry may have the request.
     """
     if not state.closures.statuses:
         return
@@ -24,11 +27,17 @@
         for item in list(queue):
             # Items are described at `EntryState.queues`; the last field is the request.
             request = item[4]
-            if request.verdict is None and not request.begun:
+            if _may_refuse(state, request, now):
                 count(state, "requests_refused_zones_closed")
                 refuse_request(state, request, reason, now)
 
 
+def _may_refuse(state: EntryState, request: Request, now: float) -> bool:
+    claim = state.claims.get(request.specification.request_id)
+    is_confirmed = claim is not None and claim.settled and now < find_lease_end(state, claim)
+    return is_confirmed and request.verdict is None and not request.begun
+
+
 def _list_zones_if_closed(state: EntryState, service: str, now: float) -> list[str]:
     """Returns the zones of the targets of a service if all are closed, otherwise none."""
     agents = [
--- a/tests/test_closed_zones.py
+++ b/tests/test_closed_zones.py
@@ -237,6 +237,20 @@
             self.assertEqual(world.measure_free_cpu("a0"), CPU_CAPACITY, seed)
             self.assertEqual(world.violations, [], seed)
 
+    # Guards against: a caller is told that nothing ran while its request runs at another entry.
+    def test_a_request_that_goes_on_elsewhere_is_not_refused(self):
+        for seed in SEEDS:
+            world = self.open_world(seed)
+            world.submit("r0", "e0", tasks=2, seconds=1.0)
+            world.run(0.1)
+            for zone in ("z0", "z1"):
+                world.close_zone(zone)
+            world.run(0.1)
+            world.send_request("r0", "e1")
+            world.run(3.0)
+            self.assertEqual(world.verdicts["r0"], [Verdict.COMPLETED] * 2, seed)
+            self.assertEqual(world.violations, [], seed)
+
     def test_closed_again_at_once(self):
         for seed in SEEDS:
             world = self.open_world(seed)
