--- a/src/comfreysill/gateway/program.py
+++ b/src/comfreysill/gateway/program.py
@@ -31,6 +31,7 @@
 from comfreysill.membership import register_member
 from comfreysill.metrics import Metrics
 from comfreysill.metrics_app import build_metrics_app, build_observer
+from comfreysill.placement.link_need import count_needed_links
 from comfreysill.placement.state import EntryState
 from comfreysill.platform.ingress import EntryOperations, build_callers_app, build_readiness_app
 from comfreysill.platform.rejections import Rejections
@@ -116,6 +117,7 @@
         unix_offset=measure_unix_offset(),
         remote_factor=settings.remote_factor,
         retry_seconds=settings.retry_seconds,
+        max_link_share=settings.max_link_share,
         observe=build_observer(metrics),
     )
     state.entries = list(dict.fromkeys((settings.advertised, *settings.entries)))
@@ -217,6 +219,7 @@
         "requests": len(state.requests),
         "callers": len(actor.pending_replies),
         "agents": sum(agent.connected for agent in state.agents.values()),
+        "links_by_need": count_needed_links(state.link_demand),
         "peers": sum(peer.usable for peer in state.peers.values()),
         "claims": len(state.claims),
         "claims_kept": len(state.registry.claims),
--- a/src/comfreysill/placement/state.py
+++ b/src/comfreysill/placement/state.py
@@ -9,6 +9,7 @@
 from comfreysill.crashes.ledger import CrashLedger
 from comfreysill.exchange.messages import Batch, Load, Profile
 from comfreysill.placement.effects import Effect
+from comfreysill.placement.link_need import DEFAULT_MAX_LINK_SHARE, LinkDemand
 from comfreysill.placement.peers import OwnCancellation, OwnClaim, Peer, RemoteEnd
 from comfreysill.request.request import Request, Task
 from comfreysill.request.types import CallerWait, Specification, Verdict
@@ -244,6 +245,7 @@
         address_owners: Names of agents by address; an address belongs to one agent at a time.
         remote_factor: Factor on the run time of a task outside the rack of its data.
         subset_due_at: Boot-clock time in seconds at which the subset is chosen again.
+        link_demand: Links by need to agents beyond the subset.
         entries: Addresses of entries, its own first; sent to agents for their announcements.
         peers: Other entries to which a link was requested, by address.
         is_registrar: Whether other entries choose this one to keep claims, as far as it knows.
@@ -292,6 +294,7 @@
         "address_owners",
         "remote_factor",
         "subset_due_at",
+        "link_demand",
         "entries",
         "peers",
         "is_registrar",
@@ -334,6 +337,7 @@
         unix_offset: float,
         remote_factor: float = 1.0,
         retry_seconds: float = 0.0,
+        max_link_share: float = DEFAULT_MAX_LINK_SHARE,
         observe=None,
     ) -> None:
         self.name = name
@@ -346,6 +350,7 @@
         self.address_owners: dict[str, str] = {}
         self.remote_factor = remote_factor
         self.subset_due_at = 0.0
+        self.link_demand = LinkDemand(max_share=max_link_share)
         self.entries: list[str] = []
         self.peers: dict[str, Peer] = {}
         self.is_registrar = True
--- a/src/comfreysill/placement/subset.py
+++ b/src/comfreysill/placement/subset.py
@@ -1,13 +1,15 @@
 """The subset of the agents that an entry on the platform keeps links to.
 
 In a small installation this is every agent. In a large one each entry links to a part of them, so
-that neither the links of an agent nor its frames grow in number with the entries.
+that neither the links of an agent nor its frames grow in number with the entries. Links to further
+agents are opened by need, see `link_demand`.
 """
 
 import math
 import zlib
 
 from comfreysill.placement.effects import OpenLink, RemoveLink
+from comfreysill.placement.link_need import release_base_links
 from comfreysill.placement.state import Agent, EntryState, note_event
 
 # Average number of entries linked to an agent, so that its capacity can be used even if callers
@@ -42,11 +44,17 @@
         return
     state.subset_due_at = now + SUBSET_INTERVAL_SECONDS
     subset = _choose_subset(state, now)
+    needed = release_base_links(state.link_demand, subset)
     for agent in state.agents.values():
         if agent.name in subset and not agent.link_requested_at:
             agent.link_requested_at = now
             state.effects.append(OpenLink(agent=agent.name, address=agent.address))
-        elif agent.link_requested_at and agent.name not in subset and not agent.tasks:
+        elif (
+            agent.link_requested_at
+            and agent.name not in subset
+            and agent.name not in needed
+            and not agent.tasks
+        ):
             # `panel` is the log key of the subset's size.
             note_event(state, "agent removed from the subset", agent=agent.name, panel=len(subset))
             remove_link(state, agent)
--- a/src/comfreysill/platform/settings.py
+++ b/src/comfreysill/platform/settings.py
@@ -6,6 +6,7 @@
 from msgspec import Meta
 
 from comfreysill.address import MAX_PORT, Address, parse_address
+from comfreysill.placement.link_need import DEFAULT_MAX_LINK_SHARE
 from comfreysill.platform.documents import Name, OptionalName
 from comfreysill.platform.settings_file import build_settings_error, read_settings_file
 
@@ -48,6 +49,8 @@
         # Not a field of the platform: set if a proxy is in front of the link port, as in the soak
         # test.
         "advertised": OptionalName,
+        # Not a field of the platform either: 0 turns links by need off.
+        "max-link-share": Annotated[float, Meta(ge=0, le=1)],
     },
     total=False,
 )
@@ -73,6 +76,8 @@
         grace_seconds: Time between the termination signal and the kill.
         remote_factor: Factor on the run time of a task outside the rack of its data.
         retry_seconds: Time from the end of a caller's wait until it sends its request again.
+        max_link_share: Share of a service's agents that an entry may link to, beyond its subset
+            only by need; 0 for none by need.
     """
 
     __slots__ = (
@@ -91,6 +96,7 @@
         "grace_seconds",
         "remote_factor",
         "retry_seconds",
+        "max_link_share",
     )
 
     def __init__(
@@ -111,6 +117,7 @@
         grace_seconds: float,
         remote_factor: float,
         retry_seconds: float,
+        max_link_share: float,
     ) -> None:
         self.name = name
         self.zone = zone
@@ -127,6 +134,7 @@
         self.grace_seconds = grace_seconds
         self.remote_factor = remote_factor
         self.retry_seconds = retry_seconds
+        self.max_link_share = max_link_share
 
 
 def read_instance_settings() -> InstanceSettings:
@@ -173,6 +181,7 @@
         grace_seconds=document["bounds"]["grace-s"],
         remote_factor=document["bounds"].get("remote-factor", DEFAULT_REMOTE_FACTOR),
         retry_seconds=document["bounds"].get("retransmit-ms", DEFAULT_RETRY_MS) / 1000,
+        max_link_share=document.get("max-link-share", DEFAULT_MAX_LINK_SHARE),
     )
 
 
