--- a/src/comfreysill/placement/link_demand.py
+++ b/src/comfreysill/placement/link_demand.py
@@ -104,12 +104,16 @@
 
 
 def _update_service(state: EntryState, service: str, own: ServiceLinks, now: float) -> None:
-    agents = [agent for agent in state.agents.values() if agent.service in ("", service)]
-    _drop_removed(state, own)
+    agents = [
+        agent for agent in state.agents.values() if agent.address and agent.service in ("", service)
+    ]
     steps = _list_waiting_steps(state, service, now)
+    _drop_removed(state, own)
+    _observe_answers(state, own, min((step.cpu for step, _ in steps), default=0), now)
     need = _measure_need(steps, agents, now)
     is_needed = update_need(need, own, now)
-    _observe_links(state, own, need, is_needed, now)
+    if is_needed:
+        _keep_used(state, own, now)
     if own.step and is_step_over(own, now) and not judge_step(own, now):
         count(state, "link_steps_in_vain")
         seconds = round(own.vain_until - now, 3)
@@ -153,16 +157,15 @@
 
 
 def _measure_need(steps: list[tuple[Step, int]], agents: list[Agent], now: float) -> LinkNeed:
-    usable = [agent for agent in agents if is_usable(agent, now)]
     linked = [agent for agent in agents if agent.link_requested_at]
+    usable = [agent for agent in linked if is_usable(agent, now)]
     return LinkNeed(
         waiting_cpu=sum(task_count * max(1, step.cpu) for step, task_count in steps),
-        smallest_cpu=min((max(1, step.cpu) for step, _ in steps), default=0),
         usable_count=len(usable),
         capacity=sum(agent.profile.cpu for agent in usable),
         link_count=len(linked),
         connecting_count=sum(_is_connecting(agent, now) for agent in linked),
-        agent_count=sum(bool(agent.address) for agent in agents),
+        agent_count=len(agents),
     )
 
 
@@ -170,31 +173,32 @@
     return not agent.handshake_done and now - agent.link_requested_at < CONNECTING_SECONDS
 
 
-def _observe_links(
-    state: EntryState, own: ServiceLinks, need: LinkNeed, is_needed: bool, now: float
-) -> None:
-    """Notes which links have answered and found room; keeps those that are needed and used."""
+def _observe_answers(state: EntryState, own: ServiceLinks, smallest_cpu: int, now: float) -> None:
+    """Notes which links have answered and found room; gives up those that don't answer."""
     for name, link in list(own.links.items()):
         agent = state.agents[name]
-        if not link.has_answered and agent.connected and agent.handshake_done:
+        if link.has_answered:
+            continue
+        if agent.connected and agent.handshake_done:
             link.has_answered = True
-            link.has_found_room = is_usable(agent, now) and _has_room(agent, need)
-        if not link.has_answered and now - link.requested_at > UNANSWERED_SECONDS:
+            link.has_found_room = is_usable(agent, now) and _has_room(agent, smallest_cpu)
+        elif now - link.requested_at > UNANSWERED_SECONDS:
             own.avoided_until[name] = now + AVOIDED_SECONDS
             _remove(state, own, agent, "it doesn't answer")
-            continue
-        if is_needed and agent.tasks and link.has_found_room:
-            link.kept_until = now + KEEP_SECONDS
-            link.returning = False
 
 
-def _has_room(agent: Agent, need: LinkNeed) -> bool:
+def _has_room(agent: Agent, smallest_cpu: int) -> bool:
     """Returns whether a target had room before this entry placed its own tasks there."""
-    own_cpu = sum(
-        task.request.specification.steps[task.step].cpu for task in agent.tasks.values()
-    )
+    own_cpu = sum(task.request.specification.steps[task.step].cpu for task in agent.tasks.values())
     found_cpu = Candidate(agent=agent).cpu + own_cpu
-    return found_cpu >= max(1, need.smallest_cpu, FOUND_SHARE * agent.profile.cpu)
+    return found_cpu >= max(1, smallest_cpu, FOUND_SHARE * agent.profile.cpu)
+
+
+def _keep_used(state: EntryState, own: ServiceLinks, now: float) -> None:
+    for name, link in own.links.items():
+        if link.has_found_room and state.agents[name].tasks:
+            link.kept_until = now + KEEP_SECONDS
+            link.returning = False
 
 
 def _widen(
@@ -246,7 +250,7 @@
     candidates = [
         agent
         for agent in agents
-        if agent.address and not agent.link_requested_at and agent.name not in own.avoided_until
+        if not agent.link_requested_at and agent.name not in own.avoided_until
     ]
     return heapq.nsmallest(
         link_count,
--- a/src/comfreysill/placement/link_need.py
+++ b/src/comfreysill/placement/link_need.py
@@ -40,7 +40,6 @@
     Attributes:
         waiting_cpu: CPU in thousandths of a core of the tasks that wait for room at any target,
             though their requests can still be on time.
-        smallest_cpu: CPU in thousandths of a core of the smallest of these tasks, 0 without any.
         usable_count: Number of usable linked targets.
         capacity: Their CPU in thousandths of a core, free or not.
         link_count: Number of links to agents of the service, open or requested.
@@ -50,7 +49,6 @@
 
     __slots__ = (
         "waiting_cpu",
-        "smallest_cpu",
         "usable_count",
         "capacity",
         "link_count",
@@ -62,7 +60,6 @@
         self,
         *,
         waiting_cpu: int = 0,
-        smallest_cpu: int = 0,
         usable_count: int = 0,
         capacity: int = 0,
         link_count: int = 0,
@@ -70,7 +67,6 @@
         agent_count: int = 0,
     ) -> None:
         self.waiting_cpu = waiting_cpu
-        self.smallest_cpu = smallest_cpu
         self.usable_count = usable_count
         self.capacity = capacity
         self.link_count = link_count
--- a/tests/test_platform_floor.py
+++ b/tests/test_platform_floor.py
@@ -5,7 +5,7 @@
 from hypothesis import strategies as st
 
 from comfreysill.execution.calls import ReplyStatus, StartCall, StopCall
-from comfreysill.placement import subset
+from comfreysill.placement import link_demand, link_need, subset
 from comfreysill.request.types import Verdict
 from tests.fuzzing import fuzz
 from tests.platform_world import CPU_CAPACITY, NEVER, RESEND_DELAY_SECONDS, SILENT, World
@@ -73,6 +73,8 @@
     "crash_new_id",
     "grow",
 )
+# One entry gets more than its agents can run, while processes and links fail.
+CROWDED_FAULTS = (*FAULTS, "crowd", "crowd", "crowd", "crowd", "kill_agent", "cut_both", "reset")
 IMPATIENT_FAULTS = (
     *FAULTS,
     "submit_impatient",
@@ -130,6 +132,7 @@
 
 
 STEPS = draw_steps(FAULTS)
+CROWDED_STEPS = draw_steps(CROWDED_FAULTS)
 IMPATIENT_STEPS = draw_steps(IMPATIENT_FAULTS)
 LATE_STEPS = draw_steps(LATE_FAULTS)
 ASKING_STEPS = draw_steps(ASKING_FAULTS)
@@ -144,6 +147,10 @@
     if fault == "submit":
         key = f"r{len(world.requests)}"
         world.submit(key, entry, tasks=1 + number, seconds=0.1 + seconds, cpu=800 + 400 * number)
+    elif fault == "crowd":
+        for _ in range(1 + number):
+            key = f"r{len(world.requests)}"
+            world.submit(key, entry, tasks=8, seconds=0.1 + seconds, cpu=2000)
     elif fault.startswith("kill_entry"):
         world.kill_entry(entry, down_seconds=0.3 + seconds, silent=fault.endswith("silent"))
     elif fault.startswith("kill_agent"):
@@ -327,6 +334,19 @@
         ):
             self.run_steps(World(seed, entries=3, agents=6), steps)
 
+    @fuzz(EXAMPLES // 2, CROWDED_STEPS, st.integers(0, 1000))
+    def test_no_task_runs_twice_or_beyond_capacity_while_links_are_opened_by_need(
+        self, steps, seed
+    ):
+        # The times are short, so that links are given back while other things happen.
+        with (
+            mock.patch.multiple(subset, MIN_SUBSET_SIZE=2, ENTRIES_PER_AGENT=1),
+            mock.patch.multiple(link_need, MAX_WIDENING_FACTOR=4, MIN_VAIN_SECONDS=0.1),
+            mock.patch.object(link_need, "KEEP_SECONDS", 0.3),
+            mock.patch.object(link_demand, "KEEP_SECONDS", 0.3),
+        ):
+            self.run_steps(World(seed, entries=3, agents=8), steps)
+
     @fuzz(EXAMPLES, LATE_STEPS, st.integers(0, 1000))
     def test_no_task_runs_twice_or_beyond_capacity_with_late_calls(self, steps, seed):
         self.run_steps(World(seed), steps, settling_seconds=40.0)
