--- a/src/comfreysill/placement/subset.py
+++ b/src/comfreysill/placement/subset.py
@@ -8,6 +8,7 @@
 import math
 import zlib
 
+from comfreysill.placement.closures import is_in_closed_zone
 from comfreysill.placement.effects import OpenLink, RemoveLink
 from comfreysill.placement.link_need import release_base_links
 from comfreysill.placement.state import Agent, EntryState, note_event
@@ -79,7 +80,7 @@
             if needed_count <= 0:
                 break
             subset.add(agent.name)
-            needed_count -= not is_unavailable(agent, now)
+            needed_count -= not (is_unavailable(agent, now) or is_in_closed_zone(state, agent))
     return subset
 
 
