--- a/src/comfreysill/placement/link_demand.py
+++ b/src/comfreysill/placement/link_demand.py
@@ -9,6 +9,7 @@
 from comfreysill.crashes.ledger import list_confined_routes
 from comfreysill.exchange.messages import Load
 from comfreysill.placement.bindings import is_bound
+from comfreysill.placement.closures import is_in_closed_zone
 from comfreysill.placement.effects import OpenLink
 from comfreysill.placement.link_need import (
     KEEP_SECONDS,
@@ -110,7 +111,7 @@
     steps = _list_waiting_steps(state, service, now)
     _drop_removed(state, own)
     _observe_answers(state, own, min((step.cpu for step, _ in steps), default=0), now)
-    need = _measure_need(steps, agents, now)
+    need = _measure_need(state, steps, agents, now)
     is_needed = update_need(need, own, now)
     if is_needed:
         _keep_used(state, own, now)
@@ -156,9 +157,11 @@
     return waiting
 
 
-def _measure_need(steps: list[tuple[Step, int]], agents: list[Agent], now: float) -> LinkNeed:
+def _measure_need(
+    state: EntryState, steps: list[tuple[Step, int]], agents: list[Agent], now: float
+) -> LinkNeed:
     linked = [agent for agent in agents if agent.link_requested_at]
-    usable = [agent for agent in linked if is_usable(agent, now)]
+    usable = [agent for agent in linked if is_usable(state, agent, now)]
     return LinkNeed(
         waiting_cpu=sum(task_count * max(1, step.cpu) for step, task_count in steps),
         usable_count=len(usable),
@@ -181,7 +184,7 @@
             continue
         if agent.connected and agent.handshake_done:
             link.has_answered = True
-            link.has_found_room = is_usable(agent, now) and _has_room(agent, smallest_cpu)
+            link.has_found_room = is_usable(state, agent, now) and _has_room(agent, smallest_cpu)
         elif now - link.requested_at > UNANSWERED_SECONDS:
             own.avoided_until[name] = now + AVOIDED_SECONDS
             _remove(state, own, agent, "it doesn't answer")
@@ -250,7 +253,9 @@
     candidates = [
         agent
         for agent in agents
-        if not agent.link_requested_at and agent.name not in own.avoided_until
+        if not agent.link_requested_at
+        and agent.name not in own.avoided_until
+        and not is_in_closed_zone(state, agent)
     ]
     return heapq.nsmallest(
         link_count,
--- a/src/comfreysill/placement/state.py
+++ b/src/comfreysill/placement/state.py
@@ -48,21 +48,18 @@
         address: Address of its link service, `host:port`; empty once the agent is gone.
         service: Announced service of its target, empty if unknown.
         subset_rank: Rank in the choice of the entry's subset; the lowest is chosen first.
-        link_requested_at: Boot-clock time in seconds at which a link was requested, 0 while the
-            entry keeps no link to it.
+        link_requested_at: Boot-clock time in seconds of the request of its link, 0 without one.
         lifetime: Id of the current run of its process, empty before the first frame.
         session: Number of the newest session of the link, 0 before the first.
         connected: True while the session is open.
         handshake_done: True once the opening frame of the session was received.
         opened_at: Boot-clock time in seconds of the opening of the newest session, 0 before any.
-        last_frame_at: Boot-clock time in seconds at which its last frame was received, 0 before the
-            first.
+        last_frame_at: Boot-clock time in seconds of the receipt of its last frame, 0 before any.
         next_seconds: Announced maximum time in seconds from the last frame to the next.
         newest_timestamp: Newest timestamp received, in seconds of the agent's boot clock, 0 before
             the first.
         echoed_timestamp: Newest timestamp echoed to it in the session, 0 before the first.
-        sent_at: Boot-clock time in seconds of the last frame sent in the session, 0 before the
-            first.
+        sent_at: Boot-clock time in seconds of the last frame sent in the session, 0 before any.
         last_sent_number: Sequence number of the last frame sent in the session, 0 before the first.
         acknowledged_number: Sequence number of the newest frame of the session that it has
             acknowledged, 0 before the first.
@@ -243,8 +240,8 @@
         retry_seconds: Seconds from the end of a caller's wait until it sends its request again.
         routes: Route table in use.
         closures: What is known of closed availability zones.
-        routes_due_at: Boot-clock time in seconds from which a newer routing document may be fetched
-            from another entry, 0 while no newer one is known.
+        routes_due_at: Boot-clock time in seconds from which another entry may be asked for a newer
+            routing document, 0 while none is known.
         agents: Agents by name.
         address_owners: Names of agents by address; an address belongs to one agent at a time.
         remote_factor: Factor on the run time of a task outside the rack of its data.
@@ -254,11 +251,10 @@
         peers: Other entries to which a link was requested, by address.
         is_registrar: Whether other entries choose this one to keep claims, as far as it knows.
         last_peer_session: Number of the newest session with any of them, 0 before the first.
-        linking_until: Boot-clock time in seconds until which requests wait for the links to the
-            first of them, 0 before these were requested.
+        linking_until: Boot-clock time in seconds until which requests wait for the first links to
+            them, 0 before these were requested.
         acted_at: Boot-clock time in seconds at which this process has last acted, 0 before.
-        stood_still_until: Boot-clock time in seconds at which it last acted after a pause in which
-            claims may have ended, 0 if there was none.
+        stood_still_until: That of its last action after a pause that may end claims, 0 if none.
         registry: Claims that this entry keeps for all entries.
         claimants: Numbers of the newest open sessions of other entries with `registry`, by name.
         echoes: `sent_at` of the newest frames in these sessions that named it, by name.
@@ -276,8 +272,7 @@
         callers: Request ids by number of the caller, for each caller not answered yet.
         deadlines: Heap of (time, deadline count, request); see `deadlines`.
         deadline_count: Number of deadlines pushed so far; puts otherwise equal ones in order.
-        queues: Heap of (band, priority, due time, enqueue count, request) for each service; for the
-            bands see `ON_TIME` in `queue`.
+        queues: Heap of (band, priority, due time, enqueue count, request) by service; see `queue`.
         ticked_at: Boot-clock time in seconds of the last tick.
         resumed_at: Boot-clock time in seconds of the last tick after a suspension.
         enqueue_count: Number of requests queued so far; puts otherwise equal ones in order.
--- a/tests/test_link_demand.py
+++ b/tests/test_link_demand.py
@@ -152,7 +152,7 @@
         self.assertLessEqual(max(a - b for a, b in zip(counts, counts[1:], strict=False)), 1)
         self.assertEqual(entry.list_linked(), entry.base | {used})
         # It takes no more tasks, so that it can be given back.
-        self.assertFalse(is_usable(entry.state.agents[used], entry.now))
+        self.assertFalse(is_usable(entry.state, entry.state.agents[used], entry.now))
         entry.state.agents[used].tasks.clear()
         entry.run(0.1)
         self.assertEqual(entry.list_linked(), entry.base)
@@ -169,14 +169,14 @@
         task.request.specification = build_specification("x")
         entry.state.agents[used].tasks["x/0/0"] = task
         entry.run(KEEP_SECONDS + 1.0)
-        self.assertTrue(is_usable(entry.state.agents[used], entry.now))
+        self.assertTrue(is_usable(entry.state, entry.state.agents[used], entry.now))
         # The need ends, and returns while the link is given back.
         entry.state.queues.clear()
         entry.run(END_SECONDS + KEEP_SECONDS + 0.3)
-        self.assertFalse(is_usable(entry.state.agents[used], entry.now))
+        self.assertFalse(is_usable(entry.state, entry.state.agents[used], entry.now))
         entry.wait_for_room(requests=20)
         entry.run(0.2)
-        self.assertTrue(is_usable(entry.state.agents[used], entry.now))
+        self.assertTrue(is_usable(entry.state, entry.state.agents[used], entry.now))
 
     def test_nothing_is_widened_in_vain_for_ever_while_all_are_full(self):
         entry = Entry()
--- a/tests/test_platform_decode.py
+++ b/tests/test_platform_decode.py
@@ -81,6 +81,14 @@
         with_factor = SETTINGS.replace("grace-s: 6", "grace-s: 6, remote-factor: 2")
         self.assertEqual(self.read(with_factor).remote_factor, 2.0)
 
+    def test_the_share_of_links_by_need_is_optional_and_bounded(self):
+        self.assertEqual(self.read(SETTINGS).max_link_share, 0.75)
+        self.assertEqual(self.read(SETTINGS + "\nmax-link-share: 0").max_link_share, 0.0)
+        for share in ("-0.1", "1.1", "all"):
+            with self.assertRaises(UsageError) as caught:
+                self.read(f"{SETTINGS}\nmax-link-share: {share}")
+            self.assertIn("max-link-share", str(caught.exception))
+
     def test_yaml_and_json_are_read_alike(self):
         settings = self.read(json.dumps(yaml.safe_load(SETTINGS)))
         self.assertEqual((settings.name, str(settings.link)), ("e1", "10.0.0.1:7720"))
