--- a/standins/platform_deployment.py
+++ b/standins/platform_deployment.py
@@ -41,6 +41,7 @@
             uses one.
         callers_addresses: Address of the proxy in front of the callers' port, by entry that uses
             one.
+        limits: Limits of each instance in its settings, by the platform's names.
         processes: Latest process started under each name; it may have exited.
     """
 
@@ -54,6 +55,7 @@
         "runner_addresses",
         "advertised_addresses",
         "callers_addresses",
+        "limits",
         "processes",
     )
 
@@ -75,6 +77,7 @@
         self.runner_addresses: dict[str, str] = {}
         self.advertised_addresses: dict[str, str] = {}
         self.callers_addresses: dict[str, str] = {}
+        self.limits: dict[str, float] = {}
         self.processes: dict[str, asyncio.subprocess.Process] = {}
 
     def find_ip(self, name: str) -> str:
@@ -175,6 +178,8 @@
         "platform": {"address": deployment.store_addresses.get(name, deployment.store_address)},
         "advertised": deployment.advertised_addresses.get(name, ""),
     }
+    if deployment.limits:
+        document["limits"] = deployment.limits
     if name.startswith("entry"):
         document["listen"] = {"front": f"{ip}:{CALLERS_PORT}", "ready": f"{ip}:{READY_PORT}"}
     else:
