Limits of what a client's connection may cost, in front of every HTTP address

What callers saw: one client without limits ended an entry or an agent for lack of memory, or took all of its descriptors.

Cause: the HTTP parser collects a head, a header or trailers without end; uvicorn reads ahead while an answer waits, and parses 256 KiB in one turn; connections are accepted without a bound and may stay idle without a request.

Change: BoundedHttpProtocol reads 16 KiB a turn into one shared buffer and asks comfreysill.connections (plain decisions) after each event of the parser. What is over a limit is refused (400, 408, 413, 414, 429, 431, 503) after earlier requests have been answered, and closed; an application that waits for the rest of a body ends, so that nothing of it is run. All connections of a process share a bound of their number and of what they hold, by memory-mb and max-fds of the settings. Counters by reason.

--- /dev/null
+++ b/src/comfreysill/connection_guard.py
@@ -0,0 +1,50 @@
+"""What the HTTP servers of a process share to keep their clients within limits."""
+
+import logging
+
+from comfreysill.connections.limits import ConnectionLimits, ProcessLimits
+from comfreysill.connections.reasons import Reason
+from comfreysill.connections.table import ConnectionTable
+
+logger = logging.getLogger(__name__)
+
+# Bytes that are read and parsed in one turn of a connection.
+READ_BYTES = 16_384
+
+
+class ConnectionGuard:
+    """What the servers of a process share.
+
+    Attributes:
+        limits: Limits of each connection.
+        table: All connections.
+        buffer: Buffer for reads, each of which is parsed at once.
+        logged: Counters of closed connections at the last log line.
+    """
+
+    __slots__ = ("limits", "table", "buffer", "logged")
+
+    def __init__(self, *, limits: ConnectionLimits, process_limits: ProcessLimits) -> None:
+        self.limits = limits
+        self.table = ConnectionTable(limits=process_limits)
+        self.buffer = memoryview(bytearray(READ_BYTES))
+        self.logged: dict[Reason, int] = {}
+
+
+def collect_connection_counters(guard: ConnectionGuard) -> dict[str, int]:
+    """Returns the number of closed connections by the name of its counter."""
+    counters = guard.table.counters
+    return {f"connections_closed_{reason.value}": count for reason, count in counters.items()}
+
+
+def log_closed_connections(guard: ConnectionGuard) -> None:
+    """Logs the connections that were closed since the last call, if any."""
+    counters = guard.table.counters
+    new = {
+        reason.value: count - guard.logged.get(reason, 0)
+        for reason, count in counters.items()
+        if count != guard.logged.get(reason, 0) and reason != Reason.IDLE_SECONDS
+    }
+    guard.logged = dict(counters)
+    if new:
+        logger.warning("connections of clients closed", extra={"fields": new})
--- /dev/null
+++ b/src/comfreysill/connections/table.py
@@ -0,0 +1,153 @@
+"""All connections of clients of a process: how many there may be, and what they hold together."""
+
+from collections.abc import Callable
+
+from comfreysill.connections.limits import ConnectionLimits, ProcessLimits
+from comfreysill.connections.reading import Phase, Reading
+from comfreysill.connections.reasons import Reason
+
+
+class Connection:
+    """A connection of a client.
+
+    Attributes:
+        number: Rises by one with each connection of the process.
+        reading: What it has received of its current message.
+        unanswered: Number of complete heads whose answers aren't sent yet.
+        held_bytes: Bytes that it holds of messages that are being received, and of answers that
+            wait to be read.
+        waits_since: Number of the last event of the table at which its phase changed.
+        seen_transitions: Transitions of `reading` when its deadline was set.
+        deadline: Time in seconds at which its current phase has to be over, on the clock of the
+            caller of `find_overdue`.
+        close: Refuses and closes it.
+    """
+
+    __slots__ = (
+        "number",
+        "reading",
+        "unanswered",
+        "held_bytes",
+        "waits_since",
+        "seen_transitions",
+        "deadline",
+        "close",
+    )
+
+    def __init__(self, *, number: int, close: Callable[[Reason], None]) -> None:
+        self.number = number
+        self.reading = Reading()
+        self.unanswered = 0
+        self.held_bytes = 0
+        self.waits_since = number
+        self.seen_transitions = -1
+        self.deadline = 0.0
+        self.close = close
+
+
+class ConnectionTable:
+    """Connections of a process.
+
+    Attributes:
+        limits: Limits of all connections together.
+        connections: Open connections.
+        held_bytes: Sum of what they hold.
+        events: Number of connections and changes of phases so far, which orders them.
+        counters: Number of closed connections by reason.
+    """
+
+    __slots__ = ("limits", "connections", "held_bytes", "events", "counters")
+
+    def __init__(self, *, limits: ProcessLimits) -> None:
+        self.limits = limits
+        self.connections: set[Connection] = set()
+        self.held_bytes = 0
+        self.events = 0
+        self.counters: dict[Reason, int] = {}
+
+
+def add_connection(table: ConnectionTable, close: Callable[[Reason], None]) -> Connection:
+    """Adds a connection that was accepted; `close` refuses and closes it."""
+    table.events += 1
+    connection = Connection(number=table.events, close=close)
+    table.connections.add(connection)
+    return connection
+
+
+def remove_connection(table: ConnectionTable, connection: Connection) -> None:
+    """Removes a connection that was closed."""
+    table.connections.discard(connection)
+    table.held_bytes -= connection.held_bytes
+    connection.held_bytes = 0
+
+
+def note_phase(table: ConnectionTable, connection: Connection) -> None:
+    """Records that the phase of a connection has just changed, or a request was answered."""
+    table.events += 1
+    connection.waits_since = table.events
+
+
+def set_held_bytes(table: ConnectionTable, connection: Connection, held_bytes: int) -> None:
+    """Records what a connection holds."""
+    table.held_bytes += held_bytes - connection.held_bytes
+    connection.held_bytes = held_bytes
+
+
+def record_reason(table: ConnectionTable, reason: Reason) -> None:
+    """Counts a connection that is closed."""
+    table.counters[reason] = table.counters.get(reason, 0) + 1
+
+
+def find_surplus(table: ConnectionTable) -> Connection | None:
+    """Returns a connection to close while there are too many, None if there aren't.
+
+    It is the one that has been without a complete request for the longest time, those that were
+    refused first. Those that wait for their answers are kept.
+    """
+    if len(table.connections) <= table.limits.connections:
+        return None
+    incomplete = [connection for connection in table.connections if not connection.unanswered]
+    return min(incomplete, key=_rank, default=None)
+
+
+def _rank(connection: Connection) -> tuple[bool, int]:
+    return connection.reading.phase != Phase.DISCARDING, connection.waits_since
+
+
+def find_dearest(table: ConnectionTable) -> Connection | None:
+    """Returns the connection that holds most while all hold too much, None if they don't."""
+    if table.held_bytes <= table.limits.held_bytes:
+        return None
+    return max(table.connections, key=lambda connection: connection.held_bytes, default=None)
+
+
+def find_overdue(connection: Connection, limits: ConnectionLimits, now: float) -> Reason | None:
+    """Returns why a connection has to be closed at `now`, in seconds, None if it hasn't.
+
+    A deadline is set by the first call after a change of the phase.
+    """
+    reading = connection.reading
+    if connection.seen_transitions != reading.transitions:
+        connection.seen_transitions = reading.transitions
+        connection.deadline = now + _find_allowed_seconds(reading, limits)
+        return None
+    if now < connection.deadline or (reading.phase == Phase.BETWEEN and connection.unanswered):
+        return None
+    return REASON_BY_PHASE[reading.phase]
+
+
+REASON_BY_PHASE = {
+    Phase.BETWEEN: Reason.IDLE_SECONDS,
+    Phase.HEAD: Reason.HEAD_SECONDS,
+    Phase.BODY: Reason.BODY_SECONDS,
+    Phase.DISCARDING: Reason.DISCARDED,
+}
+
+
+def _find_allowed_seconds(reading: Reading, limits: ConnectionLimits) -> float:
+    return {
+        Phase.BETWEEN: limits.idle_seconds,
+        Phase.HEAD: limits.head_seconds,
+        Phase.BODY: limits.body_seconds,
+        Phase.DISCARDING: limits.discarding_seconds,
+    }[reading.phase]
--- a/src/comfreysill/gateway/program.py
+++ b/src/comfreysill/gateway/program.py
@@ -8,6 +8,7 @@
 import socket
 
 from comfreysill.clock import measure_unix_offset, read_boot_clock
+from comfreysill.connection_guard import ConnectionGuard, collect_connection_counters
 from comfreysill.exchange.messages import Member, Role
 from comfreysill.gateway.actor import (
     Actor,
@@ -32,6 +33,7 @@
 from comfreysill.metrics import Metrics
 from comfreysill.metrics_app import build_metrics_app, build_observer
 from comfreysill.placement.state import EntryState
+from comfreysill.platform.guard import build_platform_guard
 from comfreysill.platform.ingress import EntryOperations, build_callers_app, build_readiness_app
 from comfreysill.platform.rejections import Rejections
 from comfreysill.platform.settings import InstanceSettings
@@ -77,7 +79,7 @@
     metrics = Metrics(role="entry")
     actor = Actor(state=_build_state(name, settings, metrics))
     store = open_store(settings.store)
-    callers_server = _build_callers_server(actor, listeners, poll_times)
+    callers_server = _build_callers_server(actor, settings, listeners, poll_times)
     roster_service = RosterService(
         inbox=actor.inbox,
         get_routes=lambda: actor.routes_text,
@@ -104,9 +106,12 @@
     logger.info("entry stopped", extra={"fields": {"name": name, **actor.state.counters}})
 
 
-def _build_callers_server(actor: Actor, listeners: Listeners, poll_times: PollTimes) -> HttpServer:
+def _build_callers_server(
+    actor: Actor, settings: InstanceSettings, listeners: Listeners, poll_times: PollTimes
+) -> HttpServer:
     watch_listener(poll_times, listeners.http, listeners.opened_at)
-    return build_http(build_callers_app(_build_operations(actor)), poll_times=poll_times)
+    app = build_callers_app(_build_operations(actor))
+    return build_http(app, poll_times=poll_times, guard=build_platform_guard(settings))
 
 
 def _build_state(name: str, settings: InstanceSettings, metrics: Metrics) -> EntryState:
@@ -145,17 +150,21 @@
     metrics: Metrics,
     callers_server: HttpServer,
 ) -> list[asyncio.Task]:
+    guard = callers_server.guard
     metrics_app = build_metrics_app(
-        metrics, lambda: _collect_counters(actor, store), lambda: _collect_gauges(actor, store)
+        metrics,
+        lambda: _collect_counters(actor, store, guard),
+        lambda: _collect_gauges(actor, store, guard),
     )
     readiness_app = build_readiness_app(lambda: is_ready(actor, listening=callers_server.started))
     servers = [
-        build_http(readiness_app, settings.readiness),
-        build_http(metrics_app, settings.metrics),
+        build_http(readiness_app, settings.readiness, guard=guard),
+        build_http(metrics_app, settings.metrics, guard=guard),
     ]
     if settings.reports is not None:
         # Runners report to the agent beside them; one without an agent can't be used.
-        servers.append(build_http(build_readiness_app(lambda: False), settings.reports))
+        reports_app = build_readiness_app(lambda: False)
+        servers.append(build_http(reports_app, settings.reports, guard=guard))
     return [asyncio.create_task(server.serve()) for server in servers]
 
 
@@ -207,13 +216,19 @@
     actor.inbox.post(EntriesDiscovered(addresses=list(settings.entries)))
 
 
-def _collect_counters(actor: Actor, store: StoreClient) -> dict[str, int]:
-    return {**actor.state.counters, "entries_rejected": store.rejections.total}
+def _collect_counters(actor: Actor, store: StoreClient, guard: ConnectionGuard) -> dict[str, int]:
+    return {
+        **actor.state.counters,
+        **collect_connection_counters(guard),
+        "entries_rejected": store.rejections.total,
+    }
 
 
-def _collect_gauges(actor: Actor, store: StoreClient) -> dict[str, float]:
+def _collect_gauges(actor: Actor, store: StoreClient, guard: ConnectionGuard) -> dict[str, float]:
     state = actor.state
     return {
+        "connections": len(guard.table.connections),
+        "held_bytes": guard.table.held_bytes,
         "requests": len(state.requests),
         "callers": len(actor.pending_replies),
         "agents": sum(agent.connected for agent in state.agents.values()),
--- a/src/comfreysill/platform/settings.py
+++ b/src/comfreysill/platform/settings.py
@@ -15,6 +15,8 @@
 MAX_RETRY_MS = 3_600_000.0
 # Callers that send a request again at once.
 DEFAULT_RETRY_MS = 0.0
+MAX_MEMORY_MB = float(1 << 24)
+MAX_DESCRIPTORS = 1 << 24
 
 Port = Annotated[int, Meta(ge=0, le=MAX_PORT)]
 ListenDocument = TypedDict(
@@ -31,6 +33,14 @@
     },
     total=False,
 )
+ProcessLimitsDocument = TypedDict(
+    "ProcessLimitsDocument",
+    {
+        "memory-mb": Annotated[float, Meta(ge=0, le=MAX_MEMORY_MB)] | None,
+        "max-fds": Annotated[int, Meta(ge=0, le=MAX_DESCRIPTORS)] | None,
+    },
+    total=False,
+)
 StoreDocument = TypedDict("StoreDocument", {"address": Required[Name]}, total=False)
 SettingsDocument = TypedDict(
     "SettingsDocument",
@@ -45,6 +55,7 @@
         "service": OptionalName | None,
         "platform": Required[StoreDocument],
         "bounds": Required[BoundsDocument],
+        "limits": ProcessLimitsDocument | None,
         # Not a field of the platform: set if a proxy is in front of the link port, as in the soak
         # test.
         "advertised": OptionalName,
@@ -73,6 +84,8 @@
         grace_seconds: Time between the termination signal and the kill.
         remote_factor: Factor on the run time of a task outside the rack of its data.
         retry_seconds: Time from the end of a caller's wait until it sends its request again.
+        memory_bytes: Maximum memory of the process, 0 if it isn't known.
+        max_descriptors: Maximum number of its open descriptors, 0 if it isn't known.
     """
 
     __slots__ = (
@@ -91,6 +104,8 @@
         "grace_seconds",
         "remote_factor",
         "retry_seconds",
+        "memory_bytes",
+        "max_descriptors",
     )
 
     def __init__(
@@ -111,6 +126,8 @@
         grace_seconds: float,
         remote_factor: float,
         retry_seconds: float,
+        memory_bytes: int = 0,
+        max_descriptors: int = 0,
     ) -> None:
         self.name = name
         self.zone = zone
@@ -127,6 +144,8 @@
         self.grace_seconds = grace_seconds
         self.remote_factor = remote_factor
         self.retry_seconds = retry_seconds
+        self.memory_bytes = memory_bytes
+        self.max_descriptors = max_descriptors
 
 
 def read_instance_settings() -> InstanceSettings:
@@ -155,6 +174,7 @@
     listen = document["listen"]
     ip = document["ip"]
     first_port, last_port = document["port-range"]
+    limits = document.get("limits") or {}
     # Every instance uses the first port of the range for links, so the port of a seed is replaced.
     seeds = [seed.rpartition(":")[0] for seed in document.get("seeds") or ()]
     return InstanceSettings(
@@ -173,6 +193,8 @@
         grace_seconds=document["bounds"]["grace-s"],
         remote_factor=document["bounds"].get("remote-factor", DEFAULT_REMOTE_FACTOR),
         retry_seconds=document["bounds"].get("retransmit-ms", DEFAULT_RETRY_MS) / 1000,
+        memory_bytes=int((limits.get("memory-mb") or 0) * (1 << 20)),
+        max_descriptors=limits.get("max-fds") or 0,
     )
 
 
--- a/src/comfreysill/servers.py
+++ b/src/comfreysill/servers.py
@@ -2,50 +2,29 @@
 
 import asyncio
 import functools
+import resource
 import socket
 from typing import Any
 
 import uvicorn
 from grpclib.server import Server
-from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
 from comfreysill.address import Address
-from comfreysill.arrivals import measure_arrival
-from comfreysill.clock import read_boot_clock
+from comfreysill.bounded_http import ARRIVAL_EXTENSION, BoundedHttpProtocol
+from comfreysill.connection_guard import ConnectionGuard, log_closed_connections
+from comfreysill.connections.limits import MAX_QUEUED, ConnectionLimits, derive_process_limits
 from comfreysill.polls import PollTimes
+from comfreysill.whole_requests import build_whole_request_app
 
+__all__ = ["ARRIVAL_EXTENSION", "HttpServer", "build_guard", "build_http"]
 # The Date header has a resolution of one second.
 DATE_HEADER_INTERVAL_SECONDS = 1.0
-# Name of the ASGI extension in which a request carries an `Arrival`.
-ARRIVAL_EXTENSION = "comfreysill.arrival"
-
-
-class TimedHttpProtocol(HttpToolsProtocol):
-    """HTTP protocol of uvicorn that adds an `Arrival` to the ASGI scope of each request.
-
-    Attributes:
-        poll_times: Polls of the event loop.
-        connected_at: Boot-clock time in seconds at which the connection was accepted, None from its
-            first request on.
-    """
-
-    def __init__(self, *, poll_times: PollTimes, **arguments: Any) -> None:
-        super().__init__(**arguments)
-        self.poll_times = poll_times
-        self.connected_at: float | None = None
-
-    def connection_made(self, transport: asyncio.Transport) -> None:
-        """Begins a connection."""
-        super().connection_made(transport)
-        self.connected_at = read_boot_clock()
-
-    def on_message_begin(self) -> None:
-        """Begins a request, at its first byte."""
-        super().on_message_begin()
-        connection = self.transport.get_extra_info("socket")
-        arrival = measure_arrival(self.poll_times, connection, self.connected_at)
-        self.connected_at = None
-        self.scope["extensions"] = {ARRIVAL_EXTENSION: arrival}
+MAX_BODY_BYTES = 16 << 20
+# Taken if the kernel has no limit.
+MAX_DESCRIPTORS = 1 << 16
+# While the server stops, clients have this time to send what they have begun, or to read.
+SHUTDOWN_SECONDS = 1.0
+SHUTDOWN_CHECK_SECONDS = 0.1
 
 
 class HttpServer(uvicorn.Server):
@@ -53,22 +32,60 @@
 
     Attributes:
         stopping: Set to leave the main loop.
+        guard: Limits of the connections of this process.
+        checked_at: Time of the event loop in seconds at which connections were checked last.
     """
 
-    __slots__ = ("stopping",)
+    __slots__ = ("stopping", "guard", "checked_at")
 
-    def __init__(self, *, config: uvicorn.Config) -> None:
+    def __init__(self, *, config: uvicorn.Config, guard: ConnectionGuard) -> None:
         super().__init__(config)
         self.stopping = asyncio.Event()
+        self.guard = guard
+        self.checked_at = 0.0
 
     async def main_loop(self) -> None:
-        """Updates the Date header periodically until the server is stopped."""
+        """Updates the Date header and checks the connections until the server is stopped."""
         while not await self.on_tick(0):
             try:
                 async with asyncio.timeout(DATE_HEADER_INTERVAL_SECONDS):
                     await self.stopping.wait()
             except TimeoutError:
-                continue
+                self.check_connections()
+
+    async def startup(self, sockets: list[socket.socket] | None = None) -> None:
+        """Starts to accept connections, and limits the queue of those that aren't accepted yet."""
+        await super().startup(sockets)
+        for listener in sockets or ():
+            listener.listen(self.guard.table.limits.queued)
+
+    def check_connections(self) -> None:
+        """Closes the connections that have exceeded a time limit."""
+        now = asyncio.get_running_loop().time()
+        late_seconds = now - self.checked_at - DATE_HEADER_INTERVAL_SECONDS
+        if not self.checked_at or late_seconds < DATE_HEADER_INTERVAL_SECONDS:
+            late_seconds = 0.0
+        self.checked_at = now
+        for connection in list(self.server_state.connections):
+            connection.check_time(now, late_seconds)
+        log_closed_connections(self.guard)
+
+    async def shutdown(self, sockets: list[socket.socket] | None = None) -> None:
+        """Stops accepting connections, and waits until the open requests are answered."""
+        check = asyncio.create_task(self._end_connections())
+        try:
+            await super().shutdown(sockets)
+        finally:
+            check.cancel()
+
+    async def _end_connections(self) -> None:
+        """Closes connections whose clients neither finish their requests nor read the answers."""
+        loop = asyncio.get_running_loop()
+        await asyncio.sleep(SHUTDOWN_SECONDS)
+        while True:
+            for connection in list(self.server_state.connections):
+                connection.end_unless_answering(loop.time(), SHUTDOWN_SECONDS)
+            await asyncio.sleep(SHUTDOWN_CHECK_SECONDS)
 
     def install_signal_handlers(self) -> None:
         """Does nothing, since the program of the process handles signals itself."""
@@ -88,8 +105,30 @@
         return None
 
 
+def build_guard(
+    max_descriptors: int = 0, memory_bytes: int = 0, body_bytes: int = MAX_BODY_BYTES
+) -> ConnectionGuard:
+    """Builds the limits of the connections of a process, which its HTTP servers share.
+
+    Args:
+        max_descriptors: Maximum number of open descriptors, 0 for that of the kernel.
+        memory_bytes: Maximum memory of the process, 0 if it isn't known.
+        body_bytes: Maximum size of a body; applications may have smaller ones.
+    """
+    if not max_descriptors:
+        soft_limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+        max_descriptors = soft_limit if soft_limit != resource.RLIM_INFINITY else MAX_DESCRIPTORS
+    return ConnectionGuard(
+        limits=ConnectionLimits(body_bytes=body_bytes),
+        process_limits=derive_process_limits(max_descriptors, memory_bytes),
+    )
+
+
 def build_http(
-    app: Any, address: Address | None = None, poll_times: PollTimes | None = None
+    app: Any,
+    address: Address | None = None,
+    poll_times: PollTimes | None = None,
+    guard: ConnectionGuard | None = None,
 ) -> HttpServer:
     """Builds an HTTP server; `serve()` runs it until `begin_http_shutdown` is called.
 
@@ -97,14 +136,18 @@
         app: The ASGI application.
         address: Address to listen on, None if `serve()` is given a listening socket.
         poll_times: Polls of the event loop; requests carry an `Arrival` if they are given.
+        guard: Limits of the connections of this process, None if it has no other HTTP server.
     """
-    protocol: Any = "httptools"
-    if poll_times is not None:
-        protocol = functools.partial(TimedHttpProtocol, poll_times=poll_times)
+    guard = guard or build_guard()
+    protocol: Any = functools.partial(
+        BoundedHttpProtocol, guard=guard, limits=guard.limits, poll_times=poll_times
+    )
     config = uvicorn.Config(
-        app,
+        build_whole_request_app(app),
         host=address.host if address else "",
         port=address.port if address else 0,
+        # All that wait are accepted at a time, on which `polls` relies.
+        backlog=MAX_QUEUED if poll_times is not None else guard.table.limits.queued,
         http=protocol,
         ws="none",
         lifespan="off",
@@ -112,9 +155,8 @@
         log_config=None,
         proxy_headers=False,
         server_header=False,
-        timeout_keep_alive=75,
     )
-    return HttpServer(config=config)
+    return HttpServer(config=config, guard=guard)
 
 
 async def start_grpc(services: list[Any], address: Address) -> Server:
--- a/src/comfreysill/sidecar/program.py
+++ b/src/comfreysill/sidecar/program.py
@@ -10,6 +10,7 @@
 from typing import Any
 
 from comfreysill.clock import read_boot_clock
+from comfreysill.connection_guard import ConnectionGuard, collect_connection_counters
 from comfreysill.exchange.messages import Member, Role
 from comfreysill.execution.calls import Call, RenewCall, build_unanswered_reply
 from comfreysill.execution.state import AgentState
@@ -17,6 +18,7 @@
 from comfreysill.membership import deregister_member, register_member
 from comfreysill.metrics import Metrics
 from comfreysill.metrics_app import build_metrics_app
+from comfreysill.platform.guard import build_platform_guard
 from comfreysill.platform.rejections import Rejections
 from comfreysill.platform.reports import ReportHandlers, build_reports_app
 from comfreysill.platform.runner import RunnerClient, open_runner, send_command, send_renewal
@@ -62,7 +64,9 @@
     calls: set[asyncio.Task] = set()
     store = open_store(settings.store)
     runner.rejections = store.rejections
-    http = build_http(build_agent_reports_app(actor, settings.service, store.rejections))
+    guard = build_platform_guard(settings)
+    reports_app = build_agent_reports_app(actor, settings.service, store.rejections)
+    http = build_http(reports_app, guard=guard)
     grpc = await start_grpc_on_socket([TargetService(inbox=actor.inbox)], listeners.link)
     http_task = asyncio.create_task(http.serve(sockets=[listeners.http]))
     member = Member(
@@ -70,7 +74,7 @@
     )
     registration = asyncio.create_task(register_member(store, member))
     tasks = [
-        *_start_tasks(actor, settings, store, reload),
+        *_start_tasks(actor, settings, store, reload, guard),
         asyncio.create_task(announce_to_entries(actor, member, registration.done)),
     ]
     logger.info("agent started", extra={"fields": {"name": settings.name, "token": agent.token}})
@@ -113,15 +117,23 @@
 
 
 def _start_tasks(
-    actor: Actor, settings: InstanceSettings, store: StoreClient, reload: asyncio.Event
+    actor: Actor,
+    settings: InstanceSettings,
+    store: StoreClient,
+    reload: asyncio.Event,
+    guard: ConnectionGuard,
 ) -> list[asyncio.Task]:
     metrics_app = build_metrics_app(
         Metrics(role="agent"),
-        lambda: {**actor.agent.counters, "entries_rejected": store.rejections.total},
-        lambda: _collect_gauges(actor),
+        lambda: {
+            **actor.agent.counters,
+            **collect_connection_counters(guard),
+            "entries_rejected": store.rejections.total,
+        },
+        lambda: _collect_gauges(actor, guard),
     )
     coroutines = (
-        build_http(metrics_app, settings.metrics).serve(),
+        build_http(metrics_app, settings.metrics, guard=guard).serve(),
         run_state_task(actor),
         _post_ticks(actor),
         watch_settings(reload, lambda new: _apply_settings(actor, store, new)),
@@ -174,9 +186,11 @@
     actor.inbox.post(EntriesDiscovered(addresses=list(settings.entries)))
 
 
-def _collect_gauges(actor: Actor) -> dict[str, float]:
+def _collect_gauges(actor: Actor, guard: ConnectionGuard) -> dict[str, float]:
     agent = actor.agent
     return {
+        "connections": len(guard.table.connections),
+        "held_bytes": guard.table.held_bytes,
         "runs": len(agent.runs),
         "cpu_used": agent.cpu_used,
         "cpu_waiting": agent.cpu_waiting,
