Calls to a runner are given up by its answer times

Cause: one constant for all calls, longer than what a task of 0.1 s can spare.

Change: execution/answer_times.py keeps mean and deviation of the answer times of a runner's lifetime (RFC 6298); starts and renewals that ask for an answer at once carry the deadline `answer_by`, 0.03 to 0.1 s from their sending, doubled by each silence. Long polls and stops are unchanged. The next renewal after one of these comes 0.05 s after its sending, not after its failure. The simulated deployment honours the deadline.

--- a/src/comfreysill/execution/calls.py
+++ b/src/comfreysill/execution/calls.py
@@ -1,6 +1,7 @@
 """Calls from an agent on the platform to its runner, and the replies."""
 
 import enum
+import math
 
 
 class RunnerLifetime:
@@ -118,9 +119,21 @@
         payload: Payload of the task.
         lease_until_ms: End of the run's lease on the runner's clock in milliseconds.
         token: Fencing token.
+        sent_at: Boot-clock time in seconds at which the call was created.
+        answer_by: Boot-clock time in seconds from which the call counts as unanswered, infinite if
+            the sender decides.
     """
 
-    __slots__ = ("lifetime", "task", "run", "payload", "lease_until_ms", "token")
+    __slots__ = (
+        "lifetime",
+        "task",
+        "run",
+        "payload",
+        "lease_until_ms",
+        "token",
+        "sent_at",
+        "answer_by",
+    )
 
     def __init__(
         self,
@@ -131,6 +144,8 @@
         payload: str,
         lease_until_ms: int,
         token: int,
+        sent_at: float = 0.0,
+        answer_by: float = math.inf,
     ) -> None:
         self.lifetime = lifetime
         self.task = task
@@ -138,6 +153,8 @@
         self.payload = payload
         self.lease_until_ms = lease_until_ms
         self.token = token
+        self.sent_at = sent_at
+        self.answer_by = answer_by
 
 
 class StopCall:
@@ -165,9 +182,18 @@
         wait_ms: Milliseconds that the runner may wait for a run to end before it answers, 0 if it
             has to answer at once.
         sent_at: Boot-clock time in seconds at which the call was created.
+        answer_by: See `StartCall`.
     """
 
-    __slots__ = ("lifetime", "token", "ended_seen", "lease_until_ms", "wait_ms", "sent_at")
+    __slots__ = (
+        "lifetime",
+        "token",
+        "ended_seen",
+        "lease_until_ms",
+        "wait_ms",
+        "sent_at",
+        "answer_by",
+    )
 
     def __init__(
         self,
@@ -178,6 +204,7 @@
         lease_until_ms: int,
         wait_ms: int,
         sent_at: float,
+        answer_by: float = math.inf,
     ) -> None:
         self.lifetime = lifetime
         self.token = token
@@ -185,6 +212,7 @@
         self.lease_until_ms = lease_until_ms
         self.wait_ms = wait_ms
         self.sent_at = sent_at
+        self.answer_by = answer_by
 
 
 Call = StartCall | StopCall | RenewCall
--- a/src/comfreysill/execution/renewals.py
+++ b/src/comfreysill/execution/renewals.py
@@ -1,10 +1,13 @@
 """Lease renewals at the runner, and processing of the lists of runs in its replies."""
 
+import math
+
 from comfreysill.exchange.messages import (
     LEASE_MARGIN_SECONDS,
     MAX_RUN_LEASE_SECONDS,
     Outcome,
 )
+from comfreysill.execution.answer_times import compute_patience
 from comfreysill.execution.calls import (
     UNANSWERED_STATUSES,
     RenewCall,
@@ -26,6 +29,7 @@
     is_clock_continuous,
     is_stop_overdue,
     mark_running,
+    note_answer,
     requeue_start,
 )
 from comfreysill.execution.state import (
@@ -40,8 +44,9 @@
 RENEWAL_WAIT_MS = 150
 # Without runs there is no lease to extend; the renewals show that the runner answers.
 IDLE_RENEWAL_WAIT_MS = 400
-# Delay after a renewal that failed. A runner that resets connections fails a call at once; without
-# the delay the agent would call it without a pause.
+# Time from a renewal that failed to the next one; from the sending of one that asked for an answer
+# at once. A runner that resets connections fails a call at once; without the delay the agent would
+# call it without a pause.
 RENEWAL_RETRY_SECONDS = 0.05
 # After this time without an answer the run leases are no longer renewed, so that they expire.
 RENEWAL_GIVE_UP_SECONDS = 0.55
@@ -66,14 +71,16 @@
         return
     silent = agent.answered_at and now - agent.answered_at > RENEWAL_GIVE_UP_SECONDS
     is_extending = agent.runs and not silent and not is_stop_overdue(agent, now)
+    wait_ms = _choose_wait_ms(agent)
     agent.calls.append(
         RenewCall(
             lifetime=agent.runner_lifetime,
             token=agent.token,
             ended_seen=agent.runner_ends_seen,
             lease_until_ms=grant_run_lease(agent, now) if is_extending else 0,
-            wait_ms=_choose_wait_ms(agent),
+            wait_ms=wait_ms,
             sent_at=now,
+            answer_by=math.inf if wait_ms else now + compute_patience(agent.answer_times),
         )
     )
     agent.renewals_in_flight += 1
@@ -99,8 +106,10 @@
     if end_reason:
         end_runner_lifetime(agent, now, end_reason)
         return
+    if not call.wait_ms:
+        note_answer(agent, call, reply.status, now)
     if reply.status not in (ReplyStatus.ACCEPTED, ReplyStatus.FENCED):
-        agent.renewal_due_at = now + RENEWAL_RETRY_SECONDS
+        agent.renewal_due_at = (now if call.wait_ms else call.sent_at) + RENEWAL_RETRY_SECONDS
     if reply.status in UNANSWERED_STATUSES:
         agent.disconnected = agent.disconnected or reply.status == ReplyStatus.DISCONNECTED
         agent.renew_now = True
--- a/src/comfreysill/execution/runner.py
+++ b/src/comfreysill/execution/runner.py
@@ -5,6 +5,7 @@
     MAX_RUN_LEASE_SECONDS,
     Outcome,
 )
+from comfreysill.execution.answer_times import AnswerTimes
 from comfreysill.execution.calls import RunnerReport
 from comfreysill.execution.capacity import return_excess_runs
 from comfreysill.execution.crashes import record_crash
@@ -80,6 +81,7 @@
 
 def _adopt_runner(agent: AgentState, report: RunnerReport, now: float) -> None:
     agent.runner_lifetime = report.lifetime
+    agent.answer_times = AnswerTimes()
     # Calls to an earlier lifetime under the same id may be carried out late by this one, which has
     # seen no token.
     agent.token += 1
--- a/src/comfreysill/execution/starts.py
+++ b/src/comfreysill/execution/starts.py
@@ -8,9 +8,15 @@
     MAX_RUN_LEASE_SECONDS,
     Outcome,
 )
+from comfreysill.execution.answer_times import (
+    compute_patience,
+    record_answer,
+    record_silence,
+)
 from comfreysill.execution.calls import (
     UNANSWERED_STATUSES,
     CallReply,
+    RenewCall,
     ReplyStatus,
     StartCall,
     StopCall,
@@ -150,6 +156,8 @@
             payload=run.batch.payload,
             lease_until_ms=grant_run_lease(agent, now),
             token=agent.token,
+            sent_at=now,
+            answer_by=now + compute_patience(agent.answer_times),
         )
     )
 
@@ -223,6 +231,7 @@
         agent.answered_at = now
     if isinstance(call, StopCall):
         return
+    note_answer(agent, call, reply.status, now)
     run = agent.runs.get(call.task)
     if run is None or run.number != call.run or run.state != RunState.STARTING:
         return
@@ -252,6 +261,16 @@
         _return_run(agent, run, now, f"the runner refused: {reply.status.name}")
 
 
+def note_answer(
+    agent: AgentState, call: StartCall | RenewCall, status: ReplyStatus, now: float
+) -> None:
+    """Takes in how long the runner took for a call that it had to answer at once."""
+    if status == ReplyStatus.UNANSWERED:
+        record_silence(agent.answer_times)
+    elif status not in (ReplyStatus.DISCONNECTED, ReplyStatus.REFUSED):
+        record_answer(agent.answer_times, now - call.sent_at)
+
+
 def _hold_unanswered_start(agent: AgentState, run: Run, now: float) -> None:
     count(agent, "starts_unanswered")
     note_event(
@@ -260,6 +279,7 @@
         task=run.task,
         entry=run.entry,
         token=agent.token + 1,
+        waited=round(now - run.changed_at, 3),
     )
     mark_unconfirmed(agent, run, now)
 
--- a/src/comfreysill/execution/state.py
+++ b/src/comfreysill/execution/state.py
@@ -10,6 +10,7 @@
     Ended,
     Outcome,
 )
+from comfreysill.execution.answer_times import AnswerTimes
 from comfreysill.execution.calls import Call, RunnerLifetime, RunnerReport
 from comfreysill.execution.recent_crashes import RecentCrash, UnsettledCrash
 from comfreysill.execution.run import Run, RunState
@@ -148,6 +149,7 @@
         renewal_due_at: Boot-clock time in seconds before which no renewal is sent, 0 before the
             first one that failed.
         answered_at: Boot-clock time in seconds of the last answer of the runner to any call.
+        answer_times: Answer times of the runner's current lifetime.
         disconnected: True if the runner has closed the connection of an open renewal since its last
             answer to one.
         leases_expire_at: Boot-clock time in seconds by which all run leases have expired.
@@ -212,6 +214,7 @@
         "renew_now",
         "renewal_due_at",
         "answered_at",
+        "answer_times",
         "disconnected",
         "leases_expire_at",
         "stopping",
@@ -268,6 +271,7 @@
         self.renewals_in_flight = 0
         self.renew_now = False
         self.renewal_due_at = self.answered_at = 0.0
+        self.answer_times = AnswerTimes()
         self.disconnected = False
         self.leases_expire_at = 0.0
         self.stopping = False
--- a/src/comfreysill/platform/runner.py
+++ b/src/comfreysill/platform/runner.py
@@ -8,6 +8,7 @@
 from result import Err, Ok, Result
 
 from comfreysill.address import Address
+from comfreysill.clock import read_boot_clock
 from comfreysill.execution.calls import (
     CallReply,
     ListedRun,
@@ -32,6 +33,8 @@
 COMMAND_TIMEOUT_SECONDS = 0.1
 RENEWAL_TIMEOUT_MARGIN_SECONDS = 0.1
 CONNECT_TIMEOUT_SECONDS = 0.1
+# A call that is sent late, as the process was busy, is answered no faster for it.
+MIN_TIMEOUT_SECONDS = 0.02
 MAX_CONNECTIONS = 8
 # Shorter than the idle timeout of the runner, so that no call uses a connection being closed.
 KEEPALIVE_SECONDS = 1.25
@@ -105,11 +108,13 @@
         "fencing-token": call.token,
     }
     path = "/api/run-stop"
+    timeout_seconds = COMMAND_TIMEOUT_SECONDS
     if isinstance(call, StartCall):
         path = "/api/run-start"
         body["spec"] = call.payload
         body["deadline-ms"] = call.lease_until_ms
-    status, document = await _post(runner, path, body, call.lifetime, COMMAND_TIMEOUT_SECONDS)
+        timeout_seconds = _limit_timeout(call, COMMAND_TIMEOUT_SECONDS)
+    status, document = await _post(runner, path, body, call.lifetime, timeout_seconds)
     return CallReply(call=call, status=status, clock_ms=_read_clock(document))
 
 
@@ -124,7 +129,7 @@
         body["deadline-ms"] = call.lease_until_ms
     if call.wait_ms:
         body["wait-ms"] = call.wait_ms
-    timeout_seconds = call.wait_ms / 1000 + RENEWAL_TIMEOUT_MARGIN_SECONDS
+    timeout_seconds = _limit_timeout(call, call.wait_ms / 1000 + RENEWAL_TIMEOUT_MARGIN_SECONDS)
     status, document = await _post(runner, "/api/hold", body, call.lifetime, timeout_seconds)
     decoded = build_renew_reply(call, status, document)
     if isinstance(decoded, Err):
@@ -133,6 +138,11 @@
     return decoded.ok_value
 
 
+def _limit_timeout(call: StartCall | RenewCall, timeout_seconds: float) -> float:
+    """Returns the timeout of a call, which ends at its `answer_by` at the latest."""
+    return min(timeout_seconds, max(MIN_TIMEOUT_SECONDS, call.answer_by - read_boot_clock()))
+
+
 def build_renew_reply(
     call: RenewCall, status: ReplyStatus, document: ReplyDocument
 ) -> Result[RenewReply, str]:
--- a/tests/platform_world.py
+++ b/tests/platform_world.py
@@ -11,6 +11,7 @@
 """
 
 import heapq
+import math
 import random
 from collections import deque
 
@@ -803,7 +804,8 @@
             self.late_calls[process.name].append(call)
             self.schedule(delay + HOP_SECONDS, self.carry_out_late, process.name, call)
         reply = build_unanswered_reply(call)
-        self.schedule(CALL_TIMEOUT_SECONDS, self.reply, process, process.lifetime, reply)
+        timeout = min(CALL_TIMEOUT_SECONDS, getattr(call, "answer_by", math.inf) - self.now)
+        self.schedule(timeout, self.reply, process, process.lifetime, reply)
 
     def carry_out_late(self, name, call):
         """Carries out a call, unless it was before, at whatever lifetime of the runner is up."""
