--- a/src/comfreysill/placement/placement.py
+++ b/src/comfreysill/placement/placement.py
@@ -1,9 +1,6 @@
 """Placement of pending tasks on targets, by an entry on the platform."""
 
-import math
-from collections.abc import Set
-
-from comfreysill.placement.bindings import is_bound, is_bound_to, may_place
+from comfreysill.placement.bindings import is_bound
 from comfreysill.placement.claims import confirm_claim
 from comfreysill.placement.confinement import (
     TargetGroup,
@@ -14,21 +11,17 @@
     update_room,
 )
 from comfreysill.placement.isolation import place_suspects
-from comfreysill.placement.orders import Candidate, place_tasks
+from comfreysill.placement.orders import Candidate
 from comfreysill.placement.queue import LATE, pop_request, push_request
 from comfreysill.placement.requests import refuse_request
 from comfreysill.placement.state import Agent, EntryState
-from comfreysill.request.request import Request, Task, has_pending
-from comfreysill.request.types import Step
+from comfreysill.placement.steps import place_step
+from comfreysill.request.request import Request, has_pending
 
 # No tasks are placed on an agent whose next frame is overdue by more than this.
 FRAME_DELAY_LIMIT_SECONDS = 0.2
-# Added to the estimated run time of a task in another availability zone.
-CROSS_ZONE_SECONDS = 0.004
 # A pass over a queue ends after this many requests that could not be placed completely.
 MAX_UNPLACED_REQUESTS = 24
-# Run times within one speed band count as equal; a band spans this factor.
-SPEED_BAND_FACTOR = 1.3
 # A result later than this multiple of the latency objective is of no use to the caller.
 MAX_OBJECTIVE_FACTOR = 3.0
 # Requests that are late already are placed only while more than this share of the capacity is free.
@@ -139,7 +132,7 @@
     state: EntryState, request: Request, group: TargetGroup, queue_band: int, now: float
 ) -> None:
     for step_number in _list_fitting_steps(request, group.largest_room):
-        _place_step(state, request, step_number, group.candidates, queue_band, now)
+        place_step(state, request, step_number, group.candidates, queue_band, now)
         update_room(group)
     if any(request.suspects.values()):
         place_suspects(state, request, group.candidates, now)
@@ -170,105 +163,3 @@
         now + lowest_slowness * request.critical_path
         > request.received_at + MAX_OBJECTIVE_FACTOR * objective
     )
-
-
-def _place_step(
-    state: EntryState,
-    request: Request,
-    step_number: int,
-    candidates: list[Candidate],
-    queue_band: int,
-    now: float,
-) -> None:
-    tasks = request.pending[step_number]
-    step = request.specification.steps[step_number]
-    eligible = [
-        candidate
-        for candidate in candidates
-        if not step.label or step.label in candidate.agent.profile.labels
-    ]
-    if not eligible:
-        return
-    run_times = {
-        candidate.agent.name: _estimate_run_time(state, step, candidate.agent)
-        for candidate in eligible
-    }
-    _clear_avoided(tasks, run_times.keys())
-    remaining_seconds = request.due_at - now
-    can_be_on_time = min(run_times.values()) <= remaining_seconds and queue_band != LATE
-    eligible = [candidate for candidate in eligible if candidate.cpu >= step.cpu]
-    eligible.sort(
-        key=lambda candidate: _rank_candidate(
-            state, candidate, run_times[candidate.agent.name], remaining_seconds
-        )
-    )
-    for candidate in eligible:
-        # The remaining tasks wait for free capacity on a target that is fast enough.
-        if can_be_on_time and run_times[candidate.agent.name] > remaining_seconds:
-            return
-        chosen = _choose_tasks(state, tasks, step, candidate, now)
-        if chosen:
-            place_tasks(state, request, step, candidate, chosen, now)
-        if not tasks:
-            return
-
-
-def _clear_avoided(tasks: list[Task], eligible_agents: Set[str]) -> None:
-    """Clears the avoided agents of tasks for which every eligible agent is avoided."""
-    for task in tasks:
-        if task.avoided_agents and eligible_agents <= set(task.avoided_agents):
-            task.avoided_agents = ()
-
-
-def _rank_candidate(
-    state: EntryState, candidate: Candidate, run_time: float, remaining_seconds: float
-) -> tuple:
-    """Returns the sort key of a candidate; the lowest is preferred.
-
-    In order: on time, speed band, same availability zone, most free CPU. Within a speed band an
-    entry prefers its own zone, so entries of different zones rarely choose the same target at once.
-    """
-    speed_band = round(math.log(max(run_time, 1e-3), SPEED_BAND_FACTOR))
-    return (
-        run_time > remaining_seconds,
-        speed_band,
-        candidate.agent.profile.zone != state.zone,
-        -candidate.cpu,
-    )
-
-
-def _estimate_run_time(state: EntryState, step: Step, agent: Agent) -> float:
-    seconds = step.estimate * agent.load.slowness
-    if step.rack and step.rack not in agent.profile.labels:
-        seconds *= state.remote_factor
-    if agent.profile.zone != state.zone:
-        seconds += CROSS_ZONE_SECONDS
-    return seconds
-
-
-def _choose_tasks(
-    state: EntryState, tasks: list[Task], step: Step, candidate: Candidate, now: float
-) -> list[Task]:
-    """Returns as many of the tasks as fit on the candidate, without those that avoid it.
-
-    Tasks that are bound to a target start there though they avoid it, and nowhere else.
-    """
-    fit_count = candidate.cpu // step.cpu if step.cpu else len(tasks)
-    if step.memory_mb:
-        fit_count = min(fit_count, candidate.memory_mb // step.memory_mb)
-    if step.gpus:
-        fit_count = min(fit_count, candidate.gpus // step.gpus)
-    if step.per_target:
-        step_key = (tasks[0].request, tasks[0].step)
-        placed_count = sum(
-            (task.request, task.step) == step_key for task in candidate.agent.tasks.values()
-        )
-        fit_count = min(fit_count, step.per_target - placed_count)
-    name = candidate.agent.name
-    allowed = [
-        task
-        for task in tasks
-        if may_place(state, task.name, name, now)
-        and (name not in task.avoided_agents or is_bound_to(state, task.name, name, now))
-    ]
-    return allowed[: max(0, fit_count)]
--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -280,7 +280,7 @@
     "stops-not-repeated": ("tests.platform_world.resend_stops", lambda original: lambda *a: None),
     "stalls-undetected": (f"{EXECUTION}.progress._stop_stalled", lambda original: lambda *a: None),
     "avoided-never-cleared": (
-        f"{PLACEMENT}.placement._clear_avoided",
+        f"{PLACEMENT}.steps._clear_avoided",
         lambda original: lambda *a: None,
     ),
     "lost-agents-counted": (
