--- a/src/comfreysill/exchange/messages.py
+++ b/src/comfreysill/exchange/messages.py
@@ -96,6 +96,7 @@
             their caller has stopped waiting; infinite if that time is unknown.
         valid_until: Boot-clock time of the agent in seconds from which the orders are refused, as
             another entry may have taken the request over; infinite if they never are.
+        run_factor: Factor on the run times that is due to the place, not to the target's speed.
     """
 
     __slots__ = (
@@ -112,6 +113,7 @@
         "isolated",
         "stop_at",
         "valid_until",
+        "run_factor",
     )
 
     def __init__(
@@ -130,6 +132,7 @@
         route: str = "",
         stop_at: float = math.inf,
         valid_until: float = math.inf,
+        run_factor: float = 1.0,
     ) -> None:
         self.request_id = request_id
         self.route = route
@@ -144,6 +147,7 @@
         self.isolated = isolated
         self.stop_at = stop_at
         self.valid_until = valid_until
+        self.run_factor = run_factor
 
 
 class EntryFrame:
--- a/src/comfreysill/execution/health.py
+++ b/src/comfreysill/execution/health.py
@@ -40,7 +40,14 @@
 
 
 def record_success(agent: AgentState, seconds: float, estimate: float) -> None:
-    """Updates health and the smoothed slowness from a successful task."""
+    """Updates health and the smoothed slowness from a successful task.
+
+    Args:
+        agent: The agent's state.
+        seconds: Its run time.
+        estimate: Run time in seconds that is declared for a task at this place; far from its data
+            it takes longer, which says nothing about the target.
+    """
     agent.failed_requests.clear()
     if agent.probing:
         agent.probing = False
--- a/src/comfreysill/execution/progress.py
+++ b/src/comfreysill/execution/progress.py
@@ -52,13 +52,13 @@
 
 
 def _project_ratio(run: Run, now: float) -> float:
-    """Returns the ratio of a run's projected total run time to its declared one.
+    """Returns the ratio of a run's projected total run time to the one expected at its place.
 
     The run has to be in state RUNNING: `changed_at` is then the time at which its start was
     confirmed.
     """
     projected_seconds = (now - run.changed_at) * 100 / max(run.percent, 1.0)
-    return projected_seconds / max(run.batch.estimate, 1e-3)
+    return projected_seconds / max(run.batch.estimate * run.batch.run_factor, 1e-3)
 
 
 def _detect_slowdown(agent: AgentState, ratios: list[float]) -> None:
--- a/src/comfreysill/placement/orders.py
+++ b/src/comfreysill/placement/orders.py
@@ -2,6 +2,7 @@
 
 from comfreysill.exchange.messages import Batch, Order
 from comfreysill.placement.claim_leases import find_lease_end
+from comfreysill.placement.run_times import estimate_run_time, get_rack_factor
 from comfreysill.placement.state import Agent, EntryState, Reservation, count, note_event
 from comfreysill.request.request import Request, Task, place_task
 from comfreysill.request.types import Step
@@ -50,23 +51,18 @@
     if not request.begun:
         waited_seconds = now - request.received_at
         state.observe("wait_seconds", waited_seconds, request.specification.route)
-    note_event(
-        state,
-        "tasks placed",
-        request=request.specification.request_id,
-        agent=agent.name,
-        tasks=[f"{task.step}/{task.index}#{task.attempt + 1}" for task in tasks],
-        room=candidate.cpu,
-        load_age=round(now - agent.last_frame_at, 3),
-        waited=round(now - request.received_at, 3),
-        **({"isolated": True} if isolated else {}),
-    )
+    _note_placement(state, request, candidate, tasks, now, isolated)
+    run_seconds = estimate_run_time(state, step, agent)
     for task in tasks:
         place_task(task, agent.name)
+        task.placed_at = now
+        task.expected_end = now + run_seconds
         agent.tasks[task.name] = task
         agent.unconfirmed[task.name] = agent.last_sent_number + 1
     lease_end = find_lease_end(state, state.claims[request.specification.request_id])
-    agent.batches.append(_build_batch(agent, request, step, tasks, lease_end, isolated))
+    batch = _build_batch(agent, request, step, tasks, lease_end, isolated)
+    batch.run_factor = get_rack_factor(state, step, agent)
+    agent.batches.append(batch)
     count(state, "tasks_placed", len(tasks))
     if isolated:
         count(state, "tasks_isolated", len(tasks))
@@ -75,6 +71,27 @@
         _reserve_capacity(candidate, step, len(tasks))
 
 
+def _note_placement(
+    state: EntryState,
+    request: Request,
+    candidate: Candidate,
+    tasks: list[Task],
+    now: float,
+    isolated: bool,
+) -> None:
+    note_event(
+        state,
+        "tasks placed",
+        request=request.specification.request_id,
+        agent=candidate.agent.name,
+        tasks=[f"{task.step}/{task.index}#{task.attempt + 1}" for task in tasks],
+        room=candidate.cpu,
+        load_age=round(now - candidate.agent.last_frame_at, 3),
+        waited=round(now - request.received_at, 3),
+        **({"isolated": True} if isolated else {}),
+    )
+
+
 def _build_batch(
     agent: Agent,
     request: Request,
--- a/src/comfreysill/placement/placement.py
+++ b/src/comfreysill/placement/placement.py
@@ -16,6 +16,7 @@
 from comfreysill.placement.requests import refuse_request
 from comfreysill.placement.state import Agent, EntryState
 from comfreysill.placement.steps import place_step
+from comfreysill.placement.waits import count_waiting, sweep_waits
 from comfreysill.request.request import Request, has_pending
 
 # No tasks are placed on an agent whose next frame is overdue by more than this.
@@ -32,6 +33,7 @@
 
 def place_waiting(state: EntryState, now: float) -> None:
     """Places pending tasks of queued requests on targets with enough free capacity."""
+    sweep_waits(state, now)
     for service, queue in state.queues.items():
         if not queue:
             continue
@@ -124,7 +126,9 @@
 def _has_free_task(state: EntryState, request: Request, now: float) -> bool:
     """Returns whether a task of a request waits for any target that has room."""
     return any(
-        not is_bound(state, task.name, now) for tasks in request.pending.values() for task in tasks
+        sum(not is_bound(state, task.name, now) for task in tasks)
+        > count_waiting(state, request, number)
+        for number, tasks in request.pending.items()
     )
 
 
--- a/src/comfreysill/placement/state.py
+++ b/src/comfreysill/placement/state.py
@@ -13,6 +13,7 @@
 from comfreysill.request.request import Request, Task
 from comfreysill.request.types import CallerWait, Specification, Verdict
 from comfreysill.routes.table import NO_ROUTES
+from comfreysill.waits.ledger import WaitLedger
 
 
 class Reservation:
@@ -243,6 +244,7 @@
         agents: Agents by name.
         address_owners: Names of agents by address; an address belongs to one agent at a time.
         remote_factor: Factor on the run time of a task outside the rack of its data.
+        waits: Waits of tasks for places near their data.
         subset_due_at: Boot-clock time in seconds at which the subset is chosen again.
         entries: Addresses of entries, its own first; sent to agents for their announcements.
         peers: Other entries to which a link was requested, by address.
@@ -291,6 +293,7 @@
         "agents",
         "address_owners",
         "remote_factor",
+        "waits",
         "subset_due_at",
         "entries",
         "peers",
@@ -345,6 +348,7 @@
         self.agents: dict[str, Agent] = {}
         self.address_owners: dict[str, str] = {}
         self.remote_factor = remote_factor
+        self.waits = WaitLedger()
         self.subset_due_at = 0.0
         self.entries: list[str] = []
         self.peers: dict[str, Peer] = {}
--- a/src/comfreysill/placement/steps.py
+++ b/src/comfreysill/placement/steps.py
@@ -6,8 +6,9 @@
 from comfreysill.placement.bindings import is_bound_to, may_place
 from comfreysill.placement.orders import Candidate, place_tasks
 from comfreysill.placement.queue import LATE
-from comfreysill.placement.run_times import estimate_run_time
+from comfreysill.placement.run_times import estimate_run_time, is_near
 from comfreysill.placement.state import EntryState
+from comfreysill.placement.waits import can_wait, end_paid_wait, limit_far_tasks, record_place
 from comfreysill.request.request import Request, Task
 from comfreysill.request.types import Step
 
@@ -26,29 +27,26 @@
     """Places pending tasks of a step on the best of the candidates that have room."""
     tasks = request.pending[step_number]
     step = request.specification.steps[step_number]
-    eligible = [
-        candidate
-        for candidate in candidates
-        if not step.label or step.label in candidate.agent.profile.labels
-    ]
-    if not eligible:
-        return
     run_times = {
         candidate.agent.name: estimate_run_time(state, step, candidate.agent)
-        for candidate in eligible
+        for candidate in candidates
+        if not step.label or step.label in candidate.agent.profile.labels
     }
+    if not run_times:
+        return
     _clear_avoided(tasks, run_times.keys())
     remaining_seconds = request.due_at - now
     can_be_on_time = min(run_times.values()) <= remaining_seconds and queue_band != LATE
-    eligible = [candidate for candidate in eligible if candidate.cpu >= step.cpu]
-    eligible.sort(
-        key=lambda candidate: _rank_candidate(
-            state, candidate, run_times[candidate.agent.name], remaining_seconds
+    eligible = _list_fitting(state, step, candidates, run_times, remaining_seconds)
+    # The remaining tasks wait for free capacity on a target that is fast enough.
+    fast_seconds = remaining_seconds if can_be_on_time else math.inf
+    if can_wait(state, step):
+        _place_by_rack(
+            state, request, step_number, eligible, candidates, run_times, fast_seconds, now
         )
-    )
+        return
     for candidate in eligible:
-        # The remaining tasks wait for free capacity on a target that is fast enough.
-        if can_be_on_time and run_times[candidate.agent.name] > remaining_seconds:
+        if run_times[candidate.agent.name] > fast_seconds:
             return
         chosen = _choose_tasks(state, tasks, step, candidate, now)
         if chosen:
@@ -57,6 +55,65 @@
             return
 
 
+def _place_by_rack(
+    state: EntryState,
+    request: Request,
+    step_number: int,
+    eligible: list[Candidate],
+    candidates: list[Candidate],
+    run_times: dict[str, float],
+    fast_seconds: float,
+    now: float,
+) -> None:
+    """Places tasks that run faster near their data.
+
+    Those for which the wait for a near place pays pass over the places far away.
+    """
+    tasks = request.pending[step_number]
+    step = request.specification.steps[step_number]
+    far_limit: int | None = None
+    for candidate in eligible:
+        seconds = run_times[candidate.agent.name]
+        is_far = not is_near(step, candidate.agent)
+        if not is_far and seconds > fast_seconds:
+            continue
+        if is_far and far_limit is None:
+            far_limit = limit_far_tasks(
+                state, request, step_number, seconds, run_times, candidates, now
+            )
+        chosen = _choose_tasks(state, tasks, step, candidate, now)
+        if is_far:
+            chosen = chosen[:far_limit]
+            far_limit -= len(chosen)
+        if chosen:
+            place_tasks(state, request, step, candidate, chosen, now)
+            record_place(state, step, candidate, len(chosen), seconds)
+        if not tasks:
+            end_paid_wait(state, request, step_number, now)
+            return
+
+
+def _list_fitting(
+    state: EntryState,
+    step: Step,
+    candidates: list[Candidate],
+    run_times: dict[str, float],
+    remaining_seconds: float,
+) -> list[Candidate]:
+    """Returns the candidates that have room for a task and may run it, the best first."""
+    fitting = [
+        candidate
+        for candidate in candidates
+        if candidate.agent.name in run_times and candidate.cpu >= step.cpu
+    ]
+    fitting.sort(
+        key=lambda candidate: _rank_candidate(
+            state, candidate, run_times[candidate.agent.name], remaining_seconds
+        )
+    )
+    return fitting
+
+
 def _clear_avoided(tasks: list[Task], eligible_agents: Set[str]) -> None:
     """Clears the avoided agents of tasks for which every eligible agent is avoided."""
     for task in tasks:
--- a/src/comfreysill/request/request.py
+++ b/src/comfreysill/request/request.py
@@ -35,6 +35,8 @@
             attempt is placed there. A lost or returned attempt shortens them to the last three;
             cleared once they include every eligible agent.
         suspect: True if it may have crashed a runner, so that it is placed isolated only.
+        placed_at: Boot-clock time in seconds at which the newest attempt was placed.
+        expected_end: Boot-clock time in seconds at which it should end.
     """
 
     __slots__ = (
@@ -49,6 +51,8 @@
         "agent",
         "avoided_agents",
         "suspect",
+        "placed_at",
+        "expected_end",
     )
 
     def __init__(self, *, request: "Request", step: int, index: int) -> None:
@@ -63,6 +67,8 @@
         self.agent = ""
         self.avoided_agents: tuple[str, ...] = ()
         self.suspect = False
+        self.placed_at = 0.0
+        self.expected_end = 0.0
 
 
 class Request:
--- a/src/comfreysill/wire/exchange.py
+++ b/src/comfreysill/wire/exchange.py
@@ -90,6 +90,8 @@
         # 0 stands for an unknown time, which earlier versions don't send.
         stop_at=batch.stop_at if batch.stop_at < math.inf else 0.0,
         valid_until=batch.valid_until if batch.valid_until < math.inf else 0.0,
+        # 0 stands for 1, which earlier versions mean.
+        run_factor=batch.run_factor if batch.run_factor != 1.0 else 0.0,
     )
 
 
@@ -113,6 +115,7 @@
         route=message.route[:MAX_NAME_CHARS],
         stop_at=check_number(message.stop_at, "batches.stop_at") or math.inf,
         valid_until=check_number(message.valid_until, "batches.valid_until") or math.inf,
+        run_factor=check_number(message.run_factor, "batches.run_factor") or 1.0,
     )
 
 
