Waits: tasks that got near room don't count as waiting; explain tells of waits in vain

Callers: once some of the waiting tasks of a step had near room, as many of the others were still held back from far places until the wait's end. Seen by reading. Each near start now lowers the wait's count; it has paid at 0. test_tasks_that_got_near_room_do_not_wait_any_more. A pass looks at as few tasks as before where none waits.

--- a/src/comfreysill/placement/placement.py
+++ b/src/comfreysill/placement/placement.py
@@ -1,5 +1,7 @@
 """Placement of pending tasks on targets, by an entry on the platform."""
 
+import itertools
+
 from comfreysill.placement.bindings import is_bound
 from comfreysill.placement.claims import confirm_claim
 from comfreysill.placement.confinement import (
@@ -125,11 +127,13 @@
 
 def _has_free_task(state: EntryState, request: Request, now: float) -> bool:
     """Returns whether a task of a request waits for any target that has room."""
-    return any(
-        sum(not is_bound(state, task.name, now) for task in tasks)
-        > count_waiting(state, request, number)
-        for number, tasks in request.pending.items()
-    )
+    for number, tasks in request.pending.items():
+        waiting = count_waiting(state, request, number)
+        free = (task for task in tasks if not is_bound(state, task.name, now))
+        # As many as wait are left out.
+        if next(itertools.islice(free, waiting, None), None) is not None:
+            return True
+    return False
 
 
 def _place_request(
--- a/src/comfreysill/placement/steps.py
+++ b/src/comfreysill/placement/steps.py
@@ -8,7 +8,7 @@
 from comfreysill.placement.queue import LATE
 from comfreysill.placement.run_times import estimate_run_time, is_near
 from comfreysill.placement.state import EntryState
-from comfreysill.placement.waits import can_wait, end_paid_wait, limit_far_tasks, record_place
+from comfreysill.placement.waits import can_wait, limit_far_tasks, record_place
 from comfreysill.request.request import Request, Task
 from comfreysill.request.types import Step
 
@@ -81,15 +81,16 @@
             far_limit = limit_far_tasks(
                 state, request, step_number, seconds, run_times, candidates, now
             )
+        if is_far and not far_limit:
+            continue
         chosen = _choose_tasks(state, tasks, step, candidate, now)
         if is_far:
             chosen = chosen[:far_limit]
             far_limit -= len(chosen)
         if chosen:
             place_tasks(state, request, step, candidate, chosen, now)
-            record_place(state, step, candidate, len(chosen), seconds)
+            record_place(state, request, step_number, candidate, len(chosen), seconds, now)
         if not tasks:
-            end_paid_wait(state, request, step_number, now)
             return
 
 
--- a/src/comfreysill/placement/waits.py
+++ b/src/comfreysill/placement/waits.py
@@ -73,22 +73,28 @@
     return pending if wait is None else max(0, pending - wait.count)
 
 
-def end_paid_wait(state: EntryState, request: Request, step_number: int, now: float) -> None:
-    """Ends the wait of a step whose tasks have all been placed."""
-    wait = state.waits.waits.get((request.specification.request_id, step_number))
-    if wait is not None and not wait.closed:
-        _end_wait(state, request, step_number, "", now)
-
-
 def record_place(
-    state: EntryState, step: Step, candidate: Candidate, tasks: int, seconds: float
+    state: EntryState,
+    request: Request,
+    step_number: int,
+    candidate: Candidate,
+    task_count: int,
+    seconds: float,
+    now: float,
 ) -> None:
-    """Counts tasks that were placed near or far from their data, and the core time spent far."""
-    if is_near(step, candidate.agent):
-        count(state, "tasks_placed_near", tasks)
+    """Counts tasks placed near or far from their data; a wait has paid once all of it is near."""
+    step = request.specification.steps[step_number]
+    if not is_near(step, candidate.agent):
+        count(state, "tasks_placed_far", task_count)
+        count(state, "far_core_milliseconds", round(task_count * step.cpu * seconds))
         return
-    count(state, "tasks_placed_far", tasks)
-    count(state, "far_core_milliseconds", round(tasks * step.cpu * seconds))
+    count(state, "tasks_placed_near", task_count)
+    wait = state.waits.waits.get((request.specification.request_id, step_number))
+    if wait is None or wait.closed:
+        return
+    wait.count -= task_count
+    if wait.count <= 0:
+        _end_wait(state, request, step_number, "", now)
 
 
 def sweep_waits(state: EntryState, now: float) -> None:
--- a/src/comfreysill/request_trace/trace.py
+++ b/src/comfreysill/request_trace/trace.py
@@ -219,7 +219,19 @@
     placement_delay = max(
         (float(record.fields.get("waited", 0.0)) for record in placed), default=0.0
     )
-    return f"late; its last tasks were placed {placement_delay:.3f} s after it was received"
+    cause = f"late; its last tasks were placed {placement_delay:.3f} s after it was received"
+    return cause + _describe_vain_waits(related)
+
+
+def _describe_vain_waits(related: list[Record]) -> str:
+    """Returns what the waits for places near the data cost that didn't pay, empty if none."""
+    ended = _find_events(related, "wait for a near place ended")
+    vain = [record for record in ended if not record.fields.get("paid")]
+    if not vain:
+        return ""
+    seconds = sum(float(record.fields.get("waited", 0.0)) for record in vain)
+    racks = ", ".join(sorted({str(record.fields.get("rack")) for record in vain}))
+    return f"; tasks waited {seconds:.3f} s in vain for room in rack {racks}"
 
 
 def _explain_completed(related: list[Record], context: list[Record]) -> str:
--- a/src/comfreysill/waits/ledger.py
+++ b/src/comfreysill/waits/ledger.py
@@ -22,7 +22,7 @@
 
     Attributes:
         rack: Label of the rack.
-        count: Number of tasks that wait, at first.
+        count: Number of tasks that wait.
         cpu: CPU of each task in thousandths of a core.
         due_at: Boot-clock time in seconds of the request's latency objective.
         priority: Priority of the request, 0 is the highest.
--- a/tests/test_place_waits.py
+++ b/tests/test_place_waits.py
@@ -5,6 +5,7 @@
 from comfreysill.execution.health import record_success
 from comfreysill.execution.state import AgentState
 from comfreysill.placement.queue import rank_demand
+from comfreysill.placement.waits import count_waiting
 from comfreysill.waits.decision import Prospect, choose_wait, limit_wait
 from comfreysill.waits.forecast import KnownRun, TargetUse, forecast_waits
 from comfreysill.waits.ledger import NearWait, WaitLedger, close_wait, get_ratio
@@ -149,6 +150,23 @@
         self.assertEqual(self.list_places(request_id), {"r0"})
         self.assertEqual(get_counter(self.run, "waits_paid"), 1)
 
+    def test_tasks_that_got_near_room_do_not_wait_any_more(self):
+        """Guards against a wait that held back as many tasks as before once some were placed."""
+        self.state.waits.choose = always_wait
+        submit(self.run, 0, tasks=SLOTS, seconds=0.4, rack="r0")
+        submit(self.run, 0, tasks=SLOTS - 2, seconds=0.4, rack="r0")
+        submit(self.run, 0, tasks=2, seconds=0.1, rack="r0")
+        advance(self.run, 0.01)
+        request_id = submit(self.run, 0, tasks=4, seconds=0.3, rack="r0")
+        request = self.state.requests[request_id]
+        self.assertEqual(count_waiting(self.state, request, 0), 4)
+        advance(self.run, 0.12)
+        self.assertEqual(len(request.placed), 2)
+        self.assertEqual(count_waiting(self.state, request, 0), 2)
+        self.assertEqual(get_counter(self.run, "waits_paid"), 0)
+        advance(self.run, 0.4)
+        self.assertEqual(get_counter(self.run, "waits_paid"), 1)
+
     def test_a_wait_ends_at_its_deadline(self):
         """Guards against tasks that wait without an end as forecasts slip."""
         self.fill_hot_rack(0.1)
--- a/tests/test_request_trace.py
+++ b/tests/test_request_trace.py
@@ -63,6 +63,22 @@
                 (line(10.3, "e1", "request not taken: it was cancelled", request="r1"),),
                 "cancelled by a caller, at an entry",
             ),
+            (
+                (
+                    accepted(),
+                    line(
+                        10.3,
+                        "e1",
+                        "wait for a near place ended",
+                        request="r1",
+                        rack="k",
+                        waited=0.2,
+                    ),
+                    ended("COMPLETED", late=True),
+                ),
+                "late; its last tasks were placed 0.000 s after it was received; "
+                "tasks waited 0.200 s in vain for room in rack k",
+            ),
             ((accepted(), ended("NOT_RUN", why="no room", age=1.0)), "refused before it ran"),
             (
                 (accepted(), *failed, ended("FAILED")),
