--- a/src/comfreysill/placement/state.py
+++ b/src/comfreysill/placement/state.py
@@ -14,6 +14,7 @@
 from comfreysill.request.request import Request, Task
 from comfreysill.request.types import CallerWait, Specification, Verdict
 from comfreysill.routes.table import NO_ROUTES
+from comfreysill.waits.ledger import WaitLedger
 from comfreysill.zones.closures import NO_CLOSURES, ToldZones
 
 
@@ -245,6 +246,7 @@
         agents: Agents by name.
         address_owners: Names of agents by address; an address belongs to one agent at a time.
         remote_factor: Factor on the run time of a task outside the rack of its data.
+        waits: Waits of tasks for places near their data.
         subset_due_at: Boot-clock time in seconds at which the subset is chosen again.
         link_demand: Links by need to agents beyond the subset.
         entries: Addresses of entries, its own first; sent to agents for their announcements.
@@ -293,6 +295,7 @@
         "agents",
         "address_owners",
         "remote_factor",
+        "waits",
         "subset_due_at",
         "link_demand",
         "entries",
@@ -350,6 +353,7 @@
         self.agents: dict[str, Agent] = {}
         self.address_owners: dict[str, str] = {}
         self.remote_factor = remote_factor
+        self.waits = WaitLedger()
         self.subset_due_at = 0.0
         self.link_demand = LinkDemand(max_share=max_link_share)
         self.entries: list[str] = []
