Limits from the settings; answers of the store and of runners are bounded

connection-limits in the settings file of an instance replaces the defaults of a connection; memory-mb and max-fds under limits bound all of a process. What closes connections is logged at most once a second, whatever the number of servers.

--- a/src/comfreysill/connection_guard.py
+++ b/src/comfreysill/connection_guard.py
@@ -10,6 +10,7 @@
 
 # Bytes that are read and parsed in one turn of a connection.
 READ_BYTES = 16_384
+LOG_INTERVAL_SECONDS = 1.0
 
 
 class ConnectionGuard:
@@ -20,15 +21,17 @@
         table: All connections.
         buffer: Buffer for reads, each of which is parsed at once.
         logged: Counters of closed connections at the last log line.
+        log_after: Time of the event loop in seconds before which there is no other log line.
     """
 
-    __slots__ = ("limits", "table", "buffer", "logged")
+    __slots__ = ("limits", "table", "buffer", "logged", "log_after")
 
     def __init__(self, *, limits: ConnectionLimits, process_limits: ProcessLimits) -> None:
         self.limits = limits
         self.table = ConnectionTable(limits=process_limits)
         self.buffer = memoryview(bytearray(READ_BYTES))
         self.logged: dict[Reason, int] = {}
+        self.log_after = 0.0
 
 
 def collect_connection_counters(guard: ConnectionGuard) -> dict[str, int]:
@@ -37,8 +40,15 @@
     return {f"connections_closed_{reason.value}": count for reason, count in counters.items()}
 
 
-def log_closed_connections(guard: ConnectionGuard) -> None:
-    """Logs the connections that were closed since the last call, if any."""
+def log_closed_connections(guard: ConnectionGuard, now: float) -> None:
+    """Logs the connections that were closed since the last line, if any, at most once a second.
+
+    Args:
+        guard: What the servers of the process share.
+        now: Time of the event loop in seconds.
+    """
+    if now < guard.log_after:
+        return
     counters = guard.table.counters
     new = {
         reason.value: count - guard.logged.get(reason, 0)
@@ -47,4 +57,5 @@
     }
     guard.logged = dict(counters)
     if new:
+        guard.log_after = now + LOG_INTERVAL_SECONDS
         logger.warning("connections of clients closed", extra={"fields": new})
--- a/src/comfreysill/platform/runner.py
+++ b/src/comfreysill/platform/runner.py
@@ -20,6 +20,7 @@
     StopCall,
     build_unanswered_reply,
 )
+from comfreysill.platform.bodies import read_answer
 from comfreysill.platform.documents import (
     MAX_INTEGER,
     ClockMs,
@@ -188,7 +189,7 @@
         async with runner.session.post(
             runner.base_url + path, data=encode_document(body), headers=headers, timeout=timeout
         ) as response:
-            text = await response.read()
+            text = await read_answer(response)
             status = response.status
     except aiohttp.ClientConnectorError as error:
         refused = isinstance(error.os_error, ConnectionRefusedError)
--- a/src/comfreysill/platform/settings.py
+++ b/src/comfreysill/platform/settings.py
@@ -1,11 +1,13 @@
 """Instance settings: the checked content of the settings file."""
 
+import sys
 from typing import Annotated, Any, Required, TypedDict
 
 import msgspec
 from msgspec import Meta
 
 from comfreysill.address import MAX_PORT, Address, parse_address
+from comfreysill.connections.limits import ConnectionLimits
 from comfreysill.platform.documents import Name, OptionalName
 from comfreysill.platform.settings_file import build_settings_error, read_settings_file
 
@@ -17,6 +19,7 @@
 DEFAULT_RETRY_MS = 0.0
 MAX_MEMORY_MB = float(1 << 24)
 MAX_DESCRIPTORS = 1 << 24
+MAX_CONNECTION_LIMIT = 1 << 40
 
 Port = Annotated[int, Meta(ge=0, le=MAX_PORT)]
 ListenDocument = TypedDict(
@@ -37,7 +40,18 @@
     "ProcessLimitsDocument",
     {
         "memory-mb": Annotated[float, Meta(ge=0, le=MAX_MEMORY_MB)] | None,
-        "max-fds": Annotated[int, Meta(ge=0, le=MAX_DESCRIPTORS)] | None,
+        "max-fds": Annotated[float, Meta(ge=0, le=MAX_DESCRIPTORS)] | None,
+    },
+    total=False,
+)
+# Limits of a client's connection, such as `head-bytes`; not fields of the platform.
+ConnectionsDocument = TypedDict(
+    "ConnectionsDocument",
+    {
+        name.replace("_", "-"): Annotated[
+            float if name.endswith("_seconds") else int, Meta(ge=1, le=MAX_CONNECTION_LIMIT)
+        ]
+        for name in ConnectionLimits.__slots__
     },
     total=False,
 )
@@ -56,6 +70,7 @@
         "platform": Required[StoreDocument],
         "bounds": Required[BoundsDocument],
         "limits": ProcessLimitsDocument | None,
+        "connection-limits": ConnectionsDocument,
         # Not a field of the platform: set if a proxy is in front of the link port, as in the soak
         # test.
         "advertised": OptionalName,
@@ -86,6 +101,7 @@
         retry_seconds: Time from the end of a caller's wait until it sends its request again.
         memory_bytes: Maximum memory of the process, 0 if it isn't known.
         max_descriptors: Maximum number of its open descriptors, 0 if it isn't known.
+        connection_limits: Limits of each connection of a client.
     """
 
     __slots__ = (
@@ -106,6 +122,7 @@
         "retry_seconds",
         "memory_bytes",
         "max_descriptors",
+        "connection_limits",
     )
 
     def __init__(
@@ -128,6 +145,7 @@
         retry_seconds: float,
         memory_bytes: int = 0,
         max_descriptors: int = 0,
+        connection_limits: ConnectionLimits | None = None,
     ) -> None:
         self.name = name
         self.zone = zone
@@ -146,6 +164,7 @@
         self.retry_seconds = retry_seconds
         self.memory_bytes = memory_bytes
         self.max_descriptors = max_descriptors
+        self.connection_limits = connection_limits or _build_connection_limits({})
 
 
 def read_instance_settings() -> InstanceSettings:
@@ -194,9 +213,16 @@
         remote_factor=document["bounds"].get("remote-factor", DEFAULT_REMOTE_FACTOR),
         retry_seconds=document["bounds"].get("retransmit-ms", DEFAULT_RETRY_MS) / 1000,
         memory_bytes=int((limits.get("memory-mb") or 0) * (1 << 20)),
-        max_descriptors=limits.get("max-fds") or 0,
+        max_descriptors=int(limits.get("max-fds") or 0),
+        connection_limits=_build_connection_limits(document.get("connection-limits", {})),
     )
 
 
+def _build_connection_limits(document: ConnectionsDocument) -> ConnectionLimits:
+    # Applications limit bodies themselves, by the configuration in force.
+    limits = {name.replace("-", "_"): value for name, value in document.items()}
+    return ConnectionLimits(**{"body_bytes": sys.maxsize, **limits})
+
+
 def _read_listening_address(listen: ListenDocument, name: str) -> Address | None:
     return parse_address(listen[name]) if listen.get(name) else None
--- a/src/comfreysill/platform/store.py
+++ b/src/comfreysill/platform/store.py
@@ -10,6 +10,7 @@
 
 from comfreysill.address import Address
 from comfreysill.job.types import Verdict
+from comfreysill.platform.bodies import read_answer
 from comfreysill.platform.documents import Integer, decode_document, encode_document
 from comfreysill.platform.pages import RowPage, StoredRow, decode_page
 from comfreysill.platform.rejections import RejectedEntry, Rejections, record_rejections
@@ -211,7 +212,7 @@
         async with store.session.request(
             method, store.base_url + path, params=query, data=data, headers=headers, timeout=timeout
         ) as response:
-            text = await response.read()
+            text = await read_answer(response)
             status = response.status
     except (TimeoutError, aiohttp.ClientError, OSError, ValueError) as error:
         return Err(_describe_failure(method, error))
--- a/src/comfreysill/servers.py
+++ b/src/comfreysill/servers.py
@@ -19,7 +19,6 @@
 __all__ = ["ARRIVAL_EXTENSION", "HttpServer", "build_guard", "build_http"]
 # The Date header has a resolution of one second.
 DATE_HEADER_INTERVAL_SECONDS = 1.0
-MAX_BODY_BYTES = 16 << 20
 # Taken if the kernel has no limit.
 MAX_DESCRIPTORS = 1 << 16
 # While the server stops, clients have this time to send what they have begun, or to read.
@@ -68,7 +67,7 @@
         self.checked_at = now
         for connection in list(self.server_state.connections):
             connection.check_time(now, late_seconds)
-        log_closed_connections(self.guard)
+        log_closed_connections(self.guard, now)
 
     async def shutdown(self, sockets: list[socket.socket] | None = None) -> None:
         """Stops accepting connections, and waits until the open requests are answered."""
@@ -106,20 +105,20 @@
 
 
 def build_guard(
-    max_descriptors: int = 0, memory_bytes: int = 0, body_bytes: int = MAX_BODY_BYTES
+    limits: ConnectionLimits | None = None, max_descriptors: int = 0, memory_bytes: int = 0
 ) -> ConnectionGuard:
     """Builds the limits of the connections of a process, which its HTTP servers share.
 
     Args:
+        limits: Limits of each connection, None for the defaults.
         max_descriptors: Maximum number of open descriptors, 0 for that of the kernel.
         memory_bytes: Maximum memory of the process, 0 if it isn't known.
-        body_bytes: Maximum size of a body; applications may have smaller ones.
     """
     if not max_descriptors:
         soft_limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
         max_descriptors = soft_limit if soft_limit != resource.RLIM_INFINITY else MAX_DESCRIPTORS
     return ConnectionGuard(
-        limits=ConnectionLimits(body_bytes=body_bytes),
+        limits=limits or ConnectionLimits(),
         process_limits=derive_process_limits(max_descriptors, memory_bytes),
     )
 
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -5,6 +5,9 @@
 import socket
 import unittest
 
+from result import Err
+
+from comfreysill.address import parse_address
 from comfreysill.connection_guard import ConnectionGuard
 from comfreysill.connections.limits import ConnectionLimits, ProcessLimits, derive_process_limits
 from comfreysill.connections.reading import (
@@ -27,6 +30,12 @@
     remove_connection,
     set_held_bytes,
 )
+from comfreysill.exceptions import UsageError
+from comfreysill.execution.calls import RenewCall, ReplyStatus, RunnerLifetime
+from comfreysill.platform.bodies import MAX_ANSWER_BYTES
+from comfreysill.platform.runner import open_runner, send_renewal
+from comfreysill.platform.settings import decode_settings
+from comfreysill.platform.store import open_store, read_rows
 from comfreysill.servers import build_http, stop_http
 
 LIMITS = ConnectionLimits()
@@ -122,6 +131,72 @@
         self.assertEqual(derive_process_limits(100).connections, 16)
 
 
+class TestSettings(unittest.TestCase):
+    def decode(self, **fields):
+        document = {
+            "node": "e",
+            "zone": "z",
+            "ip": "127.0.0.1",
+            "listen": {},
+            "port-range": [7720, 7735],
+            "platform": {"address": "127.0.0.1:1"},
+            "bounds": {"grace-s": 6},
+        }
+        return decode_settings(document | fields)
+
+    def test_limits_come_from_the_settings_and_have_defaults(self):
+        settings = self.decode()
+        self.assertEqual((settings.memory_bytes, settings.max_descriptors), (0, 0))
+        self.assertEqual(settings.connection_limits.head_bytes, LIMITS.head_bytes)
+        settings = self.decode(
+            **{"limits": {"memory-mb": 160, "max-fds": 1638, "cores": 1}},
+            **{"connection-limits": {"head-bytes": 100, "idle-seconds": 1.5}},
+        )
+        self.assertEqual((settings.memory_bytes, settings.max_descriptors), (160 << 20, 1638))
+        limits = settings.connection_limits
+        self.assertEqual((limits.head_bytes, limits.idle_seconds), (100, 1.5))
+        for odd in ({"head-bytes": 0}, {"head-bytes": "1"}, {"idle-seconds": -1}):
+            with self.assertRaises(UsageError):
+                self.decode(**{"connection-limits": odd})
+
+
+class TestAnswers(unittest.IsolatedAsyncioTestCase):
+    """What this process reads as a client of the store and of a runner."""
+
+    async def asyncSetUp(self):
+        self.sent = 0
+        server = await asyncio.start_server(self.answer_without_end, "127.0.0.1", 0)
+        self.addCleanup(server.close)
+        self.address = parse_address(f"127.0.0.1:{server.sockets[0].getsockname()[1]}")
+
+    async def answer_without_end(self, reader, writer):
+        with contextlib.suppress(ConnectionError):
+            writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+            while self.sent < 20 * MAX_ANSWER_BYTES:
+                writer.write(b"10000\r\n" + b"a" * 0x10000 + b"\r\n")
+                self.sent += 0x10000
+                await writer.drain()
+        writer.close()
+
+    # Guards against a store or a runner that fills the memory of a process.
+    async def test_an_answer_of_the_store_without_end_is_given_up(self):
+        store = open_store(self.address)
+        self.addAsyncCleanup(store.session.close)
+        self.assertIsInstance(await read_rows(store, "op"), Err)
+        self.assertLess(self.sent, 10 * MAX_ANSWER_BYTES)
+
+    async def test_an_answer_of_a_runner_without_end_is_given_up(self):
+        runner = open_runner(self.address)
+        self.addAsyncCleanup(runner.session.close)
+        lifetime = RunnerLifetime(runner_id="i", started_at_ms=1)
+        call = RenewCall(
+            lifetime=lifetime, token=1, lease_until_ms=0, ended_seen=0, wait_ms=2_000, sent_at=0.0
+        )
+        reply = await send_renewal(runner, call)
+        self.assertEqual(reply.status, ReplyStatus.UNANSWERED)
+        self.assertLess(self.sent, 10 * MAX_ANSWER_BYTES)
+
+
 class TestServer(unittest.IsolatedAsyncioTestCase):
     """A server with small limits whose application waits for a whole body, and then for `go`."""
 
