--- a/src/comfreysill/gateway/actor.py
+++ b/src/comfreysill/gateway/actor.py
@@ -24,6 +24,7 @@
     EntryStateMessage,
     MemberRemoved,
     MembersDiscovered,
+    PeerRefused,
     PeerSessionClosed,
     PeerSessionOpened,
     Reply,
@@ -72,6 +73,7 @@
     end_peer_session,
     expire_replies,
     receive_replies,
+    refuse_peer,
     update_peers,
 )
 from comfreysill.placement.placement import (
@@ -262,6 +264,10 @@
     end_peer_session(actor.state, message.address, message.session, now)
 
 
+def _receive_peer_refused(actor: Actor, message: PeerRefused, now: float) -> None:
+    refuse_peer(actor.state, message.address, now)
+
+
 def _receive_claim_replies(actor: Actor, message: ClaimRepliesReceived, now: float) -> None:
     receive_replies(actor.state, message.address, message.frame, now)
 
@@ -274,12 +280,22 @@
             session.outbox.post(None)
         session = ClaimantSession(number=frame.session, outbox=message.outbox)
         actor.claimants[frame.entry] = session
+    if frame.opening:
+        _reconnect_peers(actor)
     if session.outbox is message.outbox:
         receive_claims(actor.state, frame, now)
     else:
         message.outbox.post(None)
 
 
+def _reconnect_peers(actor: Actor) -> None:
+    """Lets the links to entries out of reach be tried at once, as one of these may be up again."""
+    for address, link in actor.peer_links.items():
+        peer = actor.state.peers.get(address)
+        if peer is not None and not peer.connected:
+            link.reconnect_now.set()
+
+
 def _receive_claimant_closed(actor: Actor, message: ClaimantDisconnected, now: float) -> None:
     for entry, session in list(actor.claimants.items()):
         if session.outbox is message.outbox:
@@ -357,6 +373,7 @@
     AgentFrameReceived: _receive_frame,
     PeerSessionOpened: _receive_peer_opened,
     PeerSessionClosed: _receive_peer_closed,
+    PeerRefused: _receive_peer_refused,
     ClaimRepliesReceived: _receive_claim_replies,
     ClaimsReceived: _receive_claims,
     ClaimantDisconnected: _receive_claimant_closed,
--- a/src/comfreysill/gateway/links.py
+++ b/src/comfreysill/gateway/links.py
@@ -12,6 +12,7 @@
     AgentFrameReceived,
     ClaimRepliesReceived,
     EntryStateMessage,
+    PeerRefused,
     PeerSessionClosed,
     PeerSessionOpened,
     SessionClosed,
@@ -39,9 +40,18 @@
         build_received: Decodes a protobuf message to the message for the state task.
         build_opened: Builds the message that a session was opened.
         build_closed: Builds the message that a session was closed, from its number.
+        build_refused: Builds the message that a connection was refused, None if the state task
+            needn't know.
     """
 
-    __slots__ = ("open_stream", "encode", "build_received", "build_opened", "build_closed")
+    __slots__ = (
+        "open_stream",
+        "encode",
+        "build_received",
+        "build_opened",
+        "build_closed",
+        "build_refused",
+    )
 
     def __init__(
         self,
@@ -51,12 +61,14 @@
         build_received: Callable[[Any], EntryStateMessage],
         build_opened: Callable[[], EntryStateMessage],
         build_closed: Callable[[int], EntryStateMessage],
+        build_refused: Callable[[], EntryStateMessage] | None = None,
     ) -> None:
         self.open_stream = open_stream
         self.encode = encode
         self.build_received = build_received
         self.build_opened = build_opened
         self.build_closed = build_closed
+        self.build_refused = build_refused
 
 
 class Link:
@@ -121,6 +133,7 @@
         ),
         build_opened=lambda: PeerSessionOpened(address=address),
         build_closed=lambda session: PeerSessionClosed(address=address, session=session),
+        build_refused=lambda: PeerRefused(address=address),
     )
     return Link(name=address, address=address, protocol=protocol, inbox=inbox)
 
@@ -158,6 +171,9 @@
         healthy = False
         logger.warning("unreadable frame; link closed", extra={"fields": _describe(link, error)})
     except LINK_ERRORS as error:
+        is_refused = isinstance(error, ConnectionRefusedError) and not connected
+        if is_refused and link.protocol.build_refused is not None:
+            link.inbox.post(link.protocol.build_refused())
         logger.debug("link failed", extra={"fields": _describe(link, error)})
     except Exception as error:
         healthy = False
--- a/src/comfreysill/gateway/messages.py
+++ b/src/comfreysill/gateway/messages.py
@@ -121,6 +121,19 @@
         self.address = address
 
 
+class PeerRefused:
+    """The address of another entry has refused a connection: no process listens there.
+
+    Attributes:
+        address: Address of the other entry.
+    """
+
+    __slots__ = ("address",)
+
+    def __init__(self, *, address: str) -> None:
+        self.address = address
+
+
 class PeerSessionClosed:
     """A session with a registrar was closed or has failed, or could not be opened.
 
@@ -249,6 +262,7 @@
     | SessionClosed
     | AgentFrameReceived
     | PeerSessionOpened
+    | PeerRefused
     | PeerSessionClosed
     | ClaimRepliesReceived
     | ClaimsReceived
--- a/src/comfreysill/placement/claim_leases.py
+++ b/src/comfreysill/placement/claim_leases.py
@@ -13,11 +13,9 @@
 from comfreysill.exchange.claims import ClaimRepliesFrame
 from comfreysill.exchange.messages import CLAIM_LEASE_SECONDS, RUN_EXPIRY_SECONDS
 from comfreysill.placement.peers import OwnClaim, Peer, Replica, ReplicaState, rank_registrar
+from comfreysill.placement.starting import REGISTRARS, count_unknown
 from comfreysill.placement.state import EntryState, count, note_event
 
-# Number of registrars of a request.
-REGISTRARS = 2
-
 
 def record_action(state: EntryState, now: float) -> None:
     """Records that this process acts; has to precede each placement."""
@@ -88,7 +86,8 @@
     """Returns whether a claim was granted where each earlier holder must have claimed it as well.
 
     That is a registrar of the request by the ranking in which those count that were lost lately,
-    and that knows all claims it may have granted.
+    and that knows all claims it may have granted. While this entry starts, each entry that isn't up
+    may rank before those that are: its name isn't known.
     """
     if len(state.entries) < REGISTRARS:
         return True
@@ -98,7 +97,7 @@
         instances.add(own_instance)
     request_id = claim.request.specification.request_id
     ranked = sorted(instances, key=lambda instance: rank_registrar(instance, request_id))
-    chosen = set(ranked[:REGISTRARS])
+    chosen = set(ranked[: max(0, REGISTRARS - count_unknown(state, now))])
     for replica in claim.replicas:
         peer = state.peers.get(replica.address)
         instance = peer.name if peer is not None else own_instance
--- a/src/comfreysill/placement/claims.py
+++ b/src/comfreysill/placement/claims.py
@@ -12,7 +12,6 @@
 from comfreysill.exchange.claims import ClaimRelease, ClaimReply, ClaimRequest, ClaimStatus
 from comfreysill.exchange.messages import MAX_STOP_SECONDS, RUN_EXPIRY_SECONDS
 from comfreysill.placement.claim_leases import (
-    REGISTRARS,
     find_lease_end,
     is_complete,
     is_witnessed,
@@ -28,13 +27,14 @@
     rank_registrar,
 )
 from comfreysill.placement.queue import push_request
+from comfreysill.placement.starting import REGISTRARS, is_everyone_asked, is_linking
 from comfreysill.placement.state import EntryState, count, note_event
 from comfreysill.request.request import Request
 from comfreysill.request.types import FINAL_VERDICTS, Verdict
 
 # Another registrar is asked in place of one that hasn't answered a claim for this long.
 CLAIM_TIMEOUT_SECONDS = 0.05
-# After a lapse, the answers of all entries that were linked are waited for so long at the most.
+# Where all entries are asked, their answers are waited for so long at the most.
 MAX_LAPSE_SECONDS = 0.5
 # A request isn't extended by less than this for the callers of other entries.
 MIN_EXTENSION_SECONDS = 0.1
@@ -47,21 +47,13 @@
     """Claims a request; it is queued for placement once all of its registrars have granted it."""
     claim = OwnClaim(request=request)
     state.claims[request.specification.request_id] = claim
-    if not _is_linking(state, now):
+    if not is_linking(state, now):
         _begin_claim(state, claim, now)
 
 
-def _is_linking(state: EntryState, now: float) -> bool:
-    """Returns whether this entry has just started and may soon be linked to its first peers."""
-    if not state.linking_until:
-        return len(state.entries) > 1
-    is_linked = all(peer.usable or peer.duplicate for peer in state.peers.values())
-    return now < state.linking_until and not is_linked
-
-
 def begin_claims(state: EntryState, now: float) -> None:
     """Begins the claims that wait for the links to the first peers, unless they still may."""
-    if _is_linking(state, now):
+    if is_linking(state, now):
         return
     for claim in state.claims.values():
         if not claim.begun:
@@ -72,7 +64,11 @@
     claim.begun = True
     claim.made_at = now
     addresses = _rank_registrars(state, claim.request.specification.request_id)
-    claim.replicas = [Replica(address=address) for address in addresses[:REGISTRARS]]
+    if is_everyone_asked(state, now):
+        claim.renewed_until = now + MAX_LAPSE_SECONDS
+    else:
+        addresses = addresses[:REGISTRARS]
+    claim.replicas = [Replica(address=address) for address in addresses]
     for number, replica in enumerate(claim.replicas):
         _send_claim(state, claim, replica, now)
         if replica.state == ReplicaState.HELD:
--- a/src/comfreysill/placement/peer_links.py
+++ b/src/comfreysill/placement/peer_links.py
@@ -93,7 +93,7 @@
     state.last_peer_session += 1
     peer.session = state.last_peer_session
     peer.connected = True
-    peer.usable = False
+    peer.usable = peer.refused = False
     peer.opened_at = now
     peer.owes_since = math.inf
     peer.asked_at = now
@@ -120,6 +120,19 @@
     return peer.session
 
 
+def refuse_peer(state: EntryState, address: str, now: float) -> None:
+    """Records that no process listens at the address of an entry; see `is_witnessed`.
+
+    While this entry starts, its claims wait no longer for the link.
+    """
+    peer = state.peers.get(address)
+    if peer is None or peer.connected or peer.refused:
+        return
+    peer.refused = True
+    count(state, "peers_refused")
+    begin_claims(state, now)
+
+
 def receive_replies(state: EntryState, address: str, frame: ClaimRepliesFrame, now: float) -> None:
     """Processes a frame from the registrar at an address."""
     peer = state.peers.get(address)
@@ -127,6 +140,7 @@
         count(state, "frames_stale")
         return
     peer.owes_since = math.inf
+    was_complete = peer.complete
     echo = record_echo(peer, frame, now)
     if not peer.usable:
         _begin_use(state, peer, frame, now)
@@ -134,6 +148,8 @@
         receive_reply(state, address, reply, now, echo)
     for reply in frame.cancellations:
         receive_cancellation_reply(state, address, frame.entry, reply, now)
+    if peer.complete and not was_complete:
+        expire_replicas(state, now)
 
 
 def _begin_use(state: EntryState, peer: Peer, frame: ClaimRepliesFrame, now: float) -> None:
@@ -233,8 +249,17 @@
 
 def _mark_heartbeats(state: EntryState, now: float) -> None:
     kept = {replica.address for claim in state.claims.values() for replica in claim.replicas}
+    # Claims that aren't settled may wait for a registrar that doesn't know all claims yet.
+    asking = {
+        replica.address
+        for claim in state.claims.values()
+        if claim.begun and not claim.settled
+        for replica in claim.replicas
+    }
     for peer in state.peers.values():
-        peer.heartbeat_due = peer.address in kept and now - peer.asked_at >= HEARTBEAT_SECONDS
+        is_awaited = peer.address in asking and peer.usable and not peer.complete
+        is_old = now - peer.asked_at >= HEARTBEAT_SECONDS
+        peer.heartbeat_due = peer.address in kept and (is_old or is_awaited)
 
 
 def collect_claims(state: EntryState, now: float) -> None:
--- a/src/comfreysill/placement/peers.py
+++ b/src/comfreysill/placement/peers.py
@@ -29,6 +29,8 @@
         connected: True while the session is open.
         usable: True from the first frame of a session until it ends or a reply is long overdue;
             the next reply makes it usable again.
+        refused: True if its address has refused a connection since the last session, so that no
+            process listens there.
         owes_since: Boot-clock time in seconds of the first claim or cancelling sent since its last
             frame, infinite if there was none.
         opened_at: Boot-clock time in seconds at which the newest session was opened, 0 before the
@@ -55,6 +57,7 @@
         "duplicate",
         "connected",
         "usable",
+        "refused",
         "owes_since",
         "opened_at",
         "unreachable_since",
@@ -75,6 +78,7 @@
         self.duplicate = False
         self.connected = False
         self.usable = False
+        self.refused = False
         self.owes_since = math.inf
         self.opened_at = 0.0
         self.unreachable_since = now
@@ -137,7 +141,7 @@
         contested: True if another entry had the claim when it was made.
         made_at: Boot-clock time in seconds at which it was begun, 0 before.
         renewed_until: Boot-clock time in seconds until which the answers of all entries are waited
-            for after the claim has lapsed, 0 if it never has.
+            for, 0 if they weren't all asked.
         awaited_until: Boot-clock times in seconds until which other entries wait for the request,
             by address of the registrar that tells.
     """
--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -508,7 +508,7 @@
         lambda original: lambda *a: None,
     ),
     "requests-placed-before-the-first-links": (
-        f"{PLACEMENT}.claims._is_linking",
+        f"{PLACEMENT}.claims.is_linking",
         lambda original: lambda *a: False,
     ),
     "waits-of-other-entries-callers-ignored": (
--- a/tests/platform_world.py
+++ b/tests/platform_world.py
@@ -70,6 +70,7 @@
     end_peer_session,
     expire_replies,
     receive_replies,
+    refuse_peer,
     update_peers,
 )
 from comfreysill.placement.placement import place_waiting, refuse_unmeetable
@@ -298,6 +299,8 @@
         self.deferred = []
         # True while it has read messages that it hasn't acted on.
         self.in_batch = False
+        # True while its machine is gone as well; else connections to a dead process are refused.
+        self.vanished = False
 
 
 class World:
@@ -732,6 +735,8 @@
         """Opens the session of an entry with a registrar, unless there is one."""
         process, other = self.entries[claimant], self.entries[registrar]
         frozen = max(process.frozen_until, other.frozen_until) > self.now
+        if process.alive and not other.alive and not other.vanished:
+            self.schedule(HOP_SECONDS, self.refuse, process, process.lifetime, registrar)
         if not process.alive or not other.alive or frozen:
             return
         if (claimant, registrar) in self.peer_links or registrar not in process.state.peers:
@@ -742,6 +747,14 @@
         self.peer_links[claimant, registrar] = (session, process.lifetime, other.lifetime)
         self.flush_entry(process)
 
+    def refuse(self, process, lifetime, registrar):
+        if process.lifetime == lifetime:
+            self.run_or_defer(process, self.handle_refusal, process, registrar)
+
+    def handle_refusal(self, process, registrar):
+        refuse_peer(process.state, registrar, self.now)
+        self.flush_entry(process)
+
     def drop_peer_link(self, claimant, registrar):
         link = self.peer_links.pop((claimant, registrar), None)
         if link is None:
@@ -1007,6 +1020,7 @@
         if not process.alive:
             return
         process.alive = False
+        process.vanished = silent
         for agent in self.agents:
             if silent:
                 self.links.pop((name, agent), None)
