--- a/src/comfreysill/platform/settings.py
+++ b/src/comfreysill/platform/settings.py
@@ -16,6 +16,8 @@
 MAX_RETRY_MS = 3_600_000.0
 # Callers that send a request again at once.
 DEFAULT_RETRY_MS = 0.0
+MAX_MEMORY_MB = float(1 << 24)
+MAX_DESCRIPTORS = 1 << 24
 
 Port = Annotated[int, Meta(ge=0, le=MAX_PORT)]
 ListenDocument = TypedDict(
@@ -32,6 +34,14 @@
     },
     total=False,
 )
+ProcessLimitsDocument = TypedDict(
+    "ProcessLimitsDocument",
+    {
+        "memory-mb": Annotated[float, Meta(ge=0, le=MAX_MEMORY_MB)] | None,
+        "max-fds": Annotated[int, Meta(ge=0, le=MAX_DESCRIPTORS)] | None,
+    },
+    total=False,
+)
 StoreDocument = TypedDict("StoreDocument", {"address": Required[Name]}, total=False)
 SettingsDocument = TypedDict(
     "SettingsDocument",
@@ -46,6 +56,7 @@
         "service": OptionalName | None,
         "platform": Required[StoreDocument],
         "bounds": Required[BoundsDocument],
+        "limits": ProcessLimitsDocument | None,
         # Not a field of the platform: set if a proxy is in front of the link port, as in the soak
         # test.
         "advertised": OptionalName,
@@ -78,6 +89,8 @@
         retry_seconds: Time from the end of a caller's wait until it sends its request again.
         max_link_share: Share of a service's agents that an entry may link to, beyond its subset
             only by need; 0 for none by need.
+        memory_bytes: Maximum memory of the process, 0 if it isn't known.
+        max_descriptors: Maximum number of its open descriptors, 0 if it isn't known.
     """
 
     __slots__ = (
@@ -97,6 +110,8 @@
         "remote_factor",
         "retry_seconds",
         "max_link_share",
+        "memory_bytes",
+        "max_descriptors",
     )
 
     def __init__(
@@ -118,6 +133,8 @@
         remote_factor: float,
         retry_seconds: float,
         max_link_share: float,
+        memory_bytes: int = 0,
+        max_descriptors: int = 0,
     ) -> None:
         self.name = name
         self.zone = zone
@@ -135,6 +152,8 @@
         self.remote_factor = remote_factor
         self.retry_seconds = retry_seconds
         self.max_link_share = max_link_share
+        self.memory_bytes = memory_bytes
+        self.max_descriptors = max_descriptors
 
 
 def read_instance_settings() -> InstanceSettings:
@@ -163,6 +182,7 @@
     listen = document["listen"]
     ip = document["ip"]
     first_port, last_port = document["port-range"]
+    limits = document.get("limits") or {}
     # Every instance uses the first port of the range for links, so the port of a seed is replaced.
     seeds = [seed.rpartition(":")[0] for seed in document.get("seeds") or ()]
     return InstanceSettings(
@@ -182,6 +202,8 @@
         remote_factor=document["bounds"].get("remote-factor", DEFAULT_REMOTE_FACTOR),
         retry_seconds=document["bounds"].get("retransmit-ms", DEFAULT_RETRY_MS) / 1000,
         max_link_share=document.get("max-link-share", DEFAULT_MAX_LINK_SHARE),
+        memory_bytes=int((limits.get("memory-mb") or 0) * (1 << 20)),
+        max_descriptors=limits.get("max-fds") or 0,
     )
 
 
--- a/tests/platform_world.py
+++ b/tests/platform_world.py
@@ -11,6 +11,7 @@
 """
 
 import heapq
+import math
 import random
 from collections import deque
 
@@ -48,6 +49,7 @@
     receive_agent_frame,
 )
 from comfreysill.placement.cancelling import begin_cancellation
+from comfreysill.placement.closed_services import refuse_without_zones
 from comfreysill.placement.closures import read_zones
 from comfreysill.placement.crashes import judge_crashes, receive_crash
 from comfreysill.placement.effects import (
@@ -533,6 +535,7 @@
         expire_cached_verdicts(process.state, self.now)
         judge_crashes(process.state, self.now)
         expire_crashes(process.state.crashes, self.now)
+        refuse_without_zones(process.state, self.now)
         refuse_unmeetable(process.state, self.now)
         self.flush_entry(process)
 
@@ -819,7 +822,8 @@
             self.late_calls[process.name].append(call)
             self.schedule(delay + HOP_SECONDS, self.carry_out_late, process.name, call)
         reply = build_unanswered_reply(call)
-        self.schedule(CALL_TIMEOUT_SECONDS, self.reply, process, process.lifetime, reply)
+        timeout = min(CALL_TIMEOUT_SECONDS, getattr(call, "answer_by", math.inf) - self.now)
+        self.schedule(timeout, self.reply, process, process.lifetime, reply)
 
     def carry_out_late(self, name, call):
         """Carries out a call, unless it was before, at whatever lifetime of the runner is up."""
--- a/tests/test_request_trace.py
+++ b/tests/test_request_trace.py
@@ -49,8 +49,15 @@
         returned = line(
             10.5, "e1", "task rescheduled", task="r1/0/1", agent="a", why="it stood still"
         )
+        refused = line(
+            10.4, "a", "order refused", task="r1/0/0", entry="e1@1", why="its zone is closed"
+        )
         cases = (
             ((accepted(), ended("COMPLETED", late=False)), "completed in time"),
+            (
+                (accepted(), refused, ended("COMPLETED", late=True)),
+                "late because tasks were retried: a (its zone is closed)",
+            ),
             (
                 (
                     accepted(),
@@ -63,6 +70,22 @@
                 (line(10.3, "e1", "request not taken: it was cancelled", request="r1"),),
                 "cancelled by a caller, at an entry",
             ),
+            (
+                (
+                    accepted(),
+                    line(
+                        10.3,
+                        "e1",
+                        "wait for a near place ended",
+                        request="r1",
+                        rack="k",
+                        waited=0.2,
+                    ),
+                    ended("COMPLETED", late=True),
+                ),
+                "late; its last tasks were placed 0.000 s after it was received; "
+                "tasks waited 0.200 s in vain for room in rack k",
+            ),
             ((accepted(), ended("NOT_RUN", why="no room", age=1.0)), "refused before it ran"),
             (
                 (accepted(), *failed, ended("FAILED")),
