--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -429,7 +429,7 @@
         lambda original: lambda *a: False,
     ),
     "bound-tasks-placed-anywhere": (
-        f"{PLACEMENT}.placement.may_place",
+        f"{PLACEMENT}.steps.may_place",
         lambda original: lambda *a: True,
     ),
     "late-starts-not-told": (
