Agents learn run times by route and tell them with their load

Callers saw requests of a kind whose declared run times are off more than others' judged by the target's mean: late though expected on time, or passed over though there was time. Known was one slowness a target over all runs.

An agent keeps for each route (64 at most) the smoothed ratio of a run's slowness to the target's, with count and age, and tells entries those that differ by a tenth for sure (8 at most, field 20 of Load, which earlier versions skip). Entries multiply the target's slowness by it, as far as it is sure: half at 8 tasks, forgotten with 30 s. A target that turns slow changes its slowness and not its routes.

--- a/src/comfreysill/exchange/messages.py
+++ b/src/comfreysill/exchange/messages.py
@@ -4,6 +4,7 @@
 import math
 
 from comfreysill.crashes.report import CrashReport
+from comfreysill.exchange.speeds import RouteSpeed
 
 # An agent keeps an entry's tasks running for this long after the newest of its own timestamps
 # that the entry has echoed.
@@ -292,9 +293,10 @@
             if that is higher.
         isolating: True while it runs, or makes room for, tasks that have to be isolated; it accepts
             only tasks of the same request then.
+        routes: Routes whose tasks are known to take longer or shorter there than others.
     """
 
-    __slots__ = ("accepting", "cpu", "memory_mb", "gpus", "slowness", "isolating")
+    __slots__ = ("accepting", "cpu", "memory_mb", "gpus", "slowness", "isolating", "routes")
 
     def __init__(
         self,
@@ -305,6 +307,7 @@
         gpus: int,
         slowness: float,
         isolating: bool = False,
+        routes: tuple[RouteSpeed, ...] = (),
     ) -> None:
         self.accepting = accepting
         self.cpu = cpu
@@ -312,6 +315,7 @@
         self.gpus = gpus
         self.slowness = slowness
         self.isolating = isolating
+        self.routes = routes
 
 
 class LateStart:
--- a/src/comfreysill/execution/frames.py
+++ b/src/comfreysill/execution/frames.py
@@ -11,6 +11,7 @@
     Profile,
 )
 from comfreysill.execution.crashes import list_unsent_crashes
+from comfreysill.execution.route_speeds import list_told_routes
 from comfreysill.execution.run import RunState
 from comfreysill.execution.starts import is_accepting
 from comfreysill.execution.state import AgentState, EntryLink, note_event
@@ -46,6 +47,7 @@
         gpus=(report.gpus if report else 0) - agent.gpus_used - agent.gpus_waiting,
         slowness=max(agent.slowness, agent.recent_slowness),
         isolating=is_isolating,
+        routes=list_told_routes(agent.route_speeds, now),
     )
 
 
--- a/src/comfreysill/execution/health.py
+++ b/src/comfreysill/execution/health.py
@@ -1,5 +1,6 @@
 """Health of the target, judged by the outcomes and run times of its runs."""
 
+from comfreysill.execution.route_speeds import record_route
 from comfreysill.execution.state import AgentState, count, note_event
 
 SUSPEND_AFTER_REQUESTS = 3
@@ -39,7 +40,9 @@
     note_event(agent, "target suspended", seconds=seconds)
 
 
-def record_success(agent: AgentState, seconds: float, estimate: float) -> None:
+def record_success(
+    agent: AgentState, seconds: float, estimate: float, route: str, now: float
+) -> None:
     """Updates health and the smoothed slowness from a successful task.
 
     Args:
@@ -47,6 +50,8 @@
         seconds: Its run time.
         estimate: Run time in seconds that is declared for a task at this place; far from its data
             it takes longer, which says nothing about the target.
+        route: Route of its request.
+        now: Boot-clock time in seconds.
     """
     agent.failed_requests.clear()
     if agent.probing:
@@ -58,3 +63,4 @@
     # The first samples weigh more.
     weight = max(MIN_SMOOTHING_WEIGHT, 1 / (agent.slowness_samples + 2))
     agent.slowness += weight * (ratio - agent.slowness)
+    record_route(agent.route_speeds, route, ratio / agent.slowness, now)
--- a/src/comfreysill/execution/renewals.py
+++ b/src/comfreysill/execution/renewals.py
@@ -176,7 +176,8 @@
     if outcome == "done":
         seconds = now - run.changed_at if run.state == RunState.RUNNING else 0.0
         if seconds:
-            record_success(agent, seconds, run.batch.estimate * run.batch.run_factor)
+            batch = run.batch
+            record_success(agent, seconds, batch.estimate * batch.run_factor, batch.route, now)
         end_run(agent, run, Outcome.DONE, now, seconds=seconds)
     elif outcome == "failed":
         record_failure(agent, run.batch.request_id, now)
--- a/src/comfreysill/execution/state.py
+++ b/src/comfreysill/execution/state.py
@@ -12,6 +12,7 @@
 )
 from comfreysill.execution.calls import Call, RunnerLifetime, RunnerReport
 from comfreysill.execution.recent_crashes import RecentCrash, UnsettledCrash
+from comfreysill.execution.route_speeds import RouteRecord
 from comfreysill.execution.run import Run, RunState
 
 # A runner's clock may be 2% slow.
@@ -155,6 +156,7 @@
         slowness: Smoothed ratio of measured to declared run times.
         recent_slowness: The same ratio projected from current runs, 0 if it is not elevated.
         slowness_samples: Number of run times in `slowness`.
+        route_speeds: Learned run times of routes, by route.
         links: Links with entries by the entry's name.
         entries: Addresses of entries that the agent announces itself to.
         routes_version: Newest version of the routing document reported by an entry, 0 if none.
@@ -217,6 +219,7 @@
         "slowness",
         "recent_slowness",
         "slowness_samples",
+        "route_speeds",
         "links",
         "entries",
         "routes_version",
@@ -272,6 +275,7 @@
         self.slowness = 1.0
         self.recent_slowness = 0.0
         self.slowness_samples = 0
+        self.route_speeds: dict[str, RouteRecord] = {}
         self.links: dict[str, EntryLink] = {}
         self.entries: set[str] = set()
         self.routes_version = 0
--- a/src/comfreysill/placement/orders.py
+++ b/src/comfreysill/placement/orders.py
@@ -52,7 +52,7 @@
         waited_seconds = now - request.received_at
         state.observe("wait_seconds", waited_seconds, request.specification.route)
     _note_placement(state, request, candidate, tasks, now, isolated)
-    run_seconds = estimate_run_time(state, step, agent)
+    run_seconds = estimate_run_time(state, step, agent, request.specification.route)
     for task in tasks:
         place_task(task, agent.name)
         task.placed_at = now
--- a/src/comfreysill/placement/steps.py
+++ b/src/comfreysill/placement/steps.py
@@ -27,8 +27,9 @@
     """Places pending tasks of a step on the best of the candidates that have room."""
     tasks = request.pending[step_number]
     step = request.specification.steps[step_number]
+    route = request.specification.route
     run_times = {
-        candidate.agent.name: estimate_run_time(state, step, candidate.agent)
+        candidate.agent.name: estimate_run_time(state, step, candidate.agent, route)
         for candidate in candidates
         if not step.label or step.label in candidate.agent.profile.labels
     }
--- a/src/comfreysill/wire/exchange.py
+++ b/src/comfreysill/wire/exchange.py
@@ -21,6 +21,7 @@
     Profile,
     Role,
 )
+from comfreysill.exchange.speeds import RouteSpeed
 from comfreysill.wire import exchange_pb2 as pb
 from comfreysill.wire.errors import FrameError
 
@@ -29,6 +30,8 @@
 # Upper bound of times, in seconds, and of ratios.
 MAX_NUMBER = 1e12
 MAX_ORDERS = 10_000
+# Further routes in a load are left out.
+MAX_ROUTES = 64
 MAX_CRASHED_TASKS = 10_000
 _OUTCOMES = frozenset(Outcome)
 _ROLES = frozenset(Role)
@@ -280,6 +283,12 @@
         gpus=load.gpus,
         slowness=load.slowness,
         isolating=load.isolating,
+        routes=[
+            pb.RouteSpeed(
+                route=speed.route, factor=speed.factor, samples=speed.samples, age=speed.age
+            )
+            for speed in load.routes
+        ],
     )
 
 
@@ -291,6 +300,16 @@
         gpus=message.gpus,
         slowness=check_number(message.slowness, "load.slowness"),
         isolating=message.isolating,
+        routes=tuple(_decode_speed(speed) for speed in message.routes[:MAX_ROUTES]),
+    )
+
+
+def _decode_speed(message: pb.RouteSpeed) -> RouteSpeed:
+    return RouteSpeed(
+        route=message.route[:MAX_NAME_CHARS],
+        factor=check_number(message.factor, "load.routes.factor"),
+        samples=message.samples,
+        age=check_number(message.age, "load.routes.age"),
     )
 
 
--- a/standins/rack_loads.py
+++ b/standins/rack_loads.py
@@ -10,6 +10,7 @@
 from comfreysill.exchange.messages import AgentFrame, Batch, EntryFrame, Load, Outcome, Profile
 from comfreysill.exchange.messages import Ended as TaskEnd
 from comfreysill.execution.health import record_success
+from comfreysill.execution.route_speeds import list_told_routes
 from comfreysill.execution.state import AgentState
 from comfreysill.placement.agents import (
     begin_session,
@@ -380,7 +381,8 @@
     if not target.alive:
         return
     target.cpu += batch.cpu
-    record_success(target.health, seconds, batch.estimate * batch.run_factor)
+    expected_seconds = batch.estimate * batch.run_factor
+    record_success(target.health, seconds, expected_seconds, batch.route, run.now)
     target.end_count[number] += 1
     target.ended[number].append(
         TaskEnd(
@@ -420,6 +422,7 @@
             memory_mb=100_000,
             gpus=0,
             slowness=target.health.slowness,
+            routes=list_told_routes(target.health.route_speeds, run.now),
         ),
         profile=Profile(
             service="s",
--- a/tests/test_place_waits.py
+++ b/tests/test_place_waits.py
@@ -240,7 +240,7 @@
     def test_the_same_runs_without_their_factor_would(self):
         health = AgentState(agent="a", lifetime="1", zone="z", token=1)
         for _ in range(10):
-            record_success(health, 0.15, 0.05)
+            record_success(health, 0.15, 0.05, "q", 10.0)
         self.assertGreater(health.slowness, 2.0)
 
 
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -21,6 +21,7 @@
     Load,
     Order,
 )
+from comfreysill.exchange.speeds import RouteSpeed
 from comfreysill.job.types import (
     Answer,
     JobKey,
@@ -92,7 +93,15 @@
             session=1,
             seen=2,
             stamp=3.0,
-            load=Load(accepting=True, cpu=-1, memory_mb=2, gpus=3, slowness=0.5, isolating=True),
+            load=Load(
+                accepting=True,
+                cpu=-1,
+                memory_mb=2,
+                gpus=3,
+                slowness=0.5,
+                isolating=True,
+                routes=(RouteSpeed(route="q", factor=1.5, samples=9, age=0.25),),
+            ),
             profile=None,
             ended=[],
             active=["r/0/0"],
