--- a/src/comfreysill/exchange/messages.py
+++ b/src/comfreysill/exchange/messages.py
@@ -5,6 +5,7 @@
 
 from comfreysill.crashes.report import CrashReport
 from comfreysill.exchange.speeds import RouteSpeed
+from comfreysill.zones.closures import ZoneStatus
 
 # An agent keeps an entry's tasks running for this long after the newest of its own timestamps
 # that the entry has echoed.
@@ -169,6 +170,7 @@
         entries: Addresses of entries that the agent announces itself to, the sender's first; only
             in the first frame of a session, empty otherwise.
         routes_version: Version of the routing document in use at the entry, 0 if there is none.
+        zones: Statuses of zones that the agent isn't known to have.
     """
 
     __slots__ = (
@@ -182,6 +184,7 @@
         "stops",
         "entries",
         "routes_version",
+        "zones",
     )
 
     def __init__(
@@ -197,6 +200,7 @@
         stops: list[str],
         entries: list[str],
         routes_version: int,
+        zones: tuple[ZoneStatus, ...] = (),
     ) -> None:
         self.entry = entry
         self.session = session
@@ -208,6 +212,7 @@
         self.stops = stops
         self.entries = entries
         self.routes_version = routes_version
+        self.zones = zones
 
 
 class Ended:
@@ -357,6 +362,7 @@
         crashes: Recent crashes of the target's runner not yet sent in the session.
         late_starts: Tasks of any entry with a start that may be carried out late, or was until
             lately, unless sent in the session.
+        zones: Statuses of zones that the entry isn't known to have.
     """
 
     __slots__ = (
@@ -376,6 +382,7 @@
         "next_seconds",
         "crashes",
         "late_starts",
+        "zones",
     )
 
     def __init__(
@@ -397,6 +404,7 @@
         crashes: tuple[CrashReport, ...] = (),
         unconfirmed: list[str] | None = None,
         late_starts: tuple[LateStart, ...] = (),
+        zones: tuple[ZoneStatus, ...] = (),
     ) -> None:
         self.agent = agent
         self.lifetime = lifetime
@@ -414,6 +422,7 @@
         self.next_seconds = next_seconds
         self.crashes = crashes
         self.late_starts = late_starts
+        self.zones = zones
 
 
 class Role(enum.StrEnum):
--- a/src/comfreysill/execution/starts.py
+++ b/src/comfreysill/execution/starts.py
@@ -8,13 +8,20 @@
     MAX_RUN_LEASE_SECONDS,
     Outcome,
 )
+from comfreysill.execution.answer_times import (
+    compute_patience,
+    record_answer,
+    record_silence,
+)
 from comfreysill.execution.calls import (
     UNANSWERED_STATUSES,
     CallReply,
+    RenewCall,
     ReplyStatus,
     StartCall,
     StopCall,
 )
+from comfreysill.execution.closures import is_zone_closed
 from comfreysill.execution.crashes import settle_crash
 from comfreysill.execution.health import record_failure
 from comfreysill.execution.isolation import may_start
@@ -48,11 +55,12 @@
 MAX_CLOCK_LEAD_MS = 100
 # Added to the run number after the runner has rejected it as too low.
 RUN_NUMBER_JUMP = 10_000_000
+ZONE_CLOSED_REASON = "its zone is closed"
 
 
 def is_accepting(agent: AgentState, now: float) -> bool:
     """Returns whether the target accepts new work."""
-    if agent.runner_lifetime is None or not agent.reconciled or is_leaving(agent):
+    if agent.runner_lifetime is None or not agent.reconciled or find_bar_to_starts(agent):
         return False
     if now < agent.suspended_until:
         return False
@@ -64,15 +72,45 @@
     return not (agent.probing and agent.runs)
 
 
-def is_leaving(agent: AgentState) -> bool:
-    """Returns whether the runner or its agent is about to end, or there is no runner."""
-    return agent.stopping or agent.deregistered or agent.report is None or agent.report.draining
+def find_bar_to_starts(agent: AgentState) -> str:
+    """Returns why the target starts nothing more, empty if it does.
+
+    The runner or its agent is about to end, there is no runner, or its zone is closed.
+    """
+    if agent.stopping or agent.deregistered or agent.report is None or agent.report.draining:
+        return "the target takes no new work"
+    return ZONE_CLOSED_REASON if is_zone_closed(agent) else ""
+
+
+def return_barred_run(agent: AgentState, run: Run, now: float, bar: str) -> None:
+    """Returns a run that is not to be started here, for the reason `bar`.
+
+    If an earlier start of it may be carried out late, its entry keeps the task to this target for
+    that time.
+    """
+    if bar == ZONE_CLOSED_REASON:
+        count(agent, "runs_returned_zone_closed")
+    end_run(agent, run, Outcome.RETURNED, now, detail=bar)
+
+
+def return_waiting_runs(agent: AgentState, now: float) -> None:
+    """Returns the waiting runs to their entries if the target takes no new work."""
+    bar = find_bar_to_starts(agent)
+    if not bar:
+        return
+    for run in list(agent.runs.values()):
+        if run.state == RunState.WAITING:
+            return_barred_run(agent, run, now, bar)
 
 
 def start_waiting(agent: AgentState, now: float) -> None:
     """Queues starts of waiting runs by urgency until the next one exceeds the free capacity."""
     if agent.runner_lifetime is None or not agent.reconciled or agent.clock_ms < 0:
         return
+    if agent.waiting and is_zone_closed(agent):
+        # The zone of the target may have changed.
+        return_waiting_runs(agent, now)
+        return
     # The lease in a start call extends those of all runs.
     if agent.waiting and is_stop_overdue(agent, now):
         return
@@ -118,6 +156,8 @@
             payload=run.batch.payload,
             lease_until_ms=grant_run_lease(agent, now),
             token=agent.token,
+            sent_at=now,
+            answer_by=now + compute_patience(agent.answer_times),
         )
     )
 
@@ -191,6 +231,7 @@
         agent.answered_at = now
     if isinstance(call, StopCall):
         return
+    note_answer(agent, call, reply.status, now)
     run = agent.runs.get(call.task)
     if run is None or run.number != call.run or run.state != RunState.STARTING:
         return
@@ -220,6 +261,16 @@
         _return_run(agent, run, now, f"the runner refused: {reply.status.name}")
 
 
+def note_answer(
+    agent: AgentState, call: StartCall | RenewCall, status: ReplyStatus, now: float
+) -> None:
+    """Takes in how long the runner took for a call that it had to answer at once."""
+    if status == ReplyStatus.UNANSWERED:
+        record_silence(agent.answer_times)
+    elif status not in (ReplyStatus.DISCONNECTED, ReplyStatus.REFUSED):
+        record_answer(agent.answer_times, now - call.sent_at)
+
+
 def _hold_unanswered_start(agent: AgentState, run: Run, now: float) -> None:
     count(agent, "starts_unanswered")
     note_event(
@@ -228,6 +279,7 @@
         task=run.task,
         entry=run.entry,
         token=agent.token + 1,
+        waited=round(now - run.changed_at, 3),
     )
     mark_unconfirmed(agent, run, now)
 
@@ -287,6 +339,9 @@
 def _resend_start(
     agent: AgentState, run: Run, call: StartCall, status: ReplyStatus, now: float
 ) -> None:
+    if is_zone_closed(agent):
+        return_barred_run(agent, run, now, ZONE_CLOSED_REASON)
+        return
     is_hopeless = run.start_calls_sent >= MAX_START_CALLS or run.stop_wanted
     if is_hopeless or is_stop_overdue(agent, now):
         _return_run(agent, run, now, f"the runner refused: {status.name}")
@@ -314,8 +369,9 @@
         return
     if run.start_calls_sent % MAX_START_CALLS == 0:
         record_failure(agent, run.batch.request_id, now)
-    if run.stop_wanted or is_leaving(agent):
-        _return_run(agent, run, now, "the runner gave no answer")
+    bar = find_bar_to_starts(agent)
+    if run.stop_wanted or bar:
+        return_barred_run(agent, run, now, bar or "the runner gave no answer")
         return
     release_capacity(agent, run)
     enqueue_run(agent, run)
--- a/tests/test_platform_floor.py
+++ b/tests/test_platform_floor.py
@@ -5,8 +5,9 @@
 from hypothesis import strategies as st
 
 from comfreysill.execution.calls import ReplyStatus, StartCall, StopCall
-from comfreysill.placement import subset
+from comfreysill.placement import link_demand, link_need, subset
 from comfreysill.request.types import Verdict
+from comfreysill.zones.closures import list_closed
 from tests.fuzzing import fuzz
 from tests.platform_world import CPU_CAPACITY, NEVER, RESEND_DELAY_SECONDS, SILENT, World
 
@@ -73,6 +74,8 @@
     "crash_new_id",
     "grow",
 )
+# One entry gets more than its agents can run, while processes and links fail.
+CROWDED_FAULTS = (*FAULTS, "crowd", "crowd", "crowd", "crowd", "kill_agent", "cut_both", "reset")
 IMPATIENT_FAULTS = (
     *FAULTS,
     "submit_impatient",
@@ -108,6 +111,20 @@
 )
 PAUSING_FAULTS = (*DEPARTING_FAULTS, "freeze_entry", "freeze_entry")
 REFUSING_FAULTS = (*LATE_FAULTS, "refuse", "refuse", "refuse_silently")
+CLOSING_FAULTS = (
+    *LATE_FAULTS,
+    "close_zone",
+    "close_zone",
+    "close_zone",
+    "open_zone",
+    "open_zone",
+    "close_again",
+    "take_store_away",
+    "submit",
+    "submit_long",
+    "freeze_entry_long",
+    "freeze_agent_long",
+)
 # Seconds from the end of a caller's wait until the end of its connection is seen.
 END_DELAYS = (0.001, 0.02, 0.3, 1.3, 2.5, NEVER)
 # Seconds for which the path to an entry holds what callers send, and after which their connections
@@ -130,12 +147,14 @@
 
 
 STEPS = draw_steps(FAULTS)
+CROWDED_STEPS = draw_steps(CROWDED_FAULTS)
 IMPATIENT_STEPS = draw_steps(IMPATIENT_FAULTS)
 LATE_STEPS = draw_steps(LATE_FAULTS)
 ASKING_STEPS = draw_steps(ASKING_FAULTS)
 DEPARTING_STEPS = draw_steps(DEPARTING_FAULTS)
 PAUSING_STEPS = draw_steps(PAUSING_FAULTS)
 REFUSING_STEPS = draw_steps(REFUSING_FAULTS)
+CLOSING_STEPS = draw_steps(CLOSING_FAULTS)
 
 
 def apply_fault(world, fault, number, seconds):
@@ -144,6 +163,10 @@
     if fault == "submit":
         key = f"r{len(world.requests)}"
         world.submit(key, entry, tasks=1 + number, seconds=0.1 + seconds, cpu=800 + 400 * number)
+    elif fault == "crowd":
+        for _ in range(1 + number):
+            key = f"r{len(world.requests)}"
+            world.submit(key, entry, tasks=8, seconds=0.1 + seconds, cpu=2000)
     elif fault.startswith("kill_entry"):
         world.kill_entry(entry, down_seconds=0.3 + seconds, silent=fault.endswith("silent"))
     elif fault.startswith("kill_agent"):
@@ -200,6 +223,11 @@
             world.drop_caller(sorted(world.callers)[number % len(world.callers)])
     elif fault == "ask_another_entry":
         ask_another_entry(world, entry, number, seconds)
+    elif fault == "take_store_away":
+        world.take_store_away(entry, 2 * seconds)
+    elif fault in ("close_zone", "open_zone", "close_again"):
+        zones = sorted(set(world.zones.values()))
+        move_zone(world, fault, zones[number % len(zones)])
     elif not apply_runner_fault(world, fault, agent, number, seconds):
         if fault in ("cut_both", "cut_to_agent"):
             world.cut(entry, agent, seconds)
@@ -207,6 +235,14 @@
             world.cut(agent, entry, seconds)
 
 
+def move_zone(world, fault, zone):
+    """Closes a zone, opens it, or opens it and closes it again at once."""
+    if fault != "close_zone":
+        world.open_zone(zone)
+    if fault != "open_zone":
+        world.close_zone(zone)
+
+
 def submit_impatient(world, entry, number, seconds):
     """Submits a request whose caller waits as long as its tasks take, or somewhat more."""
     steps = 1 + number % 3
@@ -327,6 +363,19 @@
         ):
             self.run_steps(World(seed, entries=3, agents=6), steps)
 
+    @fuzz(EXAMPLES // 2, CROWDED_STEPS, st.integers(0, 1000))
+    def test_no_task_runs_twice_or_beyond_capacity_while_links_are_opened_by_need(
+        self, steps, seed
+    ):
+        # The times are short, so that links are given back while other things happen.
+        with (
+            mock.patch.multiple(subset, MIN_SUBSET_SIZE=2, ENTRIES_PER_AGENT=1),
+            mock.patch.multiple(link_need, MAX_WIDENING_FACTOR=4, MIN_VAIN_SECONDS=0.1),
+            mock.patch.object(link_need, "KEEP_SECONDS", 0.3),
+            mock.patch.object(link_demand, "KEEP_SECONDS", 0.3),
+        ):
+            self.run_steps(World(seed, entries=3, agents=8), steps)
+
     @fuzz(EXAMPLES, LATE_STEPS, st.integers(0, 1000))
     def test_no_task_runs_twice_or_beyond_capacity_with_late_calls(self, steps, seed):
         self.run_steps(World(seed), steps, settling_seconds=40.0)
@@ -364,6 +413,22 @@
     def test_no_task_runs_twice_while_runners_that_are_up_refuse_connections(self, steps, seed):
         self.run_steps(World(seed), steps, settling_seconds=40.0)
 
+    # Guards against starts in closed zones, and late starts there beside runs elsewhere.
+    @fuzz(EXAMPLES, CLOSING_STEPS, st.integers(0, 1000), st.integers(1, 3))
+    def test_nothing_starts_in_closed_zones(self, steps, seed, zones):
+        world = World(seed, entries=3, agents=4, zones=zones)
+        self.run_steps(world, steps, settling_seconds=40.0)
+        closed = [name for name, zone in world.zones.items() if zone in world.zone_rows]
+        world.late_zone_starts.clear()
+        for number in range(3):
+            world.submit(f"last{number}", f"e{number}", tasks=3, seconds=0.2)
+        world.run(10.0)
+        self.assertEqual(world.late_zone_starts, [], closed)
+        # All that run again know the same.
+        for process in (*world.entries.values(), *world.agents.values()):
+            known = {status.zone for status in list_closed(process.state.closures)}
+            self.assertEqual(known, set(world.zone_rows), process.name)
+
     def run_steps(self, world, steps, settling_seconds=14.0):
         world.run(2.0)
         for fault, number, pause in steps:
@@ -375,6 +440,9 @@
         for agent in world.agents:
             world.set_speed(agent, 1.0)
             world.runners[agent].set_cpu(CPU_CAPACITY)
+        if set(world.zones.values()) <= set(world.zone_rows):
+            # Callers that wait without end need room somewhere.
+            world.open_zone(min(world.zones.values()))
         world.run(settling_seconds)
         self.assertEqual(world.violations, [])
         # A caller that waits for less than its tasks take asks again without end.
