Waits leave time for the steps that follow

Callers with several steps: the time to the objective counted whole for each step, so that a first one could wait away the time of the next. Seen by reading. The declared time of the longest chain that follows is left over.

tests.test_place_waits tests.test_route_speeds: 29 passed, 0 failed.

--- a/src/comfreysill/placement/waits.py
+++ b/src/comfreysill/placement/waits.py
@@ -11,7 +11,7 @@
 from comfreysill.placement.run_times import is_near
 from comfreysill.placement.state import EntryState, count, note_event
 from comfreysill.request.request import Request
-from comfreysill.request.types import Step
+from comfreysill.request.types import Step, compute_later_path
 from comfreysill.waits.decision import Decision, Prospect
 from comfreysill.waits.forecast import KnownRun, TargetUse, forecast_waits
 from comfreysill.waits.ledger import NearWait, close_wait, get_ratio, list_ahead
@@ -124,8 +124,10 @@
     forecast = _forecast(state, request, step_number, run_times, near, now)
     near_times = [run_times[candidate.agent.name] for candidate in near]
     declared_seconds = request.specification.stretch * request.critical_path
+    slowness = _measure_slowness(candidates)
     # Where declared run times are off as a rule, the true objective is off as much.
-    correction = (_measure_slowness(candidates) - 1) * declared_seconds
+    correction = (slowness - 1) * declared_seconds
+    later_seconds = slowness * compute_later_path(request.specification.steps, step_number)
     prospect = Prospect(
         pending=len(request.pending[step_number]),
         near_waits=[seconds * ratio for seconds in forecast],
@@ -133,9 +135,9 @@
         far_seconds=far_seconds,
         task_count=step.count,
         others_end_in=_expect_others_end(request, step_number, now),
-        remaining_seconds=request.due_at - now + correction,
+        remaining_seconds=request.due_at - now + correction - later_seconds,
         objective_seconds=request.due_at - request.received_at + correction,
-        declared_seconds=declared_seconds + correction,
+        declared_seconds=declared_seconds + correction - later_seconds,
         used_share=_measure_use(candidates, step),
         spread=zlib.crc32(request.specification.request_id.encode()) % _SPREADS / _SPREADS,
     )
--- a/src/comfreysill/request/types.py
+++ b/src/comfreysill/request/types.py
@@ -183,3 +183,13 @@
         )
         ends.append(start + step.estimate)
     return max(ends, default=0.0)
+
+
+def compute_later_path(steps: tuple[Step, ...], step_number: int) -> float:
+    """Returns the declared run time in seconds of the longest chain of steps that wait for one."""
+    ends = {step_number: 0.0}
+    for number in range(step_number + 1, len(steps)):
+        starts = [ends[predecessor] for predecessor in steps[number].after if predecessor in ends]
+        if starts:
+            ends[number] = max(starts) + steps[number].estimate
+    return max(ends.values())
--- a/tests/test_place_waits.py
+++ b/tests/test_place_waits.py
@@ -6,6 +6,7 @@
 from comfreysill.execution.state import AgentState
 from comfreysill.placement.queue import rank_demand
 from comfreysill.placement.waits import count_waiting
+from comfreysill.request.types import Step, compute_later_path
 from comfreysill.waits.decision import Prospect, choose_wait, limit_wait
 from comfreysill.waits.forecast import KnownRun, TargetUse, forecast_waits
 from comfreysill.waits.ledger import NearWait, WaitLedger, close_wait, get_ratio
@@ -87,6 +88,19 @@
         self.assertLessEqual(ends[1], 0.22 - 0.12)
 
 
+class TestLaterSteps(unittest.TestCase):
+    def test_steps_that_follow_need_their_time(self):
+        """Guards against waits of a first step that leave no time to the next ones."""
+        chains = ((), (0,), (1,), (0,))
+        estimates = (0.1, 0.2, 0.4, 0.5)
+        steps = tuple(
+            Step(count=1, cpu=1, memory_mb=1, estimate=seconds, after=after)
+            for seconds, after in zip(estimates, chains, strict=True)
+        )
+        paths = [round(compute_later_path(steps, number), 3) for number in range(4)]
+        self.assertEqual(paths, [0.6, 0.4, 0.0, 0.0])
+
+
 class TestForecast(unittest.TestCase):
     def test_room_comes_with_the_ends_of_known_and_other_runs(self):
         runs = [KnownRun(cpu=1000, started_at=9.9, ends_at=10.2)]
