--- a/src/comfreysill/execution/state.py
+++ b/src/comfreysill/execution/state.py
@@ -13,6 +13,7 @@
 from comfreysill.execution.answer_times import AnswerTimes
 from comfreysill.execution.calls import Call, RunnerLifetime, RunnerReport
 from comfreysill.execution.recent_crashes import RecentCrash, UnsettledCrash
+from comfreysill.execution.route_speeds import RouteRecord
 from comfreysill.execution.run import Run, RunState
 from comfreysill.zones.closures import NO_CLOSURES, ToldZones
 
@@ -161,6 +162,7 @@
         slowness: Smoothed ratio of measured to declared run times.
         recent_slowness: The same ratio projected from current runs, 0 if it is not elevated.
         slowness_samples: Number of run times in `slowness`.
+        route_speeds: Learned run times of routes, by route.
         links: Links with entries by the entry's name.
         entries: Addresses of entries that the agent announces itself to.
         closures: What is known of closed availability zones.
@@ -227,6 +229,7 @@
         "slowness",
         "recent_slowness",
         "slowness_samples",
+        "route_speeds",
         "links",
         "entries",
         "closures",
@@ -285,6 +288,7 @@
         self.slowness = 1.0
         self.recent_slowness = 0.0
         self.slowness_samples = 0
+        self.route_speeds: dict[str, RouteRecord] = {}
         self.links: dict[str, EntryLink] = {}
         self.entries: set[str] = set()
         self.closures = NO_CLOSURES
--- a/src/comfreysill/wire/exchange.py
+++ b/src/comfreysill/wire/exchange.py
@@ -22,6 +22,7 @@
     Profile,
     Role,
 )
+from comfreysill.exchange.speeds import RouteSpeed
 from comfreysill.wire import exchange_pb2 as pb
 from comfreysill.wire.errors import FrameError
 from comfreysill.zones.closures import MAX_ZONES, ZoneStatus
@@ -33,6 +34,8 @@
 # Upper bound of times, in seconds, and of ratios.
 MAX_NUMBER = 1e12
 MAX_ORDERS = 10_000
+# Further routes in a load are left out.
+MAX_ROUTES = 64
 MAX_CRASHED_TASKS = 10_000
 _OUTCOMES = frozenset(Outcome)
 _ROLES = frozenset(Role)
@@ -288,6 +291,12 @@
         gpus=load.gpus,
         slowness=load.slowness,
         isolating=load.isolating,
+        routes=[
+            pb.RouteSpeed(
+                route=speed.route, factor=speed.factor, samples=speed.samples, age=speed.age
+            )
+            for speed in load.routes
+        ],
     )
 
 
@@ -299,6 +308,16 @@
         gpus=message.gpus,
         slowness=check_number(message.slowness, "load.slowness"),
         isolating=message.isolating,
+        routes=tuple(_decode_speed(speed) for speed in message.routes[:MAX_ROUTES]),
+    )
+
+
+def _decode_speed(message: pb.RouteSpeed) -> RouteSpeed:
+    return RouteSpeed(
+        route=message.route[:MAX_NAME_CHARS],
+        factor=check_number(message.factor, "load.routes.factor"),
+        samples=message.samples,
+        age=check_number(message.age, "load.routes.age"),
     )
 
 
