--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -612,6 +612,7 @@
             test_cancelling,
             test_told_starts,
             test_subset,
+            test_closed_zones,
             test_gateway,
             test_containment,
             test_crash_ledger,
@@ -627,7 +628,6 @@
             test_claim_leases,
             test_lapsed_claims,
             test_load_patterns,
-            test_closed_zones,
             test_platform_floor,
         ]
         suites = [loader.loadTestsFromModule(module) for module in modules]
--- a/tests/platform_world.py
+++ b/tests/platform_world.py
@@ -632,6 +632,9 @@
 
     def read_zones_again(self, process, lifetime):
         """Reads the table as a whole, as after a failed call."""
+        if not self.store_version:
+            # Plays without the operator go on as they did before there was one.
+            return
         statuses = tuple(
             ZoneStatus(zone=zone, version=version, closed=True)
             for zone, (version, _) in self.zone_rows.items()
