--- a/src/comfreysill/gateway/actor.py
+++ b/src/comfreysill/gateway/actor.py
@@ -24,6 +24,7 @@
     EntryStateMessage,
     MemberRemoved,
     MembersDiscovered,
+    PeerRefused,
     PeerSessionClosed,
     PeerSessionOpened,
     Reply,
@@ -66,12 +67,14 @@
     SendFrame,
     SendVerdict,
 )
+from comfreysill.placement.link_demand import update_links_by_need, withhold_returning
 from comfreysill.placement.peer_links import (
     begin_peer_session,
     collect_claims,
     end_peer_session,
     expire_replies,
     receive_replies,
+    refuse_peer,
     update_peers,
 )
 from comfreysill.placement.placement import (
@@ -262,6 +265,10 @@
     end_peer_session(actor.state, message.address, message.session, now)
 
 
+def _receive_peer_refused(actor: Actor, message: PeerRefused, now: float) -> None:
+    refuse_peer(actor.state, message.address, now)
+
+
 def _receive_claim_replies(actor: Actor, message: ClaimRepliesReceived, now: float) -> None:
     receive_replies(actor.state, message.address, message.frame, now)
 
@@ -274,12 +281,22 @@
             session.outbox.post(None)
         session = ClaimantSession(number=frame.session, outbox=message.outbox)
         actor.claimants[frame.entry] = session
+    if frame.opening:
+        _reconnect_peers(actor)
     if session.outbox is message.outbox:
         receive_claims(actor.state, frame, now)
     else:
         message.outbox.post(None)
 
 
+def _reconnect_peers(actor: Actor) -> None:
+    """Lets the links to entries out of reach be tried at once, as one of these may be up again."""
+    for address, link in actor.peer_links.items():
+        peer = actor.state.peers.get(address)
+        if peer is not None and not peer.connected:
+            link.reconnect_now.set()
+
+
 def _receive_claimant_closed(actor: Actor, message: ClaimantDisconnected, now: float) -> None:
     for entry, session in list(actor.claimants.items()):
         if session.outbox is message.outbox:
@@ -358,6 +375,7 @@
     AgentFrameReceived: _receive_frame,
     PeerSessionOpened: _receive_peer_opened,
     PeerSessionClosed: _receive_peer_closed,
+    PeerRefused: _receive_peer_refused,
     ClaimRepliesReceived: _receive_claim_replies,
     ClaimsReceived: _receive_claims,
     ClaimantDisconnected: _receive_claimant_closed,
@@ -425,7 +443,9 @@
     update_peers(state, now)
     conclude_remote_ends(state, now)
     expire_requests(state, now)
+    withhold_returning(state)
     place_waiting(state, now)
+    update_links_by_need(state, now)
     collect_frames(state, now)
     collect_claims(state, now)
     effects, state.effects = state.effects, []
--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -300,7 +300,7 @@
     "stops-not-repeated": ("tests.platform_world.resend_stops", lambda original: lambda *a: None),
     "stalls-undetected": (f"{EXECUTION}.progress._stop_stalled", lambda original: lambda *a: None),
     "avoided-never-cleared": (
-        f"{PLACEMENT}.placement._clear_avoided",
+        f"{PLACEMENT}.steps._clear_avoided",
         lambda original: lambda *a: None,
     ),
     "lost-agents-counted": (
@@ -528,7 +528,7 @@
         lambda original: lambda *a: None,
     ),
     "requests-placed-before-the-first-links": (
-        f"{PLACEMENT}.claims._is_linking",
+        f"{PLACEMENT}.claims.is_linking",
         lambda original: lambda *a: False,
     ),
     "waits-of-other-entries-callers-ignored": (
--- a/tests/platform_world.py
+++ b/tests/platform_world.py
@@ -11,6 +11,7 @@
 """
 
 import heapq
+import math
 import random
 from collections import deque
 
@@ -64,12 +65,14 @@
     SendFrame,
     SendVerdict,
 )
+from comfreysill.placement.link_demand import update_links_by_need, withhold_returning
 from comfreysill.placement.peer_links import (
     begin_peer_session,
     collect_claims,
     end_peer_session,
     expire_replies,
     receive_replies,
+    refuse_peer,
     update_peers,
 )
 from comfreysill.placement.placement import place_waiting, refuse_unmeetable
@@ -298,6 +301,8 @@
         self.deferred = []
         # True while it has read messages that it hasn't acted on.
         self.in_batch = False
+        # True while its machine is gone as well; else connections to a dead process are refused.
+        self.vanished = False
 
 
 class World:
@@ -549,7 +554,9 @@
         update_peers(state, self.now)
         conclude_remote_ends(state, self.now)
         expire_requests(state, self.now)
+        withhold_returning(state)
         place_waiting(state, self.now)
+        update_links_by_need(state, self.now)
         collect_frames(state, self.now)
         collect_claims(state, self.now)
         effects, state.effects = state.effects, []
@@ -734,6 +741,8 @@
         """Opens the session of an entry with a registrar, unless there is one."""
         process, other = self.entries[claimant], self.entries[registrar]
         frozen = max(process.frozen_until, other.frozen_until) > self.now
+        if process.alive and not other.alive and not other.vanished:
+            self.schedule(HOP_SECONDS, self.refuse, process, process.lifetime, registrar)
         if not process.alive or not other.alive or frozen:
             return
         if (claimant, registrar) in self.peer_links or registrar not in process.state.peers:
@@ -744,6 +753,14 @@
         self.peer_links[claimant, registrar] = (session, process.lifetime, other.lifetime)
         self.flush_entry(process)
 
+    def refuse(self, process, lifetime, registrar):
+        if process.lifetime == lifetime:
+            self.run_or_defer(process, self.handle_refusal, process, registrar)
+
+    def handle_refusal(self, process, registrar):
+        refuse_peer(process.state, registrar, self.now)
+        self.flush_entry(process)
+
     def drop_peer_link(self, claimant, registrar):
         link = self.peer_links.pop((claimant, registrar), None)
         if link is None:
@@ -808,7 +825,8 @@
             self.late_calls[process.name].append(call)
             self.schedule(delay + HOP_SECONDS, self.carry_out_late, process.name, call)
         reply = build_unanswered_reply(call)
-        self.schedule(CALL_TIMEOUT_SECONDS, self.reply, process, process.lifetime, reply)
+        timeout = min(CALL_TIMEOUT_SECONDS, getattr(call, "answer_by", math.inf) - self.now)
+        self.schedule(timeout, self.reply, process, process.lifetime, reply)
 
     def carry_out_late(self, name, call):
         """Carries out a call, unless it was before, at whatever lifetime of the runner is up."""
@@ -1009,6 +1027,7 @@
         if not process.alive:
             return
         process.alive = False
+        process.vanished = silent
         for agent in self.agents:
             if silent:
                 self.links.pop((name, agent), None)
