--- a/src/comfreysill/placement/link_demand.py
+++ b/src/comfreysill/placement/link_demand.py
@@ -29,6 +29,7 @@
 from comfreysill.placement.queue import ON_TIME
 from comfreysill.placement.state import Agent, EntryState, count, note_event
 from comfreysill.placement.subset import remove_link
+from comfreysill.placement.waits import count_waiting
 from comfreysill.request.types import Step
 
 # The need is looked at no more often than this while requests wait or links are open by need.
@@ -138,8 +139,8 @@
 def _list_waiting_steps(state: EntryState, service: str, now: float) -> list[tuple[Step, int]]:
     """Returns the steps that wait for room at any target, with the number of their waiting tasks.
 
-    Their requests can still be on time. Tasks that are bound to a target, and those that are
-    confined to a part of the targets, wait for these.
+    Their requests can still be on time. Tasks that are bound to a target, are confined to a part of
+    the targets, or wait for a place near their data, wait for these.
     """
     confined_routes = list_confined_routes(state.crashes, now)
     waiting = []
@@ -152,7 +153,8 @@
             continue
         for number, tasks in request.pending.items():
             free_count = sum(not is_bound(state, task.name, now) for task in tasks)
-            if free_count:
+            free_count -= count_waiting(state, request, number)
+            if free_count > 0:
                 waiting.append((request.specification.steps[number], free_count))
     return waiting
 
--- a/src/comfreysill/placement/state.py
+++ b/src/comfreysill/placement/state.py
@@ -57,15 +57,12 @@
         opened_at: Boot-clock time in seconds of the opening of the newest session, 0 before any.
         last_frame_at: Boot-clock time in seconds of the receipt of its last frame, 0 before any.
         next_seconds: Announced maximum time in seconds from the last frame to the next.
-        newest_timestamp: Newest timestamp received, in seconds of the agent's boot clock, 0 before
-            the first.
+        newest_timestamp: Newest timestamp received (the agent's boot clock, seconds), 0 before any.
         echoed_timestamp: Newest timestamp echoed to it in the session, 0 before the first.
         sent_at: Boot-clock time in seconds of the last frame sent in the session, 0 before any.
         last_sent_number: Sequence number of the last frame sent in the session, 0 before the first.
-        acknowledged_number: Sequence number of the newest frame of the session that it has
-            acknowledged, 0 before the first.
-        ended_seen: Sequence number of the newest ended attempt processed in the current lifetime, 0
-            before the first.
+        acknowledged_number: That of the newest one it has acknowledged, 0 before the first.
+        ended_seen: That of the newest ended attempt processed in the lifetime, 0 before the first.
         profile: Profile of its target, None before the first frame.
         load: Free capacity of its target, None before the first frame.
         reservations: Capacity reserved for tasks in frames that it has not acknowledged.
@@ -253,8 +250,7 @@
         peers: Other entries to which a link was requested, by address.
         is_registrar: Whether other entries choose this one to keep claims, as far as it knows.
         last_peer_session: Number of the newest session with any of them, 0 before the first.
-        linking_until: Boot-clock time in seconds until which requests wait for the first links to
-            them, 0 before these were requested.
+        linking_until: Boot-clock time in seconds until which requests wait for these links, or 0.
         acted_at: Boot-clock time in seconds at which this process has last acted, 0 before.
         stood_still_until: That of its last action after a pause that may end claims, 0 if none.
         registry: Claims that this entry keeps for all entries.
--- a/tests/test_link_demand.py
+++ b/tests/test_link_demand.py
@@ -21,6 +21,7 @@
 from comfreysill.placement.subset import compute_subset_size, update_subset
 from comfreysill.request.request import Request
 from comfreysill.request.types import Specification, Step, Verdict
+from comfreysill.waits.ledger import NearWait
 from tests.platform_world import World
 
 AGENTS, ENTRIES = 70, 12
@@ -225,6 +226,27 @@
         in_rack = {name for name in known if int(name[1:]) % 7 == 3}
         self.assertTrue(in_rack and (first <= in_rack or in_rack <= first), (first, in_rack))
 
+    def test_tasks_that_wait_for_a_place_near_their_data_open_none(self):
+        entry = Entry()
+        entry.wait_for_room(requests=10, rack="rack-3")
+        for number in range(10):
+            wait = NearWait(
+                rack="rack-3",
+                count=4,
+                cpu=TASK_CPU,
+                due_at=math.inf,
+                priority=0,
+                decided_at=entry.now,
+                forecast_at=entry.now,
+                ends_at=math.inf,
+            )
+            entry.state.waits.waits[f"q{number}", 0] = wait
+        entry.run(0.5)
+        self.assertEqual(entry.count_needed(), 0)
+        wait.closed = True
+        entry.run(0.5)
+        self.assertGreater(entry.count_needed(), 0)
+
     def test_an_entry_that_is_short_of_processor_time_opens_none(self):
         entry = Entry()
         entry.now += 0.2
