Cheaper counting of requests inside the limits; waiting requests of stopping servers are kept

A caller that waits for its answer while its next request is incomplete was closed 1 s after a stop of the server had begun; it is answered now, as callers were before any limit.

--- a/src/comfreysill/bounded_http.py
+++ b/src/comfreysill/bounded_http.py
@@ -35,7 +35,7 @@
     find_dearest,
     find_overdue,
     find_surplus,
-    note_phase,
+    note_begin,
     record_reason,
     remove_connection,
     set_held_bytes,
@@ -144,7 +144,12 @@
             now: Time of the event loop in seconds.
             unread_seconds: Maximum time from the first call on for which answers may stay unread.
         """
-        if self.connection.reading.phase != Phase.BETWEEN:
+        phase = self.connection.reading.phase
+        if phase is Phase.BODY:
+            is_idle = self.started is self.cycle
+        else:
+            is_idle = not self.connection.unanswered
+        if phase is not Phase.BETWEEN and is_idle:
             self.transport.abort()
         elif self.flow.write_paused or self.transport.is_closing():
             self.unread_until = min(self.unread_until or now + unread_seconds, now + unread_seconds)
@@ -171,7 +176,10 @@
         reason = reason or end_read(reading, self.limits, size)
         if reason is not None:
             self.refuse(reason)
-        self._update_held_bytes()
+        connection = self.connection
+        # Most reads bring one whole request, of which the connection holds nothing any more.
+        if connection.held_bytes or connection.unanswered != 1 or reading.phase != Phase.BETWEEN:
+            self._update_held_bytes()
 
     def _feed(self, data: memoryview) -> Reason | None:
         try:
@@ -199,16 +207,13 @@
             self.violation = reason
             raise _LimitExceeded
 
-    def _enter(self, phase: Phase) -> None:
-        enter_phase(self.connection.reading, phase)
-        note_phase(self.guard.table, self.connection)
-
     def on_message_begin(self) -> None:
         """Begins a request, at its first byte."""
         if self.connection.unanswered > self.limits.requests_ahead:
             self._check(Reason.REQUESTS_AHEAD)
         super().on_message_begin()
-        self._enter(Phase.HEAD)
+        enter_phase(self.connection.reading, Phase.HEAD)
+        note_begin(self.guard.table, self.connection)
         if self.poll_times is not None:
             connection = self.transport.get_extra_info("socket")
             arrival = measure_arrival(self.poll_times, connection, self.connected_at)
@@ -223,15 +228,17 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         """Adds a header; trailers are skipped."""
         reading = self.connection.reading
-        self._check(count_line(reading, self.limits, len(name) + len(value)))
-        if reading.phase == Phase.HEAD:
+        reason = count_line(reading, self.limits, len(name) + len(value))
+        if reason is not None:
+            self._check(reason)
+        if reading.phase is Phase.HEAD:
             super().on_header(name, value)
 
     def on_headers_complete(self) -> None:
         """Starts or queues the request."""
         super().on_headers_complete()
         self.connection.unanswered += 1
-        self._enter(Phase.BODY)
+        enter_phase(self.connection.reading, Phase.BODY)
 
     def on_body(self, body: bytes) -> None:
         """Adds data to the body, unless the request has been answered."""
@@ -243,7 +250,7 @@
     def on_message_complete(self) -> None:
         """Ends a request."""
         super().on_message_complete()
-        self._enter(Phase.BETWEEN)
+        enter_phase(self.connection.reading, Phase.BETWEEN)
 
     # Requests and answers.
 
@@ -255,10 +262,11 @@
         """Starts the next request, or refuses it if it can't be parsed."""
         self.server_state.total_requests += 1
         self.connection.unanswered -= 1
-        note_phase(self.guard.table, self.connection)
+        note_begin(self.guard.table, self.connection)
         # The time between requests counts from here.
         self.connection.seen_transitions = -1
-        self._update_held_bytes()
+        if self.connection.held_bytes or self.transport.get_write_buffer_size():
+            self._update_held_bytes()
         if self.transport.is_closing():
             return
         if self.pipeline:
@@ -321,7 +329,7 @@
         except OSError:
             self.transport.abort()
             return
-        self._enter(Phase.DISCARDING)
+        enter_phase(self.connection.reading, Phase.DISCARDING)
         self.flow.resume_reading()
 
     def _close_now(self) -> None:
--- a/src/comfreysill/connections/reading.py
+++ b/src/comfreysill/connections/reading.py
@@ -73,7 +73,7 @@
     reading.eventful = True
     reading.quiet_bytes = 0
     reading.lines = 0
-    if phase == Phase.HEAD:
+    if phase is Phase.HEAD:
         reading.head_bytes = 0
     reading.data_bytes = reading.framing_bytes = reading.discarded_bytes = 0
 
@@ -89,7 +89,7 @@
     """Counts a header line or a trailer line; `size` is that of its name and value."""
     reading.eventful = True
     reading.lines += 1
-    if reading.phase == Phase.BODY:
+    if reading.phase is Phase.BODY:
         return Reason.TRAILER_LINES if reading.lines > limits.trailer_lines else None
     reading.head_bytes += size + LINE_BYTES
     if reading.head_bytes > limits.head_bytes:
@@ -115,20 +115,20 @@
     """Precedes the events of the bytes that were read."""
     reading.eventful = False
     reading.data_before = -1
-    if reading.phase == Phase.BODY:
+    if reading.phase is Phase.BODY:
         reading.data_before = reading.data_bytes + reading.discarded_bytes
 
 
 def end_read(reading: Reading, limits: ConnectionLimits, size: int) -> Reason | None:
     """Follows the events of `size` bytes that were read."""
     reading.quiet_bytes = 0 if reading.eventful else reading.quiet_bytes + size
-    if reading.phase == Phase.BODY:
+    if reading.phase is Phase.BODY:
         if reading.data_before >= 0:
             data = reading.data_bytes + reading.discarded_bytes - reading.data_before
             reading.framing_bytes += size - data
         allowed = limits.framing_bytes + FRAMING_BYTES_PER_BYTE * reading.data_bytes
         return Reason.FRAMING_BYTES if reading.framing_bytes > allowed else None
-    if reading.phase == Phase.HEAD:
+    if reading.phase is Phase.HEAD:
         total = reading.head_bytes + reading.quiet_bytes
         return Reason.HEAD_BYTES if total > limits.head_bytes else None
     return Reason.EMPTY_BYTES if reading.quiet_bytes > limits.empty_bytes else None
@@ -137,6 +137,6 @@
 def measure_held(reading: Reading, requests_ahead: int) -> int:
     """Returns the bytes that a connection holds of messages that aren't complete or not begun."""
     ahead = requests_ahead * REQUEST_BYTES
-    if reading.phase == Phase.HEAD:
+    if reading.phase is Phase.HEAD:
         return ahead + reading.head_bytes + reading.quiet_bytes
-    return ahead + (reading.data_bytes if reading.phase == Phase.BODY else 0)
+    return ahead + (reading.data_bytes if reading.phase is Phase.BODY else 0)
--- a/src/comfreysill/connections/table.py
+++ b/src/comfreysill/connections/table.py
@@ -16,7 +16,8 @@
         unanswered: Number of complete heads whose answers aren't sent yet.
         held_bytes: Bytes that it holds of messages that are being received, and of answers that
             wait to be read.
-        waits_since: Number of the last event of the table at which its phase changed.
+        waits_since: Number of the event of the table at which its last message began, or at which
+            its last request was answered.
         seen_transitions: Transitions of `reading` when its deadline was set.
         deadline: Time in seconds at which its current phase has to be over, on the clock of the
             caller of `find_overdue`.
@@ -52,7 +53,7 @@
         limits: Limits of all connections together.
         connections: Open connections.
         held_bytes: Sum of what they hold.
-        events: Number of connections and changes of phases so far, which orders them.
+        events: Number of connections, begins of messages and answers so far, which orders them.
         counters: Number of closed connections by reason.
     """
 
@@ -81,8 +82,8 @@
     connection.held_bytes = 0
 
 
-def note_phase(table: ConnectionTable, connection: Connection) -> None:
-    """Records that the phase of a connection has just changed, or a request was answered."""
+def note_begin(table: ConnectionTable, connection: Connection) -> None:
+    """Records that a message has just begun, or a request was answered."""
     table.events += 1
     connection.waits_since = table.events
 
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -26,7 +26,7 @@
     find_dearest,
     find_overdue,
     find_surplus,
-    note_phase,
+    note_begin,
     remove_connection,
     set_held_bytes,
 )
@@ -93,7 +93,7 @@
     def test_the_connection_closed_first_has_been_without_a_request_for_the_longest_time(self):
         waiting, oldest, newer, newest = self.add(unanswered=1), *(self.add() for _ in range(3))
         self.assertIs(find_surplus(self.table), oldest)
-        note_phase(self.table, oldest)
+        note_begin(self.table, oldest)
         self.assertIs(find_surplus(self.table), newer)
         enter_phase(newest.reading, Phase.DISCARDING)
         self.assertIs(find_surplus(self.table), newest)
@@ -335,6 +335,16 @@
         await asyncio.sleep(0.2)
         await self.stop()
 
+    async def test_a_request_that_waits_is_answered_while_the_server_stops(self):
+        self.go.clear()
+        answers = [asyncio.create_task(self.exchange(GET + part)) for part in (b"", b"GET /")]
+        await asyncio.sleep(0.2)
+        stopping = asyncio.create_task(stop_http(self.server, self.task))
+        await asyncio.sleep(1.3)
+        self.go.set()
+        self.assertEqual([(await answer)[:12] for answer in answers], [b"HTTP/1.1 200"] * 2)
+        await stopping
+
     async def test_the_connection_that_waits_longest_for_a_request_makes_room(self):
         idle = [await self.connect(b"") for _ in range(50)]
         await asyncio.sleep(0.2)
