--- a/src/comfreysill/gateway/roster.py
+++ b/src/comfreysill/gateway/roster.py
@@ -16,9 +16,9 @@
 from comfreysill.platform.rejections import RejectedEntry, Rejections, record_rejections
 from comfreysill.roster_client import call_roster
 from comfreysill.wire.errors import UNREADABLE_ERRORS
-from comfreysill.wire.exchange import decode_announcement, decode_members, encode_members
 from comfreysill.wire.exchange_grpc import RosterBase, RosterStub
 from comfreysill.wire.exchange_pb2 import Members, Nothing, RoutesText
+from comfreysill.wire.members import decode_announcement, decode_members, encode_members
 
 logger = logging.getLogger(__name__)
 
--- a/src/comfreysill/sidecar/links.py
+++ b/src/comfreysill/sidecar/links.py
@@ -8,8 +8,9 @@
 from comfreysill.sessions import serve_session
 from comfreysill.sidecar.messages import AgentStateMessage, EntryFrameReceived, SessionClosed
 from comfreysill.wire import exchange_pb2 as pb
-from comfreysill.wire.exchange import decode_entry_frame, encode_agent_frame, encode_announcement
+from comfreysill.wire.exchange import decode_entry_frame, encode_agent_frame
 from comfreysill.wire.exchange_grpc import RosterStub, TargetBase
+from comfreysill.wire.members import encode_announcement
 
 
 class TargetService(TargetBase):
--- a/src/comfreysill/wire/claims.py
+++ b/src/comfreysill/wire/claims.py
@@ -16,7 +16,7 @@
 from comfreysill.request.types import FINAL_VERDICTS, Verdict
 from comfreysill.wire import exchange_pb2 as pb
 from comfreysill.wire.errors import FrameError, decode_enum
-from comfreysill.wire.exchange import check_name, check_number
+from comfreysill.wire.fields import check_name, check_number
 
 MIN_SECONDS = 0.001
 # Maximum number of claims and releases in a frame.
--- a/src/comfreysill/wire/exchange.py
+++ b/src/comfreysill/wire/exchange.py
@@ -7,7 +7,6 @@
 import math
 from collections.abc import Sequence
 
-from comfreysill.address import parse_address
 from comfreysill.crashes.report import CrashReport
 from comfreysill.exchange.messages import (
     AgentFrame,
@@ -16,29 +15,30 @@
     EntryFrame,
     LateStart,
     Load,
-    Member,
     Order,
     Outcome,
     Profile,
-    Role,
 )
 from comfreysill.exchange.speeds import RouteSpeed
 from comfreysill.wire import exchange_pb2 as pb
 from comfreysill.wire.errors import FrameError
+from comfreysill.wire.fields import (
+    MAX_NAME_CHARS,
+    check_address,
+    check_amount,
+    check_name,
+    check_number,
+    check_optional_address,
+)
 from comfreysill.zones.closures import MAX_ZONES, ZoneStatus
 
-MAX_NAME_CHARS = 200
-MAX_AMOUNT = 2**31 - 1
 # Largest version of the store.
 MAX_VERSION = 2**53 - 1
-# Upper bound of times, in seconds, and of ratios.
-MAX_NUMBER = 1e12
 MAX_ORDERS = 10_000
 # Further routes in a load are left out.
 MAX_ROUTES = 64
 MAX_CRASHED_TASKS = 10_000
 _OUTCOMES = frozenset(Outcome)
-_ROLES = frozenset(Role)
 
 
 def encode_entry_frame(frame: EntryFrame) -> pb.ToAgent:
@@ -74,7 +74,7 @@
         ended_seen=message.ended_seen,
         batches=[_decode_batch(batch) for batch in message.batches],
         stops=list(message.stops),
-        entries=[_check_address(address, "entries") for address in message.entries],
+        entries=[check_address(address, "entries") for address in message.entries],
         routes_version=message.routes_version,
         zones=_decode_zones(message.zones),
     )
@@ -112,9 +112,9 @@
         payload=message.payload,
         priority=message.priority,
         due=check_number(message.due, "batches.due"),
-        cpu=_check_amount(message.cpu, "batches.cpu"),
-        memory_mb=_check_amount(message.memory_mb, "batches.memory_mb"),
-        gpus=_check_amount(message.gpus, "batches.gpus"),
+        cpu=check_amount(message.cpu, "batches.cpu"),
+        memory_mb=check_amount(message.memory_mb, "batches.memory_mb"),
+        gpus=check_amount(message.gpus, "batches.gpus"),
         estimate=check_number(message.estimate, "batches.estimate"),
         orders=[
             Order(step=order.step, index=order.index, attempt=order.attempt, moves=order.moves)
@@ -175,7 +175,7 @@
         unconfirmed=list(message.unconfirmed),
         opening=message.opening,
         routes_version=message.routes_version,
-        routes_holder=_check_optional_address(message.routes_holder, "routes_holder"),
+        routes_holder=check_optional_address(message.routes_holder, "routes_holder"),
         next_seconds=check_number(message.next_seconds, "next_seconds"),
         crashes=tuple(_decode_crash(crash) for crash in message.crashes),
         late_starts=tuple(_decode_late_start(item) for item in message.late_starts),
@@ -183,106 +183,6 @@
     )
 
 
-def encode_announcement(agent: Member) -> pb.Announcement:
-    """Encodes the announcement of an agent to an entry without a link to it."""
-    return pb.Announcement(agent=agent.name, address=agent.address, service=agent.service)
-
-
-def decode_announcement(message: pb.Announcement) -> Member:
-    """Decodes an announcement.
-
-    Raises:
-        FrameError: The name or the address is invalid.
-    """
-    return Member(
-        name=check_name(message.agent, "agent"),
-        role=Role.AGENT,
-        address=_check_address(message.address, "address"),
-        service=message.service[:MAX_NAME_CHARS],
-    )
-
-
-def encode_members(members: list[Member]) -> pb.Members:
-    """Encodes members, which entries exchange while the store can't be read."""
-    return pb.Members(
-        members=[
-            pb.Member(
-                name=member.name,
-                role=member.role,
-                address=member.address,
-                service=member.service,
-            )
-            for member in members
-        ]
-    )
-
-
-def decode_members(message: pb.Members) -> tuple[list[Member], list[str]]:
-    """Decodes members; those with a role that this version doesn't know are skipped.
-
-    Returns:
-        The members, and what is wrong with those whose name or address is invalid.
-    """
-    members, problems = [], []
-    for member in message.members:
-        if member.role not in _ROLES:
-            continue
-        try:
-            members.append(_decode_member(member))
-        except FrameError as error:
-            problems.append(str(error))
-    return members, problems
-
-
-def _decode_member(message: pb.Member) -> Member:
-    return Member(
-        name=check_name(message.name, "members.name"),
-        role=Role(message.role),
-        address=_check_address(message.address, "members.address"),
-        service=message.service[:MAX_NAME_CHARS],
-    )
-
-
-def check_name(text: str, field: str) -> str:
-    """Returns a name that is neither empty nor too long.
-
-    Raises:
-        FrameError: It is.
-    """
-    if not 0 < len(text) <= MAX_NAME_CHARS:
-        raise FrameError(f"{field}: a name of {len(text)} characters")
-    return text
-
-
-def _check_address(text: str, field: str) -> str:
-    try:
-        parse_address(text)
-    except ValueError as error:
-        raise FrameError(f"{field}: {error}") from error
-    return text
-
-
-def _check_optional_address(text: str, field: str) -> str:
-    return _check_address(text, field) if text else text
-
-
-def check_number(value: float, field: str) -> float:
-    """Returns a number that is neither negative nor too large; NaN fails as well.
-
-    Raises:
-        FrameError: It is.
-    """
-    if not 0 <= value <= MAX_NUMBER:
-        raise FrameError(f"{field}: {value}")
-    return value
-
-
-def _check_amount(value: int, field: str) -> int:
-    if value > MAX_AMOUNT:
-        raise FrameError(f"{field}: {value}")
-    return value
-
-
 def _encode_load(load: Load) -> pb.Load:
     return pb.Load(
         accepting=load.accepting,
@@ -380,9 +280,9 @@
     return Profile(
         service=message.service,
         zone=message.zone,
-        cpu=_check_amount(message.cpu, "profile.cpu"),
-        memory_mb=_check_amount(message.memory_mb, "profile.memory_mb"),
-        gpus=_check_amount(message.gpus, "profile.gpus"),
+        cpu=check_amount(message.cpu, "profile.cpu"),
+        memory_mb=check_amount(message.memory_mb, "profile.memory_mb"),
+        gpus=check_amount(message.gpus, "profile.gpus"),
         labels=tuple(message.labels),
     )
 
--- a/tests/test_input_fuzz.py
+++ b/tests/test_input_fuzz.py
@@ -90,13 +90,12 @@
 from comfreysill.wire.errors import FrameError
 from comfreysill.wire.exchange import (
     decode_agent_frame,
-    decode_announcement,
     decode_entry_frame,
     encode_agent_frame,
     encode_entry_frame,
-    encode_members,
 )
-from comfreysill.wire.exchange import decode_members as decode_exchanged_members
+from comfreysill.wire.members import decode_announcement, encode_members
+from comfreysill.wire.members import decode_members as decode_exchanged_members
 from comfreysill.wire.peers import decode_peer_frame
 from comfreysill.zones.closures import is_closed
 from tests.fuzzing import fuzz
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -61,8 +61,8 @@
 from comfreysill.wire.agents import decode_agent_frame, decode_entry_frame
 from comfreysill.wire.comfreysill_grpc import AgentBase
 from comfreysill.wire.errors import FrameError
-from comfreysill.wire.exchange import decode_members as decode_exchanged_members
-from comfreysill.wire.exchange import encode_members
+from comfreysill.wire.members import decode_members as decode_exchanged_members
+from comfreysill.wire.members import encode_members
 from comfreysill.wire.peers import decode_peer_frame
 from standins.platform_store import Store, apply_transaction, build_store_app
 from tests.test_floor import VALID_DOCUMENT
