An entry that starts beside one that refuses connections asks all entries

What callers could see: a task run twice, where the registrars of its request were the entry that starts and one that has ended, or two that have ended, and its holder hadn't noticed (tests.test_starting_entries: a double start 0.5 s after the start with two, without asking everyone).

Change: from one refusal on, claims are made at all entries for 1.7 s. A test for the rank of entries that aren't up, which fails without it; both as mutations, and the two new test modules among those that mutations run against.

--- a/src/comfreysill/placement/starting.py
+++ b/src/comfreysill/placement/starting.py
@@ -32,10 +32,11 @@
 def is_everyone_asked(state: EntryState, now: float) -> bool:
     """Returns whether claims are made at all entries, as both registrars of some may have ended.
 
-    Their holder itself is asked then, until it has made its claims at others.
+    This entry, which has forgotten what it knew, may be one of them. Their holder itself is asked
+    then, until it has made its claims at others.
     """
     is_starting = now < state.linking_until + RUN_EXPIRY_SECONDS
-    return is_starting and _count_refused(state) >= REGISTRARS
+    return is_starting and _count_refused(state) >= REGISTRARS - 1
 
 
 def _count_refused(state: EntryState) -> int:
--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -531,6 +531,14 @@
         f"{PLACEMENT}.claims.is_linking",
         lambda original: lambda *a: False,
     ),
+    "entries-that-are-not-up-ignored-at-the-start": (
+        f"{PLACEMENT}.claim_leases.count_unknown",
+        lambda original: lambda *a: 0,
+    ),
+    "not-all-entries-asked-at-the-start": (
+        f"{PLACEMENT}.claims.is_everyone_asked",
+        lambda original: lambda *a: False,
+    ),
     "waits-of-other-entries-callers-ignored": (
         f"{PLACEMENT}.claims._record_wait",
         lambda original: lambda *a: None,
@@ -598,9 +606,11 @@
             test_gateway,
             test_lapsed_claims,
             test_late_calls,
+            test_link_demand,
             test_load_patterns,
             test_paused_entries,
             test_placement,
+            test_starting_entries,
             test_subset,
             test_told_starts,
             test_unfinal_starts,
@@ -626,7 +636,9 @@
             test_claim_interleavings,
             test_claim_leases,
             test_lapsed_claims,
+            test_starting_entries,
             test_load_patterns,
+            test_link_demand,
             test_closed_zones,
             test_platform_floor,
         ]
--- a/tests/test_starting_entries.py
+++ b/tests/test_starting_entries.py
@@ -60,6 +60,26 @@
             world.kill_entry(entry, down_seconds=30.0)
         self.assertLess(self.measure_first_start(world, "e0"), LINKING_SECONDS + 0.2)
 
+    def play_loss_beside_the_entry_itself(self):
+        """The registrars were the entry that starts and another; the holder hears of no end."""
+        world = build_world(6)
+
+        def is_wanted(ranked):
+            return "e1" in ranked[:2] and "e0" not in ranked[:4]
+
+        request_id = find_request(world, "e0", is_wanted)
+        other = next(name for name in find_registrars(world, "e0", request_id) if name != "e1")
+        world.submit(request_id, "e0", tasks=1, seconds=TASK_SECONDS, cpu=200)
+        world.run(0.3)
+        world.kill_entry("e1", down_seconds=0.05, silent=True)
+        refuse_unseen(world, other)
+        world.schedule(0.06, world.send_request, request_id, "e1")
+        world.run(TASK_SECONDS + RESEND_DELAY_SECONDS + 3.0)
+        return world
+
+    def test_a_claim_at_the_entry_itself_and_one_that_isn_t_up_is_not_missed(self):
+        self.assertEqual(self.play_loss_beside_the_entry_itself().violations, [])
+
     def play_loss_of_registrars(self):
         """Both registrars of a request end unseen by its holder, while another entry starts.
 
@@ -87,6 +107,28 @@
         ):
             self.assertNotEqual(self.play_loss_of_registrars().violations, [])
 
+    def play_loss_of_holder_and_registrars(self):
+        """A request's holder and registrars end at once; one of them starts while its tasks run.
+
+        They run for 0.5 s more. Its caller has left unseen, and asks the entry that starts.
+        """
+        world = build_world(6)
+        request_id = find_request(world, "e0", lambda ranked: ranked[0] == "e1")
+        other = find_registrars(world, "e0", request_id)[1]
+        world.submit(request_id, "e0", tasks=1, seconds=TASK_SECONDS, cpu=200)
+        world.run(0.3)
+        for entry in {"e0", "e1", other}:
+            world.kill_entry(entry, down_seconds=0.2 if entry == "e1" else 30.0)
+        world.callers.clear()
+        world.schedule(0.21, world.send_request, request_id, "e1")
+        world.run(TASK_SECONDS + 3.0)
+        return world
+
+    def test_entries_that_aren_t_up_count_as_registrars_for_the_time_of_the_wait(self):
+        self.assertEqual(self.play_loss_of_holder_and_registrars().violations, [])
+        with mock.patch.object(claim_leases, "count_unknown", lambda state, now: 0):
+            self.assertNotEqual(self.play_loss_of_holder_and_registrars().violations, [])
+
     def test_a_registrar_that_becomes_complete_settles_claims_at_once(self):
         world = build_world(4)
         for number, entry in enumerate(sorted(world.entries)):
