--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -429,7 +429,7 @@
         lambda original: lambda *a: False,
     ),
     "bound-tasks-placed-anywhere": (
-        f"{PLACEMENT}.placement.may_place",
+        f"{PLACEMENT}.steps.may_place",
         lambda original: lambda *a: True,
     ),
     "late-starts-not-told": (
@@ -622,6 +622,7 @@
             test_cancelling,
             test_told_starts,
             test_subset,
+            test_closed_zones,
             test_gateway,
             test_containment,
             test_crash_ledger,
@@ -639,7 +640,6 @@
             test_starting_entries,
             test_load_patterns,
             test_link_demand,
-            test_closed_zones,
             test_platform_floor,
         ]
         suites = [loader.loadTestsFromModule(module) for module in modules]
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -5,6 +5,9 @@
 import socket
 import unittest
 
+from result import Err
+
+from comfreysill.address import parse_address
 from comfreysill.connection_guard import ConnectionGuard
 from comfreysill.connections.limits import ConnectionLimits, ProcessLimits, derive_process_limits
 from comfreysill.connections.reading import (
@@ -23,10 +26,16 @@
     find_dearest,
     find_overdue,
     find_surplus,
-    note_phase,
+    note_begin,
     remove_connection,
     set_held_bytes,
 )
+from comfreysill.exceptions import UsageError
+from comfreysill.execution.calls import RenewCall, ReplyStatus, RunnerLifetime
+from comfreysill.platform.bodies import MAX_ANSWER_BYTES
+from comfreysill.platform.runner import open_runner, send_renewal
+from comfreysill.platform.settings import decode_settings
+from comfreysill.platform.store import open_store, read_rows
 from comfreysill.servers import build_http, stop_http
 
 LIMITS = ConnectionLimits()
@@ -84,7 +93,7 @@
     def test_the_connection_closed_first_has_been_without_a_request_for_the_longest_time(self):
         waiting, oldest, newer, newest = self.add(unanswered=1), *(self.add() for _ in range(3))
         self.assertIs(find_surplus(self.table), oldest)
-        note_phase(self.table, oldest)
+        note_begin(self.table, oldest)
         self.assertIs(find_surplus(self.table), newer)
         enter_phase(newest.reading, Phase.DISCARDING)
         self.assertIs(find_surplus(self.table), newest)
@@ -122,6 +131,72 @@
         self.assertEqual(derive_process_limits(100).connections, 16)
 
 
+class TestSettings(unittest.TestCase):
+    def decode(self, **fields):
+        document = {
+            "node": "e",
+            "zone": "z",
+            "ip": "127.0.0.1",
+            "listen": {},
+            "port-range": [7720, 7735],
+            "platform": {"address": "127.0.0.1:1"},
+            "bounds": {"grace-s": 6},
+        }
+        return decode_settings(document | fields)
+
+    def test_limits_come_from_the_settings_and_have_defaults(self):
+        settings = self.decode()
+        self.assertEqual((settings.memory_bytes, settings.max_descriptors), (0, 0))
+        self.assertEqual(settings.connection_limits.head_bytes, LIMITS.head_bytes)
+        settings = self.decode(
+            **{"limits": {"memory-mb": 160, "max-fds": 1638, "cores": 1}},
+            **{"connection-limits": {"head-bytes": 100, "idle-seconds": 1.5}},
+        )
+        self.assertEqual((settings.memory_bytes, settings.max_descriptors), (160 << 20, 1638))
+        limits = settings.connection_limits
+        self.assertEqual((limits.head_bytes, limits.idle_seconds), (100, 1.5))
+        for odd in ({"head-bytes": 0}, {"head-bytes": "1"}, {"idle-seconds": -1}):
+            with self.assertRaises(UsageError):
+                self.decode(**{"connection-limits": odd})
+
+
+class TestAnswers(unittest.IsolatedAsyncioTestCase):
+    """What this process reads as a client of the store and of a runner."""
+
+    async def asyncSetUp(self):
+        self.sent = 0
+        server = await asyncio.start_server(self.answer_without_end, "127.0.0.1", 0)
+        self.addCleanup(server.close)
+        self.address = parse_address(f"127.0.0.1:{server.sockets[0].getsockname()[1]}")
+
+    async def answer_without_end(self, reader, writer):
+        with contextlib.suppress(ConnectionError):
+            writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+            while self.sent < 20 * MAX_ANSWER_BYTES:
+                writer.write(b"10000\r\n" + b"a" * 0x10000 + b"\r\n")
+                self.sent += 0x10000
+                await writer.drain()
+        writer.close()
+
+    # Guards against a store or a runner that fills the memory of a process.
+    async def test_an_answer_of_the_store_without_end_is_given_up(self):
+        store = open_store(self.address)
+        self.addAsyncCleanup(store.session.close)
+        self.assertIsInstance(await read_rows(store, "op"), Err)
+        self.assertLess(self.sent, 10 * MAX_ANSWER_BYTES)
+
+    async def test_an_answer_of_a_runner_without_end_is_given_up(self):
+        runner = open_runner(self.address)
+        self.addAsyncCleanup(runner.session.close)
+        lifetime = RunnerLifetime(runner_id="i", started_at_ms=1)
+        call = RenewCall(
+            lifetime=lifetime, token=1, lease_until_ms=0, ended_seen=0, wait_ms=2_000, sent_at=0.0
+        )
+        reply = await send_renewal(runner, call)
+        self.assertEqual(reply.status, ReplyStatus.UNANSWERED)
+        self.assertLess(self.sent, 10 * MAX_ANSWER_BYTES)
+
+
 class TestServer(unittest.IsolatedAsyncioTestCase):
     """A server with small limits whose application waits for a whole body, and then for `go`."""
 
@@ -260,6 +335,16 @@
         await asyncio.sleep(0.2)
         await self.stop()
 
+    async def test_a_request_that_waits_is_answered_while_the_server_stops(self):
+        self.go.clear()
+        answers = [asyncio.create_task(self.exchange(GET + part)) for part in (b"", b"GET /")]
+        await asyncio.sleep(0.2)
+        stopping = asyncio.create_task(stop_http(self.server, self.task))
+        await asyncio.sleep(1.3)
+        self.go.set()
+        self.assertEqual([(await answer)[:12] for answer in answers], [b"HTTP/1.1 200"] * 2)
+        await stopping
+
     async def test_the_connection_that_waits_longest_for_a_request_makes_room(self):
         idle = [await self.connect(b"") for _ in range(50)]
         await asyncio.sleep(0.2)
