Admission: early refusals by expected end, least shares of routes, returns by expected room

Callers saw: requests for which there was no room were held for their objective and up to three times as long, and refused then; a route of high priority could take all room; refused callers came back by a hash of their id, whatever room there was.

Cause: an entry knew nothing of the rate at which it gets room, so that it could tell only after the time had passed.

Change: while requests wait, an entry learns the cores that each route gets in a second. From these and its queue follows the wait of a new request; what can't be on time even after a cautious part of it, or is late while others wait, is refused at once. An unsure estimate refuses nothing, one request in 16 is let through as a sample, and the factor on the wait is learned by route. A route that gets less than a part of the mean share is placed like the highest priority. A target is kept for 0.1 s for a task that fits into no gap. Retry-After follows the rate.

With load 0.5 every answer comes at the same moment as before (tests.test_admission). Not played on real processes.

Tests: tests.test_admission 27 passed; tests.test_placement test_policy test_crashes test_confinement test_gateway test_claims test_caller_waits test_platform_decode test_settings 129 passed; tests.test_platform_floor 17 passed; tests.test_load_patterns 3 passed.

--- a/src/comfreysill/gateway/program.py
+++ b/src/comfreysill/gateway/program.py
@@ -31,6 +31,7 @@
 from comfreysill.membership import register_member
 from comfreysill.metrics import Metrics
 from comfreysill.metrics_app import build_metrics_app, build_observer
+from comfreysill.placement.admission import Admission
 from comfreysill.placement.state import EntryState
 from comfreysill.platform.ingress import EntryOperations, build_callers_app, build_readiness_app
 from comfreysill.platform.rejections import Rejections
@@ -118,6 +119,9 @@
         retry_seconds=settings.retry_seconds,
         observe=build_observer(metrics),
     )
+    state.admission = Admission(
+        refuses_early=settings.refuses_early, least_share=settings.least_share
+    )
     state.entries = list(dict.fromkeys((settings.advertised, *settings.entries)))
     return state
 
--- a/src/comfreysill/placement/placement.py
+++ b/src/comfreysill/placement/placement.py
@@ -3,6 +3,7 @@
 import math
 from collections.abc import Set
 
+from comfreysill.placement.admission import forget_forecasts
 from comfreysill.placement.bindings import is_bound, is_bound_to, may_place
 from comfreysill.placement.claims import confirm_claim
 from comfreysill.placement.confinement import (
@@ -13,6 +14,13 @@
     group_targets,
     update_room,
 )
+from comfreysill.placement.early_refusals import (
+    build_recorder,
+    finish_queue,
+    keep_room,
+    list_candidates,
+    prepare_queue,
+)
 from comfreysill.placement.isolation import place_suspects
 from comfreysill.placement.orders import Candidate, place_tasks
 from comfreysill.placement.queue import LATE, pop_request, push_request
@@ -43,8 +51,12 @@
         if not queue:
             continue
         candidates = [Candidate(agent=agent) for agent in _find_usable(state, service, now)]
-        if candidates:
-            _place_queue(state, queue, group_targets(state, service, candidates, now), now)
+        if not candidates:
+            continue
+        groups = group_targets(state, service, candidates, now)
+        prepare_queue(state, service, queue, now)
+        is_contended = _place_queue(state, queue, groups, now)
+        finish_queue(state, service, queue, groups, is_contended, now)
 
 
 def refuse_unmeetable(state: EntryState, now: float) -> None:
@@ -53,6 +65,7 @@
     See MAX_OBJECTIVE_FACTOR. Without a usable target the speed is unknown; only the time already
     elapsed counts then.
     """
+    forget_forecasts(state.admission, state.requests.keys())
     for service, queue in state.queues.items():
         if not queue:
             continue
@@ -95,10 +108,12 @@
     )
 
 
-def _place_queue(state: EntryState, queue: list, groups: TargetGroups, now: float) -> None:
+def _place_queue(state: EntryState, queue: list, groups: TargetGroups, now: float) -> bool:
+    """Places the requests of a queue; returns whether some that can be on time wait for room."""
     unplaced: list[Request] = []
     # Waiting for a certain target, they are passed over without ending the pass.
     passed_over: list[Request] = []
+    is_contended = False
     while len(unplaced) < MAX_UNPLACED_REQUESTS:
         item = pop_request(queue)
         if item is None:
@@ -119,6 +134,9 @@
             continue
         _place_request(state, request, group, queue_band, now)
         if _has_free_task(state, request, now):
+            if queue_band != LATE and not is_contended:
+                is_contended = True
+                keep_room(state, request, group.candidates, now)
             unplaced.append(request)
             if max(groups.confined.largest_room, groups.others.largest_room) <= 0:
                 break
@@ -126,6 +144,7 @@
             passed_over.append(request)
     for request in unplaced + passed_over:
         push_request(state, request, now)
+    return is_contended
 
 
 def _has_free_task(state: EntryState, request: Request, now: float) -> bool:
@@ -138,12 +157,16 @@
 def _place_request(
     state: EntryState, request: Request, group: TargetGroup, queue_band: int, now: float
 ) -> None:
+    record_placement = build_recorder(state, request, now)
     for step_number in _list_fitting_steps(request, group.largest_room):
-        _place_step(state, request, step_number, group.candidates, queue_band, now)
+        step = request.specification.steps[step_number]
+        candidates = list_candidates(state, request, step, group.candidates, now)
+        _place_step(state, request, step_number, candidates, queue_band, now)
         update_room(group)
     if any(request.suspects.values()):
         place_suspects(state, request, group.candidates, now)
         update_room(group)
+    record_placement()
 
 
 def _list_fitting_steps(request: Request, largest_room: int) -> list[int]:
--- a/src/comfreysill/placement/queue.py
+++ b/src/comfreysill/placement/queue.py
@@ -2,6 +2,7 @@
 
 import heapq
 
+from comfreysill.placement.admission import get_room, is_enabled, note_queued
 from comfreysill.placement.state import EntryState
 from comfreysill.request.request import Request, has_pending
 
@@ -20,18 +21,43 @@
     Requests that can still meet their objective come first, then those of higher priority, then
     those that are due earlier. Whether one can is judged when it is added, by the declared run
     times. A request that has begun precedes all others, so that the work already done for it is not
-    wasted.
+    wasted. For what admission changes see `_choose_priority`.
     """
     if request.queued or not has_pending(request):
         return
     request.queued = True
-    specification = request.specification
+    note_queued(state.admission, request, now)
+    state.enqueue_count += 1
+    queue = state.queues.setdefault(request.specification.service, [])
+    heapq.heappush(queue, (*_rank_request(state, request, now), state.enqueue_count, request))
+
+
+def _rank_request(state: EntryState, request: Request, now: float) -> tuple[int, int, float]:
     can_be_on_time = now + request.critical_path <= request.due_at
     band = ON_TIME if request.begun or can_be_on_time else LATE
-    priority = BEGUN_PRIORITY if request.begun else specification.priority
-    state.enqueue_count += 1
-    queue = state.queues.setdefault(specification.service, [])
-    heapq.heappush(queue, (band, priority, request.due_at, state.enqueue_count, request))
+    priority = BEGUN_PRIORITY if request.begun else _choose_priority(state, request)
+    return band, priority, request.due_at
+
+
+def _choose_priority(state: EntryState, request: Request) -> int:
+    """Returns the priority by which a request is placed.
+
+    Routes that get less than their least share of the room are placed like those of the highest
+    priority, until they get it.
+    """
+    specification = request.specification
+    if not is_enabled(state.admission):
+        return specification.priority
+    room = get_room(state.admission, specification.service)
+    return 0 if specification.route in room.short_routes else specification.priority
+
+
+def reorder_queue(
+    state: EntryState, queue: list[tuple[int, int, float, int, Request]], now: float
+) -> None:
+    """Orders a queue anew after the ranks of its requests may have changed."""
+    queue[:] = [(*_rank_request(state, item[4], now), item[3], item[4]) for item in queue]
+    heapq.heapify(queue)
 
 
 def rank_demand(state: EntryState) -> int:
--- a/src/comfreysill/placement/requests.py
+++ b/src/comfreysill/placement/requests.py
@@ -1,11 +1,11 @@
 """Life cycle of requests at their entry on the platform: acceptance, cancellation, verdict."""
 
 import math
-import zlib
 
 from comfreysill.claims.cancellations import is_cancelled, keep_cancellation
 from comfreysill.crashes.ledger import find_deadly_task, is_suspect
 from comfreysill.exchange.messages import Outcome
+from comfreysill.placement.admission import choose_return
 from comfreysill.placement.bindings import choose_refusal
 from comfreysill.placement.claims import (
     claim_request,
@@ -24,6 +24,7 @@
 from comfreysill.placement.effects import SendVerdict
 from comfreysill.placement.queue import push_request
 from comfreysill.placement.registrar import deliver_late_replies
+from comfreysill.placement.returns import spread_return
 from comfreysill.placement.state import CachedVerdict, EntryState, Waiter, count, note_event
 from comfreysill.request.request import (
     Request,
@@ -38,9 +39,6 @@
 
 # A final verdict is cached this long to answer repetitions of the request.
 VERDICT_CACHE_SECONDS = 10.0
-RETRY_AFTER_SECONDS = 1.0
-# Callers that are refused at the same moment are told to come back at different seconds.
-RETRY_SPREAD_SECONDS = 3
 
 
 def submit_request(
@@ -129,7 +127,7 @@
             caller=caller,
             verdict=choose_refusal(state, specification.request_id, now),
             detail="it was read too late",
-            retry_at=_choose_retry_time(specification.request_id, now),
+            retry_at=spread_return(specification.request_id, now),
         )
     )
 
@@ -281,7 +279,7 @@
     )
     retry_at = 0.0
     if verdict not in FINAL_VERDICTS:
-        retry_at = _choose_retry_time(request_id, now)
+        retry_at = choose_return(state.admission, request, now)
     for caller in request.callers:
         state.callers.pop(caller, None)
         state.effects.append(
@@ -294,15 +292,6 @@
     _release_request(state, request, now)
 
 
-def _choose_retry_time(request_id: str, now: float) -> float:
-    """Returns the boot-clock time in seconds from which a caller may repeat a request.
-
-    Its distance from now differs between requests and is the same for each try of one.
-    """
-    spread_seconds = zlib.crc32(request_id.encode()) % RETRY_SPREAD_SECONDS
-    return now + RETRY_AFTER_SECONDS + spread_seconds
-
-
 def _release_request(state: EntryState, request: Request, now: float) -> None:
     """Removes an ended request once none of its tasks is placed; answers or submits its waiters."""
     if request.verdict is None or request.placed:
--- a/src/comfreysill/placement/state.py
+++ b/src/comfreysill/placement/state.py
@@ -8,6 +8,7 @@
 from comfreysill.claims.claim import ClaimRegistry
 from comfreysill.crashes.ledger import CrashLedger
 from comfreysill.exchange.messages import Batch, Load, Profile
+from comfreysill.placement.admission import Admission
 from comfreysill.placement.effects import Effect
 from comfreysill.placement.peers import OwnCancellation, OwnClaim, Peer, RemoteEnd
 from comfreysill.request.request import Request, Task
@@ -266,6 +267,7 @@
         crashes: Crashes of runners that the entry knows of.
         bindings: Bindings of tasks to targets, by the task's name; see `bindings`.
         demand: Demand of routes, by route.
+        admission: What it has learned of the room of services and routes.
         waiters: Callers waiting for the tasks of an ended request to end, by request id.
         callers: Request ids by number of the caller, for each caller not answered yet.
         deadlines: Heap of (time, deadline count, request); see `deadlines`.
@@ -312,6 +314,7 @@
         "crashes",
         "bindings",
         "demand",
+        "admission",
         "waiters",
         "callers",
         "deadlines",
@@ -366,6 +369,7 @@
         self.crashes = CrashLedger()
         self.bindings: dict[str, list[Binding]] = {}
         self.demand: dict[str, RouteDemand] = {}
+        self.admission = Admission()
         self.waiters: dict[str, list[Waiter]] = {}
         self.callers: dict[int, str] = {}
         self.deadlines: list[tuple[float, int, Request]] = []
--- a/src/comfreysill/platform/settings.py
+++ b/src/comfreysill/platform/settings.py
@@ -31,6 +31,11 @@
     },
     total=False,
 )
+AdmissionDocument = TypedDict(
+    "AdmissionDocument",
+    {"early-refusal": bool, "least-share": Annotated[float, Meta(ge=0, le=1)]},
+    total=False,
+)
 StoreDocument = TypedDict("StoreDocument", {"address": Required[Name]}, total=False)
 SettingsDocument = TypedDict(
     "SettingsDocument",
@@ -45,6 +50,8 @@
         "service": OptionalName | None,
         "platform": Required[StoreDocument],
         "bounds": Required[BoundsDocument],
+        # Not a field of the platform: the template adds it.
+        "admission": AdmissionDocument,
         # Not a field of the platform: set if a proxy is in front of the link port, as in the soak
         # test.
         "advertised": OptionalName,
@@ -73,6 +80,8 @@
         grace_seconds: Time between the termination signal and the kill.
         remote_factor: Factor on the run time of a task outside the rack of its data.
         retry_seconds: Time from the end of a caller's wait until it sends its request again.
+        refuses_early: Whether an entry refuses requests by their expected end.
+        least_share: Part of the mean share of the room that each route gets at least, 0 to 1.
     """
 
     __slots__ = (
@@ -91,6 +100,8 @@
         "grace_seconds",
         "remote_factor",
         "retry_seconds",
+        "refuses_early",
+        "least_share",
     )
 
     def __init__(
@@ -111,6 +122,8 @@
         grace_seconds: float,
         remote_factor: float,
         retry_seconds: float,
+        refuses_early: bool,
+        least_share: float,
     ) -> None:
         self.name = name
         self.zone = zone
@@ -127,6 +140,8 @@
         self.grace_seconds = grace_seconds
         self.remote_factor = remote_factor
         self.retry_seconds = retry_seconds
+        self.refuses_early = refuses_early
+        self.least_share = least_share
 
 
 def read_instance_settings() -> InstanceSettings:
@@ -155,6 +170,7 @@
     listen = document["listen"]
     ip = document["ip"]
     first_port, last_port = document["port-range"]
+    admission = document.get("admission", {})
     # Every instance uses the first port of the range for links, so the port of a seed is replaced.
     seeds = [seed.rpartition(":")[0] for seed in document.get("seeds") or ()]
     return InstanceSettings(
@@ -173,6 +189,8 @@
         grace_seconds=document["bounds"]["grace-s"],
         remote_factor=document["bounds"].get("remote-factor", DEFAULT_REMOTE_FACTOR),
         retry_seconds=document["bounds"].get("retransmit-ms", DEFAULT_RETRY_MS) / 1000,
+        refuses_early=admission.get("early-refusal", False),
+        least_share=admission.get("least-share", 0.0),
     )
 
 
--- a/src/comfreysill/platform/settings_file.py
+++ b/src/comfreysill/platform/settings_file.py
@@ -1,7 +1,8 @@
 """Reads the settings file of an instance, and finds in it the addresses to listen on.
 
 This module is imported before the ports are open, so it imports little; `settings` checks the rest.
-The platform writes YAML, or JSON where the deploy file names a template.
+The platform writes YAML, or JSON where the deploy file names a template. The template of this
+project puts what the platform writes under INSTANCE_KEY, beside settings of its own.
 """
 
 import json
@@ -13,6 +14,7 @@
 from comfreysill.exceptions import UsageError
 
 SETTINGS_VARIABLE = "COMFREYSILL_SETTINGS"
+INSTANCE_KEY = "instance"
 HINT = "expected the settings file that the platform writes for the instance"
 # Names of the listening address for HTTP, by role.
 HTTP_ADDRESS_NAMES = {"entry": "front", "agent": "control"}
@@ -29,11 +31,18 @@
         raise UsageError(message=f"the environment variable {SETTINGS_VARIABLE} is not set")
     try:
         text = pathlib.Path(path).read_text()
-        return json.loads(text) if text.startswith("{") else _parse_yaml(text)
+        return _merge(json.loads(text) if text.startswith("{") else _parse_yaml(text))
     except (OSError, ValueError, RecursionError) as error:
         raise build_settings_error(error) from error
 
 
+def _merge(document: Any) -> Any:
+    """Returns the fields under INSTANCE_KEY and those beside it in one document."""
+    if not isinstance(document, dict) or not isinstance(document.get(INSTANCE_KEY), dict):
+        return document
+    return {**document[INSTANCE_KEY], **document}
+
+
 def build_settings_error(error: Exception) -> UsageError:
     """Builds the error for a settings file that can't be used."""
     path = os.environ.get(SETTINGS_VARIABLE, "")
