Admission: requests that wait for certain targets don't count as a lack of room

Callers would have seen: requests refused early although targets were free, where a route's tasks need a label or a faster target than those that are free.

Cause: each request that could be on time and wasn't placed counted as waiting for room.

Change: not while over a fifth of the capacity of the targets is free, as for late requests.

tests.test_admission: test_requests_that_wait_for_certain_targets_do_not_wait_for_room fails without the condition (run), passes with it.

--- a/src/comfreysill/placement/placement.py
+++ b/src/comfreysill/placement/placement.py
@@ -56,6 +56,8 @@
         groups = group_targets(state, service, candidates, now)
         prepare_queue(state, service, queue, now)
         is_contended = _place_queue(state, queue, groups, now)
+        # With much room free, requests wait for certain targets.
+        is_contended = is_contended and not _has_spare_capacity(groups.others.candidates)
         finish_queue(state, service, queue, groups, is_contended, now)
 
 
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -8,7 +8,7 @@
 import unittest
 from unittest import mock
 
-from comfreysill.exchange.messages import Load
+from comfreysill.exchange.messages import Load, Profile
 from comfreysill.placement.admission import (
     JUDGE_INTERVAL_SECONDS,
     LET_THROUGH_INTERVAL,
@@ -24,8 +24,11 @@
     note_placed,
     note_queued,
 )
+from comfreysill.placement.agents import begin_session, discover_agent
 from comfreysill.placement.orders import Candidate
+from comfreysill.placement.placement import place_waiting
 from comfreysill.placement.queue import pop_request, push_request
+from comfreysill.placement.requests import submit_request
 from comfreysill.placement.reservations import (
     RESERVATION_SECONDS,
     reserve_for_head,
@@ -57,6 +60,7 @@
 from comfreysill.request.request import Request, place_task
 from comfreysill.request.types import Specification, Step
 from standins.admission import SCENARIOS, Play, is_on_time, measure_share, measure_value
+from tests.waits import build_wait
 
 TEMPLATE = pathlib.Path(__file__).parent.parent / "deploy" / "settings.json.template"
 INSTANCE = {
@@ -227,6 +231,36 @@
         self.assertEqual(room.wait_factor, MIN_WAIT_FACTOR)
 
 
+class TestContention(unittest.TestCase):
+    def setUp(self):
+        self.now = 100.0
+        self.state = EntryState(name="e@1", zone="z", unix_offset=0.0)
+        self.state.admission = Admission(refuses_early=True, least_share=0.5)
+        discover_agent(self.state, "a", "a:1")
+        begin_session(self.state, "a", self.now)
+
+    def is_contended(self, cpu, cpu_of_task=1000):
+        """Returns whether a request waits for room after one pass over its queue."""
+        agent = self.state.agents["a"]
+        agent.handshake_done, agent.next_seconds, agent.last_frame_at = True, 1.0, self.now
+        agent.profile = Profile(service="s", zone="z", cpu=8000, memory_mb=9, gpus=0, labels=())
+        agent.load = Load(accepting=True, cpu=cpu, memory_mb=9, gpus=0, slowness=1.0)
+        specification = build_request("r", cpu=cpu_of_task).specification
+        submit_request(self.state, 1, specification, self.now, build_wait(self.now))
+        place_waiting(self.state, self.now)
+        return get_room(self.state.admission, "s").is_contended
+
+    def test_requests_wait_for_room(self):
+        self.assertTrue(self.is_contended(cpu=500))
+
+    def test_requests_that_wait_for_certain_targets_do_not_wait_for_room(self):
+        """Requests were refused although targets were free."""
+        self.assertFalse(self.is_contended(cpu=8000, cpu_of_task=9000))
+
+    def test_what_is_placed_does_not_wait(self):
+        self.assertFalse(self.is_contended(cpu=8000))
+
+
 class TestShares(unittest.TestCase):
     def setUp(self):
         self.state = EntryState(name="e@1", zone="z", unix_offset=0.0)
