Admission: table of the ways and of the plays, gauges, cheaper judging, mutations

tests/mutations.py: retries-not-spread names the module in which the constant stands now. Four mutations of admission are new: long-waits-allowed and nothing-let-through were caught by python -m tests.mutations; rare-routes-judged wasn't, as the test didn't get past another condition; it is mended, and it and shares-not-kept fail test_admission with the same replacement; tests.mutations was not run again for them.

tests.test_admission and tests.test_placement: 60 passed, 0 failed.

--- a/src/comfreysill/gateway/program.py
+++ b/src/comfreysill/gateway/program.py
@@ -229,6 +229,10 @@
         "routes_version": state.routes.version,
         "crashes_known": len(state.crashes.crash_ids),
         "routes_confined": len(state.crashes.confined_until),
+        "routes_short_of_room": sum(
+            len(room.short_routes) for room in state.admission.rooms.values()
+        ),
+        "services_short_of_room": sum(room.is_contended for room in state.admission.rooms.values()),
         "store_calls": store.calls,
     }
 
--- a/src/comfreysill/placement/admission.py
+++ b/src/comfreysill/placement/admission.py
@@ -216,14 +216,14 @@
     them out. For one that was admitted the shortest wait is expected.
     """
     room.judged_at = now
-    queued = _sum_by_route(waiting)
+    needs = [_count_cores(request) for request in waiting]
+    queued = _sum_by_route(waiting, needs)
     ahead = dict.fromkeys(queued, 0.0)
     rates = {route: measure_rate(room, route, now) for route in queued}
     has_spare = has_spare_room(room, now)
     useless = []
-    for request in waiting:
+    for request, cores in zip(waiting, needs, strict=True):
         route = request.specification.route
-        cores = count_pending(request)[0]
         ahead[route] += cores
         if request.begun or not rates[route]:
             continue
@@ -259,12 +259,18 @@
     )
 
 
-def _sum_by_route(waiting: list[Request]) -> dict[str, float]:
+def _count_cores(request: Request) -> float:
+    """Returns the cores of the tasks that may be placed on any target."""
+    steps = request.specification.steps
+    return sum(len(tasks) * steps[number].cpu for number, tasks in request.pending.items()) / 1000
+
+
+def _sum_by_route(waiting: list[Request], needs: list[float]) -> dict[str, float]:
     """Returns the cores that the waiting requests of each route ask for."""
     queued: dict[str, float] = {}
-    for request in waiting:
+    for request, cores in zip(waiting, needs, strict=True):
         route = request.specification.route
-        queued[route] = queued.get(route, 0.0) + count_pending(request)[0]
+        queued[route] = queued.get(route, 0.0) + cores
     return queued
 
 
--- a/standins/admission_ways.py
+++ b/standins/admission_ways.py
@@ -27,7 +27,7 @@
 RESERVED_SHARE = 0.2
 MAX_OBJECTIVE_FACTOR = 3.0
 # CoDel: sojourn, as a part of the objective, that may be exceeded for so long.
-SOJOURN_PART, SOJOURN_SECONDS = 0.25, 0.1
+SOJOURN_PART, SOJOURN_SECONDS = 0.2, 0.1
 SHARE_SECONDS, RATE_SECONDS = 5.0, 1.0
 LEAST_SHARE = 0.5
 WAIT_FACTOR = 0.5
@@ -123,7 +123,8 @@
     Way(name="the same, sojourn time (CoDel)", sojourn=True),
     Way(name="the same, shares", share=LEAST_SHARE),
     Way(name="the same, expected end", expects=True),
-    Way(name="the same, shares and expected end", share=LEAST_SHARE, expects=True),
+    Way(name="the same, shares and sojourn time", share=LEAST_SHARE, sojourn=True),
+    Way(name="the same, all three", share=LEAST_SHARE, sojourn=True, expects=True),
 )
 
 
--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -315,7 +315,14 @@
         lambda original: forget_departure(original),
     ),
     "capacity-not-reserved": (f"{PLACEMENT}.placement.RESERVED_CAPACITY_SHARE", lambda o: -1.0),
-    "retries-not-spread": (f"{PLACEMENT}.requests.RETRY_SPREAD_SECONDS", lambda original: 1),
+    "retries-not-spread": (f"{PLACEMENT}.returns.RETRY_SPREAD_SECONDS", lambda original: 1),
+    "long-waits-allowed": (f"{PLACEMENT}.admission.MAX_WAIT_PART", lambda original: 100.0),
+    "nothing-let-through": (f"{PLACEMENT}.admission.LET_THROUGH_INTERVAL", lambda o: 10**9),
+    "rare-routes-judged": (f"{PLACEMENT}.room.MIN_STARTS", lambda original: 0.0),
+    "shares-not-kept": (
+        f"{PLACEMENT}.admission.find_short_routes",
+        lambda original: lambda room, least_share, now: frozenset(),
+    ),
     "second-hand-members-believed": (
         "comfreysill.gateway.actor.is_unknown",
         lambda original: lambda state, name, address: True,
@@ -563,6 +570,7 @@
     loader = unittest.defaultTestLoader
     if name in PLATFORM_MUTATIONS:
         from tests import (
+            test_admission,
             test_caller_waits,
             test_cancelling,
             test_claim_interleavings,
@@ -586,6 +594,7 @@
         )
 
         modules = [
+            test_admission,
             test_execution,
             test_placement,
             test_cancelling,
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -140,7 +140,10 @@
         self.assertFalse(is_judging_due(self.admission, self.room, self.now + 5.0))
 
     def test_few_starts_refuse_nothing(self):
-        self.contend(1.0, 2)
+        self.contend(0.1, 2)
+        for _ in range(20):
+            self.now += 0.05
+            begin_pass(self.admission, self.room, self.now)
         self.assertEqual(self.find_useless(self.queue_many(200)), [])
 
     def test_rate_at_which_room_comes(self):
