--- a/src/comfreysill/gateway/program.py
+++ b/src/comfreysill/gateway/program.py
@@ -32,6 +32,7 @@
 from comfreysill.membership import register_member
 from comfreysill.metrics import Metrics
 from comfreysill.metrics_app import build_metrics_app, build_observer
+from comfreysill.placement.admission import Admission
 from comfreysill.placement.link_need import count_needed_links
 from comfreysill.placement.state import EntryState
 from comfreysill.platform.guard import build_platform_guard
@@ -126,6 +127,9 @@
         max_link_share=settings.max_link_share,
         observe=build_observer(metrics),
     )
+    state.admission = Admission(
+        refuses_early=settings.refuses_early, least_share=settings.least_share
+    )
     state.entries = list(dict.fromkeys((settings.advertised, *settings.entries)))
     return state
 
@@ -245,6 +249,10 @@
         "closed_zones": len(list_closed(state.closures)),
         "crashes_known": len(state.crashes.crash_ids),
         "routes_confined": len(state.crashes.confined_until),
+        "routes_short_of_room": sum(
+            len(room.short_routes) for room in state.admission.rooms.values()
+        ),
+        "services_short_of_room": sum(room.is_contended for room in state.admission.rooms.values()),
         "store_calls": store.calls,
     }
 
--- a/src/comfreysill/platform/settings.py
+++ b/src/comfreysill/platform/settings.py
@@ -56,6 +56,11 @@
     },
     total=False,
 )
+AdmissionDocument = TypedDict(
+    "AdmissionDocument",
+    {"early-refusal": bool, "least-share": Annotated[float, Meta(ge=0, le=1)]},
+    total=False,
+)
 StoreDocument = TypedDict("StoreDocument", {"address": Required[Name]}, total=False)
 SettingsDocument = TypedDict(
     "SettingsDocument",
@@ -72,6 +77,8 @@
         "bounds": Required[BoundsDocument],
         "limits": ProcessLimitsDocument | None,
         "connection-limits": ConnectionsDocument,
+        # Not a field of the platform: the template adds it.
+        "admission": AdmissionDocument,
         # Not a field of the platform: set if a proxy is in front of the link port, as in the soak
         # test.
         "advertised": OptionalName,
@@ -107,6 +114,8 @@
         memory_bytes: Maximum memory of the process, 0 if it isn't known.
         max_descriptors: Maximum number of its open descriptors, 0 if it isn't known.
         connection_limits: Limits of each connection of a client.
+        refuses_early: Whether an entry refuses requests by their expected end.
+        least_share: Part of the mean share of the room that each route gets at least, 0 to 1.
     """
 
     __slots__ = (
@@ -129,6 +138,8 @@
         "memory_bytes",
         "max_descriptors",
         "connection_limits",
+        "refuses_early",
+        "least_share",
     )
 
     def __init__(
@@ -153,6 +164,8 @@
         memory_bytes: int = 0,
         max_descriptors: int = 0,
         connection_limits: ConnectionLimits | None = None,
+        refuses_early: bool,
+        least_share: float,
     ) -> None:
         self.name = name
         self.zone = zone
@@ -173,6 +186,8 @@
         self.memory_bytes = memory_bytes
         self.max_descriptors = max_descriptors
         self.connection_limits = connection_limits or _build_connection_limits({})
+        self.refuses_early = refuses_early
+        self.least_share = least_share
 
 
 def read_instance_settings() -> InstanceSettings:
@@ -202,6 +217,7 @@
     ip = document["ip"]
     first_port, last_port = document["port-range"]
     limits = document.get("limits") or {}
+    admission = document.get("admission", {})
     # Every instance uses the first port of the range for links, so the port of a seed is replaced.
     seeds = [seed.rpartition(":")[0] for seed in document.get("seeds") or ()]
     return InstanceSettings(
@@ -224,6 +240,8 @@
         memory_bytes=int((limits.get("memory-mb") or 0) * (1 << 20)),
         max_descriptors=int(limits.get("max-fds") or 0),
         connection_limits=_build_connection_limits(document.get("connection-limits", {})),
+        refuses_early=admission.get("early-refusal", False),
+        least_share=admission.get("least-share", 0.0),
     )
 
 
