Tell operators where the tasks of a request would go, without sending it

An operator could learn only from logs, and only afterwards, why tasks went where they did or why a request waits.

`comfreysill where` asks an entry at its metrics address (`/where`). The state task answers a typed message from its state: candidates in the order of placement with run time, room, zone and age of the load, how many tasks go there, why other agents are excluded, and whether the request is refused now. It uses the functions of placement itself, made public for it; placement is unchanged. Questions are bounded in size and rate (4 a second, then 429).

Not played through: claims, requests queued before, later waits for a near place, isolated tasks. Loads don't tell draining from suspended targets.

--- a/src/comfreysill/cli/client.py
+++ b/src/comfreysill/cli/client.py
@@ -6,7 +6,7 @@
 import aiohttp
 import orjson
 
-from comfreysill.exceptions import UnreachableError
+from comfreysill.exceptions import RefusedError, UnreachableError
 
 KEY_VARIABLE = "COMFREYSILL_KEY"
 JOB_PATH = "/v1/teams/{team}/jobs/{job_id}"
@@ -61,3 +61,16 @@
     """Sends one request over a new connection."""
     async with aiohttp.ClientSession() as session:
         return await send_request(session, entry, method, path, document)
+
+
+def check_reply(reply: Reply) -> Any:
+    """Returns the document of a successful reply.
+
+    Raises:
+        RefusedError: The status of the reply is 400 or higher.
+    """
+    if reply.status < 400:
+        return reply.document
+    problem = reply.document if isinstance(reply.document, dict) else {}
+    detail = problem.get("detail") or problem.get("description") or problem.get("title", "")
+    raise RefusedError(message=f"the entry responded with status {reply.status}: {detail}")
--- a/src/comfreysill/cli/main.py
+++ b/src/comfreysill/cli/main.py
@@ -7,15 +7,15 @@
 from typing import Annotated, Any
 
 import cappa
-import orjson
 from rich.progress import Progress
 
 from comfreysill import keys
 from comfreysill.cli import floors
 from comfreysill.cli.batch import JobReport, read_jobs, submit_jobs
-from comfreysill.cli.client import JOB_PATH, Reply, request_once
+from comfreysill.cli.client import JOB_PATH, check_reply, request_once
 from comfreysill.cli.explain import describe_record, describe_trace, explain_request
-from comfreysill.cli.tables import print_table, summarize_classes
+from comfreysill.cli.tables import print_json, print_table, summarize_classes
+from comfreysill.cli.where import ask, build_question, print_answer
 from comfreysill.exceptions import ComfreysillError, RefusedError
 from comfreysill.request_trace.holdings import describe_holding
 
@@ -254,6 +254,38 @@
             print(f"entry: {describe_holding(holding, trace.related[0].time)}")
         print(f"cause: {trace.cause}")
 
+    @cappa.command(name="where")
+    def where(
+        self,
+        entry: Annotated[str, cappa.Arg(long="--entry", help="Metrics address of an entry.")],
+        file: Annotated[
+            pathlib.Path | None, cappa.Arg(long="--file", help="Body of a submission in JSON.")
+        ] = None,
+        route: Annotated[str | None, cappa.Arg(long="--route", help="Name of the route.")] = None,
+        job: Annotated[str | None, cappa.Arg(long="--job", help="ID of an open request.")] = None,
+        cpu: Annotated[
+            int | None, cappa.Arg(long="--cpu", help="Thousandths of a core per task.")
+        ] = None,
+        memory_mb: Annotated[
+            int | None, cappa.Arg(long="--memory-mb", help="Megabytes per task.")
+        ] = None,
+        estimate: Annotated[
+            float | None, cappa.Arg(long="--estimate", help="Run time of a task in seconds.")
+        ] = None,
+        count: Annotated[int | None, cappa.Arg(long="--count", help="Number of tasks.")] = None,
+        rack: Annotated[str | None, cappa.Arg(long="--rack", help="Rack of the data.")] = None,
+        label: Annotated[str | None, cappa.Arg(long="--label", help="Label of the target.")] = None,
+        json: JsonOption = False,
+    ) -> None:
+        """Tell where the tasks of a request would go now, without sending it."""
+        step = {"cpu": cpu, "memory-mb": memory_mb, "estimate": estimate, "count": count}
+        step |= {"rack": rack, "label": label}
+        answer = ask(entry, build_question(job=job, file=file, route=route, step=step))
+        if json:
+            print_json(answer)
+        else:
+            print_answer(answer)
+
     @cappa.command(name="status")
     def status(self, entry: EntryOption) -> None:
         """Show the state of an entry."""
@@ -321,24 +353,6 @@
         print(f"version {accepted['version']} is accepted")
 
 
-def print_json(document: Any) -> None:
-    """Prints a document as JSON."""
-    print(orjson.dumps(document, option=orjson.OPT_INDENT_2).decode())
-
-
-def check_reply(reply: Reply) -> Any:
-    """Returns the document of a successful reply.
-
-    Raises:
-        RefusedError: The status of the reply is 400 or higher.
-    """
-    if reply.status < 400:
-        return reply.document
-    problem = reply.document if isinstance(reply.document, dict) else {}
-    detail = problem.get("detail") or problem.get("description") or problem.get("title", "")
-    raise RefusedError(message=f"the entry responded with status {reply.status}: {detail}")
-
-
 async def _count_slots(entry: str) -> int:
     status = check_reply(await request_once(entry, "GET", "/v1/status"))
     return sum(target["slots"] for target in status["targets"])
--- a/src/comfreysill/cli/tables.py
+++ b/src/comfreysill/cli/tables.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterable
 from typing import Any
 
+import orjson
 from rich.console import Console
 from rich.table import Table
 
@@ -20,6 +21,11 @@
     Console().print(table)
 
 
+def print_json(document: Any) -> None:
+    """Prints a document as JSON."""
+    print(orjson.dumps(document, option=orjson.OPT_INDENT_2).decode())
+
+
 def summarize_classes(reports: list[JobReport], slots: int) -> list[dict[str, Any]]:
     """Returns the slowdown of jobs by class, relative to the ideal response time.
 
--- a/src/comfreysill/gateway/actor.py
+++ b/src/comfreysill/gateway/actor.py
@@ -22,6 +22,7 @@
     CrashesRead,
     EntriesDiscovered,
     EntryStateMessage,
+    Locate,
     MemberRemoved,
     MembersDiscovered,
     PeerRefused,
@@ -36,6 +37,7 @@
     ZonesRead,
 )
 from comfreysill.gateway.registrar import ClaimantSession
+from comfreysill.gateway.where import contain_locate, receive_locate
 from comfreysill.mailbox import Mailbox
 from comfreysill.placement.agents import (
     begin_session,
@@ -370,6 +372,7 @@
     Submit: _receive_submit,
     CallerDisconnected: _receive_disconnect,
     Cancel: _receive_cancel,
+    Locate: receive_locate,
     SessionOpened: _receive_session_opened,
     SessionClosed: _receive_session_closed,
     AgentFrameReceived: _receive_frame,
@@ -425,6 +428,7 @@
 CONTAINMENT: dict[type, Callable[[Actor, EntryStateMessage, float], None]] = {
     Submit: _contain_submit,
     Cancel: _contain_cancel,
+    Locate: contain_locate,
     AgentFrameReceived: _contain_frame,
     ClaimRepliesReceived: _contain_replies,
     ClaimsReceived: _contain_claims,
--- a/src/comfreysill/gateway/messages.py
+++ b/src/comfreysill/gateway/messages.py
@@ -1,9 +1,12 @@
 """Messages to the state task of an entry on the platform, and its replies to callers."""
 
+import asyncio
+
 from comfreysill.crashes.report import CrashReport
 from comfreysill.exchange.claims import ClaimRepliesFrame, ClaimsFrame
 from comfreysill.exchange.messages import AgentFrame, Member
 from comfreysill.mailbox import Mailbox
+from comfreysill.placement.whereabouts import Whereabouts
 from comfreysill.request.types import CallerWait, CancelOutcome, Specification, Verdict
 from comfreysill.routes.table import RouteTable
 from comfreysill.zones.closures import ZoneReading
@@ -79,6 +82,21 @@
         self.request_id = request_id
 
 
+class Locate:
+    """An operator asks where the tasks of a request would go.
+
+    Attributes:
+        target: The request, or the id of an open one.
+        future: Future of the answer.
+    """
+
+    __slots__ = ("target", "future")
+
+    def __init__(self, *, target: Specification | str, future: asyncio.Future[Whereabouts]) -> None:
+        self.target = target
+        self.future = future
+
+
 class SessionOpened:
     """A session of the link to an agent at an address was opened; the state task numbers it."""
 
@@ -258,6 +276,7 @@
     Submit
     | CallerDisconnected
     | Cancel
+    | Locate
     | SessionOpened
     | SessionClosed
     | AgentFrameReceived
--- a/src/comfreysill/gateway/program.py
+++ b/src/comfreysill/gateway/program.py
@@ -28,6 +28,8 @@
 from comfreysill.gateway.messages import ConcludeRequests, EntriesDiscovered, Tick
 from comfreysill.gateway.registrar import RegistrarService
 from comfreysill.gateway.roster import RosterService, fetch_routes
+from comfreysill.gateway.where import locate
+from comfreysill.gateway.where_app import RateLimit, build_where_app
 from comfreysill.listeners import Listeners
 from comfreysill.membership import register_member
 from comfreysill.metrics import Metrics
@@ -159,10 +161,17 @@
         lambda: _collect_counters(actor, store, guard),
         lambda: _collect_gauges(actor, store, guard),
     )
+    operator_app = build_where_app(
+        metrics_app,
+        lambda: actor.state.routes,
+        lambda target: locate(actor.inbox, target),
+        RateLimit(),
+        read_boot_clock,
+    )
     readiness_app = build_readiness_app(lambda: is_ready(actor, listening=callers_server.started))
     servers = [
         build_http(readiness_app, settings.readiness, guard=guard),
-        build_http(metrics_app, settings.metrics, guard=guard),
+        build_http(operator_app, settings.metrics, guard=guard),
     ]
     if settings.reports is not None:
         # Runners report to the agent beside them; one without an agent can't be used.
--- a/src/comfreysill/placement/closed_services.py
+++ b/src/comfreysill/placement/closed_services.py
@@ -18,7 +18,7 @@
     if not state.closures.statuses:
         return
     for service, queue in state.queues.items():
-        zones = _list_zones_if_closed(state, service, now) if queue else []
+        zones = list_zones_if_closed(state, service, now) if queue else []
         if not zones:
             continue
         reason = "all zones with targets of the service are closed: " + ", ".join(
@@ -38,7 +38,7 @@
     return is_confirmed and request.verdict is None and not request.begun
 
 
-def _list_zones_if_closed(state: EntryState, service: str, now: float) -> list[str]:
+def list_zones_if_closed(state: EntryState, service: str, now: float) -> list[str]:
     """Returns the zones of the targets of a service if all are closed, otherwise none."""
     agents = [
         agent
--- a/src/comfreysill/placement/placement.py
+++ b/src/comfreysill/placement/placement.py
@@ -40,7 +40,7 @@
     for service, queue in state.queues.items():
         if not queue:
             continue
-        candidates = [Candidate(agent=agent) for agent in _find_usable(state, service, now)]
+        candidates = [Candidate(agent=agent) for agent in find_usable(state, service, now)]
         if candidates:
             _place_queue(state, queue, group_targets(state, service, candidates, now), now)
 
@@ -54,19 +54,19 @@
     for service, queue in state.queues.items():
         if not queue:
             continue
-        slownesses = [agent.load.slowness for agent in _find_usable(state, service, now)]
+        slownesses = [agent.load.slowness for agent in find_usable(state, service, now)]
         lowest_slowness = min(slownesses, default=0.0)
-        reason = UNMEETABLE_REASON if slownesses else _describe_missing_targets(state, service)
+        reason = UNMEETABLE_REASON if slownesses else describe_missing_targets(state, service)
         for item in list(queue):
             # Items are described at `EntryState.queues`; the last field is the request.
             request = item[4]
             is_waiting = request.verdict is None and not request.begun
-            if is_waiting and _is_unmeetable(request, lowest_slowness, now):
+            if is_waiting and is_unmeetable(request, lowest_slowness, now):
                 detail = describe_confinement(state, request, now) or reason
                 refuse_request(state, request, detail, now)
 
 
-def _describe_missing_targets(state: EntryState, service: str) -> str:
+def describe_missing_targets(state: EntryState, service: str) -> str:
     """Returns why there is no usable target of a service."""
     agents = [agent for agent in state.agents.values() if agent.service in ("", service)]
     if not agents:
@@ -75,7 +75,8 @@
     return f"no target is usable: {len(agents)} known, {connected} linked"
 
 
-def _find_usable(state: EntryState, service: str, now: float) -> list[Agent]:
+def find_usable(state: EntryState, service: str, now: float) -> list[Agent]:
+    """Returns the agents on whose targets tasks for a service may be placed."""
     return [
         agent
         for agent in state.agents.values()
@@ -107,11 +108,11 @@
         if not confirm_claim(state, request, now):
             continue
         group = get_group(groups, request)
-        if not request.begun and _is_unmeetable(request, group.lowest_slowness, now):
+        if not request.begun and is_unmeetable(request, group.lowest_slowness, now):
             reason = describe_confinement(state, request, now) or UNMEETABLE_REASON
             refuse_request(state, request, reason, now)
             continue
-        if queue_band == LATE and not _has_spare_capacity(group.candidates):
+        if queue_band == LATE and not has_spare_capacity(group.candidates):
             unplaced.append(request)
             # All that follow in the queue are late as well.
             if not groups.confined_routes:
@@ -160,14 +161,14 @@
     ]
 
 
-def _has_spare_capacity(candidates: list[Candidate]) -> bool:
+def has_spare_capacity(candidates: list[Candidate]) -> bool:
     """Returns whether enough capacity is free to place a request that is late."""
     capacity = sum(candidate.agent.profile.cpu for candidate in candidates)
     free = sum(max(0, candidate.cpu) for candidate in candidates)
     return free > RESERVED_CAPACITY_SHARE * capacity
 
 
-def _is_unmeetable(request: Request, lowest_slowness: float, now: float) -> bool:
+def is_unmeetable(request: Request, lowest_slowness: float, now: float) -> bool:
     """Returns whether a request would end too late to be of use even on the fastest target."""
     objective = request.due_at - request.received_at
     return (
--- a/src/comfreysill/placement/queue.py
+++ b/src/comfreysill/placement/queue.py
@@ -26,14 +26,19 @@
         return
     request.queued = True
     specification = request.specification
-    can_be_on_time = now + request.critical_path <= request.due_at
-    band = ON_TIME if request.begun or can_be_on_time else LATE
+    band = choose_band(request, now)
     priority = BEGUN_PRIORITY if request.begun else specification.priority
     state.enqueue_count += 1
     queue = state.queues.setdefault(specification.service, [])
     heapq.heappush(queue, (band, priority, request.due_at, state.enqueue_count, request))
 
 
+def choose_band(request: Request, now: float) -> int:
+    """Returns the band of a request that is queued now."""
+    can_be_on_time = now + request.critical_path <= request.due_at
+    return ON_TIME if request.begun or can_be_on_time else LATE
+
+
 def rank_demand(state: EntryState) -> int:
     """Returns the rank of the most urgent queued request.
 
--- a/src/comfreysill/placement/requests.py
+++ b/src/comfreysill/placement/requests.py
@@ -129,7 +129,7 @@
             caller=caller,
             verdict=choose_refusal(state, specification.request_id, now),
             detail="it was read too late",
-            retry_at=_choose_retry_time(specification.request_id, now),
+            retry_at=choose_retry_time(specification.request_id, now),
         )
     )
 
@@ -281,7 +281,7 @@
     )
     retry_at = 0.0
     if verdict not in FINAL_VERDICTS:
-        retry_at = _choose_retry_time(request_id, now)
+        retry_at = choose_retry_time(request_id, now)
     for caller in request.callers:
         state.callers.pop(caller, None)
         state.effects.append(
@@ -294,7 +294,7 @@
     _release_request(state, request, now)
 
 
-def _choose_retry_time(request_id: str, now: float) -> float:
+def choose_retry_time(request_id: str, now: float) -> float:
     """Returns the boot-clock time in seconds from which a caller may repeat a request.
 
     Its distance from now differs between requests and is the same for each try of one.
--- a/src/comfreysill/placement/steps.py
+++ b/src/comfreysill/placement/steps.py
@@ -35,10 +35,10 @@
     }
     if not run_times:
         return
-    _clear_avoided(tasks, run_times.keys())
+    clear_avoided(tasks, run_times.keys())
     remaining_seconds = request.due_at - now
     can_be_on_time = min(run_times.values()) <= remaining_seconds and queue_band != LATE
-    eligible = _list_fitting(state, step, candidates, run_times, remaining_seconds)
+    eligible = list_fitting(state, step, candidates, run_times, remaining_seconds)
     # The remaining tasks wait for free capacity on a target that is fast enough.
     fast_seconds = remaining_seconds if can_be_on_time else math.inf
     if can_wait(state, step):
@@ -49,7 +49,7 @@
     for candidate in eligible:
         if run_times[candidate.agent.name] > fast_seconds:
             return
-        chosen = _choose_tasks(state, tasks, step, candidate, now)
+        chosen = choose_tasks(state, tasks, step, candidate, now)
         if chosen:
             place_tasks(state, request, step, candidate, chosen, now)
         if not tasks:
@@ -84,7 +84,7 @@
             )
         if is_far and not far_limit:
             continue
-        chosen = _choose_tasks(state, tasks, step, candidate, now)
+        chosen = choose_tasks(state, tasks, step, candidate, now)
         if is_far:
             chosen = chosen[:far_limit]
             far_limit -= len(chosen)
@@ -95,7 +95,7 @@
             return
 
 
-def _list_fitting(
+def list_fitting(
     state: EntryState,
     step: Step,
     candidates: list[Candidate],
@@ -116,7 +116,7 @@
     return fitting
 
 
-def _clear_avoided(tasks: list[Task], eligible_agents: Set[str]) -> None:
+def clear_avoided(tasks: list[Task], eligible_agents: Set[str]) -> None:
     """Clears the avoided agents of tasks for which every eligible agent is avoided."""
     for task in tasks:
         if task.avoided_agents and eligible_agents <= set(task.avoided_agents):
@@ -140,7 +140,7 @@
     )
 
 
-def _choose_tasks(
+def choose_tasks(
     state: EntryState, tasks: list[Task], step: Step, candidate: Candidate, now: float
 ) -> list[Task]:
     """Returns as many of the tasks as fit on the candidate, without those that avoid it.
