Test that questions about places with room change nothing

A trial mutation that took room from an agent's load while answering passed the test of the unchanged state, as no room was left in it; one that forgot avoided agents passed all. Both fail now.

--- a/tests/test_where.py
+++ b/tests/test_where.py
@@ -116,6 +116,21 @@
             told = count_tasks(self.locate(specification).steps[0])
             self.assertEqual(told, self.world.list_placed(specification), number)
 
+    def test_nothing_changes_where_there_is_room(self):
+        self.state.remote_factor = 2.0
+        before = dump(self.state)
+        for request in (build_request("x", after=(0,)), build_rack_request(7, "a")):
+            self.assertTrue(count_tasks(self.locate(request).steps[0]))
+        self.assertEqual(dump(self.state), before)
+
+    def test_avoided_agents_are_passed_over(self):
+        self.world.list_placed(build_request("r", tasks=9))
+        self.state.requests["r"].pending[0][0].avoided_agents = ("a",)
+        for name in ("a", "b"):
+            self.state.agents[name].reservations.clear()
+        step = locate_request(self.state, "r", self.now).steps[0]
+        self.assertEqual(count_tasks(step), {"b": 1})
+
     def test_nothing_changes(self):
         self.world.list_placed(build_request("r", tasks=6))
         self.world.case.submit(build_request("p", tasks=9))
