--- a/src/comfreysill/placement/locating.py
+++ b/src/comfreysill/placement/locating.py
@@ -211,7 +211,7 @@
         return place
     chosen = choose_tasks(state, tasks, step, candidate, now)
     if not chosen:
-        place.reason = "no room, or tasks are bound elsewhere, avoid it, or are too many on it"
+        place.reason = _explain_no_choice(step, candidate)
     elif far_by_rack:
         chosen = chosen[: max(0, len(tasks) - result.waiting_count)]
         place.reason = "" if chosen else "the tasks wait for a near place"
@@ -224,6 +224,17 @@
     return place
 
 
+def _explain_no_choice(step: Step, candidate: Candidate) -> str:
+    """Returns why no task is chosen for a candidate that has enough CPU for one."""
+    if step.memory_mb > candidate.memory_mb:
+        return f"no room: {candidate.memory_mb} of {step.memory_mb} MB are free"
+    if step.gpus > candidate.gpus:
+        return f"no room: {candidate.gpus} of {step.gpus} GPUs are free"
+    if step.per_target:
+        return f"it may have {step.per_target} of the step, or the tasks avoid it"
+    return "the tasks avoid it, or are bound to another target"
+
+
 def _has_busy_near(
     state: EntryState,
     step: Step,
--- a/tests/test_where.py
+++ b/tests/test_where.py
@@ -158,6 +158,12 @@
         label = get_reasons(self.locate(build_request(label="z")).steps[0])
         self.assertIn("label z", label["b"])
 
+    def test_a_target_without_enough_memory_says_so(self):
+        for agent in self.state.agents.values():
+            agent.load.memory_mb = 0
+        step = self.locate(build_request()).steps[0]
+        self.assertEqual({place.reason for place in step.places}, {"no room: 0 of 1 MB are free"})
+
     def test_stale_news_excludes_a_target_and_has_its_age(self):
         self.now += 5
         answer = self.locate(build_request())
