--- a/tests/test_platform_processes.py
+++ b/tests/test_platform_processes.py
@@ -129,6 +129,18 @@
             self.assertEqual(answer.status, 503, "a job that is not best-effort is refused")
             self.assertTrue(answer.headers["Retry-After"])
 
+    async def test_an_entry_tells_where_a_request_would_go_and_starts_nothing(self):
+        await self.await_links("entry-0", len(self.deployment.agents))
+        url = f"http://{self.deployment.find_ip('entry-0')}:{METRICS_PORT}/where"
+        query = {"route": "r1", "cpu": 1000, "memory-mb": 1, "estimate": 0.1, "count": 2}
+        async with self.session.get(url, params=query) as answer:
+            step = (await answer.json())["steps"][0]
+        self.assertEqual(step["unplaced"], 0)
+        self.assertEqual(len(step["candidates"]), len(self.deployment.agents))
+        await asyncio.sleep(0.5)
+        for agent in self.deployment.agents:
+            self.assertEqual(read_starts(self.deployment.folder, agent), [])
+
     async def test_nothing_starts_in_an_evacuated_zone(self):
         agents = [name for name in self.deployment.agents if name.endswith("1")]
         self.assertEqual({self.deployment.find_zone(name) for name in agents}, {"z2"})
