--- a/src/comfreysill/placement/queue.py
+++ b/src/comfreysill/placement/queue.py
@@ -33,8 +33,7 @@
 
 
 def _rank_request(state: EntryState, request: Request, now: float) -> tuple[int, int, float]:
-    can_be_on_time = now + request.critical_path <= request.due_at
-    band = ON_TIME if request.begun or can_be_on_time else LATE
+    band = choose_band(request, now)
     priority = BEGUN_PRIORITY if request.begun else _choose_priority(state, request)
     return band, priority, request.due_at
 
@@ -60,6 +59,12 @@
     heapq.heapify(queue)
 
 
+def choose_band(request: Request, now: float) -> int:
+    """Returns the band of a request that is queued now."""
+    can_be_on_time = now + request.critical_path <= request.due_at
+    return ON_TIME if request.begun or can_be_on_time else LATE
+
+
 def rank_demand(state: EntryState) -> int:
     """Returns the rank of the most urgent queued request.
 
