Ends of runs are known soon where calls to runners get lost

Cause: by reading, a long poll without an answer hides all ends of runs at its target for 0.25 s, longer than such a request may take.

Change: a long poll is given up by the answer times of the runner after its wait; for 2 s after a call without an answer polls are 0.04 s long in place of 0.15 s. A renewal that got no answer is repeated 0.05 s after its sending, not after its failure.

--- a/src/comfreysill/execution/answer_times.py
+++ b/src/comfreysill/execution/answer_times.py
@@ -12,6 +12,8 @@
 MEAN_WEIGHT = 1 / 8
 DEVIATION_WEIGHT = 1 / 4
 DEVIATIONS = 4
+# After a call without an answer, others may get none either for this long.
+LOSS_SECONDS = 2.0
 # Each call without an answer multiplies the time by this factor until the next answer.
 BACKOFF_FACTOR = 2.0
 
@@ -24,15 +26,17 @@
         deviation: Mean deviation in seconds.
         samples: Number of answers so far.
         silences: Number of calls without an answer since the last answer.
+        lossy_until: Boot-clock time in seconds until which calls are expected to get lost.
     """
 
-    __slots__ = ("mean", "deviation", "samples", "silences")
+    __slots__ = ("mean", "deviation", "samples", "silences", "lossy_until")
 
     def __init__(self) -> None:
         self.mean = 0.0
         self.deviation = 0.0
         self.samples = 0
         self.silences = 0
+        self.lossy_until = 0.0
 
 
 def record_answer(times: AnswerTimes, seconds: float) -> None:
@@ -48,10 +52,15 @@
 
 
 def record_silence(times: AnswerTimes) -> None:
-    """Takes in that a call got no answer."""
+    """Takes in that a call got no answer that had to be answered at once."""
     times.silences += 1
 
 
+def record_loss(times: AnswerTimes, now: float) -> None:
+    """Takes in that a call of any kind got no answer."""
+    times.lossy_until = now + LOSS_SECONDS
+
+
 def compute_patience(times: AnswerTimes) -> float:
     """Returns the seconds after which a call counts as unanswered."""
     if times.samples < MIN_SAMPLES:
--- a/src/comfreysill/execution/renewals.py
+++ b/src/comfreysill/execution/renewals.py
@@ -1,7 +1,5 @@
 """Lease renewals at the runner, and processing of the lists of runs in its replies."""
 
-import math
-
 from comfreysill.exchange.messages import (
     LEASE_MARGIN_SECONDS,
     MAX_RUN_LEASE_SECONDS,
@@ -44,9 +42,12 @@
 RENEWAL_WAIT_MS = 150
 # Without runs there is no lease to extend; the renewals show that the runner answers.
 IDLE_RENEWAL_WAIT_MS = 400
-# Time from a renewal that failed to the next one; from the sending of one that asked for an answer
-# at once. A runner that resets connections fails a call at once; without the delay the agent would
-# call it without a pause.
+# Shorter where calls get lost: a run that ends during a poll without an answer is known to have
+# ended only after it.
+LOSSY_RENEWAL_WAIT_MS = 40
+# Time from a renewal that failed to the next one; from its sending if it got no answer. A runner
+# that resets connections fails a call at once; without the delay the agent would call it without a
+# pause.
 RENEWAL_RETRY_SECONDS = 0.05
 # After this time without an answer the run leases are no longer renewed, so that they expire.
 RENEWAL_GIVE_UP_SECONDS = 0.55
@@ -71,7 +72,7 @@
         return
     silent = agent.answered_at and now - agent.answered_at > RENEWAL_GIVE_UP_SECONDS
     is_extending = agent.runs and not silent and not is_stop_overdue(agent, now)
-    wait_ms = _choose_wait_ms(agent)
+    wait_ms = _choose_wait_ms(agent, now)
     agent.calls.append(
         RenewCall(
             lifetime=agent.runner_lifetime,
@@ -80,17 +81,19 @@
             lease_until_ms=grant_run_lease(agent, now) if is_extending else 0,
             wait_ms=wait_ms,
             sent_at=now,
-            answer_by=math.inf if wait_ms else now + compute_patience(agent.answer_times),
+            answer_by=now + wait_ms / 1000 + compute_patience(agent.answer_times),
         )
     )
     agent.renewals_in_flight += 1
     agent.renew_now = False
 
 
-def _choose_wait_ms(agent: AgentState) -> int:
+def _choose_wait_ms(agent: AgentState, now: float) -> int:
     if agent.renew_now or not agent.reconciled:
         return 0
-    return RENEWAL_WAIT_MS if agent.runs else IDLE_RENEWAL_WAIT_MS
+    if not agent.runs:
+        return IDLE_RENEWAL_WAIT_MS
+    return LOSSY_RENEWAL_WAIT_MS if now < agent.answer_times.lossy_until else RENEWAL_WAIT_MS
 
 
 def receive_renewal(agent: AgentState, reply: RenewReply, now: float) -> None:
@@ -106,10 +109,10 @@
     if end_reason:
         end_runner_lifetime(agent, now, end_reason)
         return
-    if not call.wait_ms:
-        note_answer(agent, call, reply.status, now)
+    note_answer(agent, call, reply.status, now)
     if reply.status not in (ReplyStatus.ACCEPTED, ReplyStatus.FENCED):
-        agent.renewal_due_at = (now if call.wait_ms else call.sent_at) + RENEWAL_RETRY_SECONDS
+        is_unanswered = reply.status == ReplyStatus.UNANSWERED
+        agent.renewal_due_at = (call.sent_at if is_unanswered else now) + RENEWAL_RETRY_SECONDS
     if reply.status in UNANSWERED_STATUSES:
         agent.disconnected = agent.disconnected or reply.status == ReplyStatus.DISCONNECTED
         agent.renew_now = True
--- a/src/comfreysill/execution/starts.py
+++ b/src/comfreysill/execution/starts.py
@@ -11,6 +11,7 @@
 from comfreysill.execution.answer_times import (
     compute_patience,
     record_answer,
+    record_loss,
     record_silence,
 )
 from comfreysill.execution.calls import (
@@ -264,11 +265,17 @@
 def note_answer(
     agent: AgentState, call: StartCall | RenewCall, status: ReplyStatus, now: float
 ) -> None:
-    """Takes in how long the runner took for a call that it had to answer at once."""
+    """Takes in whether the runner has answered a call, and how long it took for one at once."""
+    times = agent.answer_times
+    is_long_poll = isinstance(call, RenewCall) and call.wait_ms > 0
     if status == ReplyStatus.UNANSWERED:
-        record_silence(agent.answer_times)
+        record_loss(times, now)
+    if is_long_poll:
+        return
+    if status == ReplyStatus.UNANSWERED:
+        record_silence(times)
     elif status not in (ReplyStatus.DISCONNECTED, ReplyStatus.REFUSED):
-        record_answer(agent.answer_times, now - call.sent_at)
+        record_answer(times, now - call.sent_at)
 
 
 def _hold_unanswered_start(agent: AgentState, run: Run, now: float) -> None:
