--- a/src/comfreysill/placement/agents.py
+++ b/src/comfreysill/placement/agents.py
@@ -10,6 +10,7 @@
     EntryFrame,
     Outcome,
 )
+from comfreysill.placement.agent_state import AbandonedTask, Agent
 from comfreysill.placement.bindings import (
     bind_task,
     expire_bindings,
@@ -22,7 +23,7 @@
 from comfreysill.placement.effects import CloseSession, FetchRoutes, SendFrame
 from comfreysill.placement.queue import rank_demand
 from comfreysill.placement.requests import conclude_request, end_task
-from comfreysill.placement.state import AbandonedTask, Agent, EntryState, count, note_event
+from comfreysill.placement.state import EntryState, count, note_event
 from comfreysill.placement.subset import rank_agent, remove_link
 from comfreysill.request.request import reschedule_task
 from comfreysill.request.types import Verdict
--- a/src/comfreysill/placement/bindings.py
+++ b/src/comfreysill/placement/bindings.py
@@ -9,7 +9,8 @@
 from collections.abc import Iterable
 
 from comfreysill.exchange.messages import LateStart
-from comfreysill.placement.state import Agent, Binding, EntryState, count, note_event
+from comfreysill.placement.agent_state import Agent
+from comfreysill.placement.state import Binding, EntryState, count, note_event
 from comfreysill.request.request import get_request_id
 from comfreysill.request.types import Verdict
 
--- a/src/comfreysill/placement/closed_services.py
+++ b/src/comfreysill/placement/closed_services.py
@@ -1,9 +1,10 @@
 """Refusal of requests to services all of whose targets are in closed availability zones."""
 
+from comfreysill.placement.agent_state import Agent
 from comfreysill.placement.claim_leases import find_lease_end
 from comfreysill.placement.closures import is_in_closed_zone
 from comfreysill.placement.requests import refuse_request
-from comfreysill.placement.state import Agent, EntryState, count
+from comfreysill.placement.state import EntryState, count
 from comfreysill.placement.subset import is_unavailable
 from comfreysill.request.request import Request
 
--- a/src/comfreysill/placement/closures.py
+++ b/src/comfreysill/placement/closures.py
@@ -2,7 +2,8 @@
 
 from collections.abc import Iterable
 
-from comfreysill.placement.state import Agent, EntryState, count, note_event
+from comfreysill.placement.agent_state import Agent
+from comfreysill.placement.state import EntryState, count, note_event
 from comfreysill.zones.closures import (
     Closures,
     ZoneReading,
--- a/src/comfreysill/placement/confinement.py
+++ b/src/comfreysill/placement/confinement.py
@@ -9,8 +9,9 @@
 import zlib
 
 from comfreysill.crashes.ledger import list_confined_routes
+from comfreysill.placement.agent_state import Agent
 from comfreysill.placement.orders import Candidate
-from comfreysill.placement.state import Agent, EntryState, RouteDemand
+from comfreysill.placement.state import EntryState, RouteDemand
 from comfreysill.placement.subset import is_unavailable
 from comfreysill.request.request import Request
 from comfreysill.request.types import Specification
--- a/src/comfreysill/placement/link_demand.py
+++ b/src/comfreysill/placement/link_demand.py
@@ -8,6 +8,7 @@
 
 from comfreysill.crashes.ledger import list_confined_routes
 from comfreysill.exchange.messages import Load
+from comfreysill.placement.agent_state import Agent
 from comfreysill.placement.bindings import is_bound
 from comfreysill.placement.closures import is_in_closed_zone
 from comfreysill.placement.effects import OpenLink
@@ -27,7 +28,7 @@
 from comfreysill.placement.orders import Candidate
 from comfreysill.placement.placement import is_usable
 from comfreysill.placement.queue import ON_TIME
-from comfreysill.placement.state import Agent, EntryState, count, note_event
+from comfreysill.placement.state import EntryState, count, note_event
 from comfreysill.placement.subset import remove_link
 from comfreysill.placement.waits import count_waiting
 from comfreysill.request.types import Step
--- a/src/comfreysill/placement/locating.py
+++ b/src/comfreysill/placement/locating.py
@@ -6,6 +6,7 @@
 
 import math
 
+from comfreysill.placement.agent_state import Agent
 from comfreysill.placement.closed_services import list_zones_if_closed
 from comfreysill.placement.closures import is_in_closed_zone
 from comfreysill.placement.confinement import describe_confinement, get_group, group_targets
@@ -22,7 +23,7 @@
 from comfreysill.placement.queue import LATE, choose_band
 from comfreysill.placement.returns import spread_return
 from comfreysill.placement.run_times import estimate_run_time, is_near
-from comfreysill.placement.state import Agent, EntryState
+from comfreysill.placement.state import EntryState
 from comfreysill.placement.steps import choose_tasks, clear_avoided, list_fitting
 from comfreysill.placement.waits import can_wait, count_waiting
 from comfreysill.placement.whereabouts import (
--- a/src/comfreysill/placement/orders.py
+++ b/src/comfreysill/placement/orders.py
@@ -1,9 +1,10 @@
 """Orders of an entry to its agents: tasks are placed, and capacity is reserved for them."""
 
 from comfreysill.exchange.messages import Batch, Order
+from comfreysill.placement.agent_state import Agent, Reservation
 from comfreysill.placement.claim_leases import find_lease_end
 from comfreysill.placement.run_times import estimate_run_time, get_rack_factor
-from comfreysill.placement.state import Agent, EntryState, Reservation, count, note_event
+from comfreysill.placement.state import EntryState, count, note_event
 from comfreysill.request.request import Request, Task, place_task
 from comfreysill.request.types import Step
 
--- a/src/comfreysill/placement/placement.py
+++ b/src/comfreysill/placement/placement.py
@@ -3,6 +3,7 @@
 import itertools
 
 from comfreysill.placement.admission import forget_forecasts
+from comfreysill.placement.agent_state import Agent
 from comfreysill.placement.bindings import is_bound
 from comfreysill.placement.claims import confirm_claim
 from comfreysill.placement.closures import is_in_closed_zone
@@ -25,7 +26,7 @@
 from comfreysill.placement.orders import Candidate
 from comfreysill.placement.queue import LATE, pop_request, push_request
 from comfreysill.placement.requests import refuse_request
-from comfreysill.placement.state import Agent, EntryState
+from comfreysill.placement.state import EntryState
 from comfreysill.placement.steps import place_step
 from comfreysill.placement.waits import count_waiting, sweep_waits
 from comfreysill.request.request import Request, has_pending
--- a/src/comfreysill/placement/run_times.py
+++ b/src/comfreysill/placement/run_times.py
@@ -3,7 +3,8 @@
 import math
 
 from comfreysill.exchange.messages import Load
-from comfreysill.placement.state import Agent, EntryState
+from comfreysill.placement.agent_state import Agent
+from comfreysill.placement.state import EntryState
 from comfreysill.request.types import Step
 
 # Added to the estimated run time of a task in another availability zone.
--- a/src/comfreysill/placement/subset.py
+++ b/src/comfreysill/placement/subset.py
@@ -8,10 +8,11 @@
 import math
 import zlib
 
+from comfreysill.placement.agent_state import Agent
 from comfreysill.placement.closures import is_in_closed_zone
 from comfreysill.placement.effects import OpenLink, RemoveLink
 from comfreysill.placement.link_need import release_base_links
-from comfreysill.placement.state import Agent, EntryState, note_event
+from comfreysill.placement.state import EntryState, note_event
 
 # Average number of entries linked to an agent, so that its capacity can be used even if callers
 # reach only some of the entries.
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -24,6 +24,7 @@
     note_placed,
     note_queued,
 )
+from comfreysill.placement.agent_state import Agent
 from comfreysill.placement.agents import begin_session, discover_agent
 from comfreysill.placement.orders import Candidate
 from comfreysill.placement.placement import place_waiting
@@ -54,7 +55,7 @@
     record_outcome,
     record_wrong_refusal,
 )
-from comfreysill.placement.state import Agent, EntryState
+from comfreysill.placement.state import EntryState
 from comfreysill.platform.settings import read_instance_settings
 from comfreysill.platform.settings_file import SETTINGS_VARIABLE
 from comfreysill.request.request import Request, place_task
