--- a/src/comfreysill/execution/renewals.py
+++ b/src/comfreysill/execution/renewals.py
@@ -110,9 +110,7 @@
         end_runner_lifetime(agent, now, end_reason)
         return
     note_answer(agent, call, reply.status, now)
-    if reply.status not in (ReplyStatus.ACCEPTED, ReplyStatus.FENCED):
-        is_unanswered = reply.status == ReplyStatus.UNANSWERED
-        agent.renewal_due_at = (call.sent_at if is_unanswered else now) + RENEWAL_RETRY_SECONDS
+    _delay_next_renewal(agent, reply, now)
     if reply.status in UNANSWERED_STATUSES:
         agent.disconnected = agent.disconnected or reply.status == ReplyStatus.DISCONNECTED
         agent.renew_now = True
@@ -140,6 +138,15 @@
         _reconcile_runs(agent, reply, now)
 
 
+def _delay_next_renewal(agent: AgentState, reply: RenewReply, now: float) -> None:
+    """Sets the time of the next renewal after one that failed."""
+    if reply.status in (ReplyStatus.ACCEPTED, ReplyStatus.FENCED):
+        return
+    is_unanswered = reply.status == ReplyStatus.UNANSWERED
+    failed_at = reply.call.sent_at if is_unanswered else now
+    agent.renewal_due_at = failed_at + RENEWAL_RETRY_SECONDS
+
+
 def _find_end_of_lifetime(agent: AgentState, reply: RenewReply) -> str:
     """Returns why a reply shows that the addressed lifetime has ended, empty if it doesn't."""
     if reply.status == ReplyStatus.GONE:
--- a/src/comfreysill/execution/starts.py
+++ b/src/comfreysill/execution/starts.py
@@ -234,8 +234,14 @@
         return
     note_answer(agent, call, reply.status, now)
     run = agent.runs.get(call.task)
-    if run is None or run.number != call.run or run.state != RunState.STARTING:
-        return
+    if run is not None and run.number == call.run and run.state == RunState.STARTING:
+        _receive_start_reply(agent, run, reply, is_current, now)
+
+
+def _receive_start_reply(
+    agent: AgentState, run: Run, reply: CallReply, is_current: bool, now: float
+) -> None:
+    """Processes the reply to the start of a run; `is_current` if its clock is the one in use."""
     if reply.status in UNANSWERED_STATUSES:
         _hold_unanswered_start(agent, run, now)
     elif reply.status == ReplyStatus.ACCEPTED and not is_current:
@@ -250,7 +256,7 @@
     elif reply.status == ReplyStatus.ACCEPTED:
         mark_running(agent, run, now)
     elif reply.status in (ReplyStatus.FENCED, ReplyStatus.LATE, ReplyStatus.OLD_RUN):
-        _resend_start(agent, run, call, reply.status, now)
+        _resend_start(agent, run, reply.call, reply.status, now)
     elif reply.status == ReplyStatus.NO_ROOM:
         # The capacity has shrunk since the last report; the target is as healthy as before.
         _return_run(agent, run, now, "the runner refused: NO_ROOM")
