--- a/src/comfreysill/execution/crashes.py
+++ b/src/comfreysill/execution/crashes.py
@@ -7,9 +7,10 @@
     ReplyStatus,
     StartCall,
 )
+from comfreysill.execution.entry_link import EntryLink
 from comfreysill.execution.recent_crashes import RecentCrash, UnsettledCrash
 from comfreysill.execution.run import Run, RunState
-from comfreysill.execution.state import AgentState, EntryLink, count, note_event
+from comfreysill.execution.state import AgentState, count, note_event
 
 # A log line about a crash names at most this many of the tasks that may have caused it.
 MAX_LOGGED_TASKS = 12
--- a/src/comfreysill/execution/frame_handling.py
+++ b/src/comfreysill/execution/frame_handling.py
@@ -10,6 +10,7 @@
 )
 from comfreysill.execution.capacity import has_room
 from comfreysill.execution.closures import is_zone_closed, learn_zones
+from comfreysill.execution.entry_link import EntryLink
 from comfreysill.execution.isolation import check_isolation
 from comfreysill.execution.run import Run
 from comfreysill.execution.starts import (
@@ -18,14 +19,7 @@
     return_waiting_runs,
     stop_run,
 )
-from comfreysill.execution.state import (
-    AgentState,
-    EntryLink,
-    count,
-    enqueue_run,
-    note_event,
-    report_end,
-)
+from comfreysill.execution.state import AgentState, count, enqueue_run, note_event, report_end
 from comfreysill.request.request import name_task
 from comfreysill.zones.closures import forget_told, note_heard
 
--- a/src/comfreysill/execution/frames.py
+++ b/src/comfreysill/execution/frames.py
@@ -12,10 +12,11 @@
 )
 from comfreysill.execution.closures import get_zone, limit_after_opening
 from comfreysill.execution.crashes import list_unsent_crashes
+from comfreysill.execution.entry_link import EntryLink
 from comfreysill.execution.route_speeds import list_told_routes
 from comfreysill.execution.run import RunState
 from comfreysill.execution.starts import is_accepting
-from comfreysill.execution.state import AgentState, EntryLink, note_event
+from comfreysill.execution.state import AgentState, note_event
 from comfreysill.execution.unfinal_starts import (
     expire_unfinal_starts,
     has_unsent_late_starts,
--- a/src/comfreysill/execution/unfinal_starts.py
+++ b/src/comfreysill/execution/unfinal_starts.py
@@ -8,8 +8,9 @@
 from itertools import takewhile
 
 from comfreysill.exchange.messages import LateStart
+from comfreysill.execution.entry_link import EntryLink
 from comfreysill.execution.run import Run
-from comfreysill.execution.state import AgentState, EntryLink, UnfinalStart
+from comfreysill.execution.state import AgentState, UnfinalStart
 
 # Maximum number of tasks in a frame; the next frame has those that follow.
 MAX_LATE_STARTS_PER_FRAME = 1000
