--- a/src/comfreysill/gateway/messages.py
+++ b/src/comfreysill/gateway/messages.py
@@ -252,7 +252,7 @@
 
 
 class ZonesRead:
-    """The operator's requests to evacuate zones were read from the store."""
+    """The closed zones were read from the store."""
 
     __slots__ = ("reading",)
 
--- a/src/comfreysill/waits/decision.py
+++ b/src/comfreysill/waits/decision.py
@@ -6,11 +6,11 @@
 for the same room.
 """
 
-# Worth of a late answer, as a share of an answer on time.
+# Value of a late answer, as a share of that of one on time.
 LATE_VALUE = 0.2
 # An answer later than this multiple of the latency objective is of no use to the caller.
 MAX_OBJECTIVE_FACTOR = 3.0
-# Worth of the time in which a caller waits for an answer on time, for each latency objective.
+# Value lost for each latency objective for which a caller waits.
 TIME_VALUE = 0.05
 # Declared run times, learned speeds and expected waits are off by these shares of them.
 DECLARED_ERROR = 0.4
