What a reader of the whole diff found: bounds that could be passed, an overflow, news of zones

Cause, each by reading: a number with leading zeros passed the bound of `/where`; after 1,024 steps of links in vain the state task of an entry would end with an OverflowError; a zone that a peer knew as open at the same version was never told as closed; a whole reading with a row whose key can't be read opened zones; a refusal could follow the complete answer to the same request; tasks of 1 thousandth of a core made forecasts of 64,000 entries; targets whose links are given back were told as suspended, and lost the run times of routes.

Change: bounds, ranks of versions with whether a zone is closed, `Agent.is_withheld` in place of a changed load, at most 64 runs of others and 1,000 tasks before one in a forecast; a step without a candidate is no step. Parameters of `/where` use the words of the code.

Result: three tests are new (not run against the code before); tests.test_where test_link_demand test_closed_zones test_place_waits test_answer_times test_connections test_http_fuzz test_platform_decode test_odd_entries test_gateway test_placement test_mutations pass.

--- a/src/comfreysill/bounded_http.py
+++ b/src/comfreysill/bounded_http.py
@@ -273,7 +273,8 @@
             cycle, app = self.pipeline.pop()
             self._start_asgi_task(cycle, app)
         elif self.refusal is not None:
-            self._send_refusal(self.refusal)
+            is_own = self.started is self.cycle and self.connection.reading.phase == Phase.BODY
+            self._send_refusal(self.refusal, self.started if is_own else None)
         if not self.pipeline:
             self.flow.resume_reading()
 
--- a/src/comfreysill/cli/main.py
+++ b/src/comfreysill/cli/main.py
@@ -278,7 +278,7 @@
         json: JsonOption = False,
     ) -> None:
         """Tell where the tasks of a request would go now, without sending it."""
-        step = {"cpu": cpu, "memory-mb": memory_mb, "estimate": estimate, "count": count}
+        step = {"cpu": cpu, "memory_mb": memory_mb, "estimate": estimate, "count": count}
         step |= {"rack": rack, "label": label}
         answer = ask(entry, build_question(job=job, file=file, route=route, step=step))
         if json:
--- a/src/comfreysill/cli/where.py
+++ b/src/comfreysill/cli/where.py
@@ -48,7 +48,7 @@
         _forbid("--file", given)
         path = _build_path({"route": route})
         return Question(method="POST", path=path, document=_read_document(file))
-    for name in ("cpu", "memory-mb", "estimate", "count"):
+    for name in ("cpu", "memory_mb", "estimate", "count"):
         if name not in given:
             raise UsageError(message=f"--{name}: missing", hint="or describe the request by --file")
     return Question(method="GET", path=_build_path({"route": route, **given}))
--- a/src/comfreysill/execution/answer_times.py
+++ b/src/comfreysill/execution/answer_times.py
@@ -16,6 +16,7 @@
 LOSS_SECONDS = 2.0
 # Each call without an answer multiplies the time by this factor until the next answer.
 BACKOFF_FACTOR = 2.0
+MAX_BACKOFFS = 8
 
 
 class AnswerTimes:
@@ -66,6 +67,5 @@
     if times.samples < MIN_SAMPLES:
         return MAX_PATIENCE_SECONDS
     seconds = max(MIN_PATIENCE_SECONDS, times.mean + DEVIATIONS * times.deviation)
-    # The factor reaches the maximum long before the exponent matters.
-    factor = BACKOFF_FACTOR ** min(times.silences, MIN_SAMPLES)
+    factor = BACKOFF_FACTOR ** min(times.silences, MAX_BACKOFFS)
     return min(MAX_PATIENCE_SECONDS, seconds * factor)
--- a/src/comfreysill/gateway/actor.py
+++ b/src/comfreysill/gateway/actor.py
@@ -69,7 +69,7 @@
     SendFrame,
     SendVerdict,
 )
-from comfreysill.placement.link_demand import update_links_by_need, withhold_returning
+from comfreysill.placement.link_demand import update_links_by_need
 from comfreysill.placement.peer_links import (
     begin_peer_session,
     collect_claims,
@@ -447,7 +447,6 @@
     update_peers(state, now)
     conclude_remote_ends(state, now)
     expire_requests(state, now)
-    withhold_returning(state)
     place_waiting(state, now)
     update_links_by_need(state, now)
     collect_frames(state, now)
--- a/src/comfreysill/gateway/where_app.py
+++ b/src/comfreysill/gateway/where_app.py
@@ -16,6 +16,7 @@
 from comfreysill.gateway.where_document import build_document
 from comfreysill.placement.whereabouts import Whereabouts
 from comfreysill.platform.bodies import read_body
+from comfreysill.platform.documents import MAX_AMOUNT
 from comfreysill.platform.submission import (
     MAX_TASKS_PER_REQUEST,
     REQUEST_ID_PATTERN,
@@ -26,14 +27,14 @@
 
 WHERE_PATH = "/where"
 # Id of a request that isn't sent.
-UNSENT_ID = "where"
+UNSENT_ID = "a-request-that-is-not-sent"
 MAX_BODY_BYTES = 256 << 10
 MAX_QUERY_BYTES = 2_048
 MAX_ESTIMATE_SECONDS = 86_400.0
-MAX_AMOUNT = 1 << 31
+MAX_DIGITS = 10
 ANSWERS_PER_SECOND = 4.0
 ANSWER_TIMEOUT_SECONDS = 2.0
-_PARAMETERS = ("route", "cpu", "memory-mb", "estimate", "count", "rack", "label")
+_PARAMETERS = ("route", "cpu", "memory_mb", "estimate", "count", "rack", "label")
 
 
 class RateLimit:
@@ -162,11 +163,12 @@
     amounts = {}
     for name, least, most in (
         ("cpu", 0, MAX_AMOUNT),
-        ("memory-mb", 0, MAX_AMOUNT),
+        ("memory_mb", 0, MAX_AMOUNT),
         ("count", 1, MAX_TASKS_PER_REQUEST),
     ):
         text = parameters.get(name, "")
-        if not (text.isascii() and text.isdigit() and least <= int(text[:20]) <= most):
+        is_number = text.isascii() and text.isdigit() and len(text) <= MAX_DIGITS
+        if not (is_number and least <= int(text) <= most):
             return Err(f"{name}: expected a whole number from {least} to {most}")
         amounts[name] = int(text)
     try:
@@ -178,7 +180,7 @@
     step = Step(
         count=amounts["count"],
         cpu=amounts["cpu"],
-        memory_mb=amounts["memory-mb"],
+        memory_mb=amounts["memory_mb"],
         estimate=estimate,
         label=parameters.get("label", ""),
         rack=parameters.get("rack", ""),
--- a/src/comfreysill/placement/agent_state.py
+++ b/src/comfreysill/placement/agent_state.py
@@ -66,6 +66,7 @@
         stops: Names of tasks to stop, for the next frame.
         demand_rank_sent: Demand rank in the last frame sent, 0 for none; see `rank_demand`.
         told_zones: What it knows of zones from the session.
+        is_withheld: True while no tasks are placed on it, as its link is given back.
     """
 
     __slots__ = (
@@ -97,6 +98,7 @@
         "stops",
         "demand_rank_sent",
         "told_zones",
+        "is_withheld",
     )
 
     def __init__(self, *, name: str, address: str, service: str = "", subset_rank: int = 0) -> None:
@@ -128,6 +130,7 @@
         self.stops: list[str] = []
         self.demand_rank_sent = 0
         self.told_zones = ToldZones()
+        self.is_withheld = False
 
 
 class AbandonedTask:
--- a/src/comfreysill/placement/link_demand.py
+++ b/src/comfreysill/placement/link_demand.py
@@ -7,7 +7,6 @@
 import heapq
 
 from comfreysill.crashes.ledger import list_confined_routes
-from comfreysill.exchange.messages import Load
 from comfreysill.placement.agent_state import Agent
 from comfreysill.placement.bindings import is_bound
 from comfreysill.placement.closures import is_in_closed_zone
@@ -69,29 +68,6 @@
             del demand.services[service]
 
 
-def withhold_returning(state: EntryState) -> None:
-    """Leaves out the targets whose links are given back; has to precede each placement.
-
-    Each frame of an agent replaces its load.
-    """
-    for own in state.link_demand.services.values():
-        for name, link in own.links.items():
-            agent = state.agents.get(name)
-            if link.returning and agent is not None and agent.load and agent.load.accepting:
-                agent.load = _build_withheld(agent.load)
-
-
-def _build_withheld(load: Load) -> Load:
-    return Load(
-        accepting=False,
-        cpu=load.cpu,
-        memory_mb=load.memory_mb,
-        gpus=load.gpus,
-        slowness=load.slowness,
-        isolating=load.isolating,
-    )
-
-
 def _observe_ticks(state: EntryState, now: float) -> None:
     """Notes whether the ticks of this process come late."""
     demand = state.link_demand
@@ -135,6 +111,8 @@
         agent = state.agents.get(name)
         if agent is None or not agent.link_requested_at:
             del own.links[name]
+            if agent is not None:
+                agent.is_withheld = False
 
 
 def _list_waiting_steps(state: EntryState, service: str, now: float) -> list[tuple[Step, int]]:
@@ -204,7 +182,7 @@
     for name, link in own.links.items():
         if link.has_found_room and state.agents[name].tasks:
             link.kept_until = now + KEEP_SECONDS
-            link.returning = False
+            link.returning = state.agents[name].is_withheld = False
 
 
 def _widen(
@@ -223,6 +201,8 @@
     if not link_count:
         return
     chosen = _choose_agents(state, own, agents, racks, link_count, now)
+    if not chosen:
+        return
     for agent in chosen:
         agent.link_requested_at = now
         own.links[agent.name] = NeededLink(requested_at=now)
@@ -298,7 +278,7 @@
     idle = {name for name in own.links if not state.agents[name].tasks}
     name = choose_returned(own, idle, now)
     if name:
-        own.links[name].returning = True
+        own.links[name].returning = state.agents[name].is_withheld = True
         own.return_at = now + RETURN_INTERVAL_SECONDS
     for name, link in list(own.links.items()):
         if link.returning and name in idle:
@@ -308,6 +288,7 @@
 
 def _remove(state: EntryState, own: ServiceLinks, agent: Agent, why: str) -> None:
     del own.links[agent.name]
+    agent.is_withheld = False
     remove_link(state, agent)
     count(state, "links_given_back")
     note_event(state, "link given back", agent=agent.name, why=why, links=len(own.links))
--- a/src/comfreysill/placement/link_need.py
+++ b/src/comfreysill/placement/link_need.py
@@ -28,6 +28,7 @@
 USEFUL_SHARE = 0.25
 MIN_VAIN_SECONDS = 0.5
 MAX_VAIN_SECONDS = 8.0
+MAX_VAIN_DOUBLINGS = 4
 # Links that are needed and used are kept this long after that.
 KEEP_SECONDS = 2.0
 # Links of a service are given back one by one, with this time between them.
@@ -200,7 +201,8 @@
     if found_count >= USEFUL_SHARE * len(links):
         own.vain_tries = 0
         return True
-    vain_seconds = min(MIN_VAIN_SECONDS * 2**own.vain_tries, MAX_VAIN_SECONDS)
+    doublings = min(own.vain_tries, MAX_VAIN_DOUBLINGS)
+    vain_seconds = min(MIN_VAIN_SECONDS * 2**doublings, MAX_VAIN_SECONDS)
     own.vain_tries += 1
     own.step_size = MIN_STEP_LINKS
     own.vain_until = now + vain_seconds
--- a/src/comfreysill/placement/locating.py
+++ b/src/comfreysill/placement/locating.py
@@ -1,7 +1,8 @@
 """Tells where the tasks of a request would go now, without changing the entry's state.
 
 Places of tasks depend on what happens until they are placed: the claim of a new request, requests
-that are queued before it, and waits for places near the data are not played through.
+that are queued before it, early refusals, and waits for places near the data are not played
+through.
 """
 
 import math
@@ -110,7 +111,9 @@
         answer.retry_seconds = math.ceil(retry_at - now)
     else:
         objective_seconds = request.due_at - request.received_at
-        answer.refused_at = request.received_at + MAX_OBJECTIVE_FACTOR * objective_seconds
+        run_seconds = lowest_slowness * request.critical_path
+        useful_until = request.received_at + MAX_OBJECTIVE_FACTOR * objective_seconds
+        answer.refused_at = useful_until - run_seconds
 
 
 def _place_none(answer: Whereabouts) -> None:
@@ -292,6 +295,8 @@
         return "nothing was heard of it yet"
     if not is_current(agent, now):
         return "its news is out of date"
+    if agent.is_withheld:
+        return "its link is given back"
     if is_in_closed_zone(state, agent):
         return f"the zone {agent.profile.zone} is closed"
     if not agent.load.accepting:
--- a/src/comfreysill/placement/placement.py
+++ b/src/comfreysill/placement/placement.py
@@ -102,7 +102,9 @@
 
 def is_usable(state: EntryState, agent: Agent, now: float) -> bool:
     """Returns whether tasks may be placed on the target of an agent."""
-    return is_current(agent, now) and agent.load.accepting and not is_in_closed_zone(state, agent)
+    if agent.is_withheld or not is_current(agent, now):
+        return False
+    return agent.load.accepting and not is_in_closed_zone(state, agent)
 
 
 def is_current(agent: Agent, now: float) -> bool:
--- a/src/comfreysill/platform/store.py
+++ b/src/comfreysill/platform/store.py
@@ -150,6 +150,7 @@
     """Reads the rows of a table whose part is empty and whose keys begin with a prefix."""
     rows: list[StoredRow] = []
     unreadable: tuple[str, ...] = ()
+    has_nameless = False
     version = 0
     query = {"table": table, "part": ""}
     if prefix:
@@ -162,6 +163,7 @@
         page = decoded.ok_value
         rows += page.rows
         unreadable += _list_unreadable(page)
+        has_nameless = has_nameless or any(not row.name for row in page.rejected)
         # The version of the first page: changes made while paging are in the change feed after it.
         version = version or page.version
         # Keys ascend: an answer that doesn't go on from the one before would be read for ever.
@@ -172,7 +174,8 @@
                     rows=rows,
                     version=version,
                     complete=not page.has_more,
-                    whole=not page.has_more and not prefix,
+                    # A row whose key can't be read may be any row.
+                    whole=not page.has_more and not prefix and not has_nameless,
                     unreadable=unreadable,
                 )
             )
--- a/src/comfreysill/waits/forecast.py
+++ b/src/comfreysill/waits/forecast.py
@@ -4,6 +4,10 @@
 
 # Part of its run time for which a run that should have ended is expected to go on.
 OVERDUE_SHARE = 0.25
+# Runs of others on a target are forecast as at most so many.
+MAX_OTHER_RUNS = 64
+# Tasks beyond this many before a task are left out: its wait is too long in any case.
+MAX_AHEAD = 1_000
 
 
 class KnownRun:
@@ -61,10 +65,12 @@
     Returns:
         A wait for each task in order; fewer than `count` if the targets are too small for any.
     """
+    if ahead > MAX_AHEAD:
+        return []
     slots = [
         (seconds, number)
         for number, target in enumerate(targets)
-        for seconds in _list_slots(target, task_cpu, now)
+        for seconds in _list_slots(target, task_cpu, ahead + count, now)
     ]
     heapq.heapify(slots)
     waits: list[float] = []
@@ -75,16 +81,13 @@
     return waits[ahead:]
 
 
-def _list_slots(target: TargetUse, task_cpu: int, now: float) -> list[float]:
-    """Returns after how many seconds a target has room for one more task each."""
+def _list_slots(target: TargetUse, task_cpu: int, limit: int, now: float) -> list[float]:
+    """Returns after how many seconds a target has room for one more task each, `limit` at most."""
     slots: list[float] = []
     free = target.free_cpu
-    while free >= task_cpu:
-        slots.append(0.0)
-        free -= task_cpu
-    for seconds, cpu in sorted(_list_releases(target, task_cpu, now)):
+    for seconds, cpu in [(0.0, 0), *sorted(_list_releases(target, task_cpu, now))]:
         free += cpu
-        while free >= task_cpu:
+        while free >= task_cpu and len(slots) < limit:
             slots.append(seconds)
             free -= task_cpu
     return slots
@@ -97,10 +100,11 @@
     begun at even distances.
     """
     releases = [(_expect_remaining(run, now), run.cpu) for run in target.runs]
-    others = -(-target.other_cpu // task_cpu)
+    others = min(-(-target.other_cpu // task_cpu), MAX_OTHER_RUNS)
+    share_cpu = max(task_cpu, -(-target.other_cpu // max(1, others)))
     remaining_cpu = target.other_cpu
     for number in range(others):
-        cpu = min(task_cpu, remaining_cpu)
+        cpu = min(share_cpu, remaining_cpu)
         remaining_cpu -= cpu
         releases.append((target.task_seconds * (number + 1) / (others + 1), cpu))
     return releases
--- a/src/comfreysill/waits/ledger.py
+++ b/src/comfreysill/waits/ledger.py
@@ -30,7 +30,8 @@
         forecast_at: Boot-clock time in seconds at which the last of them should have room, as it
             was forecast before the correction by the learned ratio.
         ends_at: Boot-clock time in seconds from which those that still wait may start anywhere.
-        closed: True once it has ended; it is kept so that the step doesn't wait twice.
+        closed: True once it has ended; it is kept so that the step waits again only once it can't
+            be on time.
     """
 
     __slots__ = (
--- a/src/comfreysill/zones/closures.py
+++ b/src/comfreysill/zones/closures.py
@@ -9,6 +9,8 @@
 # A status of a further zone takes the place of an open one, or isn't kept.
 MAX_ZONES = 128
 MAX_ZONE_CHARS = 200
+# Precedes the rank of each status.
+UNKNOWN_RANK = (-1, False)
 
 
 class ZoneStatus:
@@ -73,14 +75,15 @@
     """What the other side of a session knows of zones.
 
     Attributes:
-        versions: Versions of the statuses that were sent to it or came from it, by zone.
+        versions: Pairs of the version and whether it is closed, of the statuses that were sent to
+            it or came from it, by zone.
         closures: Closures that were compared last, all of which it knows.
     """
 
     __slots__ = ("versions", "closures")
 
     def __init__(self) -> None:
-        self.versions: dict[str, int] = {}
+        self.versions: dict[str, tuple[int, bool]] = {}
         self.closures = NO_CLOSURES
 
 
@@ -160,8 +163,8 @@
 def note_heard(told: ToldZones, statuses: Iterable[ZoneStatus]) -> None:
     """Records statuses that have come from the other side."""
     for status in statuses:
-        if status.version > told.versions.get(status.zone, -1):
-            told.versions[status.zone] = status.version
+        if _get_rank(status) > told.versions.get(status.zone, UNKNOWN_RANK):
+            told.versions[status.zone] = _get_rank(status)
     if len(told.versions) > 2 * MAX_ZONES:
         forget_told(told)
 
@@ -173,7 +176,7 @@
     news = tuple(
         status
         for status in closures.statuses.values()
-        if status.version > told.versions.get(status.zone, -1)
+        if _get_rank(status) > told.versions.get(status.zone, UNKNOWN_RANK)
     )
     if not news:
         told.closures = closures
@@ -183,14 +186,18 @@
 def take_news(told: ToldZones, closures: Closures) -> tuple[ZoneStatus, ...]:
     """Returns the same as `list_news`, and records that it is sent."""
     news = list_news(told, closures)
-    told.versions.update((status.zone, status.version) for status in news)
+    told.versions.update((status.zone, _get_rank(status)) for status in news)
     told.closures = closures
     return news
 
 
-def _is_newer(status: ZoneStatus, known: ZoneStatus) -> bool:
+def _get_rank(status: ZoneStatus) -> tuple[int, bool]:
     # The closed one of equal versions holds, so that the order of arrival doesn't matter.
-    return (status.version, status.closed) > (known.version, known.closed)
+    return status.version, status.closed
+
+
+def _is_newer(status: ZoneStatus, known: ZoneStatus) -> bool:
+    return _get_rank(status) > _get_rank(known)
 
 
 def _may_add(statuses: dict[str, ZoneStatus], status: ZoneStatus) -> bool:
--- a/tests/platform_world.py
+++ b/tests/platform_world.py
@@ -65,7 +65,7 @@
     SendFrame,
     SendVerdict,
 )
-from comfreysill.placement.link_demand import update_links_by_need, withhold_returning
+from comfreysill.placement.link_demand import update_links_by_need
 from comfreysill.placement.peer_links import (
     begin_peer_session,
     collect_claims,
@@ -554,7 +554,6 @@
         update_peers(state, self.now)
         conclude_remote_ends(state, self.now)
         expire_requests(state, self.now)
-        withhold_returning(state)
         place_waiting(state, self.now)
         update_links_by_need(state, self.now)
         collect_frames(state, self.now)
--- a/tests/test_closed_zones.py
+++ b/tests/test_closed_zones.py
@@ -97,6 +97,13 @@
         closures = apply_statuses(closures, [status("a", 7, False)], 2.0)
         self.assertEqual([news.zone for news in take_news(told, closures)], ["a"])
 
+    # Guards against a peer that goes on starting tasks in a zone that it knows as open.
+    def test_a_closing_is_news_to_one_that_knows_the_zone_as_open(self):
+        told = ToldZones()
+        closures = apply_statuses(NO_CLOSURES, [status("a", 5)], 1.0)
+        note_heard(told, [status("a", 5, False)])
+        self.assertEqual([news.zone for news in list_news(told, closures)], ["a"])
+
 
 class ZonesCase(unittest.TestCase):
     def open_world(self, seed, entries=2, agents=4, zones=2):
--- a/tests/test_link_demand.py
+++ b/tests/test_link_demand.py
@@ -12,9 +12,16 @@
     LATE_SECONDS,
     UNANSWERED_SECONDS,
     update_links_by_need,
-    withhold_returning,
 )
-from comfreysill.placement.link_need import END_SECONDS, KEEP_SECONDS, count_needed_links
+from comfreysill.placement.link_need import (
+    END_SECONDS,
+    KEEP_SECONDS,
+    MAX_VAIN_SECONDS,
+    NeededLink,
+    ServiceLinks,
+    count_needed_links,
+    judge_step,
+)
 from comfreysill.placement.placement import is_usable
 from comfreysill.placement.queue import push_request
 from comfreysill.placement.state import EntryState
@@ -70,7 +77,6 @@
                 if agent.link_requested_at and agent.name not in self.silent:
                     self.answer(agent)
             update_subset(self.state, self.now)
-            withhold_returning(self.state)
             update_links_by_need(self.state, self.now)
             effects, self.state.effects = self.state.effects, []
             self.opened += [effect.agent for effect in effects if isinstance(effect, OpenLink)]
@@ -179,6 +185,14 @@
         entry.run(0.2)
         self.assertTrue(is_usable(entry.state, entry.state.agents[used], entry.now))
 
+    # Guards against an entry that ends after hours in which all targets are full.
+    def test_thousands_of_steps_in_vain_wait_no_longer_than_some(self):
+        own = ServiceLinks()
+        own.step, own.vain_tries = ("gone",), 5_000
+        own.links["gone"] = NeededLink(requested_at=0.0)
+        self.assertFalse(judge_step(own, 10.0))
+        self.assertEqual(own.vain_until, 10.0 + MAX_VAIN_SECONDS)
+
     def test_nothing_is_widened_in_vain_for_ever_while_all_are_full(self):
         entry = Entry()
         entry.free_cpu = lambda agent: 0
--- a/tests/test_where.py
+++ b/tests/test_where.py
@@ -248,7 +248,7 @@
             handle_contained(self.actor, message, self.now, HANDLERS, CONTAINMENT)
 
     def test_answers(self):
-        query = b"route=q&cpu=1000&memory-mb=1&estimate=0.2&count=2"
+        query = b"route=q&cpu=1000&memory_mb=1&estimate=0.2&count=2"
         status, document, _ = self.ask("GET", query)
         self.assertEqual((status, document["steps"][0]["unplaced"]), (200, 0))
         body = b'{"best-effort": true, "steps": [{"count": 5, "cpu": 1000, "estimate-ms": 200}]}'
@@ -261,12 +261,13 @@
         self.assertEqual(self.ask("GET", b"", path="/")[1], "metrics")
 
     def test_bad_input_is_refused_with_the_field_at_fault(self):
-        step = b"route=q&memory-mb=1&estimate=0.2&count=2"
+        step = b"route=q&memory_mb=1&estimate=0.2&count=2"
         for method, query, body, field in (
             ("GET", step + b"&cpu=-1", b"", "cpu"),
             ("GET", step + b"&cpu=" + b"9" * 200, b"", "cpu"),
+            ("GET", step + b"&cpu=" + b"0" * 20 + b"1", b"", "cpu"),
             ("GET", step + b"&cpu=1&gang=1", b"", "gang"),
-            ("GET", b"route=q&cpu=1&memory-mb=1&count=1&estimate=nan", b"", "estimate"),
+            ("GET", b"route=q&cpu=1&memory_mb=1&count=1&estimate=nan", b"", "estimate"),
             ("GET", b"job=a%20b", b"", "job"),
             ("GET", b"", b"", "route"),
             ("GET", step + b"&route=q", b"", "query"),
@@ -289,14 +290,14 @@
     # Guards against a question whose handling fails and ends the entry.
     def test_a_failed_question_costs_itself_only(self):
         self.actor.state.agents["a"].load = None
-        self.assertEqual(self.ask("GET", b"route=q&cpu=1&memory-mb=1&estimate=1&count=1")[0], 503)
+        self.assertEqual(self.ask("GET", b"route=q&cpu=1&memory_mb=1&estimate=1&count=1")[0], 503)
 
 
 class TestCommand(unittest.TestCase):
     def test_questions(self):
-        step = {"cpu": 1, "memory-mb": 2, "estimate": 0.5, "count": 3, "rack": None}
+        step = {"cpu": 1, "memory_mb": 2, "estimate": 0.5, "count": 3, "rack": None}
         question = build_question(job=None, file=None, route="q", step=step)
-        self.assertEqual(question.path, "/where?route=q&cpu=1&memory-mb=2&estimate=0.5&count=3")
+        self.assertEqual(question.path, "/where?route=q&cpu=1&memory_mb=2&estimate=0.5&count=3")
         self.assertEqual(
             build_question(job="j", file=None, route=None, step={}).path, "/where?job=j"
         )
