Links by need are off unless the settings switch them on

Cause: not separated.

Change: `max-link-share` is 0 if it is missing. The simulated deployment and the model still open links by need, by their own settings; the test of the setting reads both values.

--- a/src/comfreysill/placement/link_need.py
+++ b/src/comfreysill/placement/link_need.py
@@ -6,8 +6,9 @@
 
 import math
 
-# Share of a service's agents that an entry may link to, unless the settings say otherwise.
-DEFAULT_MAX_LINK_SHARE = 0.75
+# Share of a service's agents that an entry may link to, unless the settings say otherwise. No links
+# are opened by need if it is 0.
+DEFAULT_MAX_LINK_SHARE = 0.0
 # An entry links to at most this many times its base subset.
 MAX_WIDENING_FACTOR = 2
 # Need begins with waiting work above this share of the linked capacity, or after the time below.
--- a/tests/platform_world.py
+++ b/tests/platform_world.py
@@ -123,6 +123,8 @@
 MAX_STARTS_AFTER_CRASHES = 3
 # A request may be started for so long after its cancelling was answered.
 CANCEL_SECONDS = 1.0
+# Entries open links by need.
+MAX_LINK_SHARE = 0.75
 
 
 class ModelRunner:
@@ -476,6 +478,7 @@
         process.alive = True
         process.deferred = []
         process.state = EntryState(
+            max_link_share=MAX_LINK_SHARE,
             name=f"{name}@{process.lifetime}",
             zone="z",
             unix_offset=0.0,
