URLs of up to 16 KiB are read; a test asks with the new names of parameters

Cause: the limit of URLs, 8 KiB, was below what callers have been answered for; the parameter was renamed with the bounds of /where and this test wasn't run.

Change: `url-bytes` is 16,384 by default; the test asks with `memory_mb`.

--- a/src/comfreysill/connections/limits.py
+++ b/src/comfreysill/connections/limits.py
@@ -63,7 +63,7 @@
         *,
         head_bytes: int = 32 * KIB,
         head_lines: int = 128,
-        url_bytes: int = 8 * KIB,
+        url_bytes: int = 16 * KIB,
         body_bytes: int = 16 * MIB,
         framing_bytes: int = 16 * KIB,
         trailer_lines: int = 64,
--- a/tests/test_platform_processes.py
+++ b/tests/test_platform_processes.py
@@ -132,7 +132,7 @@
     async def test_an_entry_tells_where_a_request_would_go_and_starts_nothing(self):
         await self.await_links("entry-0", len(self.deployment.agents))
         url = f"http://{self.deployment.find_ip('entry-0')}:{METRICS_PORT}/where"
-        query = {"route": "r1", "cpu": 1000, "memory-mb": 1, "estimate": 0.1, "count": 2}
+        query = {"route": "r1", "cpu": 1000, "memory_mb": 1, "estimate": 0.1, "count": 2}
         async with self.session.get(url, params=query) as answer:
             step = (await answer.json())["steps"][0]
         self.assertEqual(step["unplaced"], 0)
