Crowd of hostile clients: numbered pieces, whole submissions, frames of links

Cause: the crowd could send one piece of memory again and again only, so that whole submissions of different jobs and streams of HTTP/2, which need a number each, couldn't be played. The base of the tests has a module of its own; tests that stood before send the same bytes as before.

--- a/standins/hostile_crowd.py
+++ b/standins/hostile_crowd.py
@@ -1,59 +1,16 @@
-"""Clients that keep no limits: what each form of them sends, and a small crowd of one form.
+"""A small crowd of clients that keep no limits, all of one form.
 
-A crowd is bounded in connections, bytes and time, and sends the same pieces of memory again and
-again. Its members read nothing. It keeps its connections open until it is closed.
+A crowd is bounded in connections, bytes and time. Its members read nothing. It keeps its
+connections open until it is closed.
 """
 
 import asyncio
 import socket
 import time
 
-from standins.platform_deployment import ROUTE_HOST, ROUTE_PREFIX
+from standins.hostile_forms import Form
 
-PIECE_BYTES = 65_536
 CONNECT_TIMEOUT_SECONDS = 2.0
-JOB_PATH = f"{ROUTE_PREFIX}{'c' * 16}"
-HOST_LINE = f"Host: {ROUTE_HOST}\r\n"
-GET_START = f"GET {ROUTE_PREFIX} HTTP/1.1\r\n".encode()
-GET_HEAD = GET_START + HOST_LINE.encode()
-POST_HEAD = f"POST {JOB_PATH} HTTP/1.1\r\n{HOST_LINE}".encode()
-CHUNKED_HEAD = POST_HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
-CHUNKED_END = b"2\r\n{}\r\n0\r\n"
-LONG_LINE = b"X-Long: " + b"a" * 8_182 + b"\r\n"
-SHORT_LINE = b"a:b\r\n"
-CHUNK = b"ffff\r\n" + b"a" * 0xFFFF + b"\r\n"
-
-
-class Form:
-    """What a client sends.
-
-    Attributes:
-        opening: Sent once on each connection.
-        piece: Sent again and again after it; empty if nothing follows.
-    """
-
-    __slots__ = ("opening", "piece")
-
-    def __init__(self, *, opening: bytes = b"", piece: bytes = b"") -> None:
-        self.opening = opening
-        self.piece = piece * max(1, PIECE_BYTES // len(piece)) if piece else b""
-
-
-FORMS = {
-    "header without end": Form(opening=GET_HEAD + b"X-Long: ", piece=b"a"),
-    "URL without end": Form(opening=f"GET {ROUTE_PREFIX}".encode(), piece=b"a"),
-    "head of long lines": Form(opening=GET_HEAD, piece=LONG_LINE),
-    "head of short lines": Form(opening=GET_HEAD, piece=SHORT_LINE),
-    "empty lines": Form(piece=b"\r\n"),
-    "trailers of long lines": Form(opening=CHUNKED_HEAD + CHUNKED_END, piece=LONG_LINE),
-    "trailers of short lines": Form(opening=CHUNKED_HEAD + CHUNKED_END, piece=SHORT_LINE),
-    "chunk extension without end": Form(opening=CHUNKED_HEAD + b"2;", piece=b"a"),
-    "requests ahead with Host": Form(piece=GET_HEAD + b"\r\n"),
-    "requests ahead without Host": Form(piece=GET_START + b"\r\n"),
-    "endless body": Form(opening=CHUNKED_HEAD, piece=CHUNK),
-    "nothing": Form(),
-    "half a head": Form(opening=GET_HEAD),
-}
 
 
 class Crowd:
@@ -66,6 +23,7 @@
         attempts: Maximum number of connections of each member, one after another.
         max_bytes: Maximum number of bytes that each member sends, over all of its connections.
         ends_at: Monotonic time in seconds from which they send nothing more.
+        pieces: Number of pieces that were built for all members so far.
         sockets: Open connections.
         sent: Number of bytes that all members have sent.
         closed: Number of connections that the process has closed or refused.
@@ -78,6 +36,7 @@
         "attempts",
         "max_bytes",
         "ends_at",
+        "pieces",
         "sockets",
         "sent",
         "closed",
@@ -99,6 +58,7 @@
         self.attempts = attempts
         self.max_bytes = max_bytes
         self.ends_at = time.monotonic() + seconds
+        self.pieces = 0
         self.sockets: set[socket.socket] = set()
         self.sent = 0
         self.closed = 0
@@ -148,15 +108,14 @@
         The number of bytes that the member may send on further connections.
     """
     loop = asyncio.get_running_loop()
-    piece = crowd.form.opening
+    piece = crowd.form.opening or _build_piece(crowd)
     try:
         async with asyncio.timeout_at(loop.time() + crowd.ends_at - time.monotonic()):
-            while left > 0 and (piece or crowd.form.piece):
-                piece = piece or crowd.form.piece
+            while left > 0 and piece:
                 await loop.sock_sendall(connection, piece)
                 left -= len(piece)
                 crowd.sent += len(piece)
-                piece = b""
+                piece = _build_piece(crowd)
                 # Lets the other members have their turns; a send that doesn't block doesn't.
                 await asyncio.sleep(0)
     except TimeoutError:
@@ -166,6 +125,11 @@
     return left
 
 
+def _build_piece(crowd: Crowd) -> bytes:
+    crowd.pieces += 1
+    return crowd.form.build_piece(crowd.pieces)
+
+
 def _drop(crowd: Crowd, connection: socket.socket) -> None:
     crowd.sockets.discard(connection)
     connection.close()
--- a/standins/hostile_table.py
+++ b/standins/hostile_table.py
@@ -14,15 +14,18 @@
 import aiohttp
 import psutil
 
-from standins.hostile_crowd import FORMS, Crowd, close_crowd, send_all
+from standins.hostile_crowd import Crowd, close_crowd, send_all
+from standins.hostile_forms import FORMS, LINK_FORMS
 from standins.platform_deployment import (
     CALLERS_PORT,
+    LINK_PORT,
     PlatformDeployment,
     start_platform_deployment,
     stop_platform_deployment,
     submit_job,
 )
 
+ALL_FORMS = FORMS | LINK_FORMS
 MB = 1 << 20
 ATTEMPTS = 1_000
 RUN_TIME = "0.02"
@@ -54,7 +57,7 @@
 
 
 async def measure_crowd(
-    form: str, connections: int, megabytes: float, seconds: float, network: str
+    form: str, connections: int, megabytes: float, seconds: float, network: str, port: int = 0
 ) -> str:
     """Returns a line of the table; for the arguments see `main`."""
     with tempfile.TemporaryDirectory() as folder:
@@ -65,17 +68,23 @@
         try:
             await start_platform_deployment(deployment)
             await asyncio.sleep(SETTLING_SECONDS)
-            return await _measure(deployment, form, connections, megabytes, seconds)
+            return await _measure(deployment, form, connections, megabytes, seconds, port)
         finally:
             await stop_platform_deployment(deployment)
 
 
 async def _measure(
-    deployment: PlatformDeployment, form: str, connections: int, megabytes: float, seconds: float
+    deployment: PlatformDeployment,
+    form: str,
+    connections: int,
+    megabytes: float,
+    seconds: float,
+    port: int,
 ) -> str:
+    port = port or (LINK_PORT if form in LINK_FORMS else CALLERS_PORT)
     crowd = Crowd(
-        address=f"{deployment.find_ip('entry-0')}:{CALLERS_PORT}",
-        form=FORMS[form],
+        address=f"{deployment.find_ip('entry-0')}:{port}",
+        form=ALL_FORMS[form],
         connections=connections,
         attempts=ATTEMPTS,
         max_bytes=int(megabytes * MB),
@@ -141,17 +150,23 @@
 def main() -> None:
     """Measures the crowds named, or one of each form, and prints a line for each."""
     parser = argparse.ArgumentParser(description=main.__doc__)
-    parser.add_argument("--form", action="append", choices=FORMS)
+    parser.add_argument("--form", action="append", choices=ALL_FORMS)
     parser.add_argument("--connections", type=int, default=16)
     parser.add_argument("--megabytes", type=float, default=200.0, help="of each connection")
     parser.add_argument("--seconds", type=float, default=5.0)
+    parser.add_argument("--port", type=int, default=0, help="of the entry; 0 for the usual one")
     parser.add_argument("--network", default="127.131")
     options = parser.parse_args()
     print("form                         conns sent MB peak MB   after    fds served others", end="")
     print("  p50 ms  p95 ms longest")
-    for form in options.form or FORMS:
+    for form in options.form or ALL_FORMS:
         line = measure_crowd(
-            form, options.connections, options.megabytes, options.seconds, options.network
+            form,
+            options.connections,
+            options.megabytes,
+            options.seconds,
+            options.network,
+            options.port,
         )
         print(asyncio.run(line), flush=True)
 
--- a/tests/test_hostile_clients.py
+++ b/tests/test_hostile_clients.py
@@ -1,103 +1,15 @@
-"""Clients that keep no limits, in front of real processes.
-
-The bounds are those of the smallest machine that the system runs on. Nothing here depends on the
-machine's speed: a process has to live, its memory and its descriptors have to stay under their
-bounds, and an ordinary request has to be answered while the crowd's connections are still open.
-"""
-
-import asyncio
-import itertools
-import pathlib
-import resource
-import tempfile
+"""Clients that keep no limits in what they send of one message, or in how many they hold open."""
+
 import unittest
 
-import aiohttp
-
-from standins.hostile_crowd import FORMS, Crowd, close_crowd, send_all
-from standins.platform_deployment import (
-    CALLERS_PORT,
-    CONTROL_PORT,
-    METRICS_PORT,
-    READY_PORT,
-    PlatformDeployment,
-    start_platform_deployment,
-    stop_platform_deployment,
-    submit_job,
+from standins.platform_deployment import CONTROL_PORT, METRICS_PORT, READY_PORT
+from tests.hostile import (
+    FEW_DESCRIPTORS,
+    KERNEL_DESCRIPTORS,
+    HostileClientsTest,
+    limit_descriptors,
 )
 
-# Limits of the smallest machine.
-MAX_MEMORY_MB = 160
-MAX_DESCRIPTORS = 1_638
-# A smaller machine, for a small crowd, and the bound of the kernel above it, in descriptors.
-FEW_DESCRIPTORS, KERNEL_DESCRIPTORS = 400, 500
-CROWD_SECONDS = 10.0
-# Connections that a member opens one after another, if they are closed.
-ATTEMPTS = 20
-ORDINARY_ATTEMPTS, ORDINARY_WAIT_SECONDS, RESEND_DELAY_SECONDS = 12, 5.0, 1.3
-MB = 1 << 20
-# Second octets: each test has a loopback network 127.N of its own.
-LOOPBACK_NETWORKS = itertools.count(170)
-
-
-class HostileClientsTest(unittest.IsolatedAsyncioTestCase):
-    async def start(self, descriptors=MAX_DESCRIPTORS):
-        folder = tempfile.TemporaryDirectory()
-        self.addCleanup(folder.cleanup)
-        self.descriptors = descriptors
-        self.deployment = PlatformDeployment(
-            network=f"127.{next(LOOPBACK_NETWORKS)}",
-            folder=pathlib.Path(folder.name),
-            entries=1,
-            agents=2,
-        )
-        self.deployment.limits = {"memory-mb": MAX_MEMORY_MB, "max-fds": descriptors}
-        self.addAsyncCleanup(stop_platform_deployment, self.deployment)
-        await start_platform_deployment(self.deployment)
-
-    async def play(self, form, connections, megabytes, instance="entry-0", port=CALLERS_PORT):
-        """Lets a crowd of `form` send up to `megabytes` per member, and checks all bounds."""
-        crowd = Crowd(
-            address=f"{self.deployment.find_ip(instance)}:{port}",
-            form=FORMS[form],
-            connections=connections,
-            attempts=ATTEMPTS,
-            max_bytes=int(megabytes * MB),
-            seconds=CROWD_SECONDS,
-        )
-        self.addCleanup(close_crowd, crowd)
-        await send_all(crowd)
-        statuses = await self.call_as_ordinary_caller()
-        process = self.deployment.processes[instance]
-        self.assertIsNone(process.returncode, "the process has ended")
-        memory_mb, descriptors = read_peak_memory(process.pid), count_descriptors(process.pid)
-        print(
-            f"{form} to {instance}:{port}: sent {crowd.sent / MB:.1f} MB, {crowd.closed} closed; "
-            f"peak {memory_mb:.0f} MB, {descriptors} descriptors, ordinary request {statuses}"
-        )
-        self.assertLess(memory_mb, MAX_MEMORY_MB)
-        self.assertLess(descriptors, self.descriptors)
-        self.assertEqual(statuses[-1], 200)
-
-    async def call_as_ordinary_caller(self):
-        """Submits a job until it is answered with status 200; returns all statuses."""
-        statuses = []
-        for _ in range(ORDINARY_ATTEMPTS):
-            # Each attempt on a connection of its own, as a balancer makes them.
-            async with aiohttp.ClientSession() as session:
-                status, _ = await submit_job(
-                    session,
-                    self.deployment,
-                    "entry-0",
-                    "0" * 16,
-                    wait_seconds=ORDINARY_WAIT_SECONDS,
-                )
-            statuses.append(status)
-            if status == 200:
-                break
-            await asyncio.sleep(RESEND_DELAY_SECONDS)
-        return statuses
-
 
 class TestCallersAddress(HostileClientsTest):
     """Crowds in front of the address for callers."""
@@ -164,8 +76,7 @@
 
     async def check_held_descriptors(self, form):
         await self.start(descriptors=FEW_DESCRIPTORS)
-        pid = self.deployment.processes["entry-0"].pid
-        resource.prlimit(pid, resource.RLIMIT_NOFILE, (KERNEL_DESCRIPTORS, KERNEL_DESCRIPTORS))
+        limit_descriptors(self.deployment, "entry-0")
         await self.play(form, connections=KERNEL_DESCRIPTORS + 60, megabytes=1)
 
 
@@ -193,18 +104,5 @@
         )
 
 
-def read_peak_memory(pid):
-    """Returns the largest resident memory that a process has had, in MB."""
-    for line in pathlib.Path(f"/proc/{pid}/status").read_text().splitlines():
-        if line.startswith("VmHWM:"):
-            return int(line.split()[1]) / 1024
-    raise ValueError("no VmHWM")
-
-
-def count_descriptors(pid):
-    """Returns the number of open descriptors of a process."""
-    return len(list(pathlib.Path(f"/proc/{pid}/fd").iterdir()))
-
-
 if __name__ == "__main__":
     unittest.main()
