Bodies are counted until they are read, and freed with their connection

What callers saw: with 400 channels that send whole submissions of 200 KB, or DELETEs with an endless body, an entry took 162 and 105 MB of the 100 in its settings; an instance of 160 MB ends. Cause: a request ahead counted as 4 KiB whatever its body held; a body that no application reads (DELETE, GET) was kept up to 64 KiB; a closed connection and its last request refer to each other, so that their bodies stayed until the garbage collector came by, after 20,000 further objects; and the body of a submission was kept beside its decoded form until the answer. Change: bodies of requests ahead count in full, and those requests are dropped, unrun, when the connection has to give its memory back; bodies of other methods than POST and PUT are thrown away as they come, under the limit for bytes after an answer; references end with the connection.

--- a/src/comfreysill/bounded_http.py
+++ b/src/comfreysill/bounded_http.py
@@ -45,7 +45,7 @@
 
 # Name of the ASGI extension in which a request carries an `Arrival`.
 ARRIVAL_EXTENSION = "comfreysill.arrival"
-# Methods whose requests are acted on once their bodies are complete.
+# Methods whose bodies are read, and whose requests are acted on once these are complete.
 BODY_METHODS = frozenset({"POST", "PUT"})
 # Reasons for which no answer is sent, not even the rest of an earlier one.
 ENDING_REASONS = frozenset({Reason.DISCARDED, Reason.UNREAD_SECONDS})
@@ -114,6 +114,15 @@
         remove_connection(self.guard.table, self.connection)
         self._abandon(self.started)
         super().connection_lost(exc)
+        self._forget_requests()
+
+    def _forget_requests(self) -> None:
+        """Frees the bodies at once; the garbage collector would find the references much later."""
+        self.pipeline.clear()
+        self.connection.ahead_bytes.clear()
+        if self.cycle is not None:
+            self.cycle.body = bytearray()
+        self.cycle = self.started = None
 
     def check_time(self, now: float, late_seconds: float) -> None:
         """Closes a connection that has been in its phase, or left answers unread, for too long.
@@ -195,12 +204,12 @@
         table, connection = self.guard.table, self.connection
         if connection not in table.connections:
             return
-        held_bytes = measure_held(connection.reading, max(0, connection.unanswered - 1))
+        held_bytes = measure_held(connection.reading, connection.ahead_bytes)
         held_bytes += self.transport.get_write_buffer_size()
         set_held_bytes(table, connection, held_bytes)
         while (dearest := find_dearest(table)) is not None and dearest.held_bytes:
-            dearest.close(Reason.HELD_BYTES)
             set_held_bytes(table, dearest, 0)
+            dearest.close(Reason.HELD_BYTES)
 
     def _check(self, reason: Reason | None) -> None:
         if reason is not None:
@@ -241,16 +250,21 @@
         enter_phase(self.connection.reading, Phase.BODY)
 
     def on_body(self, body: bytes) -> None:
-        """Adds data to the body, unless the request has been answered."""
-        answered = self.cycle.response_complete
-        count = count_discarded if answered else count_data
-        self._check(count(self.connection.reading, self.limits, len(body)))
+        """Adds data to the body, unless nobody reads it."""
+        reading, cycle = self.connection.reading, self.cycle
+        if cycle.response_complete or cycle.scope["method"] not in BODY_METHODS:
+            self._check(count_discarded(reading, self.limits, len(body)))
+            return
+        self._check(count_data(reading, self.limits, len(body)))
         super().on_body(body)
 
     def on_message_complete(self) -> None:
         """Ends a request."""
         super().on_message_complete()
-        enter_phase(self.connection.reading, Phase.BETWEEN)
+        reading = self.connection.reading
+        if self.cycle is not self.started:
+            self.connection.ahead_bytes.append(reading.data_bytes)
+        enter_phase(reading, Phase.BETWEEN)
 
     # Requests and answers.
 
@@ -271,6 +285,8 @@
             return
         if self.pipeline:
             cycle, app = self.pipeline.pop()
+            if self.connection.ahead_bytes:
+                self.connection.ahead_bytes.popleft()
             self._start_asgi_task(cycle, app)
         elif self.refusal is not None:
             is_own = self.started is self.cycle and self.connection.reading.phase == Phase.BODY
@@ -299,11 +315,19 @@
             self.connection.unanswered -= 1
             if self.pipeline and self.pipeline[0][0] is own:
                 self.pipeline.popleft()
+        if reason is Reason.HELD_BYTES:
+            self._drop_requests_ahead()
         if self.connection.unanswered:
             self.flow.pause_reading()
         else:
             self._send_refusal(reason, own)
 
+    def _drop_requests_ahead(self) -> None:
+        """Drops the requests that wait for earlier ones, none of which was started."""
+        self.connection.unanswered -= len(self.pipeline)
+        self.pipeline.clear()
+        self.connection.ahead_bytes.clear()
+
     def _send_refusal(self, reason: Reason, own: RequestResponseCycle | None = None) -> None:
         """Sends the answer to a message that wasn't received, and closes the connection.
 
--- a/src/comfreysill/connections/reading.py
+++ b/src/comfreysill/connections/reading.py
@@ -5,6 +5,7 @@
 """
 
 import enum
+from collections.abc import Collection
 
 from comfreysill.connections.limits import REQUEST_BYTES, ConnectionLimits
 from comfreysill.connections.reasons import Reason
@@ -134,9 +135,14 @@
     return Reason.EMPTY_BYTES if reading.quiet_bytes > limits.empty_bytes else None
 
 
-def measure_held(reading: Reading, requests_ahead: int) -> int:
-    """Returns the bytes that a connection holds of messages that aren't complete or not begun."""
-    ahead = requests_ahead * REQUEST_BYTES
+def measure_held(reading: Reading, ahead_bytes: Collection[int]) -> int:
+    """Returns the bytes that a connection holds of messages that aren't complete or not begun.
+
+    Args:
+        reading: What it has received of its current message.
+        ahead_bytes: Sizes of the bodies of complete requests that wait for earlier ones.
+    """
+    ahead = sum(ahead_bytes) + len(ahead_bytes) * REQUEST_BYTES
     if reading.phase is Phase.HEAD:
         return ahead + reading.head_bytes + reading.quiet_bytes
     return ahead + (reading.data_bytes if reading.phase is Phase.BODY else 0)
--- a/src/comfreysill/connections/table.py
+++ b/src/comfreysill/connections/table.py
@@ -1,5 +1,6 @@
 """All connections of clients of a process: how many there may be, and what they hold together."""
 
+from collections import deque
 from collections.abc import Callable
 
 from comfreysill.connections.limits import ConnectionLimits, ProcessLimits
@@ -14,6 +15,7 @@
         number: Rises by one with each connection of the process.
         reading: What it has received of its current message.
         unanswered: Number of complete heads whose answers aren't sent yet.
+        ahead_bytes: Sizes of the bodies of complete requests that wait for earlier ones.
         held_bytes: Bytes that it holds of messages that are being received, and of answers that
             wait to be read.
         waits_since: Number of the event of the table at which its last message began, or at which
@@ -28,6 +30,7 @@
         "number",
         "reading",
         "unanswered",
+        "ahead_bytes",
         "held_bytes",
         "waits_since",
         "seen_transitions",
@@ -39,6 +42,7 @@
         self.number = number
         self.reading = Reading()
         self.unanswered = 0
+        self.ahead_bytes: deque[int] = deque()
         self.held_bytes = 0
         self.waits_since = number
         self.seen_transitions = -1
--- a/src/comfreysill/platform/ingress.py
+++ b/src/comfreysill/platform/ingress.py
@@ -10,7 +10,12 @@
 from comfreysill.gateway.messages import CancelReply, Reply
 from comfreysill.platform.bodies import read_body
 from comfreysill.platform.documents import encode_document
-from comfreysill.platform.submission import REQUEST_ID_PATTERN, Rejection, decode_submission
+from comfreysill.platform.submission import (
+    REQUEST_ID_PATTERN,
+    RejectedSubmission,
+    Rejection,
+    decode_submission,
+)
 from comfreysill.request.types import CallerWait, CancelOutcome, Specification, Verdict
 from comfreysill.routes.table import Route, RouteTable, find_route
 from comfreysill.servers import ARRIVAL_EXTENSION
@@ -156,13 +161,11 @@
         return
     decoded = decode_submission(request_id, route, body)
     if isinstance(decoded, Err):
-        error = decoded.err_value
-        if error.rejection == Rejection.UNSUPPORTED:
-            await _send_json(operations, send, 503, {"error": error.detail}, retry_after_seconds=1)
-        else:
-            await _send_json(operations, send, 400, {"error": error.detail})
+        await _send_rejection(operations, send, decoded.err_value)
         return
     caller_number, reply = operations.submit(decoded.ok_value, wait)
+    # Neither is kept while the caller waits; the entry accounts for the request alone.
+    del body, decoded
     disconnected = asyncio.ensure_future(_await_disconnect(receive))
     await asyncio.wait((reply, disconnected), return_when=asyncio.FIRST_COMPLETED)
     if disconnected.done():
@@ -172,6 +175,16 @@
         await _send_reply(operations, send, reply.result())
 
 
+async def _send_rejection(
+    operations: EntryOperations, send: Any, rejected: RejectedSubmission
+) -> None:
+    document = {"error": rejected.detail}
+    if rejected.rejection == Rejection.UNSUPPORTED:
+        await _send_json(operations, send, 503, document, retry_after_seconds=1)
+    else:
+        await _send_json(operations, send, 400, document)
+
+
 async def _send_reply(operations: EntryOperations, send: Any, reply: Reply) -> None:
     state = STATE_NAMES.get(reply.verdict)
     if state is not None:
