Open requests have an allotment of memory, and are refused at once beyond it

What callers saw: 200 clients that send submissions of 20 KB, each of which asks for 2,000 tasks, made an entry take 173 and 216 MB of the 100 in its settings, and 365 beside 128 that go on; an ordinary caller got 503 in all of 12 attempts. Cause: what is decoded and waits (steps, tasks and their states) counted nowhere.

--- a/src/comfreysill/gateway/program.py
+++ b/src/comfreysill/gateway/program.py
@@ -35,6 +35,7 @@
 from comfreysill.metrics import Metrics
 from comfreysill.metrics_app import build_metrics_app, build_observer
 from comfreysill.placement.admission import Admission
+from comfreysill.placement.allotment import build_allotment
 from comfreysill.placement.link_need import count_needed_links
 from comfreysill.placement.state import EntryState
 from comfreysill.platform.guard import build_platform_guard
@@ -132,6 +133,7 @@
     state.admission = Admission(
         refuses_early=settings.refuses_early, least_share=settings.least_share
     )
+    state.allotment = build_allotment(settings.memory_bytes)
     state.entries = list(dict.fromkeys((settings.advertised, *settings.entries)))
     return state
 
@@ -246,6 +248,7 @@
         "connections": len(guard.table.connections),
         "held_bytes": guard.table.held_bytes,
         "requests": len(state.requests),
+        "requests_bytes": state.allotment.used_bytes,
         "callers": len(actor.pending_replies),
         "agents": sum(agent.connected for agent in state.agents.values()),
         "links_by_need": count_needed_links(state.link_demand),
--- a/src/comfreysill/placement/requests.py
+++ b/src/comfreysill/placement/requests.py
@@ -6,6 +6,7 @@
 from comfreysill.crashes.ledger import find_deadly_task, is_suspect
 from comfreysill.exchange.messages import Outcome
 from comfreysill.placement.admission import choose_return
+from comfreysill.placement.allotment import charge_request, has_memory, release_request
 from comfreysill.placement.bindings import choose_refusal
 from comfreysill.placement.claims import (
     claim_request,
@@ -39,6 +40,7 @@
 
 # A final verdict is cached this long to answer repetitions of the request.
 VERDICT_CACHE_SECONDS = 10.0
+MEMORY_REASON = "the open requests take all memory that is meant for them"
 
 
 def submit_request(
@@ -72,7 +74,15 @@
         _answer_repetition(state, caller, Verdict.CANCELLED, "it was cancelled")
         return
     if now >= stop_at:
-        _refuse_unread(state, caller, specification, now, wait)
+        count(state, "requests_read_late")
+        text = "request refused: its caller may have left"
+        _note_submission(state, text, specification, wait)
+        _refuse_submission(state, caller, specification, "it was read too late", now)
+        return
+    if not has_memory(state.allotment, specification):
+        count(state, "requests_without_memory")
+        _note_submission(state, "request refused: no memory", specification, wait)
+        _refuse_submission(state, caller, specification, MEMORY_REASON, now)
         return
     request = Request(
         specification=specification,
@@ -112,21 +122,15 @@
         state.waiters.setdefault(request_id, []).append(waiter)
 
 
-def _refuse_unread(
-    state: EntryState,
-    caller: int,
-    specification: Specification,
-    now: float,
-    wait: CallerWait,
+def _refuse_submission(
+    state: EntryState, caller: int, specification: Specification, detail: str, now: float
 ) -> None:
-    """Refuses a request that has lain unread for too long, and of which nothing was placed here."""
-    count(state, "requests_read_late")
-    _note_submission(state, "request refused: its caller may have left", specification, wait)
+    """Refuses a request that isn't accepted, and of which nothing was placed here."""
     state.effects.append(
         SendVerdict(
             caller=caller,
             verdict=choose_refusal(state, specification.request_id, now),
-            detail="it was read too late",
+            detail=detail,
             retry_at=spread_return(specification.request_id, now),
         )
     )
@@ -157,6 +161,7 @@
     request.callers.add(caller)
     state.callers[caller] = specification.request_id
     state.requests[specification.request_id] = request
+    charge_request(state.allotment, specification)
     push_deadline(state, request)
     count(state, "requests_taken")
     record_demand(state, specification, now)
@@ -297,7 +302,8 @@
     if request.verdict is None or request.placed:
         return
     request_id = request.specification.request_id
-    state.requests.pop(request_id, None)
+    if state.requests.pop(request_id, None) is not None:
+        release_request(state.allotment, request.specification)
     release_claim(state, request, now)
     waiters = state.waiters.pop(request_id, None)
     if not waiters:
--- a/src/comfreysill/placement/state.py
+++ b/src/comfreysill/placement/state.py
@@ -6,6 +6,7 @@
 from comfreysill.crashes.ledger import CrashLedger
 from comfreysill.placement.admission import Admission
 from comfreysill.placement.agent_state import Agent
+from comfreysill.placement.allotment import Allotment
 from comfreysill.placement.effects import Effect
 from comfreysill.placement.link_need import DEFAULT_MAX_LINK_SHARE, LinkDemand
 from comfreysill.placement.peers import OwnCancellation, OwnClaim, Peer, RemoteEnd
@@ -122,6 +123,7 @@
         cancellations: Cancellings at this entry that are not answered yet, by request id.
         remote_ends: Requests that have ended by what another entry did, not concluded yet.
         requests: Requests without a verdict or with tasks still placed, by request id.
+        allotment: Memory that they take.
         cached: Final verdicts for repeated requests, by request id.
         cached_ids: Request ids of cached verdicts, oldest first.
         crashes: Crashes of runners that the entry knows of.
@@ -171,6 +173,7 @@
         "cancellations",
         "remote_ends",
         "requests",
+        "allotment",
         "cached",
         "cached_ids",
         "crashes",
@@ -230,6 +233,7 @@
         self.cancellations: dict[str, OwnCancellation] = {}
         self.remote_ends: list[RemoteEnd] = []
         self.requests: dict[str, Request] = {}
+        self.allotment = Allotment()
         self.cached: dict[str, CachedVerdict] = {}
         self.cached_ids: deque[str] = deque()
         self.crashes = CrashLedger()
