Frames without data on a link are counted before the library answers them

What callers saw: beside 128 connections that send PING or SETTINGS frames to the link port of an entry, none of an ordinary caller's 12 attempts of 5 s was answered. Cause: a read brought up to 256 KiB, 15,000 frames, each of which the HTTP/2 library decodes and answers, some 25 us each; the answers, unread, grew in the process. Change: links are read 16 KiB a turn; a pure function counts the frames in front of the library: 128 without data, then 16 a second, a call counting as 4, and 16 KiB for the head of a call. A link beyond that is closed. Messages, which the processes live by, are not limited.

--- a/src/comfreysill/agent/program.py
+++ b/src/comfreysill/agent/program.py
@@ -49,7 +49,7 @@
     store = open_store_from_url(settings.table)
     store.rejections = actor.rejections
     http = build_http(build_app(actor, Metrics(role="agent")), settings.http)
-    grpc = await start_grpc([AgentService(inbox=actor.inbox)], settings.grpc)
+    grpc = await start_grpc([AgentService(inbox=actor.inbox)], settings.grpc, guard=http.guard)
     http_task = asyncio.create_task(http.serve())
     tasks = [
         asyncio.create_task(run_ledger_task(actor)),
--- a/src/comfreysill/connection_guard.py
+++ b/src/comfreysill/connection_guard.py
@@ -1,8 +1,8 @@
-"""What the HTTP servers of a process share to keep their clients within limits."""
+"""What the servers of a process share to keep their clients within limits."""
 
 import logging
 
-from comfreysill.connections.limits import ConnectionLimits, ProcessLimits
+from comfreysill.connections.limits import ConnectionLimits, LinkLimits, ProcessLimits
 from comfreysill.connections.reasons import Reason
 from comfreysill.connections.table import ConnectionTable
 
@@ -17,18 +17,28 @@
     """What the servers of a process share.
 
     Attributes:
-        limits: Limits of each connection.
-        table: All connections.
+        limits: Limits of each connection of a client.
+        table: All connections of clients.
+        link_limits: Limits of each link of another process.
+        links: All links of other processes.
         buffer: Buffer for reads, each of which is parsed at once.
         logged: Counters of closed connections at the last log line.
         log_after: Time of the event loop in seconds before which there is no other log line.
     """
 
-    __slots__ = ("limits", "table", "buffer", "logged", "log_after")
+    __slots__ = ("limits", "table", "link_limits", "links", "buffer", "logged", "log_after")
 
-    def __init__(self, *, limits: ConnectionLimits, process_limits: ProcessLimits) -> None:
+    def __init__(
+        self,
+        *,
+        limits: ConnectionLimits,
+        process_limits: ProcessLimits,
+        links_limits: ProcessLimits | None = None,
+    ) -> None:
         self.limits = limits
         self.table = ConnectionTable(limits=process_limits)
+        self.link_limits = LinkLimits()
+        self.links = ConnectionTable(limits=links_limits or process_limits)
         self.buffer = memoryview(bytearray(READ_BYTES))
         self.logged: dict[Reason, int] = {}
         self.log_after = 0.0
--- a/src/comfreysill/connections/limits.py
+++ b/src/comfreysill/connections/limits.py
@@ -12,6 +12,10 @@
 QUEUE_SHARE = 1 / 8
 MIN_CLIENTS, MIN_QUEUED = 16, 16
 MAX_CLIENTS, MAX_QUEUED = 16_384, 2_048
+# The same for the links of other processes, out of the descriptors that clients don't take.
+LINKS_SHARE = 1 / 5
+MIN_LINKS, MAX_LINKS = 16, 4_096
+LINKS_HELD_SHARE = 1 / 16
 DEFAULT_MEMORY_BYTES = 512 * MIB
 # Estimated memory of a request that is received before those ahead of it are answered.
 REQUEST_BYTES = 4 * KIB
@@ -94,8 +98,34 @@
         self.discarding_seconds = discarding_seconds
 
 
+class LinkLimits:
+    """Limits of one link, which another process opens (HTTP/2).
+
+    Attributes:
+        head_bytes: Maximum size of the head of a call.
+        control_frames: Maximum number of frames without data, beyond those allowed each second.
+        control_frames_per_second: Number of frames without data that are allowed each second.
+        opening_seconds: Maximum time until the first call.
+    """
+
+    __slots__ = ("head_bytes", "control_frames", "control_frames_per_second", "opening_seconds")
+
+    def __init__(
+        self,
+        *,
+        head_bytes: int = 16 * KIB,
+        control_frames: int = 128,
+        control_frames_per_second: float = 16.0,
+        opening_seconds: float = 10.0,
+    ) -> None:
+        self.head_bytes = head_bytes
+        self.control_frames = control_frames
+        self.control_frames_per_second = control_frames_per_second
+        self.opening_seconds = opening_seconds
+
+
 class ProcessLimits:
-    """Limits of all connections of clients of a process together.
+    """Limits of all connections of one kind of a process together.
 
     Attributes:
         connections: Maximum number of open connections.
@@ -127,3 +157,21 @@
         queued=min(max(int(sockets * QUEUE_SHARE), MIN_QUEUED), MAX_QUEUED),
         held_bytes=int((memory_bytes or DEFAULT_MEMORY_BYTES) * HELD_SHARE),
     )
+
+
+def derive_links_limits(
+    max_descriptors: int, memory_bytes: int = DEFAULT_MEMORY_BYTES
+) -> ProcessLimits:
+    """Derives the limits of all links from what the process may use.
+
+    Args:
+        max_descriptors: Maximum number of open descriptors of the process.
+        memory_bytes: Maximum memory of the process, 0 if it isn't known.
+    """
+    sockets = max_descriptors - FILE_DESCRIPTORS
+    connections = min(max(int(sockets * LINKS_SHARE), MIN_LINKS), MAX_LINKS)
+    return ProcessLimits(
+        connections=connections,
+        queued=connections,
+        held_bytes=int((memory_bytes or DEFAULT_MEMORY_BYTES) * LINKS_HELD_SHARE),
+    )
--- a/src/comfreysill/connections/reasons.py
+++ b/src/comfreysill/connections/reasons.py
@@ -22,6 +22,7 @@
     CONNECTIONS = "connections"
     HELD_BYTES = "held_bytes"
     DISCARDED = "discarded"
+    CONTROL_FRAMES = "control_frames"
 
 
 # Status of the answer; the others are closed without one.
--- a/src/comfreysill/entry/program.py
+++ b/src/comfreysill/entry/program.py
@@ -57,7 +57,7 @@
     app = build_app(actor, metrics)
     add_routes(app, actor, store, floor_changed)
     http = build_http(app, settings.http)
-    grpc = await start_grpc([PeerService(inbox=actor.inbox)], settings.grpc)
+    grpc = await start_grpc([PeerService(inbox=actor.inbox)], settings.grpc, guard=http.guard)
     http_task = asyncio.create_task(http.serve())
     registration = EntryRegistration(
         name=name, host=settings.grpc.host, port=settings.grpc.port, zone=settings.zone
--- a/src/comfreysill/gateway/program.py
+++ b/src/comfreysill/gateway/program.py
@@ -50,7 +50,7 @@
     HttpServer,
     begin_http_shutdown,
     build_http,
-    start_grpc_on_socket,
+    start_grpc,
     stop_http,
 )
 from comfreysill.supervision import await_stop
@@ -93,7 +93,9 @@
         rejections=store.rejections,
     )
     registrar_service = RegistrarService(inbox=actor.inbox)
-    grpc_server = await start_grpc_on_socket([roster_service, registrar_service], listeners.link)
+    services = [roster_service, registrar_service]
+    guard = callers_server.guard
+    grpc_server = await start_grpc(services, listener=listeners.link, guard=guard)
     callers_task = asyncio.create_task(_serve_callers(actor, callers_server, listeners.http))
     member = Member(name=settings.name, role=Role.ENTRY, address=settings.advertised)
     tasks = [
--- a/src/comfreysill/servers.py
+++ b/src/comfreysill/servers.py
@@ -11,8 +11,14 @@
 
 from comfreysill.address import Address
 from comfreysill.bounded_http import ARRIVAL_EXTENSION, BoundedHttpProtocol
+from comfreysill.bounded_links import BoundedServer
 from comfreysill.connection_guard import ConnectionGuard, log_closed_connections
-from comfreysill.connections.limits import MAX_QUEUED, ConnectionLimits, derive_process_limits
+from comfreysill.connections.limits import (
+    MAX_QUEUED,
+    ConnectionLimits,
+    derive_links_limits,
+    derive_process_limits,
+)
 from comfreysill.polls import PollTimes
 from comfreysill.whole_requests import build_whole_request_app
 
@@ -120,6 +126,7 @@
     return ConnectionGuard(
         limits=limits or ConnectionLimits(),
         process_limits=derive_process_limits(max_descriptors, memory_bytes),
+        links_limits=derive_links_limits(max_descriptors, memory_bytes),
     )
 
 
@@ -158,17 +165,25 @@
     return HttpServer(config=config, guard=guard)
 
 
-async def start_grpc(services: list[Any], address: Address) -> Server:
-    """Starts a gRPC server on an address."""
-    server = Server(services)
-    await server.start(address.host, address.port)
-    return server
-
+async def start_grpc(
+    services: list[Any],
+    address: Address | None = None,
+    listener: socket.socket | None = None,
+    guard: ConnectionGuard | None = None,
+) -> Server:
+    """Starts a gRPC server.
 
-async def start_grpc_on_socket(services: list[Any], listener: socket.socket) -> Server:
-    """Starts a gRPC server on an existing listening socket."""
-    server = Server(services)
-    await server.start(sock=listener)
+    Args:
+        services: What it serves.
+        address: Address to listen on, None if there is a listening socket.
+        listener: The listening socket, None to open one.
+        guard: Limits of the connections of this process, None if it has no other server.
+    """
+    server = BoundedServer(services, guard=guard or build_guard())
+    if listener is not None:
+        await server.start(sock=listener)
+    else:
+        await server.start(address.host, address.port)
     return server
 
 
--- a/src/comfreysill/sidecar/program.py
+++ b/src/comfreysill/sidecar/program.py
@@ -25,7 +25,7 @@
 from comfreysill.platform.settings import InstanceSettings
 from comfreysill.platform.store import StoreClient, open_store, set_store_address
 from comfreysill.reloading import watch_settings
-from comfreysill.servers import build_http, start_grpc_on_socket, stop_http
+from comfreysill.servers import build_http, start_grpc, stop_http
 from comfreysill.sidecar.actor import Actor, run_state_task
 from comfreysill.sidecar.announcements import announce_to_entries
 from comfreysill.sidecar.crash_records import keep_crash_records
@@ -68,7 +68,8 @@
     guard = build_platform_guard(settings)
     reports_app = build_agent_reports_app(actor, settings.service, store.rejections)
     http = build_http(reports_app, guard=guard)
-    grpc = await start_grpc_on_socket([TargetService(inbox=actor.inbox)], listeners.link)
+    service = TargetService(inbox=actor.inbox)
+    grpc = await start_grpc([service], listener=listeners.link, guard=guard)
     http_task = asyncio.create_task(http.serve(sockets=[listeners.http]))
     member = Member(
         name=settings.name, role=Role.AGENT, address=settings.advertised, service=settings.service
