Links without a call make room when there are too many

What callers saw: with 560 idle connections to the link port of an entry with 500 descriptors no caller could connect any more, 12 attempts without an answer. Cause: nothing limited the number of connections to the link port, nor the time until a first call. What our own processes open makes its call at once.

--- a/src/comfreysill/bounded_links.py
+++ b/src/comfreysill/bounded_links.py
@@ -14,7 +14,13 @@
 from comfreysill.connection_guard import ConnectionGuard
 from comfreysill.connections.frames import FrameReading, read_frames
 from comfreysill.connections.reasons import Reason
-from comfreysill.connections.table import record_reason
+from comfreysill.connections.table import (
+    Connection,
+    add_connection,
+    find_surplus,
+    record_reason,
+    remove_connection,
+)
 
 logger = logging.getLogger(__name__)
 
@@ -45,21 +51,39 @@
 
     Attributes:
         guard: What the servers of the process share.
+        link: The connection in the table of links.
         reading: What it has received.
         transport: Its transport.
+        opening: Timer that closes it unless a stream was opened by then.
     """
 
     def __init__(self, *, guard: ConnectionGuard, **arguments: Any) -> None:
         super().__init__(**arguments)
         self.guard = guard
+        self.link: Connection | None = None
         self.reading: FrameReading | None = None
         self.transport: asyncio.Transport | None = None
+        self.opening: asyncio.TimerHandle | None = None
 
     def connection_made(self, transport: asyncio.Transport) -> None:
-        """Begins a link."""
+        """Begins a link; if there are too many, one without a stream is closed, or this one."""
         super().connection_made(transport)
         self.transport = transport
-        self.reading = FrameReading(now=asyncio.get_running_loop().time())
+        table, loop = self.guard.links, asyncio.get_running_loop()
+        self.reading = FrameReading(now=loop.time())
+        self.link = add_connection(table, self.close)
+        opening_seconds = self.guard.link_limits.opening_seconds
+        self.opening = loop.call_later(opening_seconds, self._close_unless_used)
+        while len(table.connections) > table.limits.connections:
+            surplus = find_surplus(table) or self.link
+            surplus.close(Reason.CONNECTIONS)
+            remove_connection(table, surplus)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Ends a link."""
+        self.opening.cancel()
+        remove_connection(self.guard.links, self.link)
+        super().connection_lost(exc)
 
     def get_buffer(self, sizehint: int) -> memoryview:
         """Returns the buffer for the next read."""
@@ -82,6 +106,7 @@
             logger.debug("unexpected frames", extra={"fields": {"why": repr(error)}})
             self.close(Reason.MALFORMED)
             return
+        self._update_table()
 
     def close(self, reason: Reason) -> None:
         """Closes the link at once."""
@@ -89,3 +114,15 @@
             return
         record_reason(self.guard.table, reason)
         self.transport.abort()
+
+    def _update_table(self) -> None:
+        table, streams = self.guard.links, self.processor.streams
+        if self.link not in table.connections:
+            return
+        self.link.unanswered = len(streams)
+        if streams:
+            self.opening.cancel()
+
+    def _close_unless_used(self) -> None:
+        if not self.link.unanswered:
+            self.close(Reason.IDLE_SECONDS)
--- a/tests/test_link_limits.py
+++ b/tests/test_link_limits.py
@@ -110,6 +110,14 @@
             await self.check_served()
         self.assertIn(Reason.CONTROL_FRAMES, self.guard.table.counters)
 
+    # Guards against links without a call that take the place of those that other processes need.
+    async def test_links_without_a_call_make_room(self):
+        maximum = self.guard.links.limits.connections
+        readers = [await self.connect(HTTP2_START) for _ in range(maximum)]
+        await self.check_served()
+        await self.await_end(readers[0])
+        self.assertLessEqual(len(self.guard.links.connections), maximum)
+
 
 if __name__ == "__main__":
     unittest.main()
