Messages of links that aren't complete are bounded together

What was seen: 64 links that each begin a message of 2 GB and send 3.5 MB of it, inside their windows, made an entry take 301 MB of the 100 in its settings. Cause: the library collects a message of any size, in windows of 4 MiB a stream and a connection. Change: windows of 256 KiB, and what all streams hold is counted; beyond a sixteenth of memory-mb the link that holds most is closed. A single message may still be as large as that: 10 MB on the smallest instance; the largest of ours carries the routing document or the starts of one turn.

--- a/src/comfreysill/bounded_links.py
+++ b/src/comfreysill/bounded_links.py
@@ -8,7 +8,8 @@
 import logging
 from typing import Any
 
-from grpclib.protocol import H2Protocol
+from grpclib.config import Configuration
+from grpclib.protocol import AbstractHandler, Buffer, H2Protocol, Stream
 from grpclib.server import Server
 
 from comfreysill.connection_guard import ConnectionGuard
@@ -17,13 +18,18 @@
 from comfreysill.connections.table import (
     Connection,
     add_connection,
+    find_dearest,
     find_surplus,
     record_reason,
     remove_connection,
+    set_held_bytes,
 )
 
 logger = logging.getLogger(__name__)
 
+# What a peer may send before it is read; each stream and each connection has such a window.
+WINDOW_BYTES = 262_144
+
 
 class BoundedServer(Server):
     """gRPC server whose connections have limits.
@@ -33,19 +39,69 @@
     """
 
     def __init__(self, services: list[Any], *, guard: ConnectionGuard) -> None:
-        super().__init__(services)
+        config = Configuration(
+            http2_connection_window_size=WINDOW_BYTES, http2_stream_window_size=WINDOW_BYTES
+        )
+        super().__init__(services, config=config)
         self.guard = guard
 
     def _protocol_factory(self) -> H2Protocol:
         protocol = super()._protocol_factory()
         return BoundedLinkProtocol(
-            handler=protocol.handler,
+            handler=MeasuringHandler(handler=protocol.handler),
             config=protocol.config,
             h2_config=protocol.h2_config,
             guard=self.guard,
         )
 
 
+class MeasuredBuffer(Buffer):
+    """Data of a stream that its reader hasn't consumed.
+
+    Attributes:
+        held_bytes: Size of that data.
+    """
+
+    def __init__(self, buffer: Buffer) -> None:
+        super().__init__(buffer._ack_callback)
+        self.held_bytes = 0
+
+    def add(self, data: bytes, ack_size: int) -> None:
+        """Adds received data; see `grpclib.protocol.Buffer.add`."""
+        self.held_bytes += len(data)
+        super().add(data, ack_size)
+
+    async def read(self, size: int) -> bytes:
+        """Waits for `size` bytes; see `grpclib.protocol.Buffer.read`."""
+        data = await super().read(size)
+        self.held_bytes -= len(data)
+        return data
+
+
+class MeasuringHandler(AbstractHandler):
+    """Handler of a connection that measures what its streams hold.
+
+    Attributes:
+        handler: Handler that serves the streams.
+    """
+
+    def __init__(self, *, handler: AbstractHandler) -> None:
+        self.handler = handler
+
+    def accept(self, stream: Stream, headers: Any, release_stream: Any) -> None:
+        """Serves a new stream."""
+        stream.buffer = MeasuredBuffer(stream.buffer)
+        self.handler.accept(stream, headers, release_stream)
+
+    def cancel(self, stream: Stream) -> None:
+        """Ends the serving of a stream."""
+        self.handler.cancel(stream)
+
+    def close(self) -> None:
+        """Ends the serving of all streams."""
+        self.handler.close()
+
+
 class BoundedLinkProtocol(H2Protocol, asyncio.BufferedProtocol):
     """HTTP/2 protocol of grpclib with limits.
 
@@ -122,6 +178,11 @@
         self.link.unanswered = len(streams)
         if streams:
             self.opening.cancel()
+        held_bytes = sum(stream.buffer.held_bytes for stream in streams.values())
+        set_held_bytes(table, self.link, held_bytes)
+        while (dearest := find_dearest(table)) is not None and dearest.held_bytes:
+            set_held_bytes(table, dearest, 0)
+            dearest.close(Reason.HELD_BYTES)
 
     def _close_unless_used(self) -> None:
         if not self.link.unanswered:
--- a/tests/test_link_limits.py
+++ b/tests/test_link_limits.py
@@ -118,6 +118,19 @@
         await self.await_end(readers[0])
         self.assertLessEqual(len(self.guard.links.connections), maximum)
 
+    async def test_messages_that_are_not_complete_are_limited_together(self):
+        limit = self.guard.links.limits.held_bytes
+        start = build_frame(DATA, 0, 1, b"\0" + (1 << 30).to_bytes(4, "big"))
+        part = build_frame(DATA, 0, 1, b"a" * 10_000)
+        readers = [await self.connect(HTTP2_START + CALL + start + part * 20) for _ in range(6)]
+        ends = [asyncio.create_task(self.await_end(reader)) for reader in readers]
+        done, others = await asyncio.wait(ends, return_when=asyncio.FIRST_COMPLETED)
+        for end in others:
+            end.cancel()
+        self.assertTrue(done)
+        self.assertLessEqual(self.guard.links.held_bytes, limit)
+        await self.check_served()
+
 
 if __name__ == "__main__":
     unittest.main()
