What the kernel receives and the process hasn't read is bounded

What callers saw: 400 clients that send submissions of 60 KB ahead and read no answer: 130 MB in the entry and 44 MB in the kernel, which some platforms count toward the memory, of 100 in the settings; an ordinary caller got 503 twelve times. Change: listeners get a receive buffer, which their connections inherit: a tenth of memory-mb over all connections, 8 to 64 KiB each (23 KiB on the smallest instance); a connection that isn't read, because it has sent ahead, is charged with it. Open requests may take a sixth of the memory in place of a fifth, so that all shares together fit the smallest instance. On a network each 23 KiB of a larger body cost a round trip.

--- a/src/comfreysill/bounded_http.py
+++ b/src/comfreysill/bounded_http.py
@@ -206,6 +206,8 @@
             return
         held_bytes = measure_held(connection.reading, connection.ahead_bytes)
         held_bytes += self.transport.get_write_buffer_size()
+        if self.flow.read_paused:
+            held_bytes += table.limits.receive_bytes
         set_held_bytes(table, connection, held_bytes)
         while (dearest := find_dearest(table)) is not None and dearest.held_bytes:
             set_held_bytes(table, dearest, 0)
--- a/src/comfreysill/connections/limits.py
+++ b/src/comfreysill/connections/limits.py
@@ -4,6 +4,10 @@
 MIB = 1_024 * KIB
 # Share of the process's memory for messages that are being received and answers that aren't read.
 HELD_SHARE = 1 / 8
+# The same for what the kernel has received for all connections and isn't read, and its bounds for
+# each of them. Without a bound it grows to some megabytes with what is sent.
+RECEIVED_SHARE = 1 / 10
+MIN_RECEIVE_BYTES, MAX_RECEIVE_BYTES = 8 * KIB, 64 * KIB
 # Descriptors that a platform may reserve for files, out of the limit of the process.
 FILE_DESCRIPTORS = 200
 # Shares of the other descriptors: for clients, and for those that wait to be accepted. The rest is
@@ -132,14 +136,23 @@
         queued: Length of the queue of connections that wait to be accepted.
         held_bytes: Maximum size of all messages that are being received, and of all answers that
             wait to be read by their clients.
+        receive_bytes: Maximum size of what the kernel keeps for a connection until it is read.
     """
 
-    __slots__ = ("connections", "queued", "held_bytes")
+    __slots__ = ("connections", "queued", "held_bytes", "receive_bytes")
 
-    def __init__(self, *, connections: int, queued: int, held_bytes: int) -> None:
+    def __init__(
+        self,
+        *,
+        connections: int,
+        queued: int,
+        held_bytes: int,
+        receive_bytes: int = MAX_RECEIVE_BYTES,
+    ) -> None:
         self.connections = connections
         self.queued = queued
         self.held_bytes = held_bytes
+        self.receive_bytes = receive_bytes
 
 
 def derive_process_limits(
@@ -152,10 +165,14 @@
         memory_bytes: Maximum memory of the process, 0 if it isn't known.
     """
     sockets = max_descriptors - FILE_DESCRIPTORS
+    connections = min(max(int(sockets * CLIENTS_SHARE), MIN_CLIENTS), MAX_CLIENTS)
+    memory_bytes = memory_bytes or DEFAULT_MEMORY_BYTES
+    receive_bytes = int(memory_bytes * RECEIVED_SHARE / connections)
     return ProcessLimits(
-        connections=min(max(int(sockets * CLIENTS_SHARE), MIN_CLIENTS), MAX_CLIENTS),
+        connections=connections,
         queued=min(max(int(sockets * QUEUE_SHARE), MIN_QUEUED), MAX_QUEUED),
-        held_bytes=int((memory_bytes or DEFAULT_MEMORY_BYTES) * HELD_SHARE),
+        held_bytes=int(memory_bytes * HELD_SHARE),
+        receive_bytes=min(max(receive_bytes, MIN_RECEIVE_BYTES), MAX_RECEIVE_BYTES),
     )
 
 
--- a/src/comfreysill/placement/allotment.py
+++ b/src/comfreysill/placement/allotment.py
@@ -12,7 +12,7 @@
 STEP_BYTES = 512
 TASK_BYTES = 512
 # Share of the process's memory for open requests.
-REQUESTS_SHARE = 1 / 5
+REQUESTS_SHARE = 1 / 6
 # Requests above the first share of the allotment leave the second share of it to smaller ones.
 SMALL_SHARE = 1 / 256
 RESERVED_SHARE = 1 / 4
--- a/src/comfreysill/servers.py
+++ b/src/comfreysill/servers.py
@@ -61,6 +61,9 @@
     async def startup(self, sockets: list[socket.socket] | None = None) -> None:
         """Starts to accept connections, and limits the queue of those that aren't accepted yet."""
         await super().startup(sockets)
+        receive_bytes = self.guard.table.limits.receive_bytes
+        for listener in (item for server in self.servers for item in server.sockets):
+            limit_receive_buffer(listener, receive_bytes)
         for listener in sockets or ():
             listener.listen(self.guard.table.limits.queued)
 
@@ -179,14 +182,21 @@
         listener: The listening socket, None to open one.
         guard: Limits of the connections of this process, None if it has no other server.
     """
-    server = BoundedServer(services, guard=guard or build_guard())
+    guard = guard or build_guard()
+    server = BoundedServer(services, guard=guard)
     if listener is not None:
+        limit_receive_buffer(listener, guard.links.limits.receive_bytes)
         await server.start(sock=listener)
     else:
         await server.start(address.host, address.port)
     return server
 
 
+def limit_receive_buffer(listener: Any, receive_bytes: int) -> None:
+    """Sets how much the kernel keeps for each connection that a socket will accept."""
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_bytes)
+
+
 def begin_http_shutdown(server: HttpServer) -> None:
     """Makes an HTTP server stop accepting connections and exit after its open requests."""
     server.should_exit = True
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -9,7 +9,13 @@
 
 from comfreysill.address import parse_address
 from comfreysill.connection_guard import ConnectionGuard
-from comfreysill.connections.limits import ConnectionLimits, ProcessLimits, derive_process_limits
+from comfreysill.connections.limits import (
+    MAX_RECEIVE_BYTES,
+    MIN_RECEIVE_BYTES,
+    ConnectionLimits,
+    ProcessLimits,
+    derive_process_limits,
+)
 from comfreysill.connections.reading import (
     Phase,
     Reading,
@@ -130,6 +136,14 @@
         )
         self.assertEqual(derive_process_limits(100).connections, 16)
 
+    def test_what_the_kernel_holds_is_bounded_over_all_connections(self):
+        for descriptors, memory_mb in ((1_638, 160), (4_100, 300), (8_192, 552)):
+            limits = derive_process_limits(descriptors, memory_mb << 20)
+            total = limits.connections * limits.receive_bytes
+            self.assertLessEqual(total, memory_mb << 20 >> 3)
+        self.assertEqual(derive_process_limits(400, 1 << 30).receive_bytes, MAX_RECEIVE_BYTES)
+        self.assertEqual(derive_process_limits(1 << 16, 1 << 27).receive_bytes, MIN_RECEIVE_BYTES)
+
 
 class TestSettings(unittest.TestCase):
     def decode(self, **fields):
