Large messages are read in turns, a few in each pass of the event loop

Cause: each pass of the event loop reads and parses up to 16 KiB of each connection, which are 2,700 callbacks where chunks have one byte; an ordinary request takes a dozen passes. Change: a message over 16 KiB, or over 192 lines and parts of data, is read on only when its connection gets a turn; eight get one in a pass, in order. The crowd's pieces are built once now, so that it isn't the crowd that waits.

--- a/src/comfreysill/bounded_http.py
+++ b/src/comfreysill/bounded_http.py
@@ -26,6 +26,7 @@
     count_url,
     end_read,
     enter_phase,
+    is_large,
     measure_held,
 )
 from comfreysill.connections.reasons import STATUSES, Reason
@@ -40,6 +41,7 @@
     remove_connection,
     set_held_bytes,
 )
+from comfreysill.paced_reading import PacedFlowControl, await_turn
 from comfreysill.polls import PollTimes
 from comfreysill.whole_requests import build_refusal
 
@@ -100,6 +102,7 @@
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Begins a connection; if there are too many, another one is closed, or this one."""
         super().connection_made(transport)
+        self.flow = PacedFlowControl(transport)
         transport.set_write_buffer_limits(high=self.limits.unread_bytes)
         if self.poll_times is not None:
             self.connected_at = read_boot_clock()
@@ -177,6 +180,8 @@
         if reading.phase == Phase.DISCARDING:
             if count_discarded(reading, self.limits, size) is not None:
                 self.transport.abort()
+            elif is_large(reading):
+                await_turn(self.guard.reading_turns, self.flow)
             return
         if self.refusal is not None:
             return
@@ -185,6 +190,8 @@
         reason = reason or end_read(reading, self.limits, size)
         if reason is not None:
             self.refuse(reason)
+        elif reading.phase is not Phase.BETWEEN and is_large(reading):
+            await_turn(self.guard.reading_turns, self.flow)
         connection = self.connection
         # Most reads bring one whole request, of which the connection holds nothing any more.
         if connection.held_bytes or connection.unanswered != 1 or reading.phase != Phase.BETWEEN:
--- a/src/comfreysill/connection_guard.py
+++ b/src/comfreysill/connection_guard.py
@@ -5,6 +5,7 @@
 from comfreysill.connections.limits import ConnectionLimits, LinkLimits, ProcessLimits
 from comfreysill.connections.reasons import Reason
 from comfreysill.connections.table import ConnectionTable
+from comfreysill.paced_reading import ReadingTurns
 
 logger = logging.getLogger(__name__)
 
@@ -21,12 +22,22 @@
         table: All connections of clients.
         link_limits: Limits of each link of another process.
         links: All links of other processes.
+        reading_turns: Turns for reading large messages of clients.
         buffer: Buffer for reads, each of which is parsed at once.
         logged: Counters of closed connections at the last log line.
         log_after: Time of the event loop in seconds before which there is no other log line.
     """
 
-    __slots__ = ("limits", "table", "link_limits", "links", "buffer", "logged", "log_after")
+    __slots__ = (
+        "limits",
+        "table",
+        "link_limits",
+        "links",
+        "reading_turns",
+        "buffer",
+        "logged",
+        "log_after",
+    )
 
     def __init__(
         self,
@@ -39,6 +50,7 @@
         self.table = ConnectionTable(limits=process_limits)
         self.link_limits = LinkLimits()
         self.links = ConnectionTable(limits=links_limits or process_limits)
+        self.reading_turns = ReadingTurns()
         self.buffer = memoryview(bytearray(READ_BYTES))
         self.logged: dict[Reason, int] = {}
         self.log_after = 0.0
--- a/src/comfreysill/connections/reading.py
+++ b/src/comfreysill/connections/reading.py
@@ -12,6 +12,9 @@
 
 # Bytes of a header line beside its name and value.
 LINE_BYTES = 4
+# A message is large above one of these: its size, and its number of lines and parts of data.
+LARGE_BYTES = 16_384
+LARGE_PARTS = 192
 # A chunk of one byte takes five bytes beside it.
 FRAMING_BYTES_PER_BYTE = 8
 
@@ -31,6 +34,7 @@
     Attributes:
         phase: What is being received.
         transitions: Number of changes of the phase so far.
+        parts: Lines and parts of data of the current message.
         eventful: Whether the parser has reported an event since the last read began.
         quiet_bytes: Bytes since the last event.
         head_bytes: Bytes of the current head.
@@ -44,6 +48,7 @@
     __slots__ = (
         "phase",
         "transitions",
+        "parts",
         "eventful",
         "quiet_bytes",
         "head_bytes",
@@ -57,6 +62,7 @@
     def __init__(self) -> None:
         self.phase = Phase.BETWEEN
         self.transitions = 0
+        self.parts = 0
         self.eventful = False
         self.quiet_bytes = 0
         self.head_bytes = 0
@@ -76,6 +82,7 @@
     reading.lines = 0
     if phase is Phase.HEAD:
         reading.head_bytes = 0
+        reading.parts = 0
     reading.data_bytes = reading.framing_bytes = reading.discarded_bytes = 0
 
 
@@ -89,6 +96,7 @@
 def count_line(reading: Reading, limits: ConnectionLimits, size: int) -> Reason | None:
     """Counts a header line or a trailer line; `size` is that of its name and value."""
     reading.eventful = True
+    reading.parts += 1
     reading.lines += 1
     if reading.phase is Phase.BODY:
         return Reason.TRAILER_LINES if reading.lines > limits.trailer_lines else None
@@ -101,6 +109,7 @@
 def count_data(reading: Reading, limits: ConnectionLimits, size: int) -> Reason | None:
     """Counts data of a body that is kept."""
     reading.eventful = True
+    reading.parts += 1
     reading.data_bytes += size
     return Reason.BODY_BYTES if reading.data_bytes > limits.body_bytes else None
 
@@ -108,6 +117,7 @@
 def count_discarded(reading: Reading, limits: ConnectionLimits, size: int) -> Reason | None:
     """Counts what is thrown away, as the request has been answered or refused."""
     reading.eventful = True
+    reading.parts += 1
     reading.discarded_bytes += size
     return Reason.DISCARDED if reading.discarded_bytes > limits.discarded_bytes else None
 
@@ -135,6 +145,12 @@
     return Reason.EMPTY_BYTES if reading.quiet_bytes > limits.empty_bytes else None
 
 
+def is_large(reading: Reading) -> bool:
+    """Returns whether the current message, or what is thrown away, is large."""
+    size = reading.head_bytes + reading.data_bytes + reading.discarded_bytes
+    return size > LARGE_BYTES or reading.parts > LARGE_PARTS
+
+
 def measure_held(reading: Reading, ahead_bytes: Collection[int]) -> int:
     """Returns the bytes that a connection holds of messages that aren't complete or not begun.
 
--- a/standins/hostile_forms.py
+++ b/standins/hostile_forms.py
@@ -28,6 +28,7 @@
 # Largest values that a submission may have.
 SPEC_CHARS, STEPS, TASKS_PER_STEP = 16_384, 200, 10
 STEPS_OVER_THE_LIMIT = 15_000
+MANY_TASKS = [{**SHORT_STEP, "count": TASKS_PER_STEP, "cpu": 1_000}] * STEPS
 
 # Frames of HTTP/2: length, type, flags, stream.
 HTTP2_OPENING = b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n"
@@ -64,33 +65,21 @@
     return lambda number: repeated
 
 
-def build_submission(number: int, steps: list[dict[str, int]], spec: str, size: int = 0) -> bytes:
-    """Builds a whole submission of a job of its own, with a body of at least `size` bytes."""
+def build_submissions(
+    steps: list[dict[str, int]], spec: str = RUN_TIME, size: int = 0, count: int = 1
+) -> Callable[[int], bytes]:
+    """Returns a function that builds pieces of `count` whole submissions, each of its own job.
+
+    Their bodies have at least `size` bytes.
+    """
     document = {"spec": spec, "best-effort": True, "steps": steps}
     body = msgspec.json.encode(document).ljust(size)
-    head = f"POST {ROUTE_PREFIX}{number:016x} HTTP/1.1\r\n{HOST_LINE}"
-    return f"{head}Content-Length: {len(body)}\r\n\r\n".encode() + body
-
-
-def build_submissions_of(size: int, step: dict[str, int]) -> Callable[[int], bytes]:
-    """Returns a function that builds a submission of one step, with bodies of `size` bytes."""
-    return lambda number: build_submission(number, [step], RUN_TIME, size)
-
 
-def _build_many_steps(number: int) -> bytes:
-    steps = [{"count": 1}] * STEPS_OVER_THE_LIMIT
-    return build_submission(number, steps, RUN_TIME)
+    def build_one(number: int) -> bytes:
+        head = f"POST {ROUTE_PREFIX}{number:016x} HTTP/1.1\r\n{HOST_LINE}"
+        return f"{head}Content-Length: {len(body)}\r\n\r\n".encode() + body
 
-
-def _build_many_tasks(number: int) -> bytes:
-    steps = [{**SHORT_STEP, "count": TASKS_PER_STEP, "cpu": 1_000}] * STEPS
-    return build_submission(number, steps, RUN_TIME)
-
-
-def _build_long_specs(number: int) -> bytes:
-    first = number * 4
-    spec = RUN_TIME.ljust(SPEC_CHARS)
-    return b"".join(build_submission(first + index, [SHORT_STEP], spec) for index in range(4))
+    return lambda number: b"".join(build_one(count * number + index) for index in range(count))
 
 
 def build_frame(kind: int, flags: int, stream: int, payload: bytes = b"") -> bytes:
@@ -154,14 +143,16 @@
         opening=GET_HEAD + CHUNKED_END_OF_HEAD, build_piece=repeat(CHUNK)
     ),
     "chunks of one byte": Form(opening=CHUNKED_HEAD, build_piece=repeat(b"1\r\n \r\n")),
-    "large submissions": Form(build_piece=build_submissions_of(LARGE_BODY_BYTES, SHORT_STEP)),
-    "medium submissions": Form(build_piece=build_submissions_of(MEDIUM_BODY_BYTES, SHORT_STEP)),
-    "submissions of too many steps": Form(build_piece=_build_many_steps),
-    "submissions of many tasks": Form(build_piece=_build_many_tasks),
-    "submissions without estimates": Form(
-        build_piece=build_submissions_of(0, {"count": 1, "cpu": 1})
+    "large submissions": Form(build_piece=build_submissions([SHORT_STEP], size=LARGE_BODY_BYTES)),
+    "medium submissions": Form(build_piece=build_submissions([SHORT_STEP], size=MEDIUM_BODY_BYTES)),
+    "submissions of too many steps": Form(
+        build_piece=build_submissions([{"count": 1}] * STEPS_OVER_THE_LIMIT)
+    ),
+    "submissions of many tasks": Form(build_piece=build_submissions(MANY_TASKS)),
+    "submissions without estimates": Form(build_piece=build_submissions([{"count": 1, "cpu": 1}])),
+    "submissions of long specs": Form(
+        build_piece=build_submissions([SHORT_STEP], spec=RUN_TIME.ljust(SPEC_CHARS), count=4)
     ),
-    "submissions of long specs": Form(build_piece=_build_long_specs),
 }
 # Forms for the addresses of links, which speak HTTP/2.
 LINK_FORMS = {
