Soak: crowds of clients that keep no limits beside signals, restarts and changes

Cause: the soak didn't know clients that keep no limits; what happens to a process beside them (SIGTERM, reload, a lost store) was shown by no test.

--- a/standins/soak.py
+++ b/standins/soak.py
@@ -11,7 +11,8 @@
 seed fails if two runs of a task overlap, a request ran although all its answers were refusals, a
 request has no final answer within a time limit after the faults are cleared, a process exits
 unexpectedly, a task that crashes the runners that start it is started too often, or tasks are
-started in a zone long after the operator has asked to evacuate it.
+started in a zone long after the operator has asked to evacuate it. Clients that keep no limits may
+send to any address of a process meanwhile.
 """
 
 import argparse
@@ -29,9 +30,14 @@
 
 import aiohttp
 
+from standins.hostile_crowd import Crowd, close_crowd, send_all
+from standins.hostile_forms import FORMS, LINK_FORMS
 from standins.platform_deployment import (
     CALLERS_PORT,
+    CONTROL_PORT,
     LINK_PORT,
+    METRICS_PORT,
+    READY_PORT,
     RETRY_SECONDS,
     RUNNER_PORT,
     PlatformDeployment,
@@ -85,6 +91,11 @@
 EVACUATED_SECONDS = 12.0
 MAX_EVACUATION_SECONDS = 5.0 + MAX_FAULT_SECONDS
 MAX_CALL_DELAY_SECONDS = 12.0
+ENTRY_PORTS = (CALLERS_PORT, CALLERS_PORT, READY_PORT, METRICS_PORT, LINK_PORT)
+AGENT_PORTS = (CONTROL_PORT, METRICS_PORT, LINK_PORT)
+CROWD_CONNECTIONS, MAX_CROWD_BYTES = 30, 20 << 20
+# Whole submissions are left out, since their jobs would be taken for those of the load.
+CROWD_FORMS = tuple(name for name in FORMS if "submissions" not in name)
 FAULTS_OF_RUNNERS = (
     {"speed": 0.0},
     {"speed": 0.2},
@@ -469,6 +480,27 @@
             await asyncio.sleep(RETRY_SECONDS)
 
 
+async def _send_crowd(soak: Soak, seconds: float) -> None:
+    """Lets clients that keep no limits send to one address, from some connections at a time."""
+    name = _choose_process(soak, "entry", "agent")
+    ports = ENTRY_PORTS if name.startswith("entry") else AGENT_PORTS
+    port = soak.random.choice(ports)
+    form = soak.random.choice(sorted(LINK_FORMS if port == LINK_PORT else CROWD_FORMS))
+    soak.faults.append(f"crowd {form} to {name}:{port} {seconds:.1f}")
+    crowd = Crowd(
+        address=f"{soak.deployment.find_ip(name)}:{port}",
+        form=(FORMS | LINK_FORMS)[form],
+        connections=CROWD_CONNECTIONS,
+        attempts=sys.maxsize,
+        max_bytes=MAX_CROWD_BYTES,
+        seconds=seconds,
+    )
+    try:
+        await send_all(crowd)
+    finally:
+        close_crowd(crowd)
+
+
 FAULTS = (
     _signal_process,
     _signal_process,
@@ -485,6 +517,7 @@
     _hold_path_of_callers,
     _break_connections_at_callers,
     _make_callers_leave,
+    _send_crowd,
 )
 
 
--- a/tests/test_hostile_sums.py
+++ b/tests/test_hostile_sums.py
@@ -1,18 +1,23 @@
 """Clients whose messages are inside the limits of one message, but not all of them together."""
 
 import asyncio
+import signal
+import sys
 import unittest
 
 from standins.hostile_crowd import send_all
-from standins.platform_deployment import CALLERS_PORT, LINK_PORT, METRICS_PORT
+from standins.platform_deployment import CALLERS_PORT, LINK_PORT, METRICS_PORT, READY_PORT
 from tests.hostile import (
+    CROWD_LEAD_SECONDS,
     CROWD_SECONDS,
     FEW_DESCRIPTORS,
     KERNEL_DESCRIPTORS,
+    LONG_CROWD_SECONDS,
     MB,
     SMALL_MEMORY_MB,
     WATCH_INTERVAL_SECONDS,
     HostileClientsTest,
+    count_descriptors,
     limit_descriptors,
     read_kernel_bytes,
     read_peak_memory,
@@ -133,5 +138,75 @@
         )
 
 
+class TestChanges(HostileClientsTest):
+    """Several forms at once, to several addresses, while something else happens to the process."""
+
+    CROWDS = (
+        ("chunks of one byte", CALLERS_PORT),
+        ("large submissions", CALLERS_PORT),
+        ("DELETE with an endless body", CALLERS_PORT),
+        ("requests ahead with Host", CALLERS_PORT),
+        ("half a head", CALLERS_PORT),
+        ("head of short lines", READY_PORT),
+        ("requests ahead without Host", METRICS_PORT),
+        ("link: settings", LINK_PORT),
+        ("link: calls without end", LINK_PORT),
+    )
+
+    async def asyncSetUp(self):
+        await self.start()
+        self.sending = []
+        for form, port in self.CROWDS:
+            crowd = self.gather(
+                form,
+                40,
+                sys.maxsize / MB,
+                "entry-0",
+                port,
+                attempts=sys.maxsize,
+                seconds=LONG_CROWD_SECONDS,
+            )
+            self.sending.append(asyncio.create_task(send_all(crowd)))
+        await asyncio.sleep(CROWD_LEAD_SECONDS)
+        self.process = self.deployment.processes["entry-0"]
+
+    async def check_ordinary_caller(self):
+        statuses = await self.call_as_ordinary_caller()
+        await self.stop_sending()
+        memory_mb, descriptors = (
+            read_peak_memory(self.process.pid),
+            count_descriptors(self.process.pid),
+        )
+        print(f"peak {memory_mb:.0f} MB, {descriptors} descriptors, ordinary request {statuses}")
+        self.assertIsNone(self.process.returncode)
+        self.assertLess(memory_mb, self.memory_mb)
+        self.assertLess(descriptors, self.descriptors)
+        self.assertEqual(statuses[-1], 200)
+
+    async def stop_sending(self):
+        for sending in self.sending:
+            sending.cancel()
+        await asyncio.gather(*self.sending, return_exceptions=True)
+
+    async def test_nothing_else(self):
+        await self.check_ordinary_caller()
+
+    async def test_a_reload_of_the_settings(self):
+        self.process.send_signal(signal.SIGHUP)
+        await self.check_ordinary_caller()
+
+    async def test_the_loss_of_the_store(self):
+        self.deployment.processes["store"].kill()
+        await self.check_ordinary_caller()
+
+    # Guards against a process that never ends by itself, as clients keep their connections busy.
+    async def test_a_graceful_stop(self):
+        self.process.send_signal(signal.SIGTERM)
+        async with asyncio.timeout(LONG_CROWD_SECONDS / 2):
+            status = await self.process.wait()
+        await self.stop_sending()
+        self.assertEqual(status, 0)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -10,8 +10,10 @@
 # Kinds of faults by which faults that are listed in KNOWN-RED.txt show: a start that is carried out
 # late is known to one entry only, and refused connections count as the end of a runner.
 KNOWN_KINDS = ("crash-beside-late-calls", "inject-runner-fault", "refuse-runner-connections")
-# A kind that came later; without it the seeds draw the same faults as before.
-LATER_KINDS = ("evacuate-zone",)
+# Kinds that came later; without them the seeds draw the same faults as before.
+LATER_KINDS = ("evacuate-zone", "send-crowd")
+CROWD_SEEDS = (29,)
+CROWD_KINDS = ("send-crowd", "change-routes", "inject-store-fault", "signal-process")
 EVACUATION_SEEDS = (7,)
 EVACUATION_KINDS = (
     "evacuate-zone",
@@ -54,6 +56,13 @@
             call = run_seed(seed, PAUSE_SOAK_SECONDS, entries=3, agents=4, without=without)
             self.assertEqual(asyncio.run(call), [], f"seed {seed}")
 
+    # Guards against clients that keep no limits and so cost others their answers, or end a process.
+    def test_short_seeded_run_beside_crowds(self):
+        without = tuple(sorted({name_fault(kind) for kind in FAULTS} - set(CROWD_KINDS)))
+        for seed in CROWD_SEEDS:
+            call = run_seed(seed, PAUSE_SOAK_SECONDS, entries=3, agents=4, without=without)
+            self.assertEqual(asyncio.run(call), [], f"seed {seed}")
+
     # Guards against an entry whose tasks run beside those of another one that its callers have
     # asked since, which it can't know.
     def test_short_seeded_run_of_callers_that_leave_unseen(self):
