A task without a declared run time says nothing about its target

What callers saw: beside or after 400 clients whose submissions declare no run time, each job of an ordinary caller was refused at once, twelve times in 15 s, with "it can't end in time any more", though the targets were as fast as ever. Cause: a target's slowness is the smoothed ratio of measured to declared run times; a run time of 0 was taken for 1 ms, so that tasks of 20 ms made a target seem 20 times slower for all routes. Evidence: 100 such jobs raised the slowness of one agent to 19.9 on loopback, 1.0 at the other. Change: such tasks are left out of it. One that declares too little on purpose still counts: open. The test with real processes passes before as well: its crowd of 4 or 64 reached one agent alone.

--- a/src/comfreysill/execution/health.py
+++ b/src/comfreysill/execution/health.py
@@ -9,6 +9,7 @@
 MIN_SMOOTHING_WEIGHT = 0.05
 MIN_SLOWNESS_RATIO = 0.1
 MAX_SLOWNESS_RATIO = 20.0
+MIN_ESTIMATE_SECONDS = 0.001
 
 
 def record_failure(agent: AgentState, request_id: str, now: float) -> None:
@@ -45,6 +46,8 @@
 ) -> None:
     """Updates health and the smoothed slowness from a successful task.
 
+    A task whose run time isn't declared says nothing about the slowness of the target.
+
     Args:
         agent: The agent's state.
         seconds: Its run time.
@@ -58,7 +61,9 @@
         agent.probing = False
         agent.suspensions = 0
         note_event(agent, "target recovered")
-    ratio = min(max(seconds / max(estimate, 1e-3), MIN_SLOWNESS_RATIO), MAX_SLOWNESS_RATIO)
+    if estimate < MIN_ESTIMATE_SECONDS:
+        return
+    ratio = min(max(seconds / estimate, MIN_SLOWNESS_RATIO), MAX_SLOWNESS_RATIO)
     agent.slowness_samples += 1
     # The first samples weigh more.
     weight = max(MIN_SMOOTHING_WEIGHT, 1 / (agent.slowness_samples + 2))
--- a/tests/test_hostile_sums.py
+++ b/tests/test_hostile_sums.py
@@ -93,7 +93,7 @@
     # Guards against targets that seem slow, so that jobs that declare their run times are refused.
     async def test_submissions_without_estimates(self):
         await self.start()
-        await self.play_beside("submissions without estimates", connections=4)
+        await self.play_beside("submissions without estimates", connections=64)
 
     async def test_metrics(self):
         await self.start()
