Large messages, requests ahead and unread answers make room before a new caller

Cause: to make room, the connection without a whole request for the longest time is closed. One whose body is being received counted as one that waits for its answer, and was kept, as were those that send ahead; so the new connection of an ordinary caller was the only one left to choose. Change: a connection is kept while exactly one whole request of it waits. First go those that were refused or leave answers unread, then those in a large message or with requests ahead, which are dropped unrun, then the oldest of the others, as before.

--- a/src/comfreysill/bounded_http.py
+++ b/src/comfreysill/bounded_http.py
@@ -168,6 +168,16 @@
             if now >= self.unread_until:
                 self.transport.abort()
 
+    def pause_writing(self) -> None:
+        """Sends no more answers until the client has read some."""
+        self.connection.is_unread = True
+        super().pause_writing()
+
+    def resume_writing(self) -> None:
+        """Sends answers again."""
+        self.connection.is_unread = False
+        super().resume_writing()
+
     # Bytes and events of the parser.
 
     def get_buffer(self, sizehint: int) -> memoryview:
@@ -324,7 +334,7 @@
             self.connection.unanswered -= 1
             if self.pipeline and self.pipeline[0][0] is own:
                 self.pipeline.popleft()
-        if reason is Reason.HELD_BYTES:
+        if reason in SHEDDING_REASONS:
             self._drop_requests_ahead()
         if self.connection.unanswered:
             self.flow.pause_reading()
--- a/src/comfreysill/connections/table.py
+++ b/src/comfreysill/connections/table.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 
 from comfreysill.connections.limits import ConnectionLimits, ProcessLimits
-from comfreysill.connections.reading import Phase, Reading
+from comfreysill.connections.reading import Phase, Reading, is_large
 from comfreysill.connections.reasons import Reason
 
 
@@ -16,6 +16,7 @@
         reading: What it has received of its current message.
         unanswered: Number of complete heads whose answers aren't sent yet.
         ahead_bytes: Sizes of the bodies of complete requests that wait for earlier ones.
+        is_unread: Whether its client has left so many answers unread that no more are sent.
         held_bytes: Bytes that it holds of messages that are being received, and of answers that
             wait to be read.
         waits_since: Number of the event of the table at which its last message began, or at which
@@ -31,6 +32,7 @@
         "reading",
         "unanswered",
         "ahead_bytes",
+        "is_unread",
         "held_bytes",
         "waits_since",
         "seen_transitions",
@@ -43,6 +45,7 @@
         self.reading = Reading()
         self.unanswered = 0
         self.ahead_bytes: deque[int] = deque()
+        self.is_unread = False
         self.held_bytes = 0
         self.waits_since = number
         self.seen_transitions = -1
@@ -112,17 +115,31 @@
 def find_surplus(table: ConnectionTable) -> Connection | None:
     """Returns a connection to close while there are too many, None if there aren't.
 
-    It is the one that has been without a complete request for the longest time, those that were
-    refused first. Those that wait for their answers are kept.
+    It is the one that has been without a complete request for the longest time. Before it come
+    those that were refused and those whose clients leave answers unread, then those that send large
+    messages or requests ahead. Others that wait for their answers are kept.
     """
     if len(table.connections) <= table.limits.connections:
         return None
-    incomplete = [connection for connection in table.connections if not connection.unanswered]
-    return min(incomplete, key=_rank, default=None)
+    candidates = [
+        connection
+        for connection in table.connections
+        if connection.is_unread or _count_whole(connection) != 1
+    ]
+    return min(candidates, key=_rank, default=None)
 
 
-def _rank(connection: Connection) -> tuple[bool, int]:
-    return connection.reading.phase != Phase.DISCARDING, connection.waits_since
+def _rank(connection: Connection) -> tuple[int, int]:
+    reading = connection.reading
+    if connection.is_unread or reading.phase is Phase.DISCARDING:
+        return 0, connection.waits_since
+    is_greedy = _count_whole(connection) > 1 or is_large(reading)
+    return 1 if is_greedy else 2, connection.waits_since
+
+
+def _count_whole(connection: Connection) -> int:
+    """Returns the number of complete requests that wait for their answers."""
+    return connection.unanswered - (connection.reading.phase is Phase.BODY)
 
 
 def find_dearest(table: ConnectionTable) -> Connection | None:
--- a/standins/hostile_forms.py
+++ b/standins/hostile_forms.py
@@ -30,6 +30,14 @@
 STEPS_OVER_THE_LIMIT = 15_000
 MANY_TASKS = [{**SHORT_STEP, "count": TASKS_PER_STEP, "cpu": 1_000}] * STEPS
 
+
+def _build_cancellings(number: int) -> bytes:
+    return b"".join(
+        f"DELETE {ROUTE_PREFIX}{8 * number + index:016x} HTTP/1.1\r\n{HOST_LINE}\r\n".encode()
+        for index in range(8)
+    )
+
+
 # Frames of HTTP/2: length, type, flags, stream.
 HTTP2_OPENING = b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n"
 DATA, HEADERS, SETTINGS, PING, CONTINUATION = 0x0, 0x1, 0x4, 0x6, 0x9
@@ -142,6 +150,7 @@
     "GET with an endless body": Form(
         opening=GET_HEAD + CHUNKED_END_OF_HEAD, build_piece=repeat(CHUNK)
     ),
+    "cancellings of unknown jobs": Form(build_piece=_build_cancellings),
     "chunks of one byte": Form(opening=CHUNKED_HEAD, build_piece=repeat(b"1\r\n \r\n")),
     "large submissions": Form(build_piece=build_submissions([SHORT_STEP], size=LARGE_BODY_BYTES)),
     "medium submissions": Form(build_piece=build_submissions([SHORT_STEP], size=MEDIUM_BODY_BYTES)),
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -17,6 +17,7 @@
     derive_process_limits,
 )
 from comfreysill.connections.reading import (
+    LARGE_BYTES,
     Phase,
     Reading,
     begin_read,
@@ -107,6 +108,28 @@
         self.assertIsNone(find_surplus(self.table))
         self.assertIn(waiting, self.table.connections)
 
+    # Guards against clients that read no answers and keep new ones out.
+    def test_a_connection_with_unread_answers_makes_room_before_a_new_one(self):
+        waiting, unread, others, newest = (self.add(unanswered=1) for _ in range(4))
+        newest.unanswered = 0
+        self.assertIs(find_surplus(self.table), newest)
+        unread.is_unread = True
+        self.assertIs(find_surplus(self.table), unread)
+        remove_connection(self.table, unread)
+        self.assertEqual(self.table.connections, {waiting, others, newest})
+
+    # Guards against large messages and requests ahead that keep small ones out.
+    def test_those_that_send_large_messages_or_ahead_make_room_before_others(self):
+        oldest, large, ahead, waiting = self.add(), self.add(1), self.add(2), self.add(1)
+        enter_phase(large.reading, Phase.BODY)
+        count_data(large.reading, LIMITS, LARGE_BYTES + 1)
+        for expected in (large, ahead):
+            self.assertIs(find_surplus(self.table), expected)
+            remove_connection(self.table, expected)
+            self.add(1)
+        self.assertIs(find_surplus(self.table), oldest)
+        self.assertIn(waiting, self.table.connections)
+
     def test_the_dearest_is_found_once_all_hold_too_much(self):
         first, second = self.add(), self.add()
         set_held_bytes(self.table, first, 40)
