Split the state task of an entry by what it does

Change: actor (state and what other tasks ask), handlers (messages and their containment), outcomes (effects) and state_task (the loop). No behaviour changes; two mutations name the new module.

--- a/src/comfreysill/gateway/program.py
+++ b/src/comfreysill/gateway/program.py
@@ -17,7 +17,6 @@
     is_ready,
     list_members,
     report_disconnect,
-    run_state_task,
     submit,
 )
 from comfreysill.gateway.discovery import (
@@ -29,6 +28,7 @@
 from comfreysill.gateway.messages import ConcludeRequests, EntriesDiscovered, Tick
 from comfreysill.gateway.registrar import RegistrarService
 from comfreysill.gateway.roster import RosterService, fetch_routes
+from comfreysill.gateway.state_task import run_state_task
 from comfreysill.gateway.where import locate
 from comfreysill.gateway.where_app import RateLimit, build_where_app
 from comfreysill.listeners import Listeners
--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -344,7 +344,7 @@
         lambda original: lambda room, least_share, now: frozenset(),
     ),
     "second-hand-members-believed": (
-        "comfreysill.gateway.actor.is_unknown",
+        "comfreysill.gateway.handlers.is_unknown",
         lambda original: lambda state, name, address: True,
     ),
     "address-owner-kept": (
@@ -352,7 +352,7 @@
         lambda original: lambda state, name, reason: None,
     ),
     "failed-frame-not-contained": (
-        "comfreysill.gateway.actor.contain_failed_frame",
+        "comfreysill.gateway.handlers.contain_failed_frame",
         lambda original: lambda state, name, now: None,
     ),
     "guilt-never-proved": (f"{CRASHES}.ledger.MIN_CRASHES", lambda original: 99),
--- a/tests/test_where.py
+++ b/tests/test_where.py
@@ -15,7 +15,8 @@
 )
 from comfreysill.containment import handle_contained
 from comfreysill.exceptions import UsageError
-from comfreysill.gateway.actor import CONTAINMENT, HANDLERS, Actor
+from comfreysill.gateway.actor import Actor
+from comfreysill.gateway.handlers import CONTAINMENT, HANDLERS
 from comfreysill.gateway.where import locate
 from comfreysill.gateway.where_app import MAX_BODY_BYTES, RateLimit, build_where_app, take_turn
 from comfreysill.gateway.where_document import build_document
