--- a/src/comfreysill/connections/limits.py
+++ b/src/comfreysill/connections/limits.py
@@ -6,7 +6,7 @@
 HELD_SHARE = 1 / 8
 # The same for what the kernel has received for all connections and isn't read, and its bounds for
 # each of them. Without a bound it grows to some megabytes with what is sent.
-RECEIVED_SHARE = 1 / 10
+RECEIVED_SHARE = 1 / 12
 MIN_RECEIVE_BYTES, MAX_RECEIVE_BYTES = 8 * KIB, 64 * KIB
 # Descriptors that a platform may reserve for files, out of the limit of the process.
 FILE_DESCRIPTORS = 200
@@ -19,7 +19,7 @@
 # The same for the links of other processes, out of the descriptors that clients don't take.
 LINKS_SHARE = 1 / 5
 MIN_LINKS, MAX_LINKS = 16, 4_096
-LINKS_HELD_SHARE = 1 / 16
+LINKS_HELD_SHARE = 1 / 32
 DEFAULT_MEMORY_BYTES = 512 * MIB
 # Estimated memory of a request that is received before those ahead of it are answered.
 REQUEST_BYTES = 4 * KIB
