A repetition that isn't decoded isn't told that nothing of its job ran

What callers could see: a submission sent again with the id of a job that runs here, refused as too many large ones wait, got 503, which promises that the job never ran. Cause: the refusal before decoding didn't look for the id. Change: 504 where the entry knows the id, 503 where it doesn't. Evidence: by reading; found on the way, no caller was seen to meet it. Not tested by itself.

--- a/src/comfreysill/platform/ingress.py
+++ b/src/comfreysill/platform/ingress.py
@@ -167,8 +167,7 @@
         await _send_json(operations, send, 413, {"error": "the body is too large"})
         return
     if len(body) > SMALL_BODY_BYTES and not await take_turn(operations.turns, len(body)):
-        document = {"error": "too many large jobs wait to be read, this one isn't run"}
-        await _send_json(operations, send, 503, document, retry_after_seconds=1)
+        await _send_crowded(operations, send, request_id)
         return
     decoded = decode_submission(request_id, route, body)
     if isinstance(decoded, Err):
@@ -186,6 +185,13 @@
         await _send_reply(operations, send, reply.result())
 
 
+async def _send_crowded(operations: EntryOperations, send: Any, request_id: str) -> None:
+    """Refuses a submission that isn't decoded; an earlier one of its id may run or have run."""
+    status = 503 if operations.find_state(request_id) is None else 504
+    document = {"error": "too many large submissions wait to be read"}
+    await _send_json(operations, send, status, document, retry_after_seconds=1)
+
+
 async def _send_rejection(
     operations: EntryOperations, send: Any, rejected: RejectedSubmission
 ) -> None:
