What has begun and is of no use any more follows requests that can be on time

What callers saw: beside 128 clients that go on submitting jobs of 2,000 tasks, each of 12 attempts of an ordinary caller was refused after 0.8 s, "it can't end in time any more"; 3 of 50 jobs were served. Cause: a request that has begun precedes all others, however late. Of what the crowd had begun there was always more than the targets had room for. Evidence: the queue's rank; with the event loop free (turns), the refusals stayed the same. Change: once the end of a begun request is later than is of use (three times its objective, as for those that haven't begun), it comes in the band of late ones, first of them, and isn't held back there: it gets what those that can be on time leave.

--- a/src/comfreysill/placement/locating.py
+++ b/src/comfreysill/placement/locating.py
@@ -13,7 +13,6 @@
 from comfreysill.placement.confinement import describe_confinement, get_group, group_targets
 from comfreysill.placement.orders import Candidate
 from comfreysill.placement.placement import (
-    MAX_OBJECTIVE_FACTOR,
     UNMEETABLE_REASON,
     describe_missing_targets,
     find_usable,
@@ -21,7 +20,7 @@
     is_current,
     is_unmeetable,
 )
-from comfreysill.placement.queue import LATE, choose_band
+from comfreysill.placement.queue import LATE, MAX_OBJECTIVE_FACTOR, choose_band
 from comfreysill.placement.returns import spread_return
 from comfreysill.placement.run_times import estimate_run_time, is_near
 from comfreysill.placement.state import EntryState
@@ -71,7 +70,8 @@
     lowest_slowness = get_group(groups, request).lowest_slowness
     _judge(state, request, candidates, lowest_slowness, answer, now)
     band = choose_band(request, now)
-    if band == LATE and not has_spare_capacity(candidates) and not answer.reason:
+    is_held_back = band == LATE and not request.begun
+    if is_held_back and not has_spare_capacity(candidates) and not answer.reason:
         answer.reason = "it is late, and waits until more of the capacity is free"
     for step_number, tasks in _list_steps(request):
         later = step_number not in request.pending
--- a/src/comfreysill/placement/placement.py
+++ b/src/comfreysill/placement/placement.py
@@ -24,7 +24,7 @@
 )
 from comfreysill.placement.isolation import place_suspects
 from comfreysill.placement.orders import Candidate
-from comfreysill.placement.queue import LATE, pop_request, push_request
+from comfreysill.placement.queue import LATE, MAX_OBJECTIVE_FACTOR, pop_request, push_request
 from comfreysill.placement.requests import refuse_request
 from comfreysill.placement.state import EntryState
 from comfreysill.placement.steps import place_step
@@ -35,10 +35,8 @@
 FRAME_DELAY_LIMIT_SECONDS = 0.2
 # A pass over a queue ends after this many requests that could not be placed completely.
 MAX_UNPLACED_REQUESTS = 24
-# A result later than this multiple of the latency objective is of no use to the caller.
-MAX_OBJECTIVE_FACTOR = 3.0
-# Requests that are late already are placed only while more than this share of the capacity is free.
-# With less, they would make the next ones late that can still be on time.
+# Requests that are late already and haven't begun are placed only while more than this share of
+# the capacity is free. With less, they would make the next ones late that can still be on time.
 RESERVED_CAPACITY_SHARE = 0.2
 UNMEETABLE_REASON = "it can't end in time any more"
 
@@ -132,7 +130,8 @@
             reason = describe_confinement(state, request, now) or UNMEETABLE_REASON
             refuse_request(state, request, reason, now)
             continue
-        if queue_band == LATE and not has_spare_capacity(group.candidates):
+        is_held_back = queue_band == LATE and not request.begun
+        if is_held_back and not has_spare_capacity(group.candidates):
             unplaced.append(request)
             # All that follow in the queue are late as well.
             if not groups.confined_routes:
--- a/src/comfreysill/placement/queue.py
+++ b/src/comfreysill/placement/queue.py
@@ -9,6 +9,8 @@
 # Bands of a queue: requests that can still meet their latency objective precede late ones.
 ON_TIME = 0
 LATE = 1
+# A result later than this multiple of the latency objective is of no use to the caller.
+MAX_OBJECTIVE_FACTOR = 3.0
 # Precedes 0, the highest priority of a route.
 BEGUN_PRIORITY = -1
 # Number of distinct priorities in each band of the demand rank.
@@ -21,7 +23,8 @@
     Requests that can still meet their objective come first, then those of higher priority, then
     those that are due earlier. Whether one can is judged when it is added, by the declared run
     times. A request that has begun precedes all others, so that the work already done for it is not
-    wasted. For what admission changes see `_choose_priority`.
+    wasted, unless its end is of no use any more: then it follows those that can be on time, which
+    large requests would keep out otherwise. For what admission changes see `_choose_priority`.
     """
     if request.queued or not has_pending(request):
         return
@@ -61,8 +64,15 @@
 
 def choose_band(request: Request, now: float) -> int:
     """Returns the band of a request that is queued now."""
-    can_be_on_time = now + request.critical_path <= request.due_at
-    return ON_TIME if request.begun or can_be_on_time else LATE
+    if now + request.critical_path <= request.due_at:
+        return ON_TIME
+    return ON_TIME if request.begun and not is_useless(request, now) else LATE
+
+
+def is_useless(request: Request, now: float) -> bool:
+    """Returns whether the end of a request is too late to be of use to its callers."""
+    objective = request.due_at - request.received_at
+    return now > request.received_at + MAX_OBJECTIVE_FACTOR * objective
 
 
 def rank_demand(state: EntryState) -> int:
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -245,6 +245,37 @@
         self.flush()
         self.assertEqual(list(self.state.agents["a"].tasks), ["urgent/0/0"])
 
+    # Guards against large requests that keep others out by what is left of them.
+    def test_what_has_begun_and_is_of_no_use_any_more_follows_what_can_be_on_time(self):
+        self.submit(build_request(request_id="large", tasks=20))
+        self.flush()
+        self.now += 0.5
+        self.take_room()
+        self.submit(build_request(request_id="early", tasks=1), caller=2)
+        self.flush()
+        self.deliver_frame("a", cpu=1000)
+        self.assertIn("large", self.place_next("a"), "begun, and still of use")
+        self.now += 1.0
+        self.take_room()
+        self.submit(build_request(request_id="later", tasks=1), caller=3)
+        self.flush()
+        self.deliver_frame("a", cpu=1000)
+        self.assertEqual(self.place_next("a"), "later/0/0")
+        # It isn't held back where nothing else waits, though little room is free.
+        self.deliver_frame("b", cpu=1000)
+        self.assertIn("large", self.place_next("b"))
+
+    def take_room(self):
+        for name in ("a", "b"):
+            self.deliver_frame(name, cpu=0)
+
+    def place_next(self, name):
+        """Returns the name of the task that is placed on an agent next."""
+        before = set(self.state.agents[name].tasks)
+        self.flush()
+        (task,) = set(self.state.agents[name].tasks) - before
+        return task
+
     def test_a_slow_target_is_not_used_while_a_fast_one_would_be_on_time(self):
         self.deliver_frame("a", cpu=0)
         self.deliver_frame("b", slowness=5.0)
