Test what callers of large submissions are told while too many wait

Cause: the refusal before decoding was changed without a test of its own. Change: the application for callers with a full queue of turns: 503 for an unknown id, 504 for one that runs or has ended here.

--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -3,6 +3,7 @@
 import asyncio
 import unittest
 
+from comfreysill.arrivals import Arrival
 from comfreysill.connections.limits import ConnectionLimits
 from comfreysill.connections.reading import (
     LARGE_BYTES,
@@ -21,6 +22,14 @@
     ReadingTurns,
     await_turn,
 )
+from comfreysill.platform.ingress import (
+    SMALL_BODY_BYTES,
+    EntryOperations,
+    build_callers_app,
+)
+from comfreysill.request.types import Verdict
+from comfreysill.routes.table import Route, RouteTable
+from comfreysill.servers import ARRIVAL_EXTENSION
 from comfreysill.turns import Turns, take_turn
 
 LIMITS = ConnectionLimits()
@@ -128,5 +137,61 @@
         self.assertEqual(results, [True, True, False])
 
 
+class TestRefusedSubmissions(unittest.IsolatedAsyncioTestCase):
+    """What the callers of large submissions are told while too many of them wait."""
+
+    async def submit(self, state):
+        turns = Turns(max_bytes=0)
+        turns.is_taken = True
+        route = Route(
+            name="r",
+            host="h",
+            prefix="/q/",
+            service="s",
+            priority=0,
+            max_attempts=2,
+            stretch=1.5,
+            slack_seconds=0.1,
+            advised=False,
+        )
+        table = RouteTable(version=1, max_body_bytes=1 << 20, routes=(route,))
+        operations = EntryOperations(
+            get_routes=lambda: table,
+            submit=None,
+            report_disconnect=None,
+            find_state=lambda request_id: state,
+            cancel=None,
+            count_waiting=None,
+            is_closing=lambda: False,
+            turns=turns,
+        )
+        arrival = Arrival(sent_after=0.0, read_at=0.0, connected_at=None)
+        scope = {
+            "type": "http",
+            "method": "POST",
+            "path": "/q/" + "a" * 16,
+            "headers": [(b"host", b"h")],
+            "extensions": {ARRIVAL_EXTENSION: arrival},
+        }
+        answers = []
+
+        async def receive():
+            return {"type": "http.request", "body": b" " * (SMALL_BODY_BYTES + 1)}
+
+        async def send(message):
+            answers.append(message)
+
+        await build_callers_app(operations)(scope, receive, send)
+        headers = dict(answers[0]["headers"])
+        self.assertEqual(headers[b"retry-after"], b"1")
+        return answers[0]["status"]
+
+    # Guards against a promise that a job never ran, though an earlier submission of it runs.
+    async def test_a_repetition_is_not_told_that_its_job_never_ran(self):
+        self.assertEqual(await self.submit(None), 503)
+        self.assertEqual(await self.submit("running"), 504)
+        self.assertEqual(await self.submit(Verdict.COMPLETED), 504)
+
+
 if __name__ == "__main__":
     unittest.main()
