Shape: slots and keyword-only constructors of the new classes; TCP states have a module

Change: __slots__ on what extends classes of grpclib and uvicorn, keyword-only constructors, tcp_states.py out of bounded_http.py. No behaviour changes. Measured: test_connections, test_http_fuzz, test_turns, test_link_limits pass.

--- a/src/comfreysill/bounded_http.py
+++ b/src/comfreysill/bounded_http.py
@@ -7,7 +7,6 @@
 """
 
 import asyncio
-import socket
 from typing import Any
 
 import httptools
@@ -43,6 +42,7 @@
 )
 from comfreysill.paced_reading import PacedFlowControl, await_turn
 from comfreysill.polls import PollTimes
+from comfreysill.tcp_states import has_ended
 from comfreysill.whole_requests import build_refusal
 
 # Name of the ASGI extension in which a request carries an `Arrival`.
@@ -53,8 +53,6 @@
 ENDING_REASONS = frozenset({Reason.DISCARDED, Reason.UNREAD_SECONDS})
 # The same if earlier answers aren't read: other clients need the memory or the descriptor.
 SHEDDING_REASONS = frozenset({Reason.CONNECTIONS, Reason.HELD_BYTES})
-# States of `struct tcp_info` in which the peer sends nothing more.
-ENDED_TCP_STATES = frozenset({7, 8})
 
 
 class _LimitExceeded(Exception):
@@ -102,7 +100,7 @@
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Begins a connection; if there are too many, another one is closed, or this one."""
         super().connection_made(transport)
-        self.flow = PacedFlowControl(transport)
+        self.flow = PacedFlowControl(transport=transport)
         transport.set_write_buffer_limits(high=self.limits.unread_bytes)
         if self.poll_times is not None:
             self.connected_at = read_boot_clock()
@@ -146,7 +144,7 @@
         self._update_held_bytes()
         if reason is not None:
             self.refuse(reason)
-        elif self.flow.read_paused and connection.unanswered and _has_ended(self.transport):
+        elif self.flow.read_paused and connection.unanswered and has_ended(self.transport):
             self.transport.abort()
 
     def end_unless_answering(self, now: float, unread_seconds: float) -> None:
@@ -390,12 +388,3 @@
             cycle.waiting_for_100_continue = False
             cycle.message_event.set()
             self.flow.resume_writing()
-
-
-def _has_ended(transport: asyncio.Transport) -> bool:
-    """Returns whether the client has closed its side of a connection that isn't read."""
-    connection = transport.get_extra_info("socket")
-    try:
-        return connection.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0] in ENDED_TCP_STATES
-    except (AttributeError, OSError, IndexError):
-        return False
--- a/src/comfreysill/bounded_links.py
+++ b/src/comfreysill/bounded_links.py
@@ -38,7 +38,9 @@
         guard: What the servers of the process share.
     """
 
-    def __init__(self, services: list[Any], *, guard: ConnectionGuard) -> None:
+    __slots__ = ("guard",)
+
+    def __init__(self, *, services: list[Any], guard: ConnectionGuard) -> None:
         config = Configuration(
             http2_connection_window_size=WINDOW_BYTES, http2_stream_window_size=WINDOW_BYTES
         )
@@ -62,7 +64,9 @@
         held_bytes: Size of that data.
     """
 
-    def __init__(self, buffer: Buffer) -> None:
+    __slots__ = ("held_bytes",)
+
+    def __init__(self, *, buffer: Buffer) -> None:
         super().__init__(buffer._ack_callback)
         self.held_bytes = 0
 
@@ -85,12 +89,14 @@
         handler: Handler that serves the streams.
     """
 
+    __slots__ = ("handler",)
+
     def __init__(self, *, handler: AbstractHandler) -> None:
         self.handler = handler
 
     def accept(self, stream: Stream, headers: Any, release_stream: Any) -> None:
         """Serves a new stream."""
-        stream.buffer = MeasuredBuffer(stream.buffer)
+        stream.buffer = MeasuredBuffer(buffer=stream.buffer)
         self.handler.accept(stream, headers, release_stream)
 
     def cancel(self, stream: Stream) -> None:
--- a/src/comfreysill/paced_reading.py
+++ b/src/comfreysill/paced_reading.py
@@ -33,7 +33,9 @@
         waits_for_turn: Whether it waits for a turn.
     """
 
-    def __init__(self, transport: asyncio.Transport) -> None:
+    __slots__ = ("waits_for_turn",)
+
+    def __init__(self, *, transport: asyncio.Transport) -> None:
         super().__init__(transport)
         self.waits_for_turn = False
 
--- a/src/comfreysill/servers.py
+++ b/src/comfreysill/servers.py
@@ -183,7 +183,7 @@
         guard: Limits of the connections of this process, None if it has no other server.
     """
     guard = guard or build_guard()
-    server = BoundedServer(services, guard=guard)
+    server = BoundedServer(services=services, guard=guard)
     if listener is not None:
         limit_receive_buffer(listener, guard.links.limits.receive_bytes)
         await server.start(sock=listener)
--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -80,7 +80,7 @@
         turns = ReadingTurns()
         transports = [FakeTransport() for _ in range(3 * TURNS_PER_PASS + 1)]
         for transport in transports:
-            await_turn(turns, PacedFlowControl(transport))
+            await_turn(turns, PacedFlowControl(transport=transport))
         reading = []
         while turns.waiting:
             await asyncio.sleep(0)
@@ -95,7 +95,7 @@
 
     async def test_a_turn_does_not_resume_what_is_paused_nor_the_other_way_round(self):
         turns, transport = ReadingTurns(), FakeTransport()
-        flow = PacedFlowControl(transport)
+        flow = PacedFlowControl(transport=transport)
         await_turn(turns, flow)
         await_turn(turns, flow)
         flow.pause_reading()
