Tests follow the split of the state task of an entry

What was seen: eight tests of test_containment and test_request_trace ended with AttributeError in the whole run of in a fresh clone (872 passed, 8 failed). Change: they name the new module. No check has changed.

--- a/tests/test_containment.py
+++ b/tests/test_containment.py
@@ -6,8 +6,9 @@
 from comfreysill.containment import MAX_CONSECUTIVE_FAILURES, handle_contained
 from comfreysill.exchange.messages import Member, Outcome, Role
 from comfreysill.execution.state import AgentState
-from comfreysill.gateway import actor as gateway
 from comfreysill.gateway import messages as gateway_messages
+from comfreysill.gateway.actor import Actor
+from comfreysill.gateway.handlers import CONTAINMENT, HANDLERS
 from comfreysill.mailbox import Mailbox
 from comfreysill.placement import agents, claims
 from comfreysill.placement.agents import begin_session
@@ -29,11 +30,11 @@
         self.case = test_placement.TestPlacement()
         self.case.setUp()
         self.state, self.now = self.case.state, self.case.now
-        self.actor = gateway.Actor(state=self.state)
+        self.actor = Actor(state=self.state)
         self.state.effects.clear()
 
     def pass_message(self, message):
-        handle_contained(self.actor, message, self.now, gateway.HANDLERS, gateway.CONTAINMENT)
+        handle_contained(self.actor, message, self.now, HANDLERS, CONTAINMENT)
 
     def handle(self, message):
         with self.assertLogs("comfreysill.containment", "ERROR"):
--- a/tests/test_request_trace.py
+++ b/tests/test_request_trace.py
@@ -12,7 +12,8 @@
 from comfreysill.exceptions import RefusedError, UsageError
 from comfreysill.exchange.messages import Outcome
 from comfreysill.execution.calls import ReplyStatus
-from comfreysill.gateway import actor as gateway
+from comfreysill.gateway.actor import Actor
+from comfreysill.gateway.handlers import HANDLERS
 from comfreysill.gateway.messages import CallerDisconnected, Reply
 from comfreysill.placement.placement import refuse_unmeetable
 from comfreysill.placement.requests import disconnect_caller
@@ -448,11 +449,11 @@
     def setUp(self):
         self.case = test_placement.TestPlacement()
         self.case.setUp()
-        self.actor = gateway.Actor(state=self.case.state)
+        self.actor = Actor(state=self.case.state)
 
     def disconnect(self, caller):
         message = CallerDisconnected(caller=caller, request_id="r1")
-        gateway.HANDLERS[CallerDisconnected](self.actor, message, self.case.now)
+        HANDLERS[CallerDisconnected](self.actor, message, self.case.now)
         return [text for text, _ in self.case.state.events if "disconnected" in text]
 
     async def test_a_caller_that_left_after_the_verdict_is_told_of(self):
