--- a/tests/test_containment.py
+++ b/tests/test_containment.py
@@ -6,9 +6,9 @@
 from comfreysill.containment import MAX_CONSECUTIVE_FAILURES, handle_contained
 from comfreysill.exchange.messages import Member, Outcome, Role
 from comfreysill.execution.state import AgentState
+from comfreysill.gateway import handlers as gateway
 from comfreysill.gateway import messages as gateway_messages
 from comfreysill.gateway.actor import Actor
-from comfreysill.gateway.handlers import CONTAINMENT, HANDLERS
 from comfreysill.mailbox import Mailbox
 from comfreysill.placement import agents, claims
 from comfreysill.placement.agents import begin_session
@@ -34,7 +34,7 @@
         self.state.effects.clear()
 
     def pass_message(self, message):
-        handle_contained(self.actor, message, self.now, HANDLERS, CONTAINMENT)
+        handle_contained(self.actor, message, self.now, gateway.HANDLERS, gateway.CONTAINMENT)
 
     def handle(self, message):
         with self.assertLogs("comfreysill.containment", "ERROR"):
