--- a/src/comfreysill/placement/queue.py
+++ b/src/comfreysill/placement/queue.py
@@ -4,13 +4,15 @@
 
 from comfreysill.placement.admission import get_room, is_enabled, note_queued
 from comfreysill.placement.state import EntryState
-from comfreysill.request.request import Request, has_pending
+from comfreysill.request.request import Request, count_pending_tasks, has_pending
 
 # Bands of a queue: requests that can still meet their latency objective precede late ones.
 ON_TIME = 0
 LATE = 1
 # A result later than this multiple of the latency objective is of no use to the caller.
 MAX_OBJECTIVE_FACTOR = 3.0
+# With more tasks left than this, a request would keep others out for long.
+MAX_PENDING_TASKS = 100
 # Precedes 0, the highest priority of a route.
 BEGUN_PRIORITY = -1
 # Number of distinct priorities in each band of the demand rank.
@@ -23,8 +25,9 @@
     Requests that can still meet their objective come first, then those of higher priority, then
     those that are due earlier. Whether one can is judged when it is added, by the declared run
     times. A request that has begun precedes all others, so that the work already done for it is not
-    wasted, unless its end is of no use any more: then it follows those that can be on time, which
-    large requests would keep out otherwise. For what admission changes see `_choose_priority`.
+    wasted. But if its end is of no use any more and many of its tasks are left, which would keep
+    others out, it follows those that can be on time. For what admission changes see
+    `_choose_priority`.
     """
     if request.queued or not has_pending(request):
         return
@@ -66,7 +69,8 @@
     """Returns the band of a request that is queued now."""
     if now + request.critical_path <= request.due_at:
         return ON_TIME
-    return ON_TIME if request.begun and not is_useless(request, now) else LATE
+    is_kept_out = is_useless(request, now) and count_pending_tasks(request) > MAX_PENDING_TASKS
+    return ON_TIME if request.begun and not is_kept_out else LATE
 
 
 def is_useless(request: Request, now: float) -> bool:
--- a/src/comfreysill/request/request.py
+++ b/src/comfreysill/request/request.py
@@ -154,6 +154,12 @@
     return request.verdict is None and has_tasks
 
 
+def count_pending_tasks(request: Request) -> int:
+    """Returns the number of tasks that may be placed, isolated or not."""
+    pending = sum(len(tasks) for tasks in request.pending.values())
+    return pending + sum(len(tasks) for tasks in request.suspects.values())
+
+
 def suspect_task(task: Task) -> None:
     """Marks a task that may have crashed a runner: its next attempts are placed isolated."""
     if task.suspect:
