--- a/review/rig_3.py
+++ b/review/rig_3.py
@@ -70,9 +70,9 @@
     """A proxy in front of the link port of one instance, which can cut one other instance off.
 
     All processes connect from the same loopback address. So the proxy tells a connection of the
-    instance `other` by its name, which the first message on each link holds. Bytes of a connection
-    that is cut are dropped both ways; the connection stays open. With `other` empty all
-    connections are cut.
+    instance `other` by its name, which the first message on each link holds. Bytes and ends of a
+    connection that is cut are held up both ways until the cut is over, as TCP does it. With
+    `other` empty all connections are cut.
     """
 
     def __init__(self, *, host, other=""):
@@ -112,13 +112,10 @@
             if is_forth and not state["is_other"] and len(state["head"]) < 16384:
                 state["head"] += data
                 state["is_other"] = self.marker in state["head"]
-            while not data and self.is_cut and state["is_other"]:
-                # The end of a connection doesn't get through either.
+            while self.is_cut and state["is_other"]:
                 await asyncio.sleep(0.05)
             if not data:
                 return
-            if self.is_cut and state["is_other"]:
-                continue
             writer.write(data)
             with contextlib.suppress(OSError):
                 await writer.drain()
