--- a/review/rig_3.py
+++ b/review/rig_3.py
@@ -301,6 +301,17 @@
         write(f"{method} {job} at {entry} answered {status} {json.dumps(document)}")
         return status, document
 
+    async def report(self, agent, runner_id, document):
+        """Sends a liveness report to an agent; returns the status of the answer."""
+        url = f"http://{self.ip(agent)}:{CONTROL}/api/instances/{runner_id}/heartbeat"
+        async with aiohttp.ClientSession() as session:
+            async with session.post(url, json=document) as answer:
+                self.record.note(
+                    f"report of {runner_id} at {agent} answered {answer.status}: "
+                    + json.dumps(document)
+                )
+                return answer.status
+
     def read_runs(self, job="", note=True):
         """Returns the events of all runners, (time, event, task, agent), by time.
 
