--- a/review/rig_3.py
+++ b/review/rig_3.py
@@ -24,7 +24,7 @@
 
 import aiohttp  # noqa: E402
 
-from standins.proxy import Mode, Proxy, start_proxy  # noqa: E402
+from standins.proxy import Mode, Proxy, start_proxy, stop_proxy  # noqa: E402
 
 HOST, PREFIX, SERVICE = "desk.example", "/q1/", "s1"
 FRONT, READY, CONTROL, APP = 8161, 8167, 8166, 8165
@@ -81,6 +81,7 @@
         self.is_cut = False
         self.server = None
         self.tasks = set()
+        self.writers = set()
 
     async def start(self):
         self.server = await asyncio.start_server(self._accept, self.host, PROXY_LINK)
@@ -97,12 +98,21 @@
             asyncio.create_task(self._relay(target_reader, writer, state, False)),
         ]
         self.tasks.update(relays)
+        self.writers.update((writer, target))
         await asyncio.wait(relays, return_when=asyncio.FIRST_COMPLETED)
         for relay in relays:
             relay.cancel()
         writer.transport.abort()
         target.transport.abort()
 
+    def stop(self):
+        """Closes the port and all connections."""
+        self.server.close()
+        for task in self.tasks:
+            task.cancel()
+        for writer in self.writers:
+            writer.transport.abort()
+
     async def _relay(self, reader, writer, state, is_forth):
         while True:
             try:
@@ -128,11 +138,12 @@
     links of all instances go through proxies then.
     """
 
-    def __init__(self, *, record, entries, agents, isolated=""):
+    def __init__(self, *, record, entries, agents, isolated="", zones=1):
         self.record = record
         self.entries = [f"edge-{number}" for number in range(entries)]
         self.agents = [f"side-{number}" for number in range(agents)]
         self.isolated = isolated
+        self.zones = zones
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="review-"))
         self.network = find_network()
         self.processes = {}
@@ -144,6 +155,9 @@
         kind, _, number = name.partition("-")
         return f"{self.network}.{1 if kind == 'edge' else 2}.{int(number) + 1}"
 
+    def zone(self, name):
+        return f"z{int(name.partition('-')[2]) % self.zones + 1}"
+
     @property
     def store(self):
         return f"{self.network}.9.1:{STORE}"
@@ -154,7 +168,8 @@
         document = {
             "node": name, "role": "entry" if is_entry else "agent",
             "class": "edge" if is_entry else "side", "serves": ["edge" if is_entry else "side"],
-            "ip": ip, "zone": "z1", "region": "r", "zones": {"z1": "r"},
+            "ip": ip, "zone": self.zone(name), "region": "r",
+            "zones": {f"z{number + 1}": "r" for number in range(self.zones)},
             "port-range": [LINK, METRICS],
             "seeds": [f"{self.ip(entry)}:{CONTROL}" for entry in self.entries[:3]],
             "bootstrap": True, "heartbeat-ms": 1500, "orders": "call", "bounds": BOUNDS,
@@ -199,12 +214,17 @@
             self.proxies[name] = LinkProxy(host=self.ip(name), other=other)
             await self.proxies[name].start()
 
-    def set_isolation(self, is_cut):
-        """Cuts the isolated entry off from all other machines and the store, or ends the cut."""
-        for proxy in self.proxies.values():
-            proxy.is_cut = is_cut
+    def set_isolation(self, is_cut, spares_zone=False):
+        """Cuts the isolated entry off from the other machines and the store, or ends the cut.
+
+        With `spares_zone` the machines of its zone are left out.
+        """
+        for name, proxy in self.proxies.items():
+            is_near = name != self.isolated and self.zone(name) == self.zone(self.isolated)
+            proxy.is_cut = is_cut and not (spares_zone and is_near)
         self.store_proxy.mode = Mode.SILENT if is_cut else Mode.PASS
-        state = "is cut off from all other machines" if is_cut else "reaches all machines again"
+        others = "all machines of other zones" if spares_zone else "all other machines"
+        state = f"is cut off from {others}" if is_cut else "reaches all machines again"
         self.record.note(f"{self.isolated} {state}")
 
     async def await_ready(self):
@@ -229,7 +249,7 @@
             f"runner-{name}",
             [
                 "-m", "standins.platform_runner", f"--id=i-{name}", f"--host={ip}",
-                f"--port={APP}", f"--agent={ip}:{CONTROL}", f"--service={SERVICE}", "--zone=z1",
+                f"--port={APP}", f"--agent={ip}:{CONTROL}", f"--service={SERVICE}", f"--zone={self.zone(name)}",
                 f"--cpu={self.capacity[name]}", f"--log={self.folder / f'starts-{name}.log'}",
             ],
         )
@@ -258,12 +278,19 @@
             log.write(json.dumps([time.time(), "killed", "*", 0]) + "\n")
 
     async def stop(self):
+        """Ends all processes, then the proxies."""
         for process in self.processes.values():
             if process.returncode is None:
                 with contextlib.suppress(ProcessLookupError):
                     process.kill()
         for process in self.processes.values():
             await process.wait()
+        for proxy in self.proxies.values():
+            proxy.stop()
+        if self.store_proxy is not None:
+            await stop_proxy(self.store_proxy)
+        # Transports that were aborted are closed in the next passes of the event loop.
+        await asyncio.sleep(0.1)
 
     async def put_config(self):
         route = {
